Add the call path of the entry: callers' listener, upstream connections, one state machine a call

Callers ask for addresses, call /{service}/{path} and get the whole answer of an upstream that the routing decisions choose. Requests go upstream by undici's dispatch with a raw handler, one request at a time on a connection.

--- /dev/null
+++ b/src/entry/addresses.ts
@@ -0,0 +1,55 @@
+/**
+ * The answer to "which address?". Invariant: it never lists an entry that is stopping or out of touch,
+ * as far as this entry knows.
+ */
+import type { Duration, ZoneId } from '../model/index.js';
+import { MAX_ADDRESSES } from './limits.js';
+import type { CallerAddress } from './ports.js';
+
+/** Path that callers ask. */
+export const ADDRESSES_PATH = '/.well-known/chivewalk/addresses';
+
+/** What callers get. */
+export interface AddressAnswer {
+  readonly addresses: readonly CallerAddress[];
+  readonly ttl_ms: Duration;
+}
+
+/** Orders entries at random. */
+function generateOrder(
+  entries: readonly CallerAddress[],
+  getRandom: () => number,
+): readonly CallerAddress[] {
+  return entries
+    .map((entry) => ({ entry, rank: getRandom() }))
+    .sort((a, b) => a.rank - b.rank)
+    .map(({ entry }) => entry);
+}
+
+/**
+ * Picks a few addresses, those of the caller's zone first, with one of another zone as the last resort.
+ *
+ * @example
+ * pickAddresses(entries, 'shah-alam', ['klang'], Math.random);
+ */
+export function pickAddresses(
+  entries: readonly CallerAddress[],
+  zone: ZoneId | undefined,
+  zonesOut: readonly ZoneId[],
+  getRandom: () => number,
+): readonly CallerAddress[] {
+  const inService = entries.filter((entry) => !zonesOut.includes(entry.zone));
+  const usable = generateOrder(inService.length > 0 ? inService : entries, getRandom);
+  const near = usable.filter((entry) => entry.zone === zone);
+  const far = usable.filter((entry) => entry.zone !== zone);
+  const reserved = Math.min(1, far.length);
+  const nearest = near.slice(0, MAX_ADDRESSES - reserved);
+  return [...nearest, ...far.slice(0, MAX_ADDRESSES - nearest.length)];
+}
+
+/** Returns the zone that the caller named in its query. */
+export function parseZone(url: string): ZoneId | undefined {
+  const at = url.indexOf('?');
+  const zone = at < 0 ? null : new URLSearchParams(url.slice(at)).get('zone');
+  return zone ?? undefined;
+}
--- /dev/null
+++ b/src/entry/answer.ts
@@ -0,0 +1,91 @@
+/**
+ * Writes the answer of an upstream to the caller. Invariant: exactly one head is written, the answer is
+ * ended only after its last byte arrived, and an answer that was cut closes the caller's connection.
+ */
+import type { ServerResponse } from 'node:http';
+import { checkInvariant } from '../model/index.js';
+import type { AnswerHead } from './headers.js';
+import { MAX_KEYED_ANSWER_BYTES } from './limits.js';
+import type { StoredAnswer } from './ports.js';
+
+/** Keeps an answer for replay while it passes, unless it grows too large. */
+class AnswerCopy {
+  readonly #chunks: Buffer[] = [];
+  #size = 0;
+
+  addChunk(chunk: Buffer): void {
+    this.#size += chunk.length;
+    if (this.#size <= MAX_KEYED_ANSWER_BYTES) this.#chunks.push(chunk);
+    else this.#chunks.length = 0;
+  }
+
+  toStored(head: AnswerHead): StoredAnswer | undefined {
+    if (this.#size > MAX_KEYED_ANSWER_BYTES) return undefined;
+    return { status: head.status, headers: head.headers, body: Buffer.concat(this.#chunks) };
+  }
+}
+
+/** The answer under way to one caller. */
+export class AnswerWriter {
+  readonly #response: ServerResponse;
+  readonly #copy: AnswerCopy | undefined;
+  #head: AnswerHead | undefined;
+  #resume: (() => void) | undefined;
+  #detached = false;
+
+  private constructor(response: ServerResponse, keepsCopy: boolean) {
+    this.#response = response;
+    this.#copy = keepsCopy ? new AnswerCopy() : undefined;
+  }
+
+  /** Creates a writer; with `keepsCopy` the answer can be had whole at its end. */
+  static create(response: ServerResponse, keepsCopy: boolean): AnswerWriter {
+    return new AnswerWriter(response, keepsCopy);
+  }
+
+  /** Stops writing to the caller, who went away, and goes on keeping the copy. */
+  detach(): void {
+    this.#detached = true;
+    this.#continue();
+  }
+
+  /** Writes the head. */
+  writeHead(head: AnswerHead): void {
+    checkInvariant(this.#head === undefined, 'a second head was written for one call');
+    this.#head = head;
+    if (this.#detached) return;
+    const response = this.#response;
+    response.sendDate = false;
+    response.writeHead(head.status, head.statusText, head.headers as string[]);
+    response.on('drain', () => {
+      this.#continue();
+    });
+  }
+
+  /** Writes a part of the body; returns false if the upstream must wait for `resume`. */
+  writeChunk(chunk: Buffer, resume: () => void): boolean {
+    this.#copy?.addChunk(chunk);
+    if (this.#detached) return true;
+    if (this.#response.write(chunk)) return true;
+    this.#resume = resume;
+    return false;
+  }
+
+  /** Ends the answer and returns its copy if one was kept whole. */
+  finish(): StoredAnswer | undefined {
+    checkInvariant(this.#head !== undefined, 'an answer was ended that had no head');
+    if (!this.#detached) this.#response.end();
+    return this.#copy?.toStored(this.#head);
+  }
+
+  /** Lets the caller see that the answer is not whole. */
+  cut(): void {
+    if (!this.#detached) this.#response.destroy();
+  }
+
+  #continue(): void {
+    const resume = this.#resume;
+    this.#resume = undefined;
+    resume?.();
+  }
+}
--- /dev/null
+++ b/src/entry/body.ts
@@ -0,0 +1,165 @@
+/**
+ * The body of a caller's request. Invariant: bytes are handed to at most one attempt unless the whole
+ * body is kept, so no upstream ever receives a part of it as if it were the whole.
+ */
+import type { IncomingMessage } from 'node:http';
+import { Readable } from 'node:stream';
+import { checkInvariant } from '../model/index.js';
+import type { BodyFraming } from './head.js';
+import { FINGERPRINT_BODY_BYTES } from './limits.js';
+
+/** What an attempt sends: nothing, a kept body, or a stream. */
+export type BodyContent = Buffer | Readable | null;
+
+/** How gathering the start of a body ended. */
+export type Gathered = 'ready' | 'tooLarge' | 'aborted';
+
+/** Reads a request body and hands it to attempts. */
+export class RequestBody {
+  readonly #request: IncomingMessage;
+  readonly #framing: BodyFraming;
+  #chunks: Buffer[] = [];
+  #size = 0;
+  #whole = false;
+  #started = false;
+  #waiting: ((gathered: Gathered) => void) | undefined;
+  #keepLimit = 0;
+  #strict = false;
+  #reader: Readable | undefined;
+
+  private constructor(request: IncomingMessage, framing: BodyFraming) {
+    this.#request = request;
+    this.#framing = framing;
+    this.#whole = framing.kind === 'none';
+  }
+
+  /** Creates the body of a request; nothing is read before {@link gather}. */
+  static create(request: IncomingMessage, framing: BodyFraming): RequestBody {
+    return new RequestBody(request, framing);
+  }
+
+  /** The length that the caller announced; undefined without a body or with chunked encoding. */
+  get length(): number | undefined {
+    return this.#framing.kind === 'body' ? this.#framing.length : undefined;
+  }
+
+  /** Whether the whole body is kept. */
+  get isWhole(): boolean {
+    return this.#whole;
+  }
+
+  /** Whether an attempt may still be given the body from its first byte. */
+  get canOpen(): boolean {
+    return this.#whole || !this.#started;
+  }
+
+  /** The first bytes, as far as they were gathered. */
+  get head(): Buffer {
+    return Buffer.concat(this.#chunks).subarray(0, FINGERPRINT_BODY_BYTES);
+  }
+
+  /** The kept body. */
+  get content(): Buffer {
+    checkInvariant(this.#whole, 'a body was used as whole before it had arrived');
+    return this.#chunks.length === 1 && this.#chunks[0] !== undefined
+      ? this.#chunks[0]
+      : Buffer.concat(this.#chunks);
+  }
+
+  /**
+   * Reads until the body is whole, or until enough is there to start streaming it.
+   * A strict body must be whole; `done` is told when it is larger than `keepLimit`.
+   */
+  gather(keepLimit: number, strict: boolean, done: (gathered: Gathered) => void): void {
+    if (this.#whole) {
+      done('ready');
+      return;
+    }
+    this.#keepLimit = keepLimit;
+    this.#strict = strict;
+    this.#waiting = done;
+    if (strict && (this.length ?? 0) > keepLimit) {
+      this.#settle('tooLarge');
+      return;
+    }
+    this.#request.on('data', (chunk: Buffer) => {
+      this.#addChunk(chunk);
+    });
+    this.#request.on('end', () => {
+      this.#end();
+    });
+    this.#request.on('error', (error) => {
+      this.#settle('aborted');
+      this.#reader?.destroy(error);
+    });
+  }
+
+  /** Returns what an attempt shall send. */
+  open(): BodyContent {
+    if (this.#framing.kind === 'none') return null;
+    if (this.#whole) return this.content;
+    checkInvariant(!this.#started, 'a body that was not kept was handed to a second attempt');
+    this.#reader = new Readable({
+      read: () => {
+        this.#startStreaming();
+      },
+    });
+    return this.#reader;
+  }
+
+  /** Discards what has not been read, so that the connection can carry the next request. */
+  release(): void {
+    this.#reader?.destroy();
+    this.#reader = undefined;
+    this.#started = true;
+    this.#request.resume();
+  }
+
+  #addChunk(chunk: Buffer): void {
+    if (this.#started) {
+      if (this.#reader?.push(chunk) === false) this.#request.pause();
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#size += chunk.length;
+    if (this.#waiting === undefined) return;
+    if (this.#strict) {
+      if (this.#size > this.#keepLimit) this.#settle('tooLarge');
+    } else if (this.#canStream()) {
+      this.#request.pause();
+      this.#settle('ready');
+    }
+  }
+
+  /** A chunked body may be a conversation and starts at once; a long one starts with a full head. */
+  #canStream(): boolean {
+    if (this.length === undefined) return true;
+    return this.length > this.#keepLimit && this.#size >= FINGERPRINT_BODY_BYTES;
+  }
+
+  #end(): void {
+    if (this.#started) {
+      this.#reader?.push(null);
+      return;
+    }
+    this.#whole = true;
+    this.#settle('ready');
+  }
+
+  #settle(gathered: Gathered): void {
+    const done = this.#waiting;
+    this.#waiting = undefined;
+    done?.(gathered);
+  }
+
+  #startStreaming(): void {
+    if (this.#started) {
+      this.#request.resume();
+      return;
+    }
+    this.#started = true;
+    const first = this.#chunks.splice(0);
+    const more = first.map((chunk) => this.#reader?.push(chunk) ?? false).at(-1) ?? true;
+    if (more) this.#request.resume();
+  }
+}
--- /dev/null
+++ b/src/entry/call.ts
@@ -0,0 +1,337 @@
+/**
+ * One call from its arrival to its answer. Invariants: it gets exactly one answer; a request that is not
+ * idempotent is not sent again once it may have run; `not run` is only said when nothing ran.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Dispatcher } from 'undici';
+import { checkInvariant, type Address, type Instant } from '../model/index.js';
+import type { AttemptFailure, RoutingEffect, RoutingEvent } from '../routing/types.js';
+import { AnswerWriter } from './answer.js';
+import { Attempt, type AttemptOwner } from './attempt.js';
+import type { RequestBody } from './body.js';
+import { buildForwardedHeaders, type AnswerHead } from './headers.js';
+import type { CallHead } from './head.js';
+import type { CallOutcome, CallSpan, ClaimSettlement, FinishedCall } from './ports.js';
+import { describeRefusal, writeRefusal, type Refusal } from './refusal.js';
+import type { UpstreamPools } from './upstreams.js';
+
+/** What a call needs from the entry. */
+export interface CallContext {
+  readonly pools: UpstreamPools;
+  /** Hands an event to the routing decisions and carries out what follows. */
+  readonly dispatch: (event: RoutingEvent) => void;
+  readonly getNow: () => Instant;
+  readonly getRandom: () => number;
+  /** Called once, when the call has ended. */
+  readonly onEnd: (call: CallRun, finished: FinishedCall) => void;
+}
+
+/** The parts of a call that stand when it begins. */
+export interface CallStart {
+  readonly id: number;
+  readonly head: CallHead;
+  readonly body: RequestBody;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly arrivedAt: Instant;
+  readonly span: CallSpan | undefined;
+}
+
+/** An effect on one call. */
+export type CallEffect = Extract<RoutingEffect, { readonly callId: number }>;
+
+/** Carries one call through the effects that the routing decisions ask for. */
+export class CallRun implements AttemptOwner {
+  readonly id: number;
+  readonly head: CallHead;
+  readonly deadline: Instant;
+  readonly #context: CallContext;
+  readonly #start: CallStart;
+  readonly #timer: NodeJS.Timeout;
+  /** The latest attempt. */
+  #attempt: Attempt | undefined;
+  #attempts = 0;
+  /** Whether an attempt before the latest one may have run. */
+  #mayHaveRunBefore = false;
+  #arrivedHead: AnswerHead | undefined;
+  #writer: AnswerWriter | undefined;
+  #status = 0;
+  #isInRouting = false;
+  #hasEnded = false;
+  #callerIsGone = false;
+  #settle: ((settlement: ClaimSettlement) => void) | undefined;
+
+  private constructor(context: CallContext, start: CallStart) {
+    this.#context = context;
+    this.#start = start;
+    this.id = start.id;
+    this.head = start.head;
+    this.deadline = start.arrivedAt + start.head.deadline;
+    this.#timer = setTimeout(() => {
+      this.#expire();
+    }, start.head.deadline);
+    start.response.on('close', () => {
+      this.#handleCallerGone();
+    });
+  }
+
+  /** Begins a call; its deadline runs from its arrival. */
+  static create(context: CallContext, start: CallStart): CallRun {
+    return new CallRun(context, start);
+  }
+
+  /** Whether the call has its answer or is given up. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Whether an upstream may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRunBefore || this.#attempt?.mayHaveRun === true;
+  }
+
+  /** Lets the end of the call settle the claim that was granted to it. */
+  attachClaim(settle: (settlement: ClaimSettlement) => void): void {
+    this.#settle = settle;
+  }
+
+  /** Hands the call to the routing decisions. */
+  enter(fingerprint: string): void {
+    const { service, route } = this.head.target;
+    this.#isInRouting = true;
+    this.#context.dispatch({
+      kind: 'arrived',
+      call: {
+        id: this.id,
+        service,
+        route,
+        idempotent: this.head.idempotent && this.#start.body.isWhole,
+        criticality: this.head.criticality,
+        deadline: this.deadline,
+        fingerprint,
+        depth: this.head.hops,
+      },
+      now: this.#context.getNow(),
+      random: this.#context.getRandom(),
+    });
+  }
+
+  /** Carries out an effect of the routing decisions. */
+  apply(effect: CallEffect): void {
+    if (this.#hasEnded) return;
+    switch (effect.kind) {
+      case 'send':
+        this.#send(effect.upstreamId, effect.address);
+        break;
+      case 'deliver':
+        this.#deliver();
+        break;
+      case 'refuse':
+        this.#isInRouting = false;
+        this.refuse({ kind: 'notRun', reason: effect.reason, retryAfter: effect.retryAfter });
+        break;
+      case 'fail':
+        this.#isInRouting = false;
+        this.#refuseAfter(effect.failure);
+        break;
+    }
+  }
+
+  /** Gives the call an answer of the entry itself. */
+  refuse(refusal: Refusal): void {
+    if (this.#hasEnded) return;
+    checkInvariant(this.#writer === undefined, 'a call was about to get a second answer');
+    checkInvariant(
+      refusal.kind !== 'notRun' || !this.mayHaveRun,
+      'a request that may have run was about to be called not run',
+    );
+    this.#settleClaim({ kind: this.mayHaveRun ? 'unknown' : 'notRun' });
+    if (!this.#callerIsGone) this.#status = writeRefusal(this.#start.response, refusal);
+    const { reason } = describeRefusal(refusal);
+    this.#end(refusal.kind === 'unknown' ? 'unknown' : 'refused', reason);
+  }
+
+  /** Ends the call after its answer was written by other means. */
+  finish(outcome: CallOutcome, status: number): void {
+    this.#status = status;
+    this.#end(outcome, '');
+  }
+
+  /** Ends a call that met a defect of the program, without a statement that could be false. */
+  abandon(): void {
+    if (this.#hasEnded) return;
+    this.#mayHaveRunBefore = true;
+    this.#attempt?.abort();
+    this.#leaveRouting();
+    if (this.#writer === undefined) this.refuse({ kind: 'unknown', failure: 'lost' });
+    else this.#cut();
+  }
+
+  buildOptions(): Dispatcher.DispatchOptions {
+    const { request, body, span } = this.#start;
+    const { head } = this;
+    const left = Math.max(1, Math.floor(this.deadline - this.#context.getNow()));
+    const trace = span?.traceparent ?? request.headers.traceparent;
+    const content = body.open();
+    const headers = buildForwardedHeaders(request, {
+      deadline: left,
+      criticality: head.criticality,
+      hops: head.hops + 1,
+      traceparent: typeof trace === 'string' ? trace : undefined,
+      contentLength: Buffer.isBuffer(content) ? undefined : body.length,
+    });
+    return { method: head.method, path: head.target.path, headers, body: content };
+  }
+
+  handleHead(attempt: Attempt, head: AnswerHead): boolean {
+    if (attempt !== this.#attempt || this.#hasEnded) return false;
+    this.#arrivedHead = head;
+    this.#context.dispatch({
+      kind: 'headArrived',
+      callId: this.id,
+      status: head.status,
+      notRun: head.notRun && this.#start.body.canOpen,
+      report: head.load,
+      now: this.#context.getNow(),
+      random: this.#context.getRandom(),
+    });
+    this.#arrivedHead = undefined;
+    return this.#writer !== undefined;
+  }
+
+  handleChunk(chunk: Buffer, resume: () => void): boolean {
+    return this.#writer?.writeChunk(chunk, resume) ?? true;
+  }
+
+  handleEnd(): void {
+    if (this.#hasEnded) return;
+    const stored = this.#writer?.finish();
+    const mayHaveRun = this.mayHaveRun;
+    if (!mayHaveRun) this.#settleClaim({ kind: 'notRun' });
+    else this.#settleClaim(stored ? { kind: 'answered', ...stored } : { kind: 'unknown' });
+    this.#leaveRouting(true);
+    this.#end('answered', '');
+  }
+
+  handleFailure(attempt: Attempt): void {
+    if (attempt !== this.#attempt || this.#hasEnded) return;
+    if (this.#writer === undefined) this.#tellFailed(attempt.mayHaveRun ? 'lost' : 'unreachable');
+    else this.#cut();
+  }
+
+  #send(upstreamId: string, address: Address): void {
+    checkInvariant(this.#writer === undefined, 'a call that has its answer was sent again');
+    checkInvariant(
+      this.head.idempotent || !this.mayHaveRun,
+      'a request that is not idempotent and may have run was about to be sent again',
+    );
+    this.#mayHaveRunBefore = this.mayHaveRun;
+    if (this.#attempt?.isWaiting === true) this.#attempt.abort();
+    this.#attempts += 1;
+    const pool = this.#context.pools.get(upstreamId, address);
+    if (pool === undefined) {
+      this.#attempt = undefined;
+      this.#tellFailed('unreachable');
+      return;
+    }
+    this.#attempt = Attempt.create(this, pool, upstreamId, this.head.method);
+    this.#attempt.start();
+  }
+
+  #deliver(): void {
+    const head = this.#arrivedHead;
+    checkInvariant(head !== undefined, 'an answer was to be delivered that has not arrived');
+    const writer = AnswerWriter.create(this.#start.response, this.#settle !== undefined);
+    if (this.#callerIsGone) writer.detach();
+    this.#writer = writer;
+    this.#status = head.status;
+    writer.writeHead(head);
+  }
+
+  #cut(): void {
+    this.#settleClaim({ kind: 'unknown' });
+    this.#writer?.cut();
+    this.#leaveRouting(false);
+    this.#end('cut', 'cut');
+  }
+
+  /** Answers a call that the routing decisions gave up. */
+  #refuseAfter(failure: AttemptFailure): void {
+    const reason = failure === 'timedOut' ? 'deadlineTooShort' : 'retriesSpent';
+    if (this.mayHaveRun) this.refuse({ kind: 'unknown', failure });
+    else this.refuse({ kind: 'notRun', reason, retryAfter: 0 });
+  }
+
+  #expire(): void {
+    if (this.#hasEnded || this.#writer !== undefined) return;
+    const attempt = this.#attempt;
+    if (attempt?.isWaiting === true) {
+      attempt.abort();
+      this.#tellFailed(attempt.mayHaveRun ? 'timedOut' : 'unreachable');
+    }
+    if (this.hasEnded) return;
+    this.#attempt?.abort();
+    this.#leaveRouting();
+    this.#refuseAfter('timedOut');
+  }
+
+  /** Passes the caller's cancellation on, unless the answer is kept for a repeated key. */
+  #handleCallerGone(): void {
+    if (this.#hasEnded) return;
+    this.#callerIsGone = true;
+    if (this.#settle !== undefined && this.mayHaveRun) {
+      this.#writer?.detach();
+      return;
+    }
+    this.#attempt?.abort();
+    this.#settleClaim({ kind: this.mayHaveRun ? 'unknown' : 'notRun' });
+    this.#leaveRouting();
+    this.#end('cancelled', 'cancelled');
+  }
+
+  #tellFailed(failure: AttemptFailure): void {
+    this.#context.dispatch({
+      kind: 'failed',
+      callId: this.id,
+      failure,
+      now: this.#context.getNow(),
+      random: this.#context.getRandom(),
+    });
+  }
+
+  /** Tells the routing decisions that the call is over; `complete` is undefined if it was given up. */
+  #leaveRouting(complete?: boolean): void {
+    if (!this.#isInRouting) return;
+    this.#isInRouting = false;
+    const at = { callId: this.id, now: this.#context.getNow(), random: this.#context.getRandom() };
+    if (complete === undefined) this.#context.dispatch({ kind: 'cancelled', ...at });
+    else this.#context.dispatch({ kind: 'finished', complete, ...at });
+  }
+
+  #settleClaim(settlement: ClaimSettlement): void {
+    const settle = this.#settle;
+    this.#settle = undefined;
+    settle?.(settlement);
+  }
+
+  #end(outcome: CallOutcome, reason: string): void {
+    checkInvariant(!this.#hasEnded, 'a call ended twice');
+    this.#hasEnded = true;
+    clearTimeout(this.#timer);
+    this.#start.body.release();
+    const finished: FinishedCall = {
+      service: this.head.target.service,
+      route: this.head.target.route,
+      method: this.head.method,
+      criticality: this.head.criticality,
+      status: this.#status,
+      outcome,
+      reason,
+      latency: this.#context.getNow() - this.#start.arrivedAt,
+      upstreamId: this.#attempt?.upstreamId ?? '',
+      attempts: this.#attempts,
+    };
+    this.#start.span?.end(finished);
+    this.#context.onEnd(this, finished);
+  }
+}
--- /dev/null
+++ b/src/entry/digest.ts
@@ -0,0 +1,20 @@
+/** Digests of requests. Invariant: equal requests have equal digests. */
+import { createHash, hash } from 'node:crypto';
+import type { RequestBody } from './body.js';
+import type { CallHead } from './head.js';
+
+function describeRequest({ method, target }: CallHead): string {
+  return `${method} ${target.service} ${target.path}\n`;
+}
+
+/** Returns the digest by which a request that crashes upstreams is known again. */
+export function computeFingerprint(head: CallHead, body: RequestBody): string {
+  const request = describeRequest(head);
+  if (head.framing.kind === 'none') return hash('sha1', request, 'base64');
+  return createHash('sha1').update(request).update(body.head).digest('base64');
+}
+
+/** Returns the digest by which a repeated idempotency key is checked to carry the same request. */
+export function computeDigest(head: CallHead, body: RequestBody): string {
+  return createHash('sha256').update(describeRequest(head)).update(body.content).digest('base64');
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,351 @@
+/**
+ * The shell of the call path. Invariant: a request that reached the callers' listener is answered or
+ * visibly cut, also while the entry stops.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Address, Duration, EntryId, ZoneId } from '../model/index.js';
+import type { RoutingEffect, RoutingEvent } from '../routing/types.js';
+import { ADDRESSES_PATH, parseZone, pickAddresses, type AddressAnswer } from './addresses.js';
+import { RequestBody, type Gathered } from './body.js';
+import { CallRun, type CallContext, type CallEffect } from './call.js';
+import { computeDigest, computeFingerprint } from './digest.js';
+import { readHead, type CallHead } from './head.js';
+import { claimCall } from './keyed.js';
+import {
+  CALLER_IDLE_TIMEOUT,
+  HEAD_TIMEOUT,
+  MAX_HEAD_BYTES,
+  MAX_KEYED_BODY_BYTES,
+  MAX_REPLAY_BYTES,
+  TICK_INTERVAL,
+} from './limits.js';
+import type {
+  CallHooks,
+  ClaimPort,
+  ConfigPort,
+  MembersPort,
+  RoutingPort,
+  RoutingSignal,
+} from './ports.js';
+import { sendProbe } from './probe.js';
+import { refuseSocket } from './reject.js';
+import { writeRefusal } from './refusal.js';
+import { UpstreamPools } from './upstreams.js';
+
+/** What an entry needs. */
+export interface EntryOptions {
+  readonly id: EntryId;
+  readonly zone: ZoneId;
+  /** Address of the callers' listener. */
+  readonly callerListen: Address;
+  /** How long callers keep addresses. */
+  readonly addressTtlMs: Duration;
+  /** How long other entries may go on listing this one after it began to stop. */
+  readonly listingLagMs?: Duration;
+  readonly routing: RoutingPort;
+  readonly claims: ClaimPort;
+  readonly config: ConfigPort;
+  readonly members: MembersPort;
+  readonly hooks: CallHooks;
+  /** Receives what the routing decisions have to tell other packages. */
+  readonly onSignal?: (signal: RoutingSignal) => void;
+  /** Source of randomness; `Math.random` unless given. */
+  readonly getRandom?: () => number;
+}
+
+/** A running entry. */
+export interface Entry {
+  /** Address of the callers' listener. */
+  readonly address: Address;
+  /** Calls that have no answer yet. */
+  readonly inFlight: number;
+  /** Connections to upstreams. */
+  readonly connections: number;
+  /** Hands an event from another package to the routing decisions. */
+  readonly dispatch: (event: RoutingEvent) => void;
+  /** Stops gracefully; resolves when the last connection is closed. */
+  readonly stop: () => Promise<void>;
+}
+
+const DEFAULT_LISTING_LAG: Duration = 2000;
+
+class RunningEntry implements Entry {
+  readonly #options: EntryOptions;
+  readonly #server: Server;
+  readonly #pools = UpstreamPools.create();
+  readonly #calls = new Map<number, CallRun>();
+  /** The latest response on each connection. */
+  readonly #responses = new WeakMap<Duplex, ServerResponse>();
+  readonly #context: CallContext;
+  readonly #getRandom: () => number;
+  #ticker: NodeJS.Timeout | undefined;
+  #nextCallId = 1;
+  #stopped: Promise<void> | undefined;
+
+  private constructor(options: EntryOptions) {
+    this.#options = options;
+    this.#getRandom = options.getRandom ?? Math.random;
+    this.#context = this.#createContext();
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        headersTimeout: HEAD_TIMEOUT,
+        keepAliveTimeout: CALLER_IDLE_TIMEOUT,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (request, response) => {
+        this.#handleRequest(request, response);
+      },
+    );
+    this.#server.maxHeadersCount = 0;
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      const latest = this.#responses.get(socket);
+      refuseSocket(socket, error.code, latest === undefined || latest.writableFinished);
+    });
+    this.#server.on('connect', (_: IncomingMessage, socket: Duplex) => {
+      refuseSocket(socket, 'CONNECT', true);
+    });
+  }
+
+  static async create(options: EntryOptions): Promise<RunningEntry> {
+    const entry = new RunningEntry(options);
+    entry.#follow();
+    await entry.#listen();
+    return entry;
+  }
+
+  get address(): Address {
+    return this.#options.callerListen;
+  }
+
+  get inFlight(): number {
+    return this.#calls.size;
+  }
+
+  get connections(): number {
+    return this.#pools.size;
+  }
+
+  dispatch(event: RoutingEvent): void {
+    this.#options.routing.decide(event).forEach((effect) => {
+      this.#apply(effect);
+    });
+  }
+
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  #createContext(): CallContext {
+    return {
+      pools: this.#pools,
+      dispatch: (event) => {
+        this.dispatch(event);
+      },
+      getNow: () => performance.now(),
+      getRandom: this.#getRandom,
+      onEnd: (call, finished) => {
+        this.#calls.delete(call.id);
+        this.#options.hooks.onCallFinished?.(finished);
+      },
+    };
+  }
+
+  async #listen(): Promise<void> {
+    const { callerListen } = this.#options;
+    const at = callerListen.lastIndexOf(':');
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      const port = Number(callerListen.slice(at + 1));
+      this.#server.listen({ host: callerListen.slice(0, at), port }, resolve);
+    });
+    this.#ticker = setInterval(() => {
+      this.dispatch({ kind: 'ticked', now: performance.now(), random: this.#getRandom() });
+    }, TICK_INTERVAL);
+  }
+
+  /** Tells the routing decisions what is known now and whenever it changes. */
+  #follow(): void {
+    this.#applyConfig();
+    this.#applyMembers();
+    this.#options.config.onChange(() => {
+      this.#applyConfig();
+      this.#applyMembers();
+    });
+    this.#options.members.onChange(() => {
+      this.#applyMembers();
+    });
+  }
+
+  #applyConfig(): void {
+    const { config, id, zone } = this.#options;
+    const now = performance.now();
+    this.dispatch({ kind: 'configured', config: config.config, self: id, zone, now });
+  }
+
+  #applyMembers(): void {
+    const { members, config } = this.#options;
+    const upstreams = members.upstreams();
+    const agreed = config.config.roster.members.length;
+    this.#pools.update(upstreams, Math.max(agreed, members.entries().length));
+    this.dispatch({ kind: 'discovered', upstreams, now: performance.now() });
+  }
+
+  #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    this.#responses.set(request.socket, response);
+    if (this.#stopped !== undefined) response.shouldKeepAlive = false;
+    const url = request.url ?? '';
+    if (url.startsWith('/.well-known/')) this.#serveAddresses(request, response, url);
+    else this.#beginCall(request, response);
+  }
+
+  #serveAddresses(request: IncomingMessage, response: ServerResponse, url: string): void {
+    const path = url.split('?', 1)[0];
+    if (path !== ADDRESSES_PATH || request.method !== 'GET') {
+      writeRefusal(response, { kind: 'fault', fault: 'badTarget' });
+      return;
+    }
+    const answer: AddressAnswer = {
+      addresses: this.#pickAddresses(parseZone(url)),
+      ttl_ms: this.#options.addressTtlMs,
+    };
+    const body = Buffer.from(`${JSON.stringify(answer)}\n`);
+    const type = ['content-type', 'application/json', 'cache-control', 'no-store'];
+    const status = answer.addresses.length > 0 ? 200 : 503;
+    response.writeHead(status, [...type, 'content-length', String(body.length)]);
+    response.end(body);
+  }
+
+  #pickAddresses(zone: ZoneId | undefined): AddressAnswer['addresses'] {
+    const { members, config } = this.#options;
+    const isListed = this.#stopped === undefined && config.isFresh(performance.now());
+    const entries = members
+      .entries()
+      .filter((entry) => isListed || entry.address !== this.#options.callerListen);
+    return pickAddresses(entries, zone, config.config.zonesOut, this.#getRandom);
+  }
+
+  #beginCall(request: IncomingMessage, response: ServerResponse): void {
+    const head = readHead(request);
+    if (head.isErr()) {
+      if (head.error === 'badFraming') response.shouldKeepAlive = false;
+      writeRefusal(response, { kind: 'fault', fault: head.error });
+      return;
+    }
+    const body = RequestBody.create(request, head.value.framing);
+    const call = this.#createCall(head.value, body, request, response);
+    if (!this.#options.config.isFresh(performance.now())) {
+      call.refuse({ kind: 'notRun', reason: 'stale', retryAfter: 0 });
+      return;
+    }
+    const { key } = head.value;
+    const limit = key === undefined ? MAX_REPLAY_BYTES : MAX_KEYED_BODY_BYTES;
+    body.gather(limit, key !== undefined, (gathered) => {
+      this.#enter(call, body, response, gathered);
+    });
+  }
+
+  #createCall(
+    head: CallHead,
+    body: RequestBody,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): CallRun {
+    const { service, route } = head.target;
+    const { startSpan } = this.#options.hooks;
+    const traceparent = getTraceparent(request);
+    const span = startSpan?.({ service, route, method: head.method, traceparent });
+    const id = this.#nextCallId++;
+    const arrivedAt = performance.now();
+    const start = { id, head, body, request, response, arrivedAt, span };
+    const call = CallRun.create(this.#context, start);
+    this.#calls.set(id, call);
+    return call;
+  }
+
+  /** Lets a call whose body was gathered go on, once its key is claimed if it has one. */
+  #enter(call: CallRun, body: RequestBody, response: ServerResponse, gathered: Gathered): void {
+    if (call.hasEnded || gathered === 'aborted') return;
+    if (gathered === 'tooLarge') {
+      call.refuse({ kind: 'fault', fault: 'bodyTooLarge' });
+      return;
+    }
+    const { head } = call;
+    const proceed = (): void => {
+      call.enter(computeFingerprint(head, body));
+    };
+    if (head.key === undefined) {
+      proceed();
+      return;
+    }
+    const digest = computeDigest(head, body);
+    void claimCall(this.#options.claims, call, head.key, digest, response, proceed);
+  }
+
+  #apply(effect: RoutingEffect): void {
+    switch (effect.kind) {
+      case 'send':
+      case 'deliver':
+      case 'refuse':
+      case 'fail':
+        this.#applyToCall(effect);
+        break;
+      case 'probe':
+        this.#probe(effect.upstreamId, effect.address);
+        break;
+      case 'suspect':
+      case 'evidence':
+        this.#options.onSignal?.(effect);
+        break;
+    }
+  }
+
+  /** A defect met by one call ends that call and no other. */
+  #applyToCall(effect: CallEffect): void {
+    const call = this.#calls.get(effect.callId);
+    try {
+      call?.apply(effect);
+    } catch (error) {
+      if (!(error instanceof Error)) throw error;
+      this.#options.hooks.onDefect?.(error);
+      call?.abandon();
+    }
+  }
+
+  #probe(upstreamId: string, address: Address): void {
+    const pool = this.#pools.get(upstreamId, address);
+    if (pool === undefined) return;
+    sendProbe(pool, (healthy, report) => {
+      this.dispatch({ kind: 'probed', upstreamId, healthy, report, now: performance.now() });
+    });
+  }
+
+  /** Serves on while callers may still hold this address, then closes idle connections. */
+  async #stop(): Promise<void> {
+    const { addressTtlMs, listingLagMs = DEFAULT_LISTING_LAG } = this.#options;
+    await delay(addressTtlMs + listingLagMs);
+    await new Promise((resolve) => this.#server.close(resolve));
+    clearInterval(this.#ticker);
+    this.#pools.close();
+  }
+}
+
+function getTraceparent(request: IncomingMessage): string | undefined {
+  const value = request.headers.traceparent;
+  return typeof value === 'string' ? value : undefined;
+}
+
+/**
+ * Opens the callers' listener and returns the running entry.
+ *
+ * @example
+ * const entry = await createEntry(options);
+ * process.once('SIGTERM', () => void entry.stop());
+ */
+export function createEntry(options: EntryOptions): Promise<Entry> {
+  return RunningEntry.create(options);
+}
--- /dev/null
+++ b/src/entry/headers.ts
@@ -0,0 +1,152 @@
+/**
+ * Reads and builds header lists. Invariant: no hop-by-hop field crosses the entry, and the fields that
+ * this system defines are set by the entry, never copied from a caller.
+ */
+import type { IncomingMessage } from 'node:http';
+import type { Criticality, Duration, LoadReport } from '../model/index.js';
+import type { HeaderList } from './ports.js';
+
+/** Names of the fields that this system defines. */
+export const DEADLINE_HEADER = 'x-chivewalk-deadline-ms';
+export const CRITICALITY_HEADER = 'x-chivewalk-criticality';
+export const HOPS_HEADER = 'x-chivewalk-hops';
+export const LOAD_HEADER = 'x-chivewalk-load';
+export const NOT_RUN_HEADER = 'x-chivewalk-not-run';
+export const OUTCOME_HEADER = 'x-chivewalk-outcome';
+export const REPLAYED_HEADER = 'x-chivewalk-replayed';
+export const KEY_HEADER = 'idempotency-key';
+
+const HOP_BY_HOP = [
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+];
+/** Fields of a request that the entry sets itself or that end at it. */
+const OWN_IN_REQUEST = [
+  'content-length',
+  'expect',
+  'traceparent',
+  DEADLINE_HEADER,
+  CRITICALITY_HEADER,
+  HOPS_HEADER,
+];
+const DROPPED_FROM_REQUEST: ReadonlySet<string> = new Set([...HOP_BY_HOP, ...OWN_IN_REQUEST]);
+const DROPPED_FROM_ANSWER: ReadonlySet<string> = new Set([...HOP_BY_HOP, LOAD_HEADER]);
+
+/** Splits a `Connection` field into the names that it lists. */
+function parseConnection(value: string): ReadonlySet<string> {
+  return new Set(value.split(',').map((name) => name.trim().toLowerCase()));
+}
+
+/**
+ * Returns the end-to-end fields of a caller's request.
+ *
+ * @example
+ * forwardRequestHeaders(['Host', 'a', 'Connection', 'x-b', 'X-B', '1'], 'x-b'); // ['Host', 'a']
+ */
+export function forwardRequestHeaders(raw: HeaderList, connection: string | undefined): string[] {
+  const named = connection === undefined ? undefined : parseConnection(connection);
+  const kept: string[] = [];
+  let at = 0;
+  while (at + 1 < raw.length) {
+    const name = raw[at] ?? '';
+    const lower = name.toLowerCase();
+    if (!DROPPED_FROM_REQUEST.has(lower) && named?.has(lower) !== true) {
+      kept.push(name, raw[at + 1] ?? '');
+    }
+    at += 2;
+  }
+  return kept;
+}
+
+/** The fields that the entry sets on a request to an upstream. */
+export interface OwnFields {
+  /** What is left of the caller's deadline. */
+  readonly deadline: Duration;
+  readonly criticality: Criticality;
+  readonly hops: number;
+  readonly traceparent: string | undefined;
+  /** Set only for a body that is streamed with a known length. */
+  readonly contentLength: number | undefined;
+}
+
+/** Returns the fields of the request to an upstream. */
+export function buildForwardedHeaders(request: IncomingMessage, own: OwnFields): string[] {
+  const headers = forwardRequestHeaders(request.rawHeaders, request.headers.connection);
+  headers.push(DEADLINE_HEADER, String(own.deadline), CRITICALITY_HEADER, own.criticality);
+  headers.push(HOPS_HEADER, String(own.hops));
+  if (own.traceparent !== undefined) headers.push('traceparent', own.traceparent);
+  if (own.contentLength !== undefined) headers.push('content-length', String(own.contentLength));
+  return headers;
+}
+
+/** The head of an upstream's answer, ready to be forwarded. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly statusText: string;
+  readonly headers: HeaderList;
+  readonly notRun: boolean;
+  readonly load: LoadReport | undefined;
+  /** Whether the end of the body can be told from a cut. */
+  readonly framed: boolean;
+}
+
+/**
+ * Parses the value of `x-chivewalk-load`; an unreadable one counts as none.
+ *
+ * @example
+ * parseLoad('in-flight=3;queued=0;cold=0'); // { inFlight: 3, queued: 0, cold: false }
+ */
+export function parseLoad(value: string): LoadReport | undefined {
+  const fields = new Map(
+    value.split(';').map((pair): [string, number] => {
+      const [name = '', number = ''] = pair.split('=');
+      return [name.trim(), number.trim() === '' ? Number.NaN : Number(number)];
+    }),
+  );
+  const inFlight = fields.get('in-flight');
+  const queued = fields.get('queued') ?? 0;
+  const cold = fields.get('cold') ?? 0;
+  const sound = [inFlight, queued, cold].every(
+    (number) => Number.isSafeInteger(number) && (number ?? -1) >= 0,
+  );
+  return sound && inFlight !== undefined ? { inFlight, queued, cold: cold === 1 } : undefined;
+}
+
+/** Reads the head of an upstream's answer from the client's raw fields. */
+export function readAnswerHead(
+  status: number,
+  statusText: string,
+  raw: readonly Buffer[],
+  bodyless: boolean,
+): AnswerHead {
+  const headers: string[] = [];
+  let connection = '';
+  let notRun = false;
+  let load: LoadReport | undefined;
+  let framed = bodyless;
+  let at = 0;
+  while (at + 1 < raw.length) {
+    const name = raw[at]?.toString('latin1') ?? '';
+    const value = raw[at + 1]?.toString('latin1') ?? '';
+    const lower = name.toLowerCase();
+    if (lower === 'connection') connection += `,${value}`;
+    else if (lower === LOAD_HEADER) load = parseLoad(value);
+    else if (lower === NOT_RUN_HEADER) notRun = value === '1';
+    if (lower === 'content-length' || lower === 'transfer-encoding') framed = true;
+    if (!DROPPED_FROM_ANSWER.has(lower)) headers.push(name, value);
+    at += 2;
+  }
+  const forwarded = connection === '' ? headers : dropNamed(headers, parseConnection(connection));
+  return { status, statusText, headers: forwarded, notRun, load, framed };
+}
+
+function dropNamed(headers: HeaderList, named: ReadonlySet<string>): HeaderList {
+  return headers.filter((_, at) => !named.has((headers[at - (at % 2)] ?? '').toLowerCase()));
+}
