--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,132 @@
+/** Reads settings. Invariant: settings are returned only if the whole file fits the schema and is consistent. */
+import { readFileSync } from 'node:fs';
+import { Ajv, type ErrorObject } from 'ajv';
+import { parse } from 'ini';
+import { Err, Ok, type Result } from 'ts-results-es';
+import { settingsSchema, type Settings } from '../generated/settings.js';
+import { describeSchemaError, type SettingsProblem } from './problem.js';
+
+interface PropertySchema {
+  readonly type?: string;
+  readonly properties?: Readonly<Record<string, PropertySchema>>;
+}
+
+const ajv = new Ajv({ allErrors: true, useDefaults: true, verbose: true });
+const validateSettings = ajv.compile<Settings>(settingsSchema);
+
+/** INI knows text only: turns text into the type that the schema names. */
+function parseValue(schema: PropertySchema | undefined, value: unknown): unknown {
+  if (schema?.properties !== undefined && typeof value === 'object' && value !== null) {
+    const entries = Object.entries(value).map(([key, inner]) => [
+      key,
+      parseValue(schema.properties?.[key], inner),
+    ]);
+    return Object.fromEntries(entries) as unknown;
+  }
+  if (typeof value !== 'string') return value;
+  switch (schema?.type ?? 'string') {
+    case 'array':
+      return value
+        .split(',')
+        .map((item) => item.trim())
+        .filter((item) => item !== '');
+    case 'integer':
+    case 'number':
+      return value.trim() !== '' && Number.isFinite(Number(value)) ? Number(value) : value;
+    case 'boolean':
+      return value === 'true' ? true : value === 'false' ? false : value;
+    default:
+      return value;
+  }
+}
+
+/** Finds contradictions that the schema can't express. */
+function checkConsistency(file: string, settings: Settings): readonly SettingsProblem[] {
+  const { control, entry } = settings;
+  const isControl = settings.process.roles.includes('control');
+  const isEntry = settings.process.roles.includes('entry');
+  const problem = (key: string, allowed: string, remedy: string): SettingsProblem => ({
+    kind: 'inconsistent',
+    file,
+    key,
+    found: 'nothing',
+    allowed,
+    remedy,
+  });
+  return [
+    ...(control === undefined
+      ? [problem('control', 'a section with members', 'add [control] members = IP:PORT, ...')]
+      : []),
+    ...(isControl && control !== undefined && control.data_folder === undefined
+      ? [problem('control.data_folder', 'a folder', 'name a folder on the disk of this VM')]
+      : []),
+    ...(isControl && settings.site.operator_token === undefined
+      ? [
+          problem(
+            'site.operator_token',
+            'a token of 16 or more characters',
+            'add the token that operators present',
+          ),
+        ]
+      : []),
+    ...(isControl && control !== undefined && control.operator_listen === undefined
+      ? [problem('control.operator_listen', 'an address', 'add the address for operators')]
+      : []),
+    ...(isEntry && entry === undefined
+      ? [problem('entry', 'a section', 'add [entry] with caller_listen and upstream_listen')]
+      : []),
+    ...(isEntry && settings.site.upstream_token === undefined
+      ? [
+          problem(
+            'site.upstream_token',
+            'a token of 16 or more characters',
+            'add the token that upstreams present',
+          ),
+        ]
+      : []),
+  ];
+}
+
+/**
+ * Parses the text of a settings file.
+ *
+ * @example
+ * const settings = parseSettings('site.ini', text);
+ * if (settings.isErr()) settings.error.map(formatProblem).forEach((line) => console.error(line));
+ */
+export function parseSettings(
+  file: string,
+  text: string,
+): Result<Settings, readonly SettingsProblem[]> {
+  const raw: unknown = parse(text);
+  const converted = parseValue(settingsSchema as PropertySchema, JSON.parse(JSON.stringify(raw)));
+  if (!validateSettings(converted)) {
+    const errors: readonly ErrorObject[] = validateSettings.errors ?? [];
+    return Err(errors.map((error) => describeSchemaError(file, converted, error)));
+  }
+  const problems = checkConsistency(file, converted);
+  return problems.length > 0 ? Err(problems) : Ok(converted);
+}
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @example
+ * const settings = loadSettings('/etc/chivewalk/site.ini');
+ */
+export function loadSettings(file: string): Result<Settings, readonly SettingsProblem[]> {
+  try {
+    return parseSettings(file, readFileSync(file, 'utf8'));
+  } catch (error) {
+    return Err([
+      {
+        kind: 'unreadable',
+        file,
+        key: 'the file',
+        found: error instanceof Error ? error.message : String(error),
+        allowed: 'a readable INI file',
+        remedy: 'check the path and its permissions',
+      },
+    ]);
+  }
+}
