--- /dev/null
+++ b/bench/stand/upstream.ts
@@ -0,0 +1,324 @@
+/**
+ * A stand-in upstream process: it runs requests in slots, bears little while it is cold, reports a lagging
+ * load, sheds, drains, fails on command and announces itself. Invariant: at most `slots` requests run at once,
+ * and each request is recorded once in the journal of runs that `GET /_/runs` returns.
+ *
+ * `node dist/bench/stand/upstream.js '{"id":"seam-1", ...}'`, see {@link StandOptions}.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { createRandom } from './random.js';
+
+/** How a stand-in upstream behaves. */
+export interface StandOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly version: string;
+  readonly zone: string;
+  /** The port to listen on; 0 takes a free one. */
+  readonly port: number;
+  readonly slots: number;
+  /** Median of the log-normal time a request takes, in milliseconds. */
+  readonly medianMs: number;
+  /** Sigma of the log-normal time. */
+  readonly sigma: number;
+  /** Requests that may wait for a slot before others are shed. */
+  readonly queueLimit: number;
+  /** Milliseconds of its time that a new connection costs. */
+  readonly connectionMs: number;
+  /** Milliseconds that a probe holds a slot. */
+  readonly probeMs: number;
+  /** Milliseconds after the start during which it is cold. */
+  readonly coldMs: number;
+  /** Requests that it bears at once while it is cold; more of them make it fall over. */
+  readonly coldSlots: number;
+  /** Milliseconds by which its load report lags. */
+  readonly reportLagMs: number;
+  /** Addresses of the entries' listeners for announcements; none means that it does not announce. */
+  readonly entries: readonly string[];
+  readonly token: string;
+  readonly seed: number;
+}
+
+/** The usual behaviour; a caller overrides what matters to it. */
+export const defaultStand: StandOptions = {
+  id: 'upstream-1',
+  service: 'seam-records',
+  version: 'v1',
+  zone: 'shah-alam',
+  port: 0,
+  slots: 6,
+  medianMs: 8,
+  sigma: 0.5,
+  queueLimit: 12,
+  connectionMs: 1,
+  probeMs: 6,
+  coldMs: 0,
+  coldSlots: 1,
+  reportLagMs: 20,
+  entries: [],
+  token: '',
+  seed: 1,
+};
+
+/** Faults that `POST /_/fault` sets; each request sees the latest. */
+interface Faults {
+  /** Multiplies the time a request takes. */
+  slowdown: number;
+  /** Share of requests that are answered with 500 at once. */
+  failShare: number;
+  /** The only route that the faults apply to; all if it is absent. */
+  route: string | undefined;
+  /** A request with this text in its path ends the process. */
+  killer: string | undefined;
+}
+
+/** A running stand-in upstream. */
+export interface Stand {
+  readonly address: string;
+  readonly port: number;
+  stop(): Promise<void>;
+}
+
+interface Waiting {
+  readonly start: () => void;
+}
+
+const RENEW_MS = 2000;
+const REPORT_MS = 5;
+const CRASH_CODE = 70;
+const MAX_RUNS = 100_000;
+
+/** Starts a stand-in upstream in this process. */
+export async function createStand(options: StandOptions): Promise<Stand> {
+  const random = createRandom(options.seed);
+  const startedAt = performance.now();
+  const incarnation = Date.now();
+  const faults: Faults = { slowdown: 1, failShare: 0, route: undefined, killer: undefined };
+  const runs: string[] = [];
+  const queue: Waiting[] = [];
+  const reports: { readonly at: number; readonly text: string }[] = [];
+  let running = 0;
+  let busyUntil = 0;
+  let coldUntil = startedAt + options.coldMs;
+  let fellOverUntil = 0;
+  let leaving = false;
+
+  const isCold = (): boolean => performance.now() < coldUntil;
+  const drawServiceMs = (): number => {
+    const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+    return options.medianMs * Math.exp(options.sigma * normal);
+  };
+  const recordReport = (): void => {
+    const text = `in-flight=${running};queued=${queue.length};cold=${isCold() ? 1 : 0}`;
+    reports.push({ at: performance.now(), text });
+    while (
+      reports.length > 1 &&
+      (reports[1]?.at ?? Infinity) <= performance.now() - options.reportLagMs
+    )
+      reports.shift();
+  };
+  const report = setInterval(recordReport, REPORT_MS);
+  recordReport();
+
+  const startNext = (): void => {
+    if (running >= options.slots) return;
+    queue.shift()?.start();
+  };
+  const isFaulty = (path: string): boolean =>
+    faults.route === undefined || path.startsWith(`/${faults.route}`);
+
+  const runRequest = (incoming: IncomingMessage, outgoing: ServerResponse, body: string): void => {
+    const path = incoming.url ?? '/';
+    if (faults.killer !== undefined && path.includes(faults.killer)) process.exit(CRASH_CODE);
+    running += 1;
+    runs.push(
+      `${incoming.method ?? ''} ${path} ${String(incoming.headers['idempotency-key'] ?? '')}`,
+    );
+    if (runs.length > MAX_RUNS) runs.shift();
+    if (isCold() && running > options.coldSlots) fellOverUntil = performance.now() + options.coldMs;
+    const extra = Math.max(0, busyUntil - performance.now());
+    const factor = isFaulty(path) ? faults.slowdown : 1;
+    const timer = setTimeout(
+      () => {
+        running -= 1;
+        sendAnswer(
+          outgoing,
+          200,
+          `${options.id} ${options.version} ran ${incoming.method ?? ''} ${path} ${body}\n`,
+          {},
+        );
+        startNext();
+      },
+      drawServiceMs() * factor + extra,
+    );
+    outgoing.once('close', () => {
+      if (outgoing.writableFinished) return;
+      clearTimeout(timer);
+      if (!outgoing.writableEnded) {
+        running -= 1;
+        startNext();
+      }
+    });
+  };
+
+  const sendAnswer = (
+    outgoing: ServerResponse,
+    status: number,
+    text: string,
+    headers: Readonly<Record<string, string>>,
+  ): void => {
+    const load = reports[0]?.text ?? '';
+    outgoing.writeHead(status, {
+      'content-type': 'text/plain',
+      'x-chivewalk-load': load,
+      ...headers,
+    });
+    outgoing.end(text);
+  };
+
+  const handleControl = (
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    body: string,
+  ): void => {
+    switch (incoming.url ?? '') {
+      case '/_/probe':
+        setTimeout(() => {
+          sendAnswer(outgoing, performance.now() < fellOverUntil ? 500 : 200, 'probed\n', {});
+        }, options.probeMs);
+        return;
+      case '/_/fault':
+        Object.assign(faults, JSON.parse(body));
+        sendAnswer(outgoing, 200, 'set\n', {});
+        return;
+      case '/_/cold':
+        coldUntil = performance.now() + options.coldMs;
+        sendAnswer(outgoing, 200, 'cold\n', {});
+        return;
+      case '/_/runs':
+        sendAnswer(outgoing, 200, JSON.stringify(runs), {});
+        return;
+      case '/_/leave':
+        leaving = true;
+        void announceLeave().then(() => {
+          sendAnswer(outgoing, 200, 'leaving\n', {});
+        });
+        return;
+      default:
+        sendAnswer(outgoing, 404, 'unknown control path\n', {});
+    }
+  };
+
+  const handleCall = (incoming: IncomingMessage, outgoing: ServerResponse, body: string): void => {
+    const path = incoming.url ?? '/';
+    if (performance.now() < fellOverUntil || (isFaulty(path) && random() < faults.failShare)) {
+      sendAnswer(outgoing, 500, 'failed\n', {});
+      return;
+    }
+    if (running < options.slots) {
+      runRequest(incoming, outgoing, body);
+      return;
+    }
+    if (queue.length >= options.queueLimit) {
+      sendAnswer(outgoing, 503, 'shed\n', { 'x-chivewalk-not-run': '1' });
+      return;
+    }
+    const waiting: Waiting = {
+      start: () => {
+        runRequest(incoming, outgoing, body);
+      },
+    };
+    queue.push(waiting);
+    outgoing.once('close', () => {
+      const at = queue.indexOf(waiting);
+      if (at >= 0) queue.splice(at, 1);
+    });
+  };
+
+  const server = createServer((incoming, outgoing) => {
+    const chunks: Buffer[] = [];
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+    incoming.on('end', () => {
+      const body = Buffer.concat(chunks).toString();
+      if (incoming.url?.startsWith('/_/') === true) handleControl(incoming, outgoing, body);
+      else handleCall(incoming, outgoing, body);
+    });
+  });
+  server.keepAliveTimeout = 60_000;
+  server.on('connection', () => {
+    busyUntil = Math.max(busyUntil, performance.now()) + options.connectionMs;
+  });
+  await new Promise<void>((resolve) => server.listen(options.port, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+
+  let home = Math.floor(random() * Math.max(1, options.entries.length));
+  const sendAnnouncement = async (method: 'PUT' | 'DELETE'): Promise<void> => {
+    const entry = options.entries[home % options.entries.length];
+    if (entry === undefined) return;
+    try {
+      const answer = await request(
+        `http://${entry}/v1/upstreams/${options.id}?incarnation=${incarnation}`,
+        {
+          method,
+          headers: { authorization: `Bearer ${options.token}`, 'content-type': 'application/json' },
+          headersTimeout: RENEW_MS,
+          body:
+            method === 'DELETE'
+              ? null
+              : JSON.stringify({
+                  service: options.service,
+                  version: options.version,
+                  zone: options.zone,
+                  labels: {},
+                  address,
+                  slots: options.slots,
+                  max_connections: 250,
+                  incarnation,
+                  age_ms: Math.round(performance.now() - startedAt),
+                }),
+        },
+      );
+      const text = await answer.body.text();
+      if (answer.statusCode >= 300)
+        throw new Error(`announcement answered ${answer.statusCode}: ${text}`);
+    } catch (error) {
+      home += 1;
+      if (process.env.STAND_VERBOSE === '1') console.error(`${options.id}: ${String(error)}`);
+    }
+  };
+  const announceLeave = (): Promise<void> => sendAnnouncement('DELETE');
+  const renew = setInterval(() => {
+    if (!leaving) void sendAnnouncement('PUT');
+  }, RENEW_MS);
+  if (options.entries.length > 0) await sendAnnouncement('PUT');
+
+  return {
+    address,
+    port,
+    stop: async () => {
+      clearInterval(renew);
+      clearInterval(report);
+      leaving = true;
+      if (options.entries.length > 0) await announceLeave();
+      await new Promise<void>((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeIdleConnections();
+      });
+    },
+  };
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
+  const given = JSON.parse(process.argv[2] ?? '{}') as Partial<StandOptions>;
+  const stand = await createStand({ ...defaultStand, ...given });
+  console.log(JSON.stringify({ ready: true, address: stand.address }));
+  process.once('SIGTERM', () => {
+    void stand.stop().then(() => process.exit(0));
+  });
+}
--- /dev/null
+++ b/src/telemetry/platform.ts
@@ -0,0 +1,65 @@
+/**
+ * The platform's listener: liveness, readiness and metrics. Invariant: it answers only these three paths
+ * and changes nothing.
+ */
+import restify from 'restify';
+import type { Address } from '../model/index.js';
+import type { Metrics } from './metrics.js';
+
+/** What the platform may ask for. */
+export interface PlatformState {
+  /** Whether the process should receive work. */
+  readonly isReady: () => boolean;
+  /** Facts shown with the readiness, such as the revision in force. */
+  readonly describeState: () => Readonly<Record<string, string | number | boolean>>;
+}
+
+/** The listener. */
+export interface PlatformServer {
+  close(): Promise<void>;
+}
+
+const OK = 200;
+const UNAVAILABLE = 503;
+
+/**
+ * Opens the platform's listener.
+ *
+ * @example
+ * await createPlatformServer('127.0.0.1:9100', metrics, { isReady: () => true, describeState: () => ({}) });
+ */
+export async function createPlatformServer(
+  listen: Address,
+  metrics: Metrics,
+  state: PlatformState,
+): Promise<PlatformServer> {
+  const server = restify.createServer({ name: 'chivewalk' });
+  server.get('/live', (_, response, next) => {
+    response.send(OK, { live: true });
+    next();
+  });
+  server.get('/ready', (_, response, next) => {
+    const ready = state.isReady();
+    response.send(ready ? OK : UNAVAILABLE, { ready, ...state.describeState() });
+    next();
+  });
+  server.get('/metrics', (_, response, next) => {
+    void metrics.renderText().then((text) => {
+      response.sendRaw(OK, text, { 'content-type': 'text/plain; version=0.0.4' });
+      next();
+    });
+  });
+  const [ip = '', port = ''] = listen.split(':');
+  await new Promise<void>((resolve, reject) => {
+    server.on('error', reject);
+    server.listen(Number(port), ip, resolve);
+  });
+  return {
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+      }),
+  };
+}
