--- /dev/null
+++ b/bench/stand/site.ts
@@ -0,0 +1,313 @@
+/**
+ * A small site on loopback for the quick start, the benches and the features: every process is separate.
+ * Invariant: each process that a site started is ended by `stop`, by its own id.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { defaultStand, type StandOptions } from './upstream.js';
+
+/** What a site consists of. */
+export interface SiteOptions {
+  readonly controls: number;
+  /** The zone of each entry; there are as many entries as zones named. */
+  readonly entryZones: readonly string[];
+  readonly upstreams: readonly Partial<StandOptions>[];
+  /** Extra lines of the settings by section. */
+  readonly settings?: Readonly<Record<string, readonly string[]>>;
+}
+
+/** A process of a site. */
+export interface SiteProcess {
+  readonly id: string;
+  readonly role: 'control' | 'entry' | 'upstream';
+  readonly zone: string;
+  /** The addresses by use: peer, caller, upstream, operator, platform. */
+  readonly addresses: Readonly<Record<string, string>>;
+  child: ChildProcess;
+  /** What it wrote to standard output and standard error. */
+  output: string;
+}
+
+/** A running site. */
+export interface Site {
+  readonly folder: string;
+  readonly processes: readonly SiteProcess[];
+  /** Returns the process of an id. */
+  find(id: string): SiteProcess;
+  /** Starts a stopped process again with the same settings. */
+  restart(id: string): Promise<void>;
+  /** Starts one more upstream. */
+  addUpstream(options: Partial<StandOptions>): Promise<SiteProcess>;
+  /** Ends a process with a signal and waits until it is gone. */
+  end(id: string, signal: NodeJS.Signals): Promise<void>;
+  /** The arguments of the operators' tool for this site. */
+  readonly cliArguments: readonly string[];
+  /** Ends every process and removes the folder. */
+  stop(): Promise<void>;
+}
+
+const SECRET = 'a secret for loopback only';
+const OPERATOR_TOKEN = 'operator token for loopback';
+const UPSTREAM_TOKEN = 'upstream token for loopback';
+const START_LIMIT_MS = 20_000;
+const POLL_MS = 50;
+const DIST = resolve(import.meta.dirname, '..', '..');
+
+function isBuilt(): boolean {
+  return import.meta.filename.endsWith('.js');
+}
+
+/** The root of the compiled programs, also when this file runs from its source. */
+function getProgram(path: string): string {
+  return isBuilt() ? join(DIST, path) : join(DIST, 'dist', path);
+}
+
+function openServer(): Promise<Server> {
+  return new Promise((done, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      done(server);
+    });
+  });
+}
+
+/** Returns distinct loopback addresses that were free a moment ago. */
+export async function findFreeAddresses(count: number): Promise<readonly string[]> {
+  const servers = await Promise.all(Array.from({ length: count }, openServer));
+  const found = servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+  return found;
+}
+
+/** Waits until the check holds; throws with the message after the limit. */
+export async function waitUntil(
+  check: () => boolean | Promise<boolean>,
+  limitMs: number,
+  message: () => string,
+): Promise<void> {
+  const endAt = performance.now() + limitMs;
+  while (!(await check())) {
+    if (performance.now() > endAt) throw new Error(`not within ${limitMs} ms: ${message()}`);
+    await new Promise((done) => setTimeout(done, POLL_MS));
+  }
+}
+
+async function isReady(address: string): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://${address}/ready`);
+    await answer.text();
+    return answer.ok;
+  } catch {
+    return false;
+  }
+}
+
+function startChild(
+  process: Omit<SiteProcess, 'child' | 'output'>,
+  program: string,
+  argument: string,
+): SiteProcess {
+  const child = spawn(globalThis.process.execPath, [getProgram(program), argument], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const started: SiteProcess = { ...process, child, output: '' };
+  const keep = (chunk: Buffer): void => {
+    started.output = (started.output + chunk.toString()).slice(-100_000);
+  };
+  child.stdout.on('data', keep);
+  child.stderr.on('data', keep);
+  return started;
+}
+
+function isGone(child: ChildProcess): boolean {
+  return child.exitCode !== null || child.signalCode !== null;
+}
+
+interface DaemonPlan {
+  readonly id: string;
+  readonly role: 'control' | 'entry';
+  readonly zone: string;
+  readonly addresses: Readonly<Record<string, string>>;
+}
+
+function renderSettings(
+  plan: DaemonPlan,
+  all: readonly DaemonPlan[],
+  options: SiteOptions,
+  folder: string,
+): string {
+  const extra = (section: string): readonly string[] => options.settings?.[section] ?? [];
+  const peers = (role: string): string =>
+    all
+      .filter((one) => one.role === role)
+      .map((one) => one.addresses.peer)
+      .join(', ');
+  const control = [
+    `members = ${peers('control')}`,
+    ...(plan.role === 'control'
+      ? [
+          `data_folder = ${join(folder, plan.id)}`,
+          `operator_listen = ${plan.addresses.operator ?? ''}`,
+        ]
+      : []),
+  ];
+  const entry =
+    plan.role === 'entry'
+      ? [
+          '[entry]',
+          `caller_listen = ${plan.addresses.caller ?? ''}`,
+          `upstream_listen = ${plan.addresses.upstream ?? ''}`,
+          `seeds = ${peers('entry')}`,
+          ...extra('entry'),
+        ]
+      : [];
+  return [
+    '[site]',
+    'name = loopback',
+    `secret = ${SECRET}`,
+    `operator_token = ${OPERATOR_TOKEN}`,
+    `upstream_token = ${UPSTREAM_TOKEN}`,
+    '[process]',
+    `id = ${plan.id}`,
+    `zone = ${plan.zone}`,
+    `roles = ${plan.role}`,
+    '[peer]',
+    `listen = ${plan.addresses.peer ?? ''}`,
+    '[platform]',
+    `listen = ${plan.addresses.platform ?? ''}`,
+    '[control]',
+    ...control,
+    ...extra('control'),
+    ...entry,
+    '[telemetry]',
+    ...extra('telemetry'),
+  ].join('\n');
+}
+
+async function planDaemons(options: SiteOptions): Promise<readonly DaemonPlan[]> {
+  const plan = async (id: string, role: 'control' | 'entry', zone: string): Promise<DaemonPlan> => {
+    const [peer = '', platform = '', caller = '', upstream = '', operator = ''] =
+      await findFreeAddresses(5);
+    const addresses =
+      role === 'control' ? { peer, platform, operator } : { peer, platform, caller, upstream };
+    return { id, role, zone, addresses };
+  };
+  const controls = Array.from({ length: options.controls }, (_, at) =>
+    plan(
+      `control-${at + 1}`,
+      'control',
+      options.entryZones[at % options.entryZones.length] ?? 'zone-1',
+    ),
+  );
+  const entries = options.entryZones.map((zone, at) => plan(`entry-${at + 1}`, 'entry', zone));
+  return Promise.all([...controls, ...entries]);
+}
+
+/**
+ * Starts a site and waits until every daemon says that it is ready.
+ *
+ * @example
+ * const site = await startSite({ controls: 3, entryZones: ['a', 'b'], upstreams: [{ id: 'u1', zone: 'a' }] });
+ */
+export async function startSite(options: SiteOptions): Promise<Site> {
+  const folder = mkdtempSync(join(tmpdir(), 'chivewalk-site-'));
+  const plans = await planDaemons(options);
+  const processes = new Map<string, SiteProcess>();
+  const standOptions = new Map<string, StandOptions>();
+  const startDaemon = (plan: DaemonPlan): SiteProcess => {
+    const file = join(folder, `${plan.id}.ini`);
+    mkdirSync(join(folder, plan.id), { recursive: true });
+    writeFileSync(file, renderSettings(plan, plans, options, folder));
+    const started = startChild(plan, 'src/daemon/main.js', file);
+    processes.set(plan.id, started);
+    return started;
+  };
+  const waitReady = (started: SiteProcess): Promise<void> =>
+    waitUntil(
+      () => isReady(started.addresses.platform ?? ''),
+      START_LIMIT_MS,
+      () => `${started.id} is ready; it wrote: ${started.output.slice(-2000)}`,
+    );
+  const announceAt = plans.flatMap((plan) => plan.addresses.upstream ?? []);
+  const startUpstream = async (id: string): Promise<SiteProcess> => {
+    const full = standOptions.get(id) ?? defaultStand;
+    const started = startChild(
+      { id, role: 'upstream', zone: full.zone, addresses: { caller: `127.0.0.1:${full.port}` } },
+      'bench/stand/upstream.js',
+      JSON.stringify(full),
+    );
+    processes.set(id, started);
+    await waitUntil(
+      () => started.output.includes('"ready":true'),
+      START_LIMIT_MS,
+      () => `${id} is ready; it wrote: ${started.output}`,
+    );
+    return started;
+  };
+  const addUpstream = async (given: Partial<StandOptions>): Promise<SiteProcess> => {
+    const [address = ''] = await findFreeAddresses(1);
+    const full = {
+      ...defaultStand,
+      port: Number(address.split(':')[1]),
+      entries: announceAt,
+      token: UPSTREAM_TOKEN,
+      ...given,
+    };
+    standOptions.set(full.id, full);
+    return startUpstream(full.id);
+  };
+  const find = (id: string): SiteProcess => {
+    const found = processes.get(id);
+    if (found === undefined)
+      throw new Error(`no process ${id}; there are ${[...processes.keys()].join(', ')}`);
+    return found;
+  };
+  const end = async (id: string, signal: NodeJS.Signals): Promise<void> => {
+    const { child } = find(id);
+    if (isGone(child)) return;
+    child.kill(signal);
+    await waitUntil(
+      () => isGone(child),
+      START_LIMIT_MS,
+      () => `${id} ended by ${signal}; it wrote: ${find(id).output.slice(-2000)}`,
+    );
+  };
+  const stop = async (): Promise<void> => {
+    await Promise.all([...processes.keys()].map((id) => end(id, 'SIGKILL')));
+    rmSync(folder, { recursive: true, force: true });
+  };
+  try {
+    const daemons = plans.map(startDaemon);
+    await Promise.all(daemons.map(waitReady));
+    await Promise.all(options.upstreams.map(addUpstream));
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+  return {
+    folder,
+    get processes() {
+      return [...processes.values()];
+    },
+    find,
+    restart: async (id) => {
+      const plan = plans.find((one) => one.id === id);
+      if (plan === undefined) await startUpstream(id);
+      else await waitReady(startDaemon(plan));
+    },
+    addUpstream,
+    end,
+    cliArguments: [
+      ...plans.flatMap((plan) =>
+        plan.role === 'control' ? ['--control', plan.addresses.operator ?? ''] : [],
+      ),
+      '--token',
+      OPERATOR_TOKEN,
+    ],
+    stop,
+  };
+}
--- /dev/null
+++ b/features/site/path.feature
@@ -0,0 +1,22 @@
+Feature: The whole path between separate processes
+  A call asks for an address, connects there and gets its whole answer; an operator takes a zone out.
+
+  Scenario: One call and one zone out, end to end
+    Given a site of 3 control processes and entries in the zones "shah-alam, putrajaya, cyberjaya"
+    And an upstream of "seam-records" in each of these zones
+    When a caller asks an entry for addresses
+    Then the site names addresses with a time to live, nearest zone first
+    When the caller sends 30 calls for "seam-records"
+    Then every call of the site is answered whole by an upstream that announced itself
+    When the operator takes the zone "shah-alam" out and waits until it is in force everywhere
+    And the caller sends 30 calls for "seam-records"
+    Then every call of the site is answered whole by an upstream that announced itself
+    And no call of the last ones was run in the zone "shah-alam"
+    When the operator brings the zone "shah-alam" in and waits until it is in force everywhere
+    Then calls for "seam-records" reach the zone "shah-alam" again
+
+  Scenario: An upstream that announces itself later receives calls
+    Given a site of 1 control processes and entries in the zones "bangkok-1"
+    When an upstream "late-1" of "orders" announces itself to the site
+    And the caller sends 5 calls for "orders"
+    Then every call of the site is answered whole by an upstream that announced itself
--- /dev/null
+++ b/features/site/path.steps.ts
@@ -0,0 +1,199 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { execFile } from 'node:child_process';
+import assert from 'node:assert/strict';
+import { request } from 'undici';
+import { startSite, waitUntil, type Site } from '../../bench/stand/site.js';
+import type { SnapshotWorld } from '../support/snapshot.js';
+
+/** The world of scenarios over separate processes. */
+export interface SiteWorld extends SnapshotWorld {
+  site?: Site;
+  zones: readonly string[];
+  addresses: AddressAnswer;
+  answers: readonly CallAnswer[];
+}
+
+interface AddressAnswer {
+  readonly addresses: readonly { readonly address: string; readonly zone: string }[];
+  readonly ttl_ms: number;
+}
+
+interface CallAnswer {
+  readonly path: string;
+  readonly status: number;
+  readonly text: string;
+}
+
+const COMMAND_LIMIT_MS = 20_000;
+const SETTLE_LIMIT_MS = 15_000;
+
+/** Returns the running site. */
+export function getSite(world: SiteWorld): Site {
+  assert.ok(world.site !== undefined, 'a site was started');
+  return world.site;
+}
+
+function getCallerAddresses(site: Site): readonly string[] {
+  return site.processes.flatMap((one) =>
+    one.role === 'entry' ? [one.addresses.caller ?? ''] : [],
+  );
+}
+
+/** Sends one call to an entry. */
+export async function sendCall(address: string, service: string, at: number): Promise<CallAnswer> {
+  const path = `/records/${at}`;
+  const answer = await request(`http://${address}/${service}${path}`);
+  return { path, status: answer.statusCode, text: await answer.body.text() };
+}
+
+/** Runs the operators' tool and returns what it printed. */
+export function runTool(site: Site, words: readonly string[]): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const program = ['dist/src/cli/main.js', ...words, ...site.cliArguments];
+    execFile(process.execPath, program, { timeout: COMMAND_LIMIT_MS }, (error, out, problems) => {
+      if (error === null) resolve(out);
+      else reject(new Error(`chivewalk ${words.join(' ')}: ${error.message} ${out} ${problems}`));
+    });
+  });
+}
+
+After(async function (this: SiteWorld) {
+  await this.site?.stop();
+});
+
+Given(
+  'a site of {int} control processes and entries in the zones {string}',
+  { timeout: 60_000 },
+  async function (this: SiteWorld, controls: number, zones: string) {
+    this.zones = zones.split(', ');
+    this.site = await startSite({ controls, entryZones: this.zones, upstreams: [] });
+  },
+);
+
+Given(
+  'an upstream of {string} in each of these zones',
+  { timeout: 30_000 },
+  async function (this: SiteWorld, service: string) {
+    const site = getSite(this);
+    const started = this.zones.map((zone) =>
+      site.addUpstream({ id: `${service}-${zone}`, service, zone }),
+    );
+    await Promise.all(started);
+    const entries = getCallerAddresses(site);
+    await waitUntil(
+      async () =>
+        (await Promise.all(entries.map((entry) => sendCall(entry, service, 0)))).every(
+          (one) => one.status === 200,
+        ),
+      SETTLE_LIMIT_MS,
+      () => `${service} answers through every entry`,
+    );
+  },
+);
+
+When(
+  'an upstream {string} of {string} announces itself to the site',
+  { timeout: 30_000 },
+  async function (this: SiteWorld, id: string, service: string) {
+    const site = getSite(this);
+    await site.addUpstream({ id, service, zone: this.zones[0] ?? '' });
+    const [entry = ''] = getCallerAddresses(site);
+    await waitUntil(
+      async () => (await sendCall(entry, service, 0)).status === 200,
+      SETTLE_LIMIT_MS,
+      () => `${service} answers`,
+    );
+  },
+);
+
+When('a caller asks an entry for addresses', async function (this: SiteWorld) {
+  const [entry = ''] = getCallerAddresses(getSite(this));
+  const answer = await request(
+    `http://${entry}/.well-known/chivewalk/addresses?zone=${this.zones[1] ?? ''}`,
+  );
+  this.addresses = (await answer.body.json()) as AddressAnswer;
+});
+
+Then(
+  'the site names addresses with a time to live, nearest zone first',
+  function (this: SiteWorld) {
+    const known = getCallerAddresses(getSite(this));
+    assert.ok(this.addresses.ttl_ms >= 1000);
+    assert.ok(this.addresses.addresses.every(({ address }) => known.includes(address)));
+    assert.equal(this.addresses.addresses[0]?.zone, this.zones[1]);
+  },
+);
+
+When(
+  'the caller sends {int} calls for {string}',
+  { timeout: 30_000 },
+  async function (this: SiteWorld, count: number, service: string) {
+    const entries = getCallerAddresses(getSite(this));
+    const calls = Array.from({ length: count }, (_, at) =>
+      sendCall(entries[at % entries.length] ?? '', service, at + 1),
+    );
+    this.answers = await Promise.all(calls);
+  },
+);
+
+Then(
+  'every call of the site is answered whole by an upstream that announced itself',
+  function (this: SiteWorld) {
+    const ids = getSite(this)
+      .processes.filter((one) => one.role === 'upstream')
+      .map((one) => one.id);
+    const whole = ids.flatMap((id) =>
+      this.answers.map((answer) => `${id} v1 ran GET ${answer.path} \n`),
+    );
+    const bad = this.answers.filter(
+      (answer) => answer.status !== 200 || !whole.includes(answer.text),
+    );
+    assert.deepEqual(bad, []);
+  },
+);
+
+When(
+  /^the operator (takes|brings) the zone "([^"]+)" (out|in) and waits until it is in force everywhere$/,
+  { timeout: 30_000 },
+  async function (this: SiteWorld, _: string, zone: string, direction: string) {
+    await runTool(getSite(this), [
+      'zone',
+      direction,
+      zone,
+      '--wait',
+      'in-force',
+      '--deadline',
+      '15',
+    ]);
+  },
+);
+
+Then(
+  'no call of the last ones was run in the zone {string}',
+  function (this: SiteWorld, zone: string) {
+    assert.ok(this.answers.length > 0);
+    assert.deepEqual(
+      this.answers.filter((answer) => answer.text.includes(zone)),
+      [],
+    );
+  },
+);
+
+Then(
+  'calls for {string} reach the zone {string} again',
+  { timeout: 30_000 },
+  async function (this: SiteWorld, service: string, zone: string) {
+    const entries = getCallerAddresses(getSite(this));
+    let at = 0;
+    await waitUntil(
+      async () => {
+        at += 1;
+        return (await sendCall(entries[at % entries.length] ?? '', service, at)).text.includes(
+          zone,
+        );
+      },
+      SETTLE_LIMIT_MS,
+      () => `a call of ${service} ran in ${zone}`,
+    );
+  },
+);
