--- /dev/null
+++ b/bench/zone.ts
@@ -0,0 +1,156 @@
+/**
+ * Service while an availability zone leaves and returns: separate processes, open loop, one row a second.
+ * Scenarios: an operator takes the zone out and brings it in; the zone's processes are killed and come back cold.
+ */
+import { execFile } from 'node:child_process';
+import { computeSpread, formatSpread, writeReport } from './stand/report.js';
+import { defaultLoad, runLoad, type LoadReport } from './stand/load.js';
+import { startSite, type Site } from './stand/site.js';
+import type { StandOptions } from './stand/upstream.js';
+
+const ZONES = ['shah-alam', 'putrajaya', 'cyberjaya', 'port-klang'] as const;
+const LEAVING_ZONE = 'shah-alam';
+const UPSTREAMS_A_ZONE = 3;
+const SLOTS = 6;
+const MEDIAN_MS = 20;
+const SIGMA = 0.5;
+/** Mean of a log-normal time with this median and sigma. */
+const MEAN_MS = MEDIAN_MS * Math.exp((SIGMA * SIGMA) / 2);
+const SECONDS = 24;
+const OUT_AT_MS = 6000;
+const BACK_AT_MS = 14_000;
+const COLD_MS = 4000;
+const RUNS = 3;
+
+type Fault = 'operator' | 'crash';
+
+function buildUpstream(zone: string, at: number): Partial<StandOptions> {
+  const seed = ZONES.indexOf(zone as (typeof ZONES)[number]) * 100 + at + 1;
+  return {
+    id: `seam-${zone}-${at}`,
+    service: 'seam-records',
+    zone,
+    slots: SLOTS,
+    medianMs: MEDIAN_MS,
+    sigma: SIGMA,
+    coldMs: COLD_MS,
+    coldSlots: 2,
+    seed,
+  };
+}
+
+function runZoneCommand(site: Site, direction: 'out' | 'in'): Promise<void> {
+  const words = [
+    'dist/src/cli/main.js',
+    'zone',
+    direction,
+    LEAVING_ZONE,
+    '--wait',
+    'in-force',
+    '--deadline',
+    '10',
+    ...site.cliArguments,
+  ];
+  return new Promise((resolve, reject) => {
+    execFile(process.execPath, words, (error) => {
+      if (error === null) resolve();
+      else reject(new Error(error.message));
+    });
+  });
+}
+
+async function applyFault(site: Site, fault: Fault, phase: 'leave' | 'return'): Promise<void> {
+  switch (fault) {
+    case 'operator':
+      await runZoneCommand(site, phase === 'leave' ? 'out' : 'in');
+      return;
+    case 'crash': {
+      const ids = site.processes
+        .filter((one) => one.zone === LEAVING_ZONE && one.role === 'upstream')
+        .map((one) => one.id);
+      await Promise.all(
+        ids.map((id) => (phase === 'leave' ? site.end(id, 'SIGKILL') : site.restart(id))),
+      );
+    }
+  }
+}
+
+function schedule(afterMs: number, run: () => Promise<void>): Promise<void> {
+  return new Promise((resolve, reject) => {
+    setTimeout(() => {
+      run().then(resolve, reject);
+    }, afterMs);
+  });
+}
+
+async function measureFault(fault: Fault, load: number, seed: number): Promise<LoadReport> {
+  const upstreams = ZONES.flatMap((zone) =>
+    Array.from({ length: UPSTREAMS_A_ZONE }, (_, at) => buildUpstream(zone, at)),
+  );
+  const site = await startSite({ controls: 3, entryZones: [...ZONES], upstreams });
+  try {
+    await new Promise((resolve) => setTimeout(resolve, COLD_MS + 3000));
+    const capacity = (upstreams.length * SLOTS * 1000) / MEAN_MS;
+    const targets = site.processes.flatMap((one) =>
+      one.role === 'entry' ? [`http://${one.addresses.caller ?? ''}/seam-records/records`] : [],
+    );
+    const running = runLoad({
+      ...defaultLoad,
+      targets,
+      rate: capacity * load,
+      seconds: SECONDS,
+      seed,
+    });
+    const faults = [
+      schedule(OUT_AT_MS, () => applyFault(site, fault, 'leave')),
+      schedule(BACK_AT_MS, () => applyFault(site, fault, 'return')),
+    ];
+    const [report] = await Promise.all([running, ...faults]);
+    return report;
+  } finally {
+    await site.stop();
+  }
+}
+
+/** Runs the scenarios at 50% and 65% of the capacity of all zones, three times each. */
+export async function run(): Promise<void> {
+  const loads = (process.env.LOADS ?? '0.5,0.65').split(',').map(Number);
+  const runs = Number(process.env.RUNS ?? RUNS);
+  const faults = (process.env.FAULTS ?? 'operator,crash').split(',') as Fault[];
+  const figures: object[] = [];
+  for (const fault of faults) {
+    for (const load of loads) {
+      const reports: LoadReport[] = [];
+      for (let at = 1; at <= runs; at += 1) reports.push(await measureFault(fault, load, at));
+      const row = {
+        fault,
+        load,
+        runs,
+        failedShare: computeSpread(reports.map((one) => one.failed / one.calls)),
+        notRunShare: computeSpread(reports.map((one) => one.notRun / one.calls)),
+        p50: computeSpread(reports.map((one) => one.p50)),
+        p99: computeSpread(reports.map((one) => one.p99)),
+        p999: computeSpread(reports.map((one) => one.p999)),
+        seconds: reports[0]?.seconds,
+        answers: reports.map((one) =>
+          Object.entries(one.answers).filter(([word]) => !word.startsWith('200')),
+        ),
+      };
+      figures.push(row);
+      console.log(
+        `${fault} at ${load}: failed ${formatSpread(row.failedShare, 5)} not run ${formatSpread(row.notRunShare, 5)} p50 ${formatSpread(row.p50)} p99 ${formatSpread(row.p99)} p99.9 ${formatSpread(row.p999)} ms`,
+      );
+      console.log(
+        row.answers
+          .map((one) => one.map(([word, count]) => `${count} x ${word}`).join(', '))
+          .join(' | '),
+      );
+      console.log(
+        (row.seconds ?? [])
+          .map((one) => `${one.second}s ${one.ok}/${one.failed}/${one.p99.toFixed(0)}`)
+          .join('  '),
+      );
+    }
+  }
+  writeReport('zone', figures);
+}
