Decide on the upstream of each call in a pure core

Zones out and leaving upstreams get no new work (asserted at each send). Events and effects grow additively: leaseChanged, suspected, warmthHeard, cleared, warmth.

--- /dev/null
+++ b/src/routing/calls.ts
@@ -0,0 +1,211 @@
+/**
+ * Moves calls between waiting, running and ended. Invariant: every call in the table is waiting in
+ * exactly one queue, or runs in one upstream; it leaves the table with exactly one final effect, or as
+ * cancelled.
+ */
+import { checkInvariant, type Duration, type Instant } from '../model/index.js';
+import { checkSend, chooseUpstream } from './choose.js';
+import { generateRandom } from './hash.js';
+import {
+  addQueued,
+  hasQueueRoom,
+  computeRetryAfter,
+  findNextQueued,
+  isOverdue,
+  removeQueued,
+} from './queue.js';
+import { isRetryAllowed, computeRetryCost } from './retries.js';
+import {
+  findUpstream,
+  withService,
+  withUpstream,
+  type CallState,
+  type RoutingState,
+  type ServiceState,
+} from './state.js';
+import { getRecord, removeRecord, withRecord } from './table.js';
+import type { RefusalReason, RoutingEffect } from './types.js';
+
+/** Milliseconds after which a caller may ask again when no upstream is there. */
+const NO_UPSTREAM_DELAY = 1000;
+
+/** What surrounds one decision; `effects` collects what the shell must do. */
+export interface Decision {
+  readonly now: Instant;
+  readonly random: number;
+  readonly effects: RoutingEffect[];
+}
+
+/** Returns the place and the record of the call's service. */
+export function getService(state: RoutingState, call: CallState): readonly [number, ServiceState] {
+  const at = state.serviceAt.get(call.call.service) ?? -1;
+  const service = state.services[at];
+  checkInvariant(service !== undefined, `call ${call.id} belongs to no known service`);
+  return [at, service];
+}
+
+/** Ends a call that was certainly not run. */
+export function refuseCall(
+  state: RoutingState,
+  call: CallState,
+  reason: RefusalReason,
+  retryAfter: Duration,
+  decision: Decision,
+): RoutingState {
+  checkInvariant(!call.mayHaveRun, `call ${call.id} may have run and is refused as not run`);
+  decision.effects.push({ kind: 'refuse', callId: call.id, reason, retryAfter });
+  return { ...state, calls: removeRecord(state.calls, call.id) };
+}
+
+/** Ends a call that gets no answer: as not run where that is certain, else with an unknown outcome. */
+export function closeCall(
+  state: RoutingState,
+  call: CallState,
+  reason: RefusalReason,
+  decision: Decision,
+): RoutingState {
+  if (!call.mayHaveRun) {
+    const [, service] = getService(state, call);
+    const delay = reason === 'noUpstream' ? NO_UPSTREAM_DELAY : computeRetryAfter(service);
+    return refuseCall(state, call, reason, delay, decision);
+  }
+  decision.effects.push({ kind: 'fail', callId: call.id, failure: call.lastFailure });
+  return { ...state, calls: removeRecord(state.calls, call.id) };
+}
+
+/** Tells whether calls with this fingerprint are refused. */
+export function isCondemned(state: RoutingState, call: CallState, now: Instant): boolean {
+  return (state.condemned.get(call.call.fingerprint) ?? -Infinity) > now;
+}
+
+/** Sends the call if an upstream has room; returns nothing otherwise. */
+export function startCall(
+  state: RoutingState,
+  call: CallState,
+  decision: Decision,
+): RoutingState | undefined {
+  const { now, random, effects } = decision;
+  const [at, service] = getService(state, call);
+  const known = chooseUpstream(state, service, call, now, generateRandom(random, call.id));
+  if (known === undefined) return undefined;
+  checkSend(state, service, known, call, now);
+  const { id, address, incarnation } = known.upstream;
+  const attempt = call.attempt + 1;
+  effects.push({ kind: 'send', callId: call.id, upstreamId: id, address, attempt });
+  const sent: CallState = {
+    ...call,
+    phase: 'sent',
+    attempt,
+    tried: [...call.tried, id],
+    incarnation,
+    sentAt: now,
+  };
+  const busy = { ...known, sentAt: [...known.sentAt, now], lastSentAt: now };
+  const next = withUpstream(service, findUpstream(service, id), busy);
+  return withService({ ...state, calls: withRecord(state.calls, sent) }, at, next);
+}
+
+/** Sends a call that just arrived, queues it, or refuses it. */
+export function enterCall(state: RoutingState, call: CallState, decision: Decision): RoutingState {
+  const [at, service] = getService(state, call);
+  if (!service.upstreams.some((known) => known.usable)) {
+    return closeCall(state, call, 'noUpstream', decision);
+  }
+  const ahead =
+    service.interactiveQueue.length +
+    (call.call.criticality === 'batch' ? service.batchQueue.length : 0);
+  const started = ahead === 0 ? startCall(state, call, decision) : undefined;
+  if (started !== undefined) return started;
+  if (!hasQueueRoom(state, service, call, decision.now)) {
+    return closeCall(state, call, 'overloaded', decision);
+  }
+  const queued = withService(state, at, addQueued(service, call));
+  return { ...queued, calls: withRecord(queued.calls, call) };
+}
+
+/** Sends the call once more if that is allowed; returns nothing otherwise. */
+export function startRetry(
+  state: RoutingState,
+  call: CallState,
+  decision: Decision,
+): RoutingState | undefined {
+  const [at, service] = getService(state, call);
+  if (!state.leaseHeld || isCondemned(state, call, decision.now)) return undefined;
+  if (!isRetryAllowed(state, service, call, decision.now)) return undefined;
+  const retryTokens = service.retryTokens - computeRetryCost(call);
+  return startCall(withService(state, at, { ...service, retryTokens }), call, decision);
+}
+
+/** Returns why a waiting call is not worth starting, if so. */
+function findQueueRefusal(
+  state: RoutingState,
+  service: ServiceState,
+  call: CallState,
+  now: Instant,
+): RefusalReason | undefined {
+  if (isCondemned(state, call, now)) return 'fingerprintCondemned';
+  return isOverdue(state, service, call, now) ? 'overloaded' : undefined;
+}
+
+/** Starts waiting calls of a service while there is room, and ends those that waited too long. */
+export function drainQueue(state: RoutingState, at: number, decision: Decision): RoutingState {
+  let next = state;
+  let service = next.services[at];
+  let id = service === undefined ? undefined : findNextQueued(service);
+  while (service !== undefined && id !== undefined) {
+    const call = getRecord(next.calls, id);
+    checkInvariant(
+      call?.phase === 'queued',
+      `call ${id} waits in a queue but isn't known as waiting`,
+    );
+    const shorter = withService(next, at, removeQueued(service, id));
+    const reason = findQueueRefusal(next, service, call, decision.now);
+    const step =
+      reason === undefined
+        ? startCall(shorter, call, decision)
+        : closeCall(shorter, call, reason, decision);
+    if (step === undefined) return next;
+    next = step;
+    service = next.services[at];
+    id = service === undefined ? undefined : findNextQueued(service);
+  }
+  return next;
+}
+
+/** Ends every waiting call that waited too long, also behind the first one. */
+export function expireQueue(state: RoutingState, at: number, decision: Decision): RoutingState {
+  const service = state.services[at];
+  if (service === undefined) return state;
+  return [...service.interactiveQueue, ...service.batchQueue].reduce((next, id) => {
+    const call = getRecord(next.calls, id);
+    checkInvariant(
+      call?.phase === 'queued',
+      `call ${id} waits in a queue but isn't known as waiting`,
+    );
+    const reason = findQueueRefusal(next, service, call, decision.now);
+    if (reason === undefined) return next;
+    const current = next.services[at] ?? service;
+    const shorter = withService(next, at, removeQueued(current, id));
+    return closeCall(shorter, call, reason, decision);
+  }, state);
+}
+
+/** Ends every waiting call of a service for a reason that holds for all of them. */
+export function flushQueue(
+  state: RoutingState,
+  at: number,
+  reason: RefusalReason,
+  decision: Decision,
+): RoutingState {
+  const service = state.services[at];
+  if (service === undefined) return state;
+  const empty = withService(state, at, { ...service, interactiveQueue: [], batchQueue: [] });
+  return [...service.interactiveQueue, ...service.batchQueue].reduce((next, id) => {
+    const call = getRecord(next.calls, id);
+    checkInvariant(
+      call?.phase === 'queued',
+      `call ${id} waits in a queue but isn't known as waiting`,
+    );
+    return closeCall(next, call, reason, decision);
+  }, empty);
+}
--- /dev/null
+++ b/src/routing/choose.ts
@@ -0,0 +1,148 @@
+/**
+ * Chooses the upstream of one attempt. Invariant: what it picks is usable and has room under every
+ * limit; `checkSend` asserts that where a request is sent.
+ */
+import { checkInvariant, type Instant } from '../model/index.js';
+import { computeRamp, hasColdRoom } from './cold.js';
+import { computeCost, computeOthers } from './estimate.js';
+import { isAllowed } from './fleet.js';
+import { generateRandom } from './hash.js';
+import type { CallState, RoutingState, ServiceState, UpstreamState } from './state.js';
+
+/** Share of a moving version from which it also takes the calls of a version without upstreams. */
+const MAJORITY = 0.5;
+
+/** Tells which side of a version move the call belongs to; `undefined` without a move. */
+export function pickVersionSide(service: ServiceState, roll: number): boolean | undefined {
+  const { weight, upstreams } = service;
+  if (weight === undefined) return undefined;
+  if (roll < weight.share) return true;
+  const others = upstreams.some(
+    (known) => known.usable && known.upstream.version !== weight.version,
+  );
+  return !others && weight.share >= MAJORITY;
+}
+
+/** Tells whether the upstream may serve that side; the old versions also serve calls of the new one. */
+function matchSide(
+  service: ServiceState,
+  known: UpstreamState,
+  side: boolean | undefined,
+): boolean {
+  if (side !== false || service.weight === undefined) return true;
+  return known.upstream.version !== service.weight.version;
+}
+
+/** Returns the requests that this entry may have in the upstream. */
+export function computeLimit(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  batch: boolean,
+  now: Instant,
+): number {
+  const { overcommit, batchShare } = state.options;
+  const room = known.upstream.slots * overcommit * (batch ? batchShare : 1);
+  const whole = Math.floor(room / state.fleetSize);
+  const share = known.rank < room % state.fleetSize ? whole + 1 : whole;
+  return Math.max(share, room - computeOthers(state, service, known, now));
+}
+
+function hasRoom(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  batch: boolean,
+  now: Instant,
+): boolean {
+  if (known.ejectedUntil > now) return false;
+  if (known.cold) return hasColdRoom(state, known, now);
+  if (known.failures > 0 && known.ejections > 0) return known.sentAt.length === 0;
+  return known.sentAt.length < computeLimit(state, service, known, batch, now);
+}
+
+/** Returns the upstreams that the call may be sent to now. */
+function listCandidates(
+  state: RoutingState,
+  service: ServiceState,
+  call: CallState,
+  now: Instant,
+): readonly UpstreamState[] {
+  const side = pickVersionSide(service, call.roll);
+  const batch = call.call.criticality === 'batch';
+  const able = service.upstreams.filter(
+    (known) =>
+      known.usable &&
+      matchSide(service, known, side) &&
+      !call.tried.includes(known.upstream.id) &&
+      hasRoom(state, service, known, batch, now),
+  );
+  if (side !== true) return able;
+  const moving = able.filter((known) => known.upstream.version === service.weight?.version);
+  return moving.length > 0 ? moving : able;
+}
+
+/** Draws `count` different candidates. */
+function pickCandidates(
+  candidates: readonly UpstreamState[],
+  count: number,
+  random: number,
+): readonly UpstreamState[] {
+  if (candidates.length <= count) return candidates;
+  const left = [...candidates];
+  return Array.from({ length: count }, (_, salt) => {
+    const at = Math.floor(generateRandom(random, salt) * left.length);
+    return left.splice(at, 1);
+  }).flat();
+}
+
+/**
+ * Returns the upstream for the next attempt, or nothing if none has room. Cold upstreams within their
+ * allowance go first, because their turns are few; others are compared by the expected latency of a few
+ * that are drawn at random, so that entries which choose at once don't choose the same.
+ */
+export function chooseUpstream(
+  state: RoutingState,
+  service: ServiceState,
+  call: CallState,
+  now: Instant,
+  random: number,
+): UpstreamState | undefined {
+  const candidates = listCandidates(state, service, call, now);
+  const trial = call.call.idempotent ? candidates.find((known) => known.cold) : undefined;
+  if (trial !== undefined) return trial;
+  const ramped = candidates.filter(
+    (known, at) =>
+      !known.cold && computeRamp(state, known, now) >= generateRandom(random, at + 100),
+  );
+  const drawn = pickCandidates(ramped, state.options.choices, random);
+  const costs = drawn.map((known) => computeCost(state, service, known, now));
+  return drawn[costs.indexOf(Math.min(...costs))] ?? candidates[0];
+}
+
+/** Asserts what must hold whenever a request is sent to an upstream. */
+export function checkSend(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  call: CallState,
+  now: Instant,
+): void {
+  const { id } = known.upstream;
+  checkInvariant(isAllowed(state.config, known.upstream), `new work for ${id}, which is out`);
+  checkInvariant(
+    call.call.idempotent || !call.mayHaveRun,
+    `call ${call.id} isn't idempotent and may have run`,
+  );
+  checkInvariant(
+    !known.cold || hasColdRoom(state, known, now),
+    `more work than the allowance for cold ${id}`,
+  );
+  const { weight } = service;
+  const moving = known.upstream.version === weight?.version;
+  const share = weight?.share ?? 1;
+  checkInvariant(
+    !moving || call.roll < share || share >= MAJORITY,
+    `version ${known.upstream.version} of ${service.name} gets more than its share`,
+  );
+}
--- /dev/null
+++ b/src/routing/fleet.ts
@@ -0,0 +1,171 @@
+/**
+ * What configuration and announcements make of the state: usable upstreams, ranks, subsets and shares of
+ * the fleet's budgets. Invariant: shares are divided by every member of the roster, those that join or
+ * leave included, so their sum over the fleet never exceeds the budget.
+ */
+import { matchSelector, type Config, type Instant, type Upstream } from '../model/index.js';
+import { computeRank } from './hash.js';
+import {
+  INITIAL_LATENCY,
+  type RoutingState,
+  type ServiceState,
+  type UpstreamState,
+} from './state.js';
+import type { RoutingEvent } from './types.js';
+
+type Configured = Extract<RoutingEvent, { kind: 'configured' }>;
+
+/** Tells whether operators allow new work on the upstream. */
+export function isAllowed(config: Config, upstream: Upstream): boolean {
+  if (upstream.leaving) return false;
+  if (config.zonesOut.includes(upstream.zone)) return false;
+  return !config.leaving.some((selector) => matchSelector(selector, upstream));
+}
+
+/** Returns how many entries use one upstream of a service with `count` upstreams. */
+export function computeSubsetUsers(state: RoutingState, count: number): number {
+  if (count <= state.options.subsetSize) return state.fleetSize;
+  return Math.ceil((state.fleetSize * state.options.subsetSize) / count);
+}
+
+function updateUpstream(
+  state: RoutingState,
+  known: UpstreamState,
+  ids: readonly string[],
+  users: number,
+): UpstreamState {
+  const rank = computeRank(known.upstream.id, state.self, ids);
+  const usable = isAllowed(state.config, known.upstream) && rank < users;
+  return rank === known.rank && usable === known.usable ? known : { ...known, rank, usable };
+}
+
+function updateService(state: RoutingState, service: ServiceState): ServiceState {
+  const ids = state.config.roster.members.map((member) => member.id);
+  const users = computeSubsetUsers(state, service.upstreams.length);
+  const weight = state.config.weights.find((candidate) => candidate.service === service.name);
+  const upstreams = service.upstreams.map((known) => updateUpstream(state, known, ids, users));
+  return { ...service, weight, upstreams };
+}
+
+/** Applies a configuration; one of an older revision is ignored. */
+export function applyConfig(state: RoutingState, event: Configured): RoutingState {
+  if (event.config.revision < state.config.revision) return state;
+  const { members } = event.config.roster;
+  const own = members.find((member) => member.id === event.self);
+  const next: RoutingState = {
+    ...state,
+    config: event.config,
+    self: event.self,
+    zone: event.zone,
+    fleetSize: Math.max(1, members.length),
+    active: own === undefined ? members.length === 0 : own.phase !== 'joining',
+  };
+  return { ...next, services: next.services.map((service) => updateService(next, service)) };
+}
+
+function createUpstream(
+  state: RoutingState,
+  upstream: Upstream,
+  latency: number,
+  now: Instant,
+): UpstreamState {
+  const cold = upstream.age < state.options.warmAge;
+  return {
+    upstream,
+    usable: false,
+    sentAt: [],
+    others: 0,
+    reportedAt: -Infinity,
+    latency,
+    latencyAt: -Infinity,
+    failures: 0,
+    ejectedUntil: -Infinity,
+    ejections: 0,
+    cold,
+    coldSince: now - upstream.age,
+    warmAnswers: 0,
+    warmSince: -Infinity,
+    rank: 0,
+    lastSentAt: -Infinity,
+    lastSignalAt: -Infinity,
+    lastProbedAt: now,
+  };
+}
+
+function renewUpstream(
+  state: RoutingState,
+  known: UpstreamState | undefined,
+  upstream: Upstream,
+  latency: number,
+  now: Instant,
+): UpstreamState {
+  if (known === undefined) return createUpstream(state, upstream, latency, now);
+  if (upstream.incarnation <= known.upstream.incarnation) {
+    return upstream === known.upstream ? known : { ...known, upstream };
+  }
+  const { sentAt, lastProbedAt } = known;
+  return { ...createUpstream(state, upstream, latency, now), sentAt, lastProbedAt, cold: true };
+}
+
+function createService(name: string): ServiceState {
+  return {
+    name,
+    upstreams: [],
+    weight: undefined,
+    interactiveQueue: [],
+    batchQueue: [],
+    latency: INITIAL_LATENCY,
+    samples: 0,
+    others: 0,
+    finishGap: INITIAL_LATENCY,
+    lastFinishAt: -Infinity,
+    retryTokens: 1,
+  };
+}
+
+/** Applies the announcements: new upstreams start cold unless they are known to have run long. */
+export function applyDiscovery(
+  state: RoutingState,
+  found: readonly Upstream[],
+  now: Instant,
+): RoutingState {
+  const byService = new Map<string, Upstream[]>();
+  found.forEach((upstream) => {
+    const list = byService.get(upstream.service);
+    if (list === undefined) byService.set(upstream.service, [upstream]);
+    else list.push(upstream);
+  });
+  const fresh = [...byService.keys()].filter((name) => !state.serviceAt.has(name));
+  const services = [...state.services, ...fresh.map(createService)].map((service) => {
+    const known = new Map(service.upstreams.map((one) => [one.upstream.id, one]));
+    const upstreams = (byService.get(service.name) ?? []).map((upstream) =>
+      renewUpstream(state, known.get(upstream.id), upstream, service.latency, now),
+    );
+    return updateService(state, { ...service, upstreams });
+  });
+  return {
+    ...state,
+    services,
+    serviceAt: new Map(services.map((service, at) => [service.name, at])),
+    placeOf: new Map(
+      services.flatMap((service, at) =>
+        service.upstreams.map((known) => [known.upstream.id, at] as const),
+      ),
+    ),
+  };
+}
+
+/**
+ * Returns the connections that this entry may hold to an upstream: its share of what the upstream accepts.
+ *
+ * @example
+ * getConnectionBudget(state, 'seams-3') // 11 of 250 with 22 entries
+ */
+export function getConnectionBudget(state: RoutingState, upstreamId: string): number {
+  const service = state.services[state.placeOf.get(upstreamId) ?? -1];
+  const known = service?.upstreams.find((one) => one.upstream.id === upstreamId);
+  if (known?.usable !== true) return 0;
+  const { maxConnections } = known.upstream;
+  const whole = Math.floor(maxConnections / state.fleetSize);
+  return known.rank < maxConnections % state.fleetSize ? whole + 1 : whole;
+}
--- /dev/null
+++ b/src/routing/hash.ts
@@ -0,0 +1,49 @@
+/**
+ * Hashes and derived random numbers. Invariant: the result depends on the arguments alone, so every
+ * entry with the same roster computes the same ranks.
+ */
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const UINT32_RANGE = 2 ** 32;
+
+function generateBits(value: number): number {
+  const first = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+  const second = Math.imul(first ^ (first >>> 13), 0xc2b2ae35);
+  return (second ^ (second >>> 16)) >>> 0;
+}
+
+/** Hashes a text to an unsigned 32-bit number. */
+export function hashText(text: string): number {
+  let hash = FNV_OFFSET;
+  let at = 0;
+  while (at < text.length) {
+    hash = Math.imul(hash ^ text.charCodeAt(at), FNV_PRIME);
+    at += 1;
+  }
+  return generateBits(hash);
+}
+
+/**
+ * Derives a further random number in [0, 1) from one; different salts give unrelated numbers.
+ *
+ * @example
+ * const second = generateRandom(event.random, 2);
+ */
+export function generateRandom(random: number, salt: number): number {
+  const seed = Math.floor(random * UINT32_RANGE) ^ Math.imul(salt + 1, 0x9e3779b1);
+  return generateBits(seed) / UINT32_RANGE;
+}
+
+/**
+ * Returns how many of `ids` precede `self` in the rendezvous order of a key.
+ *
+ * @example
+ * computeRank('upstream-1', 'entry-2', ['entry-1', 'entry-2', 'entry-3']) // 0, 1 or 2
+ */
+export function computeRank(key: string, self: string, ids: readonly string[]): number {
+  const own = hashText(`${key}\n${self}`);
+  return ids.filter((id) => {
+    const other = hashText(`${key}\n${id}`);
+    return other < own || (other === own && id < self);
+  }).length;
+}
--- /dev/null
+++ b/src/routing/probes.ts
@@ -0,0 +1,57 @@
+/**
+ * Plans probes. Invariant: this entry leaves at least `fleetSize * probeCost / probeShare` milliseconds
+ * between two probes of one upstream, so the probes of all members of the roster together take at most
+ * `probeShare` of its time; an entry that joins, left the roster or lost its lease sends none.
+ */
+import { checkInvariant, type Duration, type Instant } from '../model/index.js';
+import { isAllowed } from './fleet.js';
+import type { RoutingState, ServiceState, UpstreamState } from './state.js';
+import type { RoutingEffect } from './types.js';
+
+/** Returns the shortest time between two probes of one upstream by this entry. */
+export function computeProbeInterval(state: RoutingState): Duration {
+  return (state.fleetSize * state.options.probeCost) / state.options.probeShare;
+}
+
+function isProbeDue(state: RoutingState, known: UpstreamState, now: Instant): boolean {
+  if (!known.usable || known.sentAt.length > 0) return false;
+  if (now - known.lastSignalAt < state.options.probeQuiet) return false;
+  return now - known.lastProbedAt >= computeProbeInterval(state);
+}
+
+function markProbed(state: RoutingState, known: UpstreamState, now: Instant): UpstreamState {
+  const quiet = now - known.lastProbedAt;
+  checkInvariant(
+    state.active && state.leaseHeld && quiet >= computeProbeInterval(state),
+    `probe of ${known.upstream.id} after ${quiet} ms exceeds this entry's share of the budget`,
+  );
+  checkInvariant(isAllowed(state.config, known.upstream), `probe of ${known.upstream.id} is out`);
+  return { ...known, lastProbedAt: now };
+}
+
+function planServiceProbes(
+  state: RoutingState,
+  service: ServiceState,
+  now: Instant,
+  effects: RoutingEffect[],
+): ServiceState {
+  if (!service.upstreams.some((known) => isProbeDue(state, known, now))) return service;
+  const upstreams = service.upstreams.map((known) => {
+    if (!isProbeDue(state, known, now)) return known;
+    const { id, address } = known.upstream;
+    effects.push({ kind: 'probe', upstreamId: id, address });
+    return markProbed(state, known, now);
+  });
+  return { ...service, upstreams };
+}
+
+/** Returns the state after the probes that are due were added to `effects`. */
+export function planProbes(
+  state: RoutingState,
+  now: Instant,
+  effects: RoutingEffect[],
+): RoutingState {
+  if (!state.active || !state.leaseHeld) return state;
+  const services = state.services.map((service) => planServiceProbes(state, service, now, effects));
+  return { ...state, services };
+}
--- /dev/null
+++ b/src/routing/queue.ts
@@ -0,0 +1,79 @@
+/**
+ * The waiting calls of a service. Invariant: a call waits in one queue at most, and only while it can
+ * still start in time; interactive calls leave first, and batch calls are refused first.
+ */
+import type { Duration, Instant } from '../model/index.js';
+import type { CallState, RoutingState, ServiceState } from './state.js';
+
+/** Returns the number of waiting calls. */
+export function countQueued(service: ServiceState): number {
+  return service.interactiveQueue.length + service.batchQueue.length;
+}
+
+/** Returns the waiting call that leaves next. */
+export function findNextQueued(service: ServiceState): number | undefined {
+  return service.interactiveQueue[0] ?? service.batchQueue[0];
+}
+
+/** Estimates how long a call that is queued now waits. */
+export function computeWait(service: ServiceState, call: CallState): Duration {
+  const batch = call.call.criticality === 'batch';
+  const ahead = batch ? countQueued(service) : service.interactiveQueue.length;
+  return (ahead + 1) * service.finishGap;
+}
+
+/** Tells whether the queue has room for the call and it can start in time. */
+export function hasQueueRoom(
+  state: RoutingState,
+  service: ServiceState,
+  call: CallState,
+  now: Instant,
+): boolean {
+  const { queueLimit, queueShare, batchShare } = state.options;
+  const batch = call.call.criticality === 'batch';
+  if (countQueued(service) >= queueLimit * (batch ? batchShare : 1)) return false;
+  if (batch && service.interactiveQueue.length > 0) return false;
+  return computeWait(service, call) <= queueShare * (call.call.deadline - now - service.latency);
+}
+
+/** Tells whether a waiting call has waited too long to be worth starting. */
+export function isOverdue(
+  state: RoutingState,
+  service: ServiceState,
+  call: CallState,
+  now: Instant,
+): boolean {
+  if (now + service.latency >= call.call.deadline) return true;
+  const allowed = state.options.queueShare * (call.call.deadline - call.arrivedAt);
+  return now - call.arrivedAt > allowed;
+}
+
+/** Returns the service with the call at the end of its queue. */
+export function addQueued(service: ServiceState, call: CallState): ServiceState {
+  return call.call.criticality === 'batch'
+    ? { ...service, batchQueue: [...service.batchQueue, call.id] }
+    : { ...service, interactiveQueue: [...service.interactiveQueue, call.id] };
+}
+
+/** Returns the service without the call in its queues. */
+export function removeQueued(service: ServiceState, id: number): ServiceState {
+  const [head, ...rest] = service.interactiveQueue;
+  if (head === id) return { ...service, interactiveQueue: rest };
+  return {
+    ...service,
+    interactiveQueue: service.interactiveQueue.filter((queued) => queued !== id),
+    batchQueue: service.batchQueue.filter((queued) => queued !== id),
+  };
+}
+
+/** Returns the service after one of its requests ended. */
+export function updateFinishGap(service: ServiceState, now: Instant): ServiceState {
+  const gap = Math.min(service.latency, now - service.lastFinishAt);
+  const finishGap = service.finishGap + (gap - service.finishGap) * 0.1;
+  return { ...service, finishGap, lastFinishAt: now };
+}
+
+/** Returns when a refused caller may find room: once the waiting calls have started. */
+export function computeRetryAfter(service: ServiceState): Duration {
+  return Math.ceil((countQueued(service) + 1) * service.finishGap + service.latency);
+}
--- /dev/null
+++ b/src/routing/signals.ts
@@ -0,0 +1,128 @@
+/**
+ * Learns from answers. Invariant: a failed attempt never lowers the latency of an upstream, so one that
+ * fails fast draws no traffic by looking idle.
+ */
+import type { Instant, LoadReport } from '../model/index.js';
+import { markCold, markWarm } from './cold.js';
+import { computeLatency } from './estimate.js';
+import type { RoutingState, ServiceState, UpstreamState } from './state.js';
+
+/** Weight of one answer in the moving average of an upstream's latency. */
+const LATENCY_WEIGHT = 0.1;
+/** Weight of one answer in the moving averages of the service. */
+const SERVICE_WEIGHT = 0.02;
+/** Milliseconds below which an answer counts as this long, so that ratios stay finite. */
+const MIN_LATENCY = 0.1;
+/** A failed attempt counts as an answer of this multiple of the service's latency. */
+const FAILURE_FACTOR = 5;
+/** Multiple of the service's latency up to which an answer of a cold upstream counts as normal. */
+const NORMAL_FACTOR = 3;
+
+/** One ended attempt, or a probe, as a signal. */
+export interface Signal {
+  readonly failed: boolean;
+  /** Absent if nothing was measured. */
+  readonly latency: number | undefined;
+  readonly report: LoadReport | undefined;
+}
+
+/** Removes one request that was sent at the instant. */
+export function releaseRequest(known: UpstreamState, sentAt: Instant): UpstreamState {
+  const at = known.sentAt.indexOf(sentAt);
+  return at < 0 ? known : { ...known, sentAt: known.sentAt.toSpliced(at, 1) };
+}
+
+function applyLatency(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  signal: Signal,
+  now: Instant,
+): UpstreamState {
+  const measured = signal.latency ?? 0;
+  const sample = signal.failed ? Math.max(measured, service.latency * FAILURE_FACTOR) : measured;
+  const before = computeLatency(state, service, known, now);
+  const latency = before + (sample - before) * LATENCY_WEIGHT;
+  return { ...known, latency, latencyAt: now };
+}
+
+function applyReport(known: UpstreamState, report: LoadReport, now: Instant): UpstreamState {
+  const others = Math.max(0, report.inFlight + report.queued - known.sentAt.length);
+  return { ...known, others, reportedAt: now };
+}
+
+function isEjectionAllowed(state: RoutingState, service: ServiceState, now: Instant): boolean {
+  const ejected = service.upstreams.filter((known) => known.ejectedUntil > now).length;
+  return ejected + 1 <= service.upstreams.length * state.options.ejectionShare;
+}
+
+function applyOutcome(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  signal: Signal,
+  now: Instant,
+): UpstreamState {
+  if (!signal.failed) {
+    return known.failures === 0 ? known : { ...known, failures: 0, ejections: 0 };
+  }
+  const failures = known.failures + 1;
+  const enough = known.ejections > 0 || failures >= state.options.ejectionFailures;
+  if (!enough || known.ejectedUntil > now || !isEjectionAllowed(state, service, now)) {
+    return { ...known, failures };
+  }
+  const { ejectionTime, ejectionTimeLimit } = state.options;
+  const time = Math.min(ejectionTimeLimit, ejectionTime * 2 ** known.ejections);
+  return { ...known, failures, ejections: known.ejections + 1, ejectedUntil: now + time };
+}
+
+function applyWarmth(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  signal: Signal,
+  now: Instant,
+): UpstreamState {
+  const reportsCold = signal.report?.cold === true;
+  if (!known.cold) return reportsCold ? markCold(known, now) : known;
+  if (reportsCold || signal.failed) return { ...known, warmAnswers: 0 };
+  if (signal.latency === undefined) return known;
+  if (signal.latency > service.latency * NORMAL_FACTOR) return { ...known, warmAnswers: 0 };
+  const warmAnswers = known.warmAnswers + 1;
+  if (warmAnswers < state.options.warmAnswers) return { ...known, warmAnswers };
+  return markWarm(known, now);
+}
+
+/** Returns the upstream as known after the signal. */
+export function applySignal(
+  state: RoutingState,
+  service: ServiceState,
+  known: UpstreamState,
+  signal: Signal,
+  now: Instant,
+): UpstreamState {
+  const measured =
+    signal.latency === undefined ? known : applyLatency(state, service, known, signal, now);
+  const reported =
+    signal.report === undefined ? measured : applyReport(measured, signal.report, now);
+  const judged = applyOutcome(state, service, reported, signal, now);
+  return { ...applyWarmth(state, service, judged, signal, now), lastSignalAt: now };
+}
+
+/** Returns the service's averages after the signal of one of its upstreams. */
+export function updateAverages(
+  service: ServiceState,
+  known: UpstreamState,
+  signal: Signal,
+): ServiceState {
+  const others =
+    signal.report === undefined
+      ? service.others
+      : service.others + (known.others - service.others) * SERVICE_WEIGHT;
+  if (signal.failed || signal.latency === undefined || known.cold) return { ...service, others };
+  const samples = service.samples + 1;
+  const weight = Math.max(SERVICE_WEIGHT, 1 / samples);
+  const sample = Math.max(MIN_LATENCY, signal.latency);
+  const latency = service.latency + (sample - service.latency) * weight;
+  return { ...service, others, latency, samples };
+}
--- /dev/null
+++ b/src/routing/table.ts
@@ -0,0 +1,44 @@
+/**
+ * An immutable table of records by number. Invariant: a change copies the list of buckets and one
+ * bucket; older versions of the table stay valid.
+ */
+const BUCKETS = 64;
+
+/** A record with its key. */
+export interface Keyed {
+  readonly id: number;
+}
+
+/** Records in buckets by `id`. */
+export interface Table<Value extends Keyed> {
+  readonly size: number;
+  readonly buckets: readonly (readonly Value[])[];
+}
+
+/** Returns a table without records. */
+export function createTable<Value extends Keyed>(): Table<Value> {
+  return { size: 0, buckets: Array.from({ length: BUCKETS }, () => []) };
+}
+
+/** Returns the record of the id. */
+export function getRecord<Value extends Keyed>(table: Table<Value>, id: number): Value | undefined {
+  return table.buckets[id % BUCKETS]?.find((value) => value.id === id);
+}
+
+/** Returns a table with the record added, or put in the place of the one with its id. */
+export function withRecord<Value extends Keyed>(table: Table<Value>, value: Value): Table<Value> {
+  const slot = value.id % BUCKETS;
+  const bucket = table.buckets[slot] ?? [];
+  const at = bucket.findIndex((other) => other.id === value.id);
+  const next = at < 0 ? [...bucket, value] : bucket.with(at, value);
+  return { size: table.size + (at < 0 ? 1 : 0), buckets: table.buckets.with(slot, next) };
+}
+
+/** Returns a table without the record of the id. */
+export function removeRecord<Value extends Keyed>(table: Table<Value>, id: number): Table<Value> {
+  const slot = id % BUCKETS;
+  const bucket = table.buckets[slot] ?? [];
+  const next = bucket.filter((value) => value.id !== id);
+  if (next.length === bucket.length) return table;
+  return { size: table.size - 1, buckets: table.buckets.with(slot, next) };
+}
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -27,6 +27,8 @@
   readonly fingerprint: string;
   /** How many entries the call passed before this one; see the header `x-chivewalk-hops`. */
   readonly depth: number;
+  /** False if the body can't be sent a second time; absent means that it can. */
+  readonly replayable?: boolean;
 }
 
 /** Why an attempt ended without an answer. */
@@ -96,6 +98,22 @@
       readonly until: Instant;
       readonly now: Instant;
     }
+  /** Fingerprints that the fleet suspects; a call with one of them that ends well yields `cleared`. */
+  | {
+      readonly kind: 'suspected';
+      readonly fingerprints: readonly string[];
+      readonly now: Instant;
+    }
+  /** Another entry found a just started upstream warm, or a warm one cold. */
+  | {
+      readonly kind: 'warmthHeard';
+      readonly upstreamId: string;
+      readonly incarnation: number;
+      readonly cold: boolean;
+      readonly now: Instant;
+    }
+  /** Without a confirmed configuration (`held` is false) calls are refused as `stale`, and probes rest. */
+  | { readonly kind: 'leaseChanged'; readonly held: boolean; readonly now: Instant }
   | { readonly kind: 'ticked'; readonly now: Instant; readonly random: number };
 
 /** Why a call was refused without having run. */
@@ -107,7 +125,11 @@
   | 'retriesSpent'
   | 'stale';
 
-/** What the shell must do. */
+/**
+ * What the shell must do. `send` in reply to `headArrived` means: drop that answer and send the request
+ * again. `deliver` means: pass the answer on; a `finished` or `cancelled` event must follow. A call that
+ * is `cancelled` yields no further effect: the shell cancels its attempt upstream.
+ */
 export type RoutingEffect =
   | {
       readonly kind: 'send';
@@ -133,6 +155,15 @@
       readonly upstreamId: string;
       readonly incarnation: number;
     }
+  /** A call with a suspected fingerprint ended well; told to the fleet like `suspect`. */
+  | { readonly kind: 'cleared'; readonly fingerprint: string }
+  /** This entry found an upstream warm or cold; told to the other entries as `warmthHeard`. */
+  | {
+      readonly kind: 'warmth';
+      readonly upstreamId: string;
+      readonly incarnation: number;
+      readonly cold: boolean;
+    }
   /** One finished attempt as evidence for version moves. */
   | {
       readonly kind: 'evidence';
