--- /dev/null
+++ b/features/entry/announce.steps.ts
@@ -0,0 +1,88 @@
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createAnnouncements, type Announcements } from '../../src/entry/index.js';
+import { findFreePorts } from '../support/ports.js';
+import type { SnapshotWorld } from '../support/snapshot.js';
+import { sendCall, type CallerRequest, type SeenAnswer } from './world.js';
+
+interface AnnounceWorld extends SnapshotWorld {
+  port: number;
+  listener: Announcements;
+  passedOn: unknown[];
+  answer: SeenAnswer;
+}
+
+const TOKEN = 'a token for the tests';
+const PATH = '/v1/upstreams/seam-1';
+
+const sound = {
+  service: 'seam',
+  version: '2',
+  zone: 'klang',
+  labels: { rack: '4' },
+  address: '127.0.0.1:8080',
+  slots: 6,
+  max_connections: 250,
+  incarnation: 7,
+  age_ms: 10,
+};
+
+type Sent = Omit<CallerRequest, 'port'>;
+
+const authorized = { authorization: `Bearer ${TOKEN}` };
+
+function createPut(body: unknown): Sent {
+  const text = typeof body === 'string' ? body : JSON.stringify(body);
+  return { method: 'PUT', path: PATH, headers: authorized, body: text };
+}
+
+const cases: Readonly<Record<string, Sent>> = {
+  sound: createPut(sound),
+  'no token': { ...createPut(sound), headers: {} },
+  'wrong token': { ...createPut(sound), headers: { authorization: 'Bearer another' } },
+  'unknown field': createPut({ ...sound, weight: 3 }),
+  'missing fields': createPut({ service: 'seam' }),
+  'slots of zero': createPut({ ...sound, slots: 0 }),
+  'host name': createPut({ ...sound, address: 'localhost:8080' }),
+  'port 70000': createPut({ ...sound, address: '127.0.0.1:70000' }),
+  'label too long': createPut({ ...sound, labels: { rack: 'x'.repeat(129) } }),
+  'not JSON': createPut('{'),
+  'too large': createPut({ ...sound, labels: { rack: 'x'.repeat(20_000) } }),
+  'bad id': { ...createPut(sound), path: '/v1/upstreams/seam%201' },
+  leave: { method: 'DELETE', path: `${PATH}?incarnation=7`, headers: authorized },
+  'leave, no incarnation': { method: 'DELETE', path: PATH, headers: authorized },
+  'leave, no token': { method: 'DELETE', path: `${PATH}?incarnation=7` },
+  'unknown path': { method: 'GET', path: '/v1/secrets', headers: authorized },
+};
+
+Given('a listener for announcements', async function (this: AnnounceWorld) {
+  const [port = 0] = await findFreePorts(1);
+  this.port = port;
+  this.passedOn = [];
+  this.listener = await createAnnouncements({
+    listen: `127.0.0.1:${port}`,
+    token: TOKEN,
+    renewAfterMs: 2000,
+    port: {
+      announce: (upstream) => this.passedOn.push({ announce: upstream }),
+      leave: (id, incarnation) => this.passedOn.push({ leave: id, incarnation }),
+    },
+  });
+});
+
+When(
+  'an upstream sends the announcement {string}',
+  async function (this: AnnounceWorld, name: string) {
+    const sent = cases[name];
+    if (sent === undefined) throw new Error(`no announcement is called ${name}`);
+    this.answer = await sendCall({ ...sent, port: this.port });
+  },
+);
+
+Then(
+  "the listener's answer and what it passed on match the snapshot",
+  async function (this: AnnounceWorld) {
+    await this.listener.stop();
+    const { status, body } = this.answer;
+    this.matchSnapshot({ status, body, passedOn: this.passedOn });
+  },
+);
--- a/features/entry/fakes.ts
+++ b/features/entry/fakes.ts
@@ -70,6 +70,9 @@
         case 'configured':
         case 'probed':
         case 'condemned':
+        case 'suspected':
+        case 'warmthHeard':
+        case 'leaseChanged':
         case 'ticked':
           return [];
       }
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -48,11 +48,6 @@
     return this.#whole;
   }
 
-  /** Whether an attempt may still be given the body from its first byte. */
-  get canOpen(): boolean {
-    return this.#whole || !this.#started;
-  }
-
   /** The first bytes, as far as they were gathered. */
   get head(): Buffer {
     return Buffer.concat(this.#chunks).subarray(0, FINGERPRINT_BODY_BYTES);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Address, Duration, EntryId, ZoneId } from '../model/index.js';
+import type { Address, Duration, EntryId, Instant, ZoneId } from '../model/index.js';
 import type { RoutingEffect, RoutingEvent } from '../routing/types.js';
 import { ADDRESSES_PATH, parseZone, pickAddresses, type AddressAnswer } from './addresses.js';
 import { RequestBody, type Gathered } from './body.js';
@@ -82,6 +82,7 @@
   readonly #getRandom: () => number;
   #ticker: NodeJS.Timeout | undefined;
   #nextCallId = 1;
+  #leaseHeld = true;
   #stopped: Promise<void> | undefined;
 
   private constructor(options: EntryOptions) {
@@ -164,10 +165,17 @@
       this.#server.listen({ host: callerListen.slice(0, at), port }, resolve);
     });
     this.#ticker = setInterval(() => {
-      this.dispatch({ kind: 'ticked', now: performance.now(), random: this.#getRandom() });
+      this.#tick(performance.now());
     }, TICK_INTERVAL);
   }
 
+  #tick(now: Instant): void {
+    const held = this.#options.config.isFresh(now);
+    if (held !== this.#leaseHeld) this.dispatch({ kind: 'leaseChanged', held, now });
+    this.#leaseHeld = held;
+    this.dispatch({ kind: 'ticked', now, random: this.#getRandom() });
+  }
+
   /** Tells the routing decisions what is known now and whenever it changes. */
   #follow(): void {
     this.#applyConfig();
@@ -298,6 +306,8 @@
         this.#probe(effect.upstreamId, effect.address);
         break;
       case 'suspect':
+      case 'cleared':
+      case 'warmth':
       case 'evidence':
         this.#options.onSignal?.(effect);
         break;
--- a/src/entry/ports.ts
+++ b/src/entry/ports.ts
@@ -139,4 +139,7 @@
 }
 
 /** Effects of the routing decisions that other packages carry out. */
-export type RoutingSignal = Extract<RoutingEffect, { readonly kind: 'suspect' | 'evidence' }>;
+export type RoutingSignal = Extract<
+  RoutingEffect,
+  { readonly kind: 'suspect' | 'cleared' | 'warmth' | 'evidence' }
+>;
