--- /dev/null
+++ b/features/control/group.steps.ts
@@ -0,0 +1,137 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { Group, waitFor } from './group.js';
+
+interface GroupWorld {
+  group: Group | undefined;
+}
+
+function getGroup(world: GroupWorld): Group {
+  assert.ok(world.group !== undefined);
+  return world.group;
+}
+
+async function startGroup(size: number, compactAfter = 1000): Promise<Group> {
+  const group = await Group.create(size, { compactAfter });
+  await Promise.all(group.addresses.map((_, at) => group.start(at)));
+  return group;
+}
+
+function findVoters(group: Group): readonly string[] {
+  const leader = group.findLeader();
+  if (leader === undefined) return [];
+  const { members, commitIndex, lastIndex } = group.getNode(leader).status;
+  if (commitIndex < lastIndex) return [];
+  return members.filter((member) => member.voter).map((member) => member.id);
+}
+
+async function joinAgain(group: Group, at: number): Promise<void> {
+  const before = findVoters(group).find((id) => id.startsWith(`${group.addresses[at] ?? ''}#`));
+  await group.start(at, true);
+  await waitFor(`member ${at} to vote`, () =>
+    findVoters(group).some((id) => id.startsWith(`${group.addresses[at] ?? ''}#`) && id !== before),
+  );
+}
+
+Given('a control group of {int}', async function (this: GroupWorld, size: number) {
+  this.group = await startGroup(size);
+});
+
+Given(
+  'a control group of {int} that compacts after {int} entries',
+  async function (this: GroupWorld, size: number, entries: number) {
+    this.group = await startGroup(size, entries);
+  },
+);
+
+When('the control group accepts {int} numbers', async function (this: GroupWorld, count: number) {
+  const group = getGroup(this);
+  for (let at = 0; at < count; at += 1) await group.accept(group.accepted.length);
+});
+
+When('the control leader stops gracefully', async function (this: GroupWorld) {
+  const group = getGroup(this);
+  await group.stop(group.findLeader() ?? -1, true);
+});
+
+When('control member {int} loses its disk', async function (this: GroupWorld, at: number) {
+  await getGroup(this).loseDisk(at);
+});
+
+When('control member {int} joins again', async function (this: GroupWorld, at: number) {
+  await joinAgain(getGroup(this), at);
+});
+
+When(
+  'control member {int} loses its disk and joins again',
+  async function (this: GroupWorld, at: number) {
+    await getGroup(this).loseDisk(at);
+    await joinAgain(getGroup(this), at);
+  },
+);
+
+When('control member {int} starts without joining', async function (this: GroupWorld, at: number) {
+  await getGroup(this).start(at);
+});
+
+When('both other control members stop', async function (this: GroupWorld) {
+  const group = getGroup(this);
+  const leader = group.findLeader();
+  const others = [...group.running.keys()].filter((at) => at !== leader);
+  await Promise.all(others.map((at) => group.stop(at)));
+});
+
+Then(
+  'a current read at the control leader returns every accepted number',
+  async function (this: GroupWorld) {
+    const group = getGroup(this);
+    const outcome = await group.getNode(group.findLeader() ?? -1).readCurrent(2000);
+    assert.deepEqual(outcome.kind === 'current' && outcome.state, group.accepted);
+  },
+);
+
+Then('every control member applies every accepted number', async function (this: GroupWorld) {
+  const group = getGroup(this);
+  const wanted = JSON.stringify(group.accepted);
+  await waitFor(`all members to apply ${wanted}`, () =>
+    [...group.running.values()].every(({ node }) => JSON.stringify(node.applied) === wanted),
+  );
+});
+
+Then(
+  'control member {int} says that its folder is empty but the group exists',
+  async function (this: GroupWorld, at: number) {
+    const group = getGroup(this);
+    await waitFor(
+      'the report',
+      () => group.getNode(at).status.problem?.includes('join = true') ?? false,
+    );
+    assert.ok(group.problems.some((problem) => problem.kind === 'strangeFolder'));
+  },
+);
+
+Then(
+  'control member {int} is no voter under its new identity',
+  async function (this: GroupWorld, at: number) {
+    const group = getGroup(this);
+    await group.accept(group.accepted.length);
+    assert.equal(group.getNode(at).status.role, 'newborn');
+    assert.equal(group.getNode(at).status.healthy, false);
+  },
+);
+
+Then(
+  'the control leader steps down without accepting or answering',
+  async function (this: GroupWorld) {
+    const group = getGroup(this);
+    const node = group.getNode(group.findLeader() ?? -1);
+    const [proposal, read] = await Promise.all([node.propose(99, 3000), node.readCurrent(3000)]);
+    assert.equal(proposal.kind, 'unknown');
+    assert.equal(read.kind, 'notLeader');
+    assert.notEqual(node.status.role, 'leader');
+  },
+);
+
+After(async function (this: GroupWorld) {
+  await this.group?.remove();
+});
--- /dev/null
+++ b/features/control/group.ts
@@ -0,0 +1,140 @@
+/**
+ * A group of control members in one process, over real sockets and folders. Its machine is a list of
+ * numbers, so that a lost, doubled or reordered command shows.
+ */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import {
+  openControl,
+  type ControlNode,
+  type ControlOptions,
+  type ControlProblem,
+  type StateMachine,
+} from '../../src/control/index.js';
+import type { Address } from '../../src/model/index.js';
+import { createMesh, type Mesh } from '../../src/wire/index.js';
+import { findFreePorts } from '../support/ports.js';
+
+export type Numbers = readonly number[];
+
+/** Appends each proposed number. */
+export const listMachine: StateMachine<Numbers> = {
+  initial: [],
+  apply: (state, command) => ({ state: [...state, command as number], result: state.length }),
+  encode: (state) => Buffer.from(JSON.stringify(state)),
+  decode: (bytes) => JSON.parse(Buffer.from(bytes).toString()) as Numbers,
+};
+
+interface Running {
+  readonly node: ControlNode<Numbers>;
+  readonly mesh: Mesh;
+}
+
+/** Polls until the condition holds; fails after ten seconds. */
+export async function waitFor(what: string, condition: () => boolean): Promise<void> {
+  const until = performance.now() + 10_000;
+  while (!condition()) {
+    if (performance.now() > until) throw new Error(`waited in vain for ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
+/** Members by number from 0. */
+export class Group {
+  readonly problems: ControlProblem[] = [];
+  readonly running = new Map<number, Running>();
+  accepted: number[] = [];
+
+  private constructor(
+    readonly folder: string,
+    readonly addresses: readonly Address[],
+    readonly extra: Partial<ControlOptions<Numbers>>,
+  ) {}
+
+  static async create(size: number, extra: Partial<ControlOptions<Numbers>> = {}): Promise<Group> {
+    const ports = await findFreePorts(size);
+    const folder = await mkdtemp(join(tmpdir(), 'chivewalk-control-'));
+    return new Group(
+      folder,
+      ports.map((port) => `127.0.0.1:${port}`),
+      extra,
+    );
+  }
+
+  getFolder(at: number): string {
+    return join(this.folder, String(at));
+  }
+
+  getNode(at: number): ControlNode<Numbers> {
+    const found = this.running.get(at);
+    if (found === undefined) throw new Error(`member ${at} does not run`);
+    return found.node;
+  }
+
+  async start(
+    at: number,
+    join = false,
+    extra: Partial<ControlOptions<Numbers>> = {},
+  ): Promise<void> {
+    const address = this.addresses[at] ?? '';
+    const mesh = await createMesh({ address, secret: 'the secret of the site' });
+    try {
+      const node = await openControl({
+        address,
+        members: this.addresses,
+        join,
+        dataFolder: this.getFolder(at),
+        mesh,
+        machine: listMachine,
+        onProblem: (problem) => this.problems.push(problem),
+        ...this.extra,
+        ...extra,
+      });
+      this.running.set(at, { node, mesh });
+    } catch (error) {
+      await mesh.close();
+      throw error;
+    }
+  }
+
+  /** Stops a member; unless it is graceful, its connections are cut first. */
+  async stop(at: number, graceful = false): Promise<void> {
+    const found = this.running.get(at);
+    if (found === undefined) return;
+    this.running.delete(at);
+    if (!graceful) await found.mesh.close();
+    await found.node.close();
+    await found.mesh.close();
+  }
+
+  async loseDisk(at: number): Promise<void> {
+    await this.stop(at);
+    await rm(this.getFolder(at), { recursive: true });
+  }
+
+  findLeader(): number | undefined {
+    return [...this.running].find(([, { node }]) => node.status.role === 'leader')?.[0];
+  }
+
+  /** Proposes through whichever member leads until the number is accepted. */
+  async accept(value: number): Promise<void> {
+    const until = performance.now() + 10_000;
+    while (performance.now() < until) {
+      const leader = this.findLeader();
+      const outcome =
+        leader === undefined ? undefined : await this.getNode(leader).propose(value, 2000);
+      if (outcome?.kind === 'committed') {
+        this.accepted.push(value);
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    throw new Error(`number ${value} was not accepted`);
+  }
+
+  async remove(): Promise<void> {
+    await Promise.all([...this.running.keys()].map((at) => this.stop(at)));
+    await rm(this.folder, { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/src/control/consensus.ts
@@ -0,0 +1,306 @@
+/**
+ * Agreement among the control members by the Raft algorithm, with pre-vote, check-quorum, read index,
+ * learners, one change of members at a time and leadership transfer. Invariants: see `invariants.ts`.
+ */
+import { checkInvariant } from '../model/index.js';
+import type { ControlMessage, LogEntry, Vote } from '../generated/control.js';
+import {
+  enterFollower,
+  countOwnVote,
+  handleTimeoutNow,
+  handleVoteReply,
+  handleVoteRequest,
+  hasQuorumContact,
+  startPreVote,
+} from './election.js';
+import {
+  handleAppend,
+  handleRepairReply,
+  handleRepairRequest,
+  handleSnapshotChunk,
+  requestRepair,
+} from './following.js';
+import { checkTransition } from './invariants.js';
+import {
+  advanceCommit,
+  appendOwn,
+  settleReads,
+  handleAppendReply,
+  handleSnapshotReply,
+  requestRead,
+  startRound,
+  startTransfer,
+} from './leading.js';
+import { pruneLog, getLastIndex, getTermAt, type Log } from './log.js';
+import { handleJoinRequest, grantVoting, proposeMembership } from './members.js';
+import {
+  renewElectionTimer,
+  runSteps,
+  writeEntries,
+  writeSnapshot,
+  toStep,
+  withMembership,
+} from './steps.js';
+import type {
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusState,
+  MemberId,
+  Snapshot,
+  Step,
+  Timings,
+} from './types.js';
+
+/** Entries that a leader keeps behind its snapshot for members that lag a little. */
+const TRAILING_ENTRIES = 256;
+/** The term of the first entry of every group. */
+const FOUNDING_TERM = 1;
+
+/** What a member starts from: what its storage holds. */
+export interface ConsensusStart {
+  readonly self: MemberId;
+  readonly timings: Timings;
+  readonly now: number;
+  readonly random: number;
+  readonly vote: Vote;
+  readonly log: Log;
+  readonly snapshot: Snapshot | undefined;
+  /** Distinguishes this start from earlier ones of the same member. */
+  readonly nonce: string;
+}
+
+/**
+ * Creates the state of a member that has just started.
+ *
+ * @example
+ * const state = createConsensus({ self, timings: defaultTimings, now, random, vote, log, snapshot, nonce });
+ */
+export function createConsensus(start: ConsensusStart): ConsensusState {
+  const { self, timings, now, random, vote, log, snapshot, nonce } = start;
+  return renewElectionTimer(
+    withMembership({
+      self,
+      timings,
+      now,
+      random,
+      term: vote.term,
+      votedFor: vote.votedFor,
+      role: { kind: 'follower', leader: undefined },
+      log,
+      membership: { members: [], retired: [] },
+      membershipIndex: 0,
+      commitIndex: snapshot?.index ?? 0,
+      snapshot,
+      incoming: undefined,
+      durableIndex: getLastIndex(log),
+      nextWrite: 1,
+      pendingWrites: [],
+      awaiting: [],
+      electionDue: now,
+      leaderContact: -Infinity,
+      repair: vote.repairing ? { nonce, target: undefined, askAt: now } : undefined,
+      failed: false,
+    }),
+  );
+}
+
+/**
+ * Decides what follows from an event, and checks the invariants of the transition.
+ *
+ * @example
+ * const { state, effects } = decideConsensus(before, { kind: 'ticked', now, random });
+ */
+export function decideConsensus(state: ConsensusState, event: ConsensusEvent): Step {
+  const timed: ConsensusState = { ...state, now: event.now, random: event.random };
+  const step = state.failed ? refuseEvent(timed, event) : handleEvent(timed, event);
+  checkTransition(state, step);
+  return step;
+}
+
+function handleEvent(state: ConsensusState, event: ConsensusEvent): Step {
+  switch (event.kind) {
+    case 'founded':
+      return handleFounding(state, event.founders);
+    case 'ticked':
+      return handleTick(state);
+    case 'woke':
+      return handleWake(state);
+    case 'messageArrived':
+      return runSteps(state, (next) => handleMessage(next, event.from, event.message), grantVoting);
+    case 'proposed':
+      return handleProposal(state, event.proposal, event.command);
+    case 'membershipProposed':
+      return proposeMembership(state, event.proposal, event.change);
+    case 'joinRequested':
+      return handleJoinRequest(state, event.id);
+    case 'readRequested':
+      return requestRead(state, event.read);
+    case 'transferRequested':
+      return startTransfer(state);
+    case 'synced':
+      return handleSync(state, event.write);
+    case 'storageFailed':
+      return stepAside(state);
+    case 'compacted':
+      return handleCompaction(state, event.index, event.data);
+  }
+}
+
+function handleMessage(state: ConsensusState, from: MemberId, message: ControlMessage): Step {
+  switch (message.kind) {
+    case 'voteRequest':
+      return handleVoteRequest(state, from, message);
+    case 'voteReply':
+      return handleVoteReply(state, from, message);
+    case 'append':
+      return handleAppend(state, from, message);
+    case 'appendReply':
+      return message.term > state.term
+        ? enterFollower(state, message.term, undefined)
+        : handleAppendReply(state, from, message);
+    case 'snapshotChunk':
+      return handleSnapshotChunk(state, from, message);
+    case 'snapshotReply':
+      return handleSnapshotReply(state, from, message);
+    case 'timeoutNow':
+      return handleTimeoutNow(state, message.term);
+    case 'repairRequest':
+      return handleRepairRequest(state, from, message.nonce);
+    case 'repairReply':
+      return handleRepairReply(state, message);
+  }
+}
+
+/** Writes the first entry, which is the same at every founder, in a term that nobody leads. */
+function handleFounding(state: ConsensusState, founders: readonly MemberId[]): Step {
+  const members = founders.map((id) => ({ id, voter: true }));
+  const entry: LogEntry = {
+    kind: 'membership',
+    index: 1,
+    term: FOUNDING_TERM,
+    membership: { members, retired: [] },
+  };
+  return runSteps(
+    state,
+    (next) => enterFollower(next, FOUNDING_TERM, undefined),
+    (next) => writeEntries(next, [entry]),
+    (next) => toStep(renewElectionTimer(next)),
+  );
+}
+
+function handleTick(state: ConsensusState): Step {
+  if (state.role.kind === 'leader') return advanceLeader(state);
+  return runSteps(state, requestRepair, (next) =>
+    next.now >= next.electionDue ? startPreVote(next) : toStep(next),
+  );
+}
+
+function advanceLeader(state: ConsensusState): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  if (!hasQuorumContact(state)) return stepDown(state);
+  const lapsed = role.transfer !== undefined && state.now >= role.transfer.until;
+  const current = lapsed ? { ...state, role: { ...role, transfer: undefined } } : state;
+  return runSteps(
+    current,
+    (next) => (next.now >= role.heartbeatDue ? startRound(next) : toStep(next)),
+    grantVoting,
+  );
+}
+
+function stepDown(state: ConsensusState): Step {
+  return runSteps(renewElectionTimer(state), (next) => enterFollower(next, next.term, undefined));
+}
+
+/** After a pause the timers tell nothing: a leader checks its quorum, a follower listens first. */
+function handleWake(state: ConsensusState): Step {
+  if (state.role.kind === 'leader') return advanceLeader(state);
+  return toStep(renewElectionTimer(state));
+}
+
+function handleProposal(state: ConsensusState, proposal: number, command: Uint8Array): Step {
+  const { role, term } = state;
+  if (role.kind !== 'leader' || role.transfer !== undefined) {
+    return toStep(state, { kind: 'refused', proposal, reason: 'notLeader' });
+  }
+  const index = getLastIndex(state.log) + 1;
+  return runSteps(
+    state,
+    (next) => toStep(next, { kind: 'accepted', proposal, index, term }),
+    (next) => appendOwn(next, [{ kind: 'command', index, term, command }]),
+  );
+}
+
+function handleSync(state: ConsensusState, write: number): Step {
+  const durable = state.pendingWrites.filter((pending) => pending.write <= write);
+  const lastIndex = durable.findLast((pending) => pending.lastIndex !== undefined)?.lastIndex;
+  const released = state.awaiting.filter((waiting) => waiting.write <= write);
+  const synced: ConsensusState = {
+    ...state,
+    durableIndex: lastIndex ?? state.durableIndex,
+    pendingWrites: state.pendingWrites.filter((pending) => pending.write > write),
+    awaiting: state.awaiting.filter((waiting) => waiting.write > write),
+  };
+  const effects = released
+    .filter(({ message }) => isStillTrue(state, message))
+    .map(({ to, message }): ConsensusEffect => ({ kind: 'send', to, message }));
+  return runSteps(
+    synced,
+    (next) => toStep(next, ...effects),
+    countOwnVote,
+    advanceCommit,
+    settleReads,
+    grantVoting,
+  );
+}
+
+/** Tells whether a message that waited may be sent: what a member said in an older term is void. */
+function isStillTrue(state: ConsensusState, message: ControlMessage): boolean {
+  if (message.kind === 'voteRequest' && message.preVote) return message.term === state.term + 1;
+  return message.term === state.term;
+}
+
+function handleCompaction(state: ConsensusState, index: number, data: Uint8Array): Step {
+  const term = getTermAt(state.log, index);
+  if (term === undefined || index <= (state.snapshot?.index ?? 0)) return toStep(state);
+  checkInvariant(index <= state.commitIndex, `entry ${index} is not committed`);
+  const found = state.log.entries.findLast(
+    (entry) => entry.kind === 'membership' && entry.index <= index,
+  );
+  const membership = found?.kind === 'membership' ? found.membership : state.snapshot?.membership;
+  const snapshot: Snapshot = {
+    index,
+    term,
+    membership: membership ?? { members: [], retired: [] },
+    data,
+  };
+  const log = pruneLog(state.log, index - TRAILING_ENTRIES);
+  return writeSnapshot({ ...state, log, snapshot }, snapshot, false);
+}
+
+/** Takes no further part: what this member holds can no longer be made durable. */
+function stepAside(state: ConsensusState): Step {
+  return runSteps({ ...state, awaiting: [] }, stepDown, (next) =>
+    toStep({ ...next, failed: true }),
+  );
+}
+
+function refuseEvent(state: ConsensusState, event: ConsensusEvent): Step {
+  switch (event.kind) {
+    case 'proposed':
+    case 'membershipProposed':
+      return toStep(state, { kind: 'refused', proposal: event.proposal, reason: 'notLeader' });
+    case 'readRequested':
+      return toStep(state, { kind: 'readRefused', read: event.read });
+    case 'founded':
+    case 'ticked':
+    case 'woke':
+    case 'messageArrived':
+    case 'joinRequested':
+    case 'transferRequested':
+    case 'synced':
+    case 'storageFailed':
+    case 'compacted':
+      return toStep(state);
+  }
+}
--- /dev/null
+++ b/src/control/following.ts
@@ -0,0 +1,207 @@
+/**
+ * What a follower does with a leader's messages. Invariant: it answers `matches` only for a prefix that is
+ * durable here and equal to the leader's, and it never drops a committed entry.
+ */
+import { checkInvariant } from '../model/index.js';
+import type { Append, RepairReply, SnapshotChunk } from '../generated/control.js';
+import { enterFollower } from './election.js';
+import { advanceCommitTo } from './leading.js';
+import { pruneLog, findTermStart, getLastIndex, getTermAt } from './log.js';
+import {
+  listOthers,
+  renewElectionTimer,
+  runSteps,
+  writeEntries,
+  writeSnapshot,
+  writeVote,
+  sendAfterSync,
+  toStep,
+  withMembership,
+} from './steps.js';
+import type { ConsensusState, IncomingSnapshot, MemberId, Snapshot, Step } from './types.js';
+
+/** Milliseconds between two requests of a member under repair. */
+const REPAIR_ASK_INTERVAL = 500;
+
+/** Follows the sender as the leader of its term. */
+function registerLeader(state: ConsensusState, leader: MemberId, term: number): Step {
+  const { role } = state;
+  const sameTerm = term === state.term;
+  const known = role.kind === 'follower' ? role.leader : undefined;
+  checkInvariant(
+    !sameTerm || (role.kind !== 'leader' && (known === undefined || known === leader)),
+    `two leaders in term ${term}: ${known ?? state.self} and ${leader}`,
+  );
+  return runSteps(
+    state,
+    (next) => enterFollower(next, term, leader),
+    (next) => toStep(renewElectionTimer({ ...next, leaderContact: next.now })),
+  );
+}
+
+function sendAppendReply(
+  state: ConsensusState,
+  to: MemberId,
+  round: number,
+  matches: boolean,
+  index: number,
+): Step {
+  const { term } = state;
+  return sendAfterSync(state, to, { kind: 'appendReply', term, matches, index, round });
+}
+
+/** Takes in entries or a heartbeat. */
+export function handleAppend(state: ConsensusState, from: MemberId, message: Append): Step {
+  if (message.term < state.term) return sendAppendReply(state, from, message.round, false, 0);
+  return runSteps(
+    state,
+    (next) => registerLeader(next, from, message.term),
+    (next) => mergeEntries(next, from, message),
+  );
+}
+
+function mergeEntries(state: ConsensusState, from: MemberId, message: Append): Step {
+  const { log } = state;
+  const { prevIndex, round } = message;
+  const compacted = prevIndex < log.baseIndex;
+  if (!compacted && getTermAt(log, prevIndex) !== message.prevTerm) {
+    return sendAppendReply(state, from, round, false, findRetryIndex(state, prevIndex));
+  }
+  const fresh = message.entries.filter((entry) => entry.index > log.baseIndex);
+  const conflict = fresh.findIndex((entry) => getTermAt(log, entry.index) !== entry.term);
+  const added = conflict === -1 ? [] : fresh.slice(conflict);
+  const matched = Math.max(prevIndex + message.entries.length, log.baseIndex);
+  return runSteps(
+    state,
+    (next) => writeEntries(next, added),
+    (next) => advanceCommitTo(next, Math.min(message.commitIndex, matched)),
+    (next) => finishRepair(next, matched),
+    (next) => sendAppendReply(next, from, round, true, matched),
+  );
+}
+
+/** Returns the highest index that may still match the leader's log. */
+function findRetryIndex(state: ConsensusState, prevIndex: number): number {
+  const last = getLastIndex(state.log);
+  if (prevIndex > last) return last;
+  return Math.max(state.commitIndex, findTermStart(state.log, prevIndex) - 1);
+}
+
+/** Takes in a part of a snapshot, and installs the snapshot once it is whole. */
+export function handleSnapshotChunk(
+  state: ConsensusState,
+  from: MemberId,
+  message: SnapshotChunk,
+): Step {
+  if (message.term < state.term) return sendAppendReply(state, from, message.round, false, 0);
+  return runSteps(
+    state,
+    (next) => registerLeader(next, from, message.term),
+    (next) => mergeChunk(next, from, message),
+  );
+}
+
+function addChunk(
+  incoming: IncomingSnapshot | undefined,
+  message: SnapshotChunk,
+): IncomingSnapshot {
+  const { index, indexTerm: term, offset, data } = message;
+  const same = incoming?.index === index && incoming.term === term;
+  const current = same ? incoming : { index, term, chunks: [], received: 0 };
+  if (offset !== current.received || data.length === 0) return current;
+  const received = current.received + data.length;
+  return { ...current, chunks: [...current.chunks, data], received };
+}
+
+function mergeChunk(state: ConsensusState, from: MemberId, message: SnapshotChunk): Step {
+  const { index, round, size } = message;
+  if (index <= state.commitIndex) return sendAppendReply(state, from, round, true, index);
+  const incoming = addChunk(state.incoming, message);
+  if (incoming.received < size) {
+    const { term } = state;
+    const reply = {
+      kind: 'snapshotReply',
+      term,
+      index,
+      received: incoming.received,
+      round,
+    } as const;
+    return sendAfterSync({ ...state, incoming }, from, reply);
+  }
+  const data = new Uint8Array(Buffer.concat(incoming.chunks));
+  const { indexTerm: term, membership } = message;
+  return runSteps(
+    { ...state, incoming: undefined },
+    (next) => applySnapshot(next, { index, term, membership, data }),
+    (next) => finishRepair(next, index),
+    (next) => sendAppendReply(next, from, round, true, index),
+  );
+}
+
+function applySnapshot(state: ConsensusState, snapshot: Snapshot): Step {
+  const { index, term } = snapshot;
+  const continues = getTermAt(state.log, index) === term;
+  const log = continues
+    ? pruneLog(state.log, index)
+    : { baseIndex: index, baseTerm: term, entries: [] };
+  const durableIndex = continues
+    ? state.durableIndex
+    : Math.min(state.durableIndex, state.commitIndex);
+  const pendingWrites = continues
+    ? state.pendingWrites
+    : state.pendingWrites.map(({ write }) => ({ write, lastIndex: undefined }));
+  const installed = withMembership({
+    ...state,
+    log,
+    snapshot,
+    commitIndex: index,
+    durableIndex,
+    pendingWrites,
+  });
+  return runSteps(
+    installed,
+    (next) => writeSnapshot(next, snapshot, !continues),
+    (next) => toStep(next, { kind: 'restore', snapshot }),
+  );
+}
+
+/** Asks the others how far this member must catch up before it may vote again. */
+export function requestRepair(state: ConsensusState): Step {
+  const { repair } = state;
+  if (repair === undefined || repair.target !== undefined || repair.askAt > state.now) {
+    return toStep(state);
+  }
+  const asked = { ...state, repair: { ...repair, askAt: state.now + REPAIR_ASK_INTERVAL } };
+  const message = { kind: 'repairRequest', term: state.term, nonce: repair.nonce } as const;
+  return toStep(asked, ...listOthers(state).map((to) => ({ kind: 'send', to, message }) as const));
+}
+
+/** Answers a member under repair if this member leads: its own log holds all that may be committed. */
+export function handleRepairRequest(state: ConsensusState, from: MemberId, nonce: string): Step {
+  if (state.role.kind !== 'leader') return toStep(state);
+  const { term } = state;
+  const index = getLastIndex(state.log);
+  return toStep(state, {
+    kind: 'send',
+    to: from,
+    message: { kind: 'repairReply', term, nonce, index },
+  });
+}
+
+/** Learns the target. A reply of an older term proves nothing, as its leader may have been replaced. */
+export function handleRepairReply(state: ConsensusState, reply: RepairReply): Step {
+  const { repair } = state;
+  if (repair?.nonce !== reply.nonce || reply.term < state.term) {
+    return toStep(state);
+  }
+  const target = Math.max(repair.target ?? 0, reply.index);
+  return toStep({ ...state, repair: { ...repair, target } });
+}
+
+function finishRepair(state: ConsensusState, matched: number): Step {
+  const target = state.repair?.target;
+  if (target === undefined || matched < target) return toStep(state);
+  return runSteps({ ...state, repair: undefined }, writeVote, (next) =>
+    toStep(next, { kind: 'repaired' }),
+  );
+}
--- /dev/null
+++ b/src/control/founding.ts
@@ -0,0 +1,130 @@
+/**
+ * How a group comes to be. Invariant: a member whose folder is empty takes part only as one of the
+ * identities that founded the group, or after the group admitted its new identity; so a member that lost
+ * its disk never votes a second time in a term under its old identity.
+ */
+import type { Transition, Address, Instant } from '../model/index.js';
+import type { FoundingMessage, MemberId } from '../generated/control.js';
+import { toAddress } from './steps.js';
+
+/** Milliseconds between two greetings. */
+const HELLO_INTERVAL = 500;
+
+/** A member without a group, or one that has its group. */
+export type FoundingState =
+  | {
+      readonly kind: 'newborn';
+      readonly self: MemberId;
+      readonly members: readonly Address[];
+      readonly join: boolean;
+      readonly heard: ReadonlyMap<Address, MemberId>;
+      readonly helloDue: Instant;
+      /** Whether the group exists without this identity. */
+      readonly strange: boolean;
+    }
+  | {
+      readonly kind: 'settled';
+      readonly self: MemberId;
+      readonly group: string;
+      readonly founders: readonly MemberId[];
+    };
+
+/** What the founding is told. */
+export type FoundingEvent =
+  | { readonly kind: 'ticked'; readonly now: Instant; readonly newGroup: string }
+  | {
+      readonly kind: 'messageArrived';
+      readonly from: MemberId;
+      readonly message: FoundingMessage;
+    }
+  /** A member of the group sent a consensus message to this identity. */
+  | { readonly kind: 'addressed'; readonly group: string };
+
+/** What the shell must do about the founding. */
+export type FoundingEffect =
+  | { readonly kind: 'send'; readonly to: Address; readonly message: FoundingMessage }
+  | {
+      readonly kind: 'settle';
+      readonly group: string;
+      readonly founders: readonly MemberId[];
+    }
+  /** A member with a new identity asks to be admitted. */
+  | { readonly kind: 'announceJoiner'; readonly id: MemberId }
+  | { readonly kind: 'reportStranger' };
+
+type FoundingStep = Transition<FoundingState, FoundingEffect>;
+
+/**
+ * Decides what follows from an event.
+ *
+ * @example
+ * decideFounding(state, { kind: 'ticked', now, newGroup: '5f1e0c9a' });
+ */
+export function decideFounding(state: FoundingState, event: FoundingEvent): FoundingStep {
+  switch (event.kind) {
+    case 'ticked':
+      return state.kind === 'newborn'
+        ? handleTick(state, event.now, event.newGroup)
+        : { state, effects: [] };
+    case 'messageArrived':
+      return event.message.kind === 'hello'
+        ? handleHello(state, event.from, event.message.join)
+        : handleFounded(state, event.message.group, event.message.founders);
+    case 'addressed':
+      return state.kind === 'newborn'
+        ? settleGroup(state, event.group, [])
+        : { state, effects: [] };
+  }
+}
+
+type Newborn = Extract<FoundingState, { kind: 'newborn' }>;
+
+function settleGroup(state: Newborn, group: string, founders: readonly MemberId[]): FoundingStep {
+  return {
+    state: { kind: 'settled', self: state.self, group, founders },
+    effects: [{ kind: 'settle', group, founders }],
+  };
+}
+
+/** Only the lowest address founds, so that two sets of founders cannot arise. */
+function isFounder(state: Newborn): boolean {
+  return [...state.members].sort()[0] === toAddress(state.self);
+}
+
+function handleTick(state: Newborn, now: Instant, newGroup: string): FoundingStep {
+  const others = state.members.filter((address) => address !== toAddress(state.self));
+  const complete = others.every((address) => state.heard.has(address));
+  if (!state.join && !state.strange && complete && isFounder(state)) {
+    const heard = others.flatMap((address) => state.heard.get(address) ?? []);
+    return settleGroup(state, newGroup, [state.self, ...heard].sort());
+  }
+  if (now < state.helloDue) return { state, effects: [] };
+  const message = { kind: 'hello', join: state.join } as const;
+  return {
+    state: { ...state, helloDue: now + HELLO_INTERVAL },
+    effects: others.map((to) => ({ kind: 'send', to, message })),
+  };
+}
+
+function handleHello(state: FoundingState, from: MemberId, join: boolean): FoundingStep {
+  if (state.kind === 'newborn') {
+    if (join) return { state, effects: [] };
+    const heard = new Map(state.heard).set(toAddress(from), from);
+    return { state: { ...state, heard }, effects: [] };
+  }
+  if (join) return { state, effects: [{ kind: 'announceJoiner', id: from }] };
+  const { group, founders } = state;
+  const message = { kind: 'founded', group, founders } as const;
+  return { state, effects: [{ kind: 'send', to: toAddress(from), message }] };
+}
+
+function handleFounded(
+  state: FoundingState,
+  group: string,
+  founders: readonly MemberId[],
+): FoundingStep {
+  if (state.kind === 'settled' || state.join) return { state, effects: [] };
+  if (founders.includes(state.self)) return settleGroup(state, group, founders);
+  const effects = state.strange ? [] : [{ kind: 'reportStranger' } as const];
+  return { state: { ...state, strange: true }, effects };
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,15 @@
+/** Agreement among the control members and its durable storage. */
+export type {
+  ChangeOutcome,
+  ControlNode,
+  ControlOptions,
+  ControlProblem,
+  ControlStatus,
+  MemberChange,
+  ProposeOutcome,
+  ReadOutcome,
+  StateMachine,
+} from './control.js';
+export { StorageError } from './files.js';
+export { openControl } from './node.js';
+export { defaultTimings, type Timings } from './types.js';
--- /dev/null
+++ b/src/control/invariants.ts
@@ -0,0 +1,65 @@
+/**
+ * The invariants of the consensus core, checked at every transition. A breach is a defect of the program
+ * and ends the member before it can harm the others.
+ */
+import { checkInvariant } from '../model/index.js';
+import { getLastIndex, getTermAt } from './log.js';
+import type { ConsensusEffect, ConsensusState, Step } from './types.js';
+
+/**
+ * Throws unless the transition keeps term, vote, commit index and committed entries, and acknowledges
+ * only what is durable.
+ *
+ * @example
+ * checkTransition(before, decideConsensus(before, event));
+ */
+export function checkTransition(before: ConsensusState, step: Step): void {
+  const after = step.state;
+  checkTerm(before, after);
+  checkLog(before, after);
+  step.effects.forEach((effect) => {
+    checkEffect(after, effect);
+  });
+}
+
+function checkTerm(before: ConsensusState, after: ConsensusState): void {
+  checkInvariant(after.term >= before.term, `term fell from ${before.term} to ${after.term}`);
+  const keepsVote = before.votedFor === undefined || before.votedFor === after.votedFor;
+  checkInvariant(after.term > before.term || keepsVote, `second vote in term ${after.term}`);
+}
+
+function checkLog(before: ConsensusState, after: ConsensusState): void {
+  const last = getLastIndex(after.log);
+  checkInvariant(
+    after.commitIndex >= before.commitIndex,
+    `commit index fell from ${before.commitIndex} to ${after.commitIndex}`,
+  );
+  checkInvariant(after.commitIndex <= last, `commit index ${after.commitIndex} is past ${last}`);
+  checkInvariant(after.durableIndex <= last, `durable index ${after.durableIndex} is past ${last}`);
+  const was = getTermAt(before.log, before.commitIndex);
+  const is = getTermAt(after.log, before.commitIndex);
+  checkInvariant(
+    was === undefined || is === undefined || was === is,
+    `committed entry ${before.commitIndex} was replaced`,
+  );
+  const leads = before.role.kind === 'leader' && after.role.kind === 'leader';
+  checkInvariant(
+    !leads || before.term !== after.term || last >= getLastIndex(before.log),
+    'a leader shortened its log',
+  );
+}
+
+function checkEffect(after: ConsensusState, effect: ConsensusEffect): void {
+  if (effect.kind !== 'send') return;
+  const { message } = effect;
+  if (message.kind === 'appendReply' && message.matches) {
+    checkInvariant(
+      message.index <= Math.max(after.durableIndex, after.snapshot?.index ?? 0),
+      `entry ${message.index} is acknowledged but only ${after.durableIndex} is durable`,
+    );
+  }
+  if (message.kind === 'voteReply' && message.granted && !message.preVote) {
+    checkInvariant(after.votedFor === effect.to, `vote for ${effect.to} was not recorded`);
+    checkInvariant(after.repair === undefined, 'a member under repair voted');
+  }
+}
--- /dev/null
+++ b/src/control/leading.ts
@@ -0,0 +1,313 @@
+/**
+ * What a leader does: replicates, commits, confirms reads and hands over. Invariant: it commits only by
+ * counting members that hold an entry of its own term durably, and it never removes an entry of its log.
+ */
+import { checkInvariant, type Instant } from '../model/index.js';
+import type { AppendReply, LogEntry, SnapshotReply } from '../generated/control.js';
+import { getBatch, getEntries, getLastIndex, getTermAt } from './log.js';
+import {
+  hasMajority,
+  listOthers,
+  listVoters,
+  runSteps,
+  writeEntries,
+  toStep,
+  withProgress,
+} from './steps.js';
+import type {
+  ConsensusState,
+  LeaderRole,
+  MemberId,
+  PendingRead,
+  Progress,
+  Snapshot,
+  Step,
+} from './types.js';
+
+/** Rounds whose start is remembered; an answer to an older one proves nothing. */
+const REMEMBERED_ROUNDS = 128;
+/** Bytes of one part of a snapshot. */
+const CHUNK_BYTES = 256 * 1024;
+/** Milliseconds after which an unanswered part of a snapshot is sent again. */
+const CHUNK_RESEND = 1000;
+
+function createProgress(next: number, contact: Instant): Progress {
+  return { match: 0, next, contact, round: 0, snapshot: undefined };
+}
+
+/** Becomes the leader of the term and appends the entry that commits those of earlier terms. */
+export function startTerm(state: ConsensusState): Step {
+  const termStart = getLastIndex(state.log) + 1;
+  const progress = new Map(
+    listOthers(state).map((member) => [member, createProgress(termStart, state.now)]),
+  );
+  const role: LeaderRole = {
+    kind: 'leader',
+    progress,
+    termStart,
+    round: 0,
+    rounds: [],
+    reads: [],
+    heartbeatDue: state.now,
+    transfer: undefined,
+  };
+  const noop: LogEntry = { kind: 'noop', index: termStart, term: state.term };
+  return runSteps({ ...state, role }, (next) => writeEntries(next, [noop]), startRound);
+}
+
+/** Appends entries of its own and sends them on. */
+export function appendOwn(state: ConsensusState, entries: readonly LogEntry[]): Step {
+  return runSteps(state, (next) => writeEntries(next, entries), syncProgress, sendToAll);
+}
+
+/** Keeps the progress of exactly the other members. */
+function syncProgress(state: ConsensusState): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  const last = getLastIndex(state.log);
+  const progress = new Map(
+    listOthers(state).map((member) => [
+      member,
+      role.progress.get(member) ?? createProgress(last, state.now),
+    ]),
+  );
+  return toStep({ ...state, role: { ...role, progress } });
+}
+
+function sendToAll(state: ConsensusState): Step {
+  return runSteps(
+    state,
+    ...listOthers(state).map((member) => (next: ConsensusState) => sendNext(next, member)),
+  );
+}
+
+/** Starts a round: whoever answers it followed this leader after this moment. */
+export function startRound(state: ConsensusState): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  const round = role.round + 1;
+  const rounds = [...role.rounds, { round, at: state.now }].slice(-REMEMBERED_ROUNDS);
+  const reads = role.reads.map((read) => ({ ...read, round: read.round ?? round }));
+  const { heartbeat, largeGroupHeartbeat } = state.timings;
+  const interval = listVoters(state.membership).length > 3 ? largeGroupHeartbeat : heartbeat;
+  const heartbeatDue = state.now + interval;
+  const started = { ...state, role: { ...role, round, rounds, reads, heartbeatDue } };
+  return runSteps(started, sendToAll, settleReads);
+}
+
+/** Sends a member what it needs next: entries, a part of the snapshot, or a heartbeat. */
+function sendNext(state: ConsensusState, to: MemberId): Step {
+  const { role, log, snapshot } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  const progress = role.progress.get(to);
+  if (progress === undefined) return toStep(state);
+  const missing = progress.next <= log.baseIndex;
+  if (missing && snapshot !== undefined) return sendSnapshot(state, to, progress, snapshot);
+  return sendEntries(state, to, progress.next, role.round);
+}
+
+function sendEntries(state: ConsensusState, to: MemberId, first: number, round: number): Step {
+  const prevIndex = first - 1;
+  const prevTerm = getTermAt(state.log, prevIndex);
+  checkInvariant(prevTerm !== undefined, `entry ${prevIndex} is not in the log`);
+  const entries = getBatch(state.log, first);
+  const sent = withProgress(state, to, { next: first + entries.length });
+  return toStep(sent, {
+    kind: 'send',
+    to,
+    message: {
+      kind: 'append',
+      term: state.term,
+      prevIndex,
+      prevTerm,
+      entries,
+      commitIndex: state.commitIndex,
+      round,
+    },
+  });
+}
+
+function sendSnapshot(
+  state: ConsensusState,
+  to: MemberId,
+  progress: Progress,
+  snapshot: Snapshot,
+): Step {
+  const found = progress.snapshot?.index === snapshot.index ? progress.snapshot : undefined;
+  const offset = found?.offset ?? 0;
+  const recent = found !== undefined && state.now - found.sentAt < CHUNK_RESEND;
+  const data = recent ? new Uint8Array(0) : snapshot.data.subarray(offset, offset + CHUNK_BYTES);
+  const sentAt = recent ? found.sentAt : state.now;
+  const sent = withProgress(state, to, { snapshot: { index: snapshot.index, offset, sentAt } });
+  return toStep(sent, {
+    kind: 'send',
+    to,
+    message: {
+      kind: 'snapshotChunk',
+      term: state.term,
+      index: snapshot.index,
+      indexTerm: snapshot.term,
+      membership: snapshot.membership,
+      offset,
+      size: snapshot.data.length,
+      data,
+      round: state.role.kind === 'leader' ? state.role.round : 0,
+    },
+  });
+}
+
+function recordContact(state: ConsensusState, from: MemberId, round: number): ConsensusState {
+  if (state.role.kind !== 'leader') return state;
+  const found = state.role.progress.get(from);
+  const started = state.role.rounds.find((known) => known.round === round);
+  if (found === undefined || started === undefined) return state;
+  return withProgress(state, from, {
+    contact: Math.max(found.contact, started.at),
+    round: Math.max(found.round, round),
+  });
+}
+
+/** Takes in what a member says about its log. */
+export function handleAppendReply(state: ConsensusState, from: MemberId, reply: AppendReply): Step {
+  const { role } = state;
+  if (role.kind !== 'leader' || reply.term !== state.term) return toStep(state);
+  const found = role.progress.get(from);
+  if (found === undefined) return toStep(state);
+  const heard = recordContact(state, from, reply.round);
+  if (!reply.matches) return sendAgain(heard, from, found, reply.index);
+  checkInvariant(
+    reply.index <= getLastIndex(state.log),
+    `${from} acknowledged entry ${reply.index}, which was never sent`,
+  );
+  const match = Math.max(found.match, reply.index);
+  const finished = found.snapshot !== undefined && match >= found.snapshot.index;
+  const known = withProgress(heard, from, {
+    match,
+    next: Math.max(found.next, match + 1),
+    snapshot: finished ? undefined : found.snapshot,
+  });
+  return runSteps(known, advanceCommit, settleReads, finishTransfer, (next) =>
+    sendRest(next, from),
+  );
+}
+
+function sendAgain(state: ConsensusState, to: MemberId, found: Progress, index: number): Step {
+  if (found.snapshot !== undefined || index + 1 >= found.next) {
+    return settleReads(state);
+  }
+  return runSteps(withProgress(state, to, { next: index + 1 }), settleReads, (next) =>
+    sendNext(next, to),
+  );
+}
+
+function sendRest(state: ConsensusState, to: MemberId): Step {
+  if (state.role.kind !== 'leader') return toStep(state);
+  const next = state.role.progress.get(to)?.next ?? Infinity;
+  return next <= getLastIndex(state.log) ? sendNext(state, to) : toStep(state);
+}
+
+/** Sends the next part of a snapshot once the last one arrived. */
+export function handleSnapshotReply(
+  state: ConsensusState,
+  from: MemberId,
+  reply: SnapshotReply,
+): Step {
+  if (state.role.kind !== 'leader' || reply.term !== state.term) return toStep(state);
+  const heard = recordContact(state, from, reply.round);
+  const sending = state.role.progress.get(from)?.snapshot;
+  if (sending?.index !== reply.index || sending.offset === reply.received)
+    return settleReads(heard);
+  const snapshot = { index: reply.index, offset: reply.received, sentAt: -Infinity };
+  return runSteps(withProgress(heard, from, { snapshot }), settleReads, (next) =>
+    sendNext(next, from),
+  );
+}
+
+/** Commits what a majority holds durably, if the last of it is of this leader's term. */
+export function advanceCommit(state: ConsensusState): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  const held = listVoters(state.membership)
+    .map((voter) =>
+      voter === state.self ? state.durableIndex : (role.progress.get(voter)?.match ?? 0),
+    )
+    .sort((one, other) => other - one);
+  const index = held[Math.floor(held.length / 2)] ?? 0;
+  if (index <= state.commitIndex || getTermAt(state.log, index) !== state.term) {
+    return toStep(state);
+  }
+  return runSteps(state, (next) => advanceCommitTo(next, index), sendToAll);
+}
+
+/** Moves the commit index and applies the entries passed. */
+export function advanceCommitTo(state: ConsensusState, index: number): Step {
+  if (index <= state.commitIndex) return toStep(state);
+  const entries = getEntries(state.log, state.commitIndex + 1, index);
+  return toStep({ ...state, commitIndex: index }, { kind: 'apply', entries });
+}
+
+/** Tells whether the leader committed an entry of its own term, and so knows all that is committed. */
+export function hasCommittedOwnTerm(state: ConsensusState): boolean {
+  return state.role.kind === 'leader' && state.commitIndex >= state.role.termStart;
+}
+
+function isConfirmed(state: ConsensusState, role: LeaderRole, pending: PendingRead): boolean {
+  const { round } = pending;
+  if (round === undefined || !hasCommittedOwnTerm(state) || pending.index > state.commitIndex) {
+    return false;
+  }
+  return hasMajority(
+    state,
+    (member) => member === state.self || (role.progress.get(member)?.round ?? 0) >= round,
+  );
+}
+
+/** Confirms the reads whose round a majority answered, and starts a round for those that wait. */
+export function settleReads(state: ConsensusState): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  const confirmed = role.reads.filter((pending) => isConfirmed(state, role, pending));
+  if (confirmed.length === 0) return toStep(state);
+  const reads = role.reads.filter((pending) => !confirmed.includes(pending));
+  const effects = confirmed.map(
+    ({ read }) => ({ kind: 'readConfirmed', read, index: state.commitIndex }) as const,
+  );
+  const answered = toStep({ ...state, role: { ...role, reads } }, ...effects);
+  if (reads.every((pending) => pending.round !== undefined)) return answered;
+  return runSteps(state, () => answered, startRound);
+}
+
+/** Registers a read, which is answered once a majority confirms this leader. */
+export function requestRead(state: ConsensusState, read: number): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state, { kind: 'readRefused', read });
+  const inFlight = role.reads.some((pending) => pending.round !== undefined);
+  const pending: PendingRead = { read, index: state.commitIndex, round: undefined };
+  const waiting = { ...state, role: { ...role, reads: [...role.reads, pending] } };
+  return inFlight ? toStep(waiting) : startRound(waiting);
+}
+
+/** Picks the most complete voter and lets it take over. */
+export function startTransfer(state: ConsensusState): Step {
+  const { role } = state;
+  if (role.kind !== 'leader') return toStep(state);
+  const oldest = state.now - state.timings.electionMin;
+  const candidates = listVoters(state.membership)
+    .filter((voter) => (role.progress.get(voter)?.contact ?? -Infinity) > oldest)
+    .sort(
+      (one, other) => (role.progress.get(other)?.match ?? 0) - (role.progress.get(one)?.match ?? 0),
+    );
+  const to = candidates[0];
+  if (to === undefined) return toStep(state);
+  const transfer = { to, until: state.now + state.timings.electionMin };
+  return runSteps({ ...state, role: { ...role, transfer } }, finishTransfer);
+}
+
+/** Asks the member that takes over to stand for election once it holds the whole log. */
+function finishTransfer(state: ConsensusState): Step {
+  if (state.role.kind !== 'leader' || state.role.transfer === undefined) return toStep(state);
+  const { to } = state.role.transfer;
+  const match = state.role.progress.get(to)?.match ?? 0;
+  if (match < getLastIndex(state.log)) return toStep(state);
+  return toStep(state, { kind: 'send', to, message: { kind: 'timeoutNow', term: state.term } });
+}
--- /dev/null
+++ b/src/control/log.ts
@@ -0,0 +1,90 @@
+/**
+ * The replicated log as an immutable value. Invariant: the entries follow `baseIndex` without a gap, and
+ * their terms never fall.
+ */
+import { checkInvariant } from '../model/index.js';
+import type { LogEntry } from '../generated/control.js';
+
+/** Entries after a base whose own entry may be compacted away. */
+export interface Log {
+  readonly baseIndex: number;
+  readonly baseTerm: number;
+  readonly entries: readonly LogEntry[];
+}
+
+/** A log without entries. */
+export const emptyLog: Log = { baseIndex: 0, baseTerm: 0, entries: [] };
+
+/** Entries that one message carries at most. */
+const MAX_BATCH_ENTRIES = 512;
+/** Bytes of commands that one message carries at most, unless its first entry is larger. */
+const MAX_BATCH_BYTES = 256 * 1024;
+
+/** Returns the index of the last entry, or of the base. */
+export function getLastIndex(log: Log): number {
+  return log.baseIndex + log.entries.length;
+}
+
+/** Returns the term of the last entry, or of the base. */
+export function getLastTerm(log: Log): number {
+  return log.entries.at(-1)?.term ?? log.baseTerm;
+}
+
+/** Returns the term at the index, or undefined if the log does not hold it. */
+export function getTermAt(log: Log, index: number): number | undefined {
+  if (index === log.baseIndex) return log.baseTerm;
+  if (index < log.baseIndex) return undefined;
+  return log.entries[index - log.baseIndex - 1]?.term;
+}
+
+/** Returns the entries from `first` to `last`, both included. */
+export function getEntries(log: Log, first: number, last: number): readonly LogEntry[] {
+  const start = Math.max(0, first - log.baseIndex - 1);
+  return log.entries.slice(start, Math.max(start, last - log.baseIndex));
+}
+
+/** Returns the entries from `first` on that fit in one message. */
+export function getBatch(log: Log, first: number): readonly LogEntry[] {
+  const candidates = getEntries(log, first, first + MAX_BATCH_ENTRIES - 1);
+  const sizes = candidates.map((entry) => (entry.kind === 'command' ? entry.command.length : 0));
+  let bytes = 0;
+  const cut = sizes.findIndex((size, at) => {
+    bytes += size;
+    return at > 0 && bytes > MAX_BATCH_BYTES;
+  });
+  return cut === -1 ? candidates : candidates.slice(0, cut);
+}
+
+/**
+ * Appends the entries and drops every entry from the first one's index on.
+ *
+ * @example
+ * appendEntries(log, [{ kind: 'noop', index: getLastIndex(log) + 1, term: 2 }]);
+ */
+export function appendEntries(log: Log, entries: readonly LogEntry[]): Log {
+  const first = entries[0];
+  if (first === undefined) return log;
+  const kept = first.index - log.baseIndex - 1;
+  checkInvariant(
+    kept >= 0 && kept <= log.entries.length,
+    `entry ${first.index} does not follow the log that ends at ${getLastIndex(log)}`,
+  );
+  const all = kept === log.entries.length ? log.entries : log.entries.slice(0, kept);
+  return { ...log, entries: [...all, ...entries] };
+}
+
+/** Drops the entries up to the index, which becomes the base. */
+export function pruneLog(log: Log, index: number): Log {
+  const term = getTermAt(log, index);
+  if (index <= log.baseIndex || term === undefined) return log;
+  return { baseIndex: index, baseTerm: term, entries: log.entries.slice(index - log.baseIndex) };
+}
+
+/** Returns the first index of the run of entries that share the term at the index. */
+export function findTermStart(log: Log, index: number): number {
+  const term = getTermAt(log, index);
+  const at = log.entries
+    .slice(0, Math.max(0, index - log.baseIndex))
+    .findLastIndex((entry) => entry.term !== term);
+  return log.baseIndex + at + 2;
+}
--- /dev/null
+++ b/src/control/steps.ts
@@ -0,0 +1,159 @@
+/**
+ * Small transitions that the parts of the consensus core share. Invariant: writes are numbered in the
+ * order in which they are emitted, and a reply waits for every write before it.
+ */
+import { checkInvariant } from '../model/index.js';
+import { appendEntries, getLastIndex } from './log.js';
+import type {
+  ConsensusEffect,
+  ConsensusState,
+  ControlMessage,
+  LogEntry,
+  MemberId,
+  Membership,
+  Progress,
+  Snapshot,
+  Step,
+} from './types.js';
+
+/** Returns a step with these effects. */
+export function toStep(state: ConsensusState, ...effects: readonly ConsensusEffect[]): Step {
+  return { state, effects };
+}
+
+/** Runs the functions one after another and collects their effects. */
+export function runSteps(
+  state: ConsensusState,
+  ...functions: readonly ((state: ConsensusState) => Step)[]
+): Step {
+  return functions.reduce<Step>(
+    (step, next) => {
+      const { state: after, effects } = next(step.state);
+      return { state: after, effects: [...step.effects, ...effects] };
+    },
+    { state, effects: [] },
+  );
+}
+
+/** Returns the address part of a member's identity. */
+export function toAddress(id: MemberId): string {
+  return id.slice(0, id.lastIndexOf('#'));
+}
+
+/** Returns the identities that count in majorities. */
+export function listVoters(membership: Membership): readonly MemberId[] {
+  return membership.members.filter((member) => member.voter).map((member) => member.id);
+}
+
+/** Tells whether this member counts in majorities. */
+export function isVoter(state: ConsensusState): boolean {
+  return listVoters(state.membership).includes(state.self);
+}
+
+/** Tells whether the members that fulfil the test are a majority of the voters. */
+export function hasMajority(
+  state: ConsensusState,
+  fulfils: (member: MemberId) => boolean,
+): boolean {
+  const voters = listVoters(state.membership);
+  return voters.filter(fulfils).length * 2 > voters.length;
+}
+
+/** Returns the other members, learners included. */
+export function listOthers(state: ConsensusState): readonly MemberId[] {
+  return state.membership.members
+    .map((member) => member.id)
+    .filter((member) => member !== state.self);
+}
+
+function isSoleVoter(state: ConsensusState): boolean {
+  return isVoter(state) && listVoters(state.membership).length === 1;
+}
+
+/** Sets when this member stands for election if it hears no leader until then. */
+export function renewElectionTimer(state: ConsensusState): ConsensusState {
+  if (isSoleVoter(state)) return { ...state, electionDue: state.now };
+  const { electionMin, electionMax } = state.timings;
+  const wait = electionMin + state.random * (electionMax - electionMin);
+  return { ...state, electionDue: state.now + wait };
+}
+
+/** Sends a message at once if nothing is being written, and otherwise once all of it is durable. */
+export function sendAfterSync(state: ConsensusState, to: MemberId, message: ControlMessage): Step {
+  const last = state.pendingWrites.at(-1);
+  if (last === undefined) return toStep(state, { kind: 'send', to, message });
+  const awaiting = [...state.awaiting, { write: last.write, to, message }];
+  return toStep({ ...state, awaiting });
+}
+
+function withWrite(state: ConsensusState, lastIndex: number | undefined): ConsensusState {
+  const pendingWrites = [...state.pendingWrites, { write: state.nextWrite, lastIndex }];
+  return { ...state, nextWrite: state.nextWrite + 1, pendingWrites };
+}
+
+/** Saves the term, the vote and whether the log is under repair. */
+export function writeVote(state: ConsensusState): Step {
+  return toStep(withWrite(state, undefined), {
+    kind: 'writeVote',
+    write: state.nextWrite,
+    term: state.term,
+    votedFor: state.votedFor,
+    repairing: state.repair !== undefined,
+  });
+}
+
+/** Takes the members from the log, or from the snapshot under it. */
+export function withMembership(state: ConsensusState): ConsensusState {
+  const found = state.log.entries.findLast((entry) => entry.kind === 'membership');
+  if (found !== undefined) {
+    return { ...state, membership: found.membership, membershipIndex: found.index };
+  }
+  const membership = state.snapshot?.membership ?? { members: [], retired: [] };
+  return { ...state, membership, membershipIndex: state.snapshot?.index ?? 0 };
+}
+
+/** Appends entries to the log, replacing those that conflict, and saves them. */
+export function writeEntries(state: ConsensusState, entries: readonly LogEntry[]): Step {
+  const first = entries[0];
+  if (first === undefined) return toStep(state);
+  checkInvariant(first.index > state.commitIndex, `entry ${first.index} is already committed`);
+  const kept = first.index - 1;
+  const replaces = kept < getLastIndex(state.log);
+  const log = appendEntries(state.log, entries);
+  const clamped: ConsensusState = {
+    ...state,
+    log,
+    durableIndex: Math.min(state.durableIndex, kept),
+    pendingWrites: state.pendingWrites.map(({ write, lastIndex }) => ({
+      write,
+      lastIndex: lastIndex === undefined ? undefined : Math.min(lastIndex, kept),
+    })),
+  };
+  const changes = replaces || entries.some((entry) => entry.kind === 'membership');
+  const after = withWrite(changes ? withMembership(clamped) : clamped, getLastIndex(log));
+  return toStep(after, { kind: 'writeEntries', write: state.nextWrite, entries });
+}
+
+/** Saves a snapshot; `resetsLog` says that the saved log does not continue it. */
+export function writeSnapshot(state: ConsensusState, snapshot: Snapshot, resetsLog: boolean): Step {
+  const lastIndex = resetsLog ? snapshot.index : undefined;
+  return toStep(withWrite(state, lastIndex), {
+    kind: 'writeSnapshot',
+    write: state.nextWrite,
+    snapshot,
+    resetsLog,
+  });
+}
+
+/** Replaces what the leader knows of a member. */
+export function withProgress(
+  state: ConsensusState,
+  member: MemberId,
+  change: Partial<Progress>,
+): ConsensusState {
+  if (state.role.kind !== 'leader') return state;
+  const found = state.role.progress.get(member);
+  if (found === undefined) return state;
+  const progress = new Map(state.role.progress).set(member, { ...found, ...change });
+  return { ...state, role: { ...state.role, progress } };
+}
--- /dev/null
+++ b/src/control/storage.ts
@@ -0,0 +1,317 @@
+/**
+ * The data folder of one control member. Invariant: what `write` resolved for survives a crash, and what
+ * is read back passed its checksum; a log is cut only where an unsynced write was torn.
+ */
+import { randomBytes } from 'node:crypto';
+import { constants } from 'node:fs';
+import type { FileHandle } from 'node:fs/promises';
+import { basename, join } from 'node:path';
+import type { Address } from '../model/index.js';
+import type { Identity, LogRecord, MemberId, Snapshot, Vote } from '../generated/control.js';
+import {
+  encodePayload,
+  parseIdentity,
+  parseSnapshot,
+  parseVote,
+  renderDocument,
+} from './formats.js';
+import { realFileSystem, replaceFile, StorageError, syncFolder, type FileSystem } from './files.js';
+import { emptyLog, getLastIndex, getLastTerm, type Log } from './log.js';
+import { encodeRecord } from './records.js';
+import { loadSegments, toSegmentName, type LoadedSegment } from './segments.js';
+import { toAddress } from './steps.js';
+import type { ConsensusEffect } from './types.js';
+
+/** Bytes after which a new segment is started. */
+const SEGMENT_BYTES = 4 * 1024 * 1024;
+/** Bytes of the file that says how far the log is synced; one sector, so that it is replaced whole. */
+const MARK_BYTES = 128;
+
+/** The effects that the storage carries out. */
+export type WriteEffect = Extract<
+  ConsensusEffect,
+  { kind: 'writeVote' | 'writeEntries' | 'writeSnapshot' }
+>;
+
+/** What the folder held. */
+export interface StoredState {
+  readonly identity: Identity;
+  readonly vote: Vote;
+  readonly log: Log;
+  readonly snapshot: Snapshot | undefined;
+  /** Damage after which the log was cut; the member is under repair. */
+  readonly damage: StorageError | undefined;
+  /** Bytes of a torn write that were cut from the end of the log. */
+  readonly tornBytes: number;
+}
+
+/** How to open a data folder. */
+export interface StorageOptions {
+  readonly folder: string;
+  readonly address: Address;
+  /** Whether other members can send what is damaged; otherwise damage is refused. */
+  readonly repairable: boolean;
+  readonly files?: FileSystem;
+}
+
+const IDENTITY_FILE = 'identity.json';
+const VOTE_FILE = 'vote.json';
+const SYNCED_FILE = 'synced.json';
+const SNAPSHOT_PATTERN = /^snapshot-(\d+)\.bin$/;
+
+function toSnapshotName(index: number): string {
+  return `snapshot-${String(index).padStart(12, '0')}.bin`;
+}
+
+/** The open data folder. */
+export class Storage {
+  readonly #folder: string;
+  readonly #files: FileSystem;
+  #segments: readonly LoadedSegment[] = [];
+  #handle: FileHandle | undefined;
+  #marker: FileHandle | undefined;
+  #bytes = 0;
+  #last = { index: 0, term: 0 };
+
+  private constructor(folder: string, files: FileSystem) {
+    this.#folder = folder;
+    this.#files = files;
+  }
+
+  /**
+   * Opens the folder, creates an identity if it is empty, and reads it back.
+   *
+   * @example
+   * const { storage, stored } = await Storage.open({ folder: '/var/lib/chivewalk', address });
+   */
+  static async open(
+    options: StorageOptions,
+  ): Promise<{ readonly storage: Storage; readonly stored: StoredState }> {
+    const storage = new Storage(options.folder, options.files ?? realFileSystem);
+    const stored = await storage.#load(options);
+    return { storage, stored };
+  }
+
+  async #load({ address, repairable }: StorageOptions): Promise<StoredState> {
+    await this.#files.mkdir(this.#folder, { recursive: true });
+    const names = await this.#files.readdir(this.#folder);
+    if (!names.includes(IDENTITY_FILE)) await this.#create(address, names);
+    const identity = parseIdentity(
+      join(this.#folder, IDENTITY_FILE),
+      await this.#read(IDENTITY_FILE),
+    );
+    if (toAddress(identity.id) !== address) {
+      throw this.#describe('foreign', IDENTITY_FILE, `belongs to ${identity.id}`, FOREIGN_REMEDY);
+    }
+    const vote = parseVote(join(this.#folder, VOTE_FILE), await this.#read(VOTE_FILE));
+    const { snapshot, damage: lostSnapshot } = await this.#loadSnapshot(names);
+    const loaded = await loadSegments(this.#files, this.#folder, names, SYNCED_FILE);
+    this.#segments = loaded.segments;
+    const joined = joinLog(loaded.log, snapshot);
+    const gap = joined.gap ? this.#describeGap(joined.log) : undefined;
+    const damage = lostSnapshot ?? loaded.damage ?? gap;
+    if (damage !== undefined && !repairable) throw damage;
+    const log = lostSnapshot === undefined && gap === undefined ? joined.log : toBase(snapshot);
+    const repairing = vote.repairing || damage !== undefined;
+    if (repairing && !vote.repairing) await this.#saveVote({ ...vote, repairing });
+    this.#last = { index: getLastIndex(log), term: getLastTerm(log) };
+    await loaded.cut();
+    if (lostSnapshot !== undefined) await this.#setAside(lostSnapshot.file);
+    await this.#openSegment(this.#last);
+    return {
+      identity,
+      vote: { ...vote, repairing },
+      log,
+      snapshot,
+      damage,
+      tornBytes: loaded.tornBytes,
+    };
+  }
+
+  /** Keeps a damaged file under another name. */
+  async #setAside(file: string): Promise<void> {
+    await this.#files.rename(file, join(this.#folder, `damaged-${basename(file)}`));
+  }
+
+  async #create(address: Address, names: readonly string[]): Promise<void> {
+    if (names.some((name) => name === VOTE_FILE || name.startsWith('log-'))) {
+      const started = names.every((name) => name === VOTE_FILE || name.endsWith('.tmp'));
+      if (!started) {
+        throw this.#describe('damaged', IDENTITY_FILE, 'is missing beside a log', EMPTY_REMEDY);
+      }
+    }
+    const id: MemberId = `${address}#${randomBytes(4).toString('hex')}`;
+    await this.#saveVote({ term: 0, repairing: false });
+    await this.saveIdentity({ id });
+  }
+
+  async #read(name: string): Promise<Buffer> {
+    try {
+      return await this.#files.readFile(join(this.#folder, name));
+    } catch (error) {
+      throw this.#describe('damaged', name, `can't be read (${String(error)})`, EMPTY_REMEDY);
+    }
+  }
+
+  #describe(
+    kind: StorageError['kind'],
+    name: string,
+    detail: string,
+    remedy: string,
+  ): StorageError {
+    return new StorageError(kind, join(this.#folder, name), 0, remedy, detail);
+  }
+
+  #describeGap(log: Log): StorageError {
+    const detail = `the log starts after entry ${log.baseIndex}, which no snapshot covers`;
+    return this.#describe('damaged', toSegmentName(1), detail, REPAIR_REMEDY);
+  }
+
+  async #loadSnapshot(names: readonly string[]): Promise<{
+    readonly snapshot: Snapshot | undefined;
+    readonly damage: StorageError | undefined;
+  }> {
+    const newest = names
+      .filter((name) => SNAPSHOT_PATTERN.test(name))
+      .sort()
+      .at(-1);
+    if (newest === undefined) return { snapshot: undefined, damage: undefined };
+    const snapshot = parseSnapshot(await this.#read(newest));
+    if (snapshot !== undefined) return { snapshot, damage: undefined };
+    const damage = this.#describe('damaged', newest, 'its checksum is wrong', REPAIR_REMEDY);
+    return { snapshot: undefined, damage };
+  }
+
+  /** Replaces the identity file. */
+  async saveIdentity(identity: Identity): Promise<void> {
+    await replaceFile(this.#files, this.#folder, IDENTITY_FILE, renderDocument(identity));
+  }
+
+  async #saveVote(vote: Vote): Promise<void> {
+    await replaceFile(this.#files, this.#folder, VOTE_FILE, renderDocument(vote));
+  }
+
+  /** Carries out the writes in order and resolves once all of them are durable. */
+  async write(effects: readonly WriteEffect[]): Promise<void> {
+    const appended = await effects.reduce<Promise<boolean>>(
+      async (before, effect) => await this.#writeOne(effect, await before),
+      Promise.resolve(false),
+    );
+    if (appended) await this.#sync();
+  }
+
+  /** Returns whether records were appended that are not yet synced. */
+  async #writeOne(effect: WriteEffect, appended: boolean): Promise<boolean> {
+    switch (effect.kind) {
+      case 'writeVote': {
+        const { term, votedFor, repairing } = effect;
+        await this.#saveVote(
+          votedFor === undefined ? { term, repairing } : { term, votedFor, repairing },
+        );
+        return appended;
+      }
+      case 'writeEntries':
+        await this.#append(effect.entries);
+        return true;
+      case 'writeSnapshot':
+        await this.#saveSnapshot(effect.snapshot, effect.resetsLog);
+        return false;
+    }
+  }
+
+  async #append(records: readonly LogRecord[]): Promise<void> {
+    const bytes = Buffer.concat(records.map((record) => encodeRecord(encodePayload(record))));
+    if (this.#bytes + bytes.length > SEGMENT_BYTES) await this.#rollSegment(this.#last);
+    await this.#handle?.appendFile(bytes);
+    this.#bytes += bytes.length;
+    const last = records.at(-1);
+    if (last === undefined) return;
+    this.#last = { index: last.index, term: last.term };
+    this.#segments = this.#segments.map((segment, at) =>
+      at === this.#segments.length - 1
+        ? { ...segment, highest: Math.max(segment.highest, last.index) }
+        : segment,
+    );
+  }
+
+  async #sync(): Promise<void> {
+    await this.#handle?.datasync();
+    const number = this.#segments.at(-1)?.number ?? 0;
+    const content = renderDocument({ segment: number, offset: this.#bytes });
+    const padded = Buffer.alloc(MARK_BYTES, ' ');
+    content.copy(padded);
+    await this.#marker?.write(padded, 0, MARK_BYTES, 0);
+  }
+
+  async #rollSegment(base: { readonly index: number; readonly term: number }): Promise<void> {
+    await this.#sync();
+    await this.#handle?.close();
+    this.#handle = undefined;
+    await this.#openSegment(base);
+  }
+
+  async #openSegment(base: { readonly index: number; readonly term: number }): Promise<void> {
+    const number = (this.#segments.at(-1)?.number ?? 0) + 1;
+    this.#handle = await this.#files.open(join(this.#folder, toSegmentName(number)), 'a');
+    const flags = constants.O_RDWR | constants.O_CREAT;
+    this.#marker ??= await this.#files.open(join(this.#folder, SYNCED_FILE), flags);
+    this.#segments = [...this.#segments, { number, highest: base.index }];
+    this.#bytes = 0;
+    await this.#append([{ kind: 'base', ...base }]);
+    await this.#sync();
+    await syncFolder(this.#files, this.#folder);
+  }
+
+  async #saveSnapshot(snapshot: Snapshot, resetsLog: boolean): Promise<void> {
+    const content = encodeRecord(encodePayload(snapshot));
+    await replaceFile(this.#files, this.#folder, toSnapshotName(snapshot.index), content);
+    await this.#rollSegment(resetsLog ? snapshot : this.#last);
+    await this.#removeObsolete(snapshot);
+  }
+
+  async #removeObsolete(snapshot: Snapshot): Promise<void> {
+    const current = this.#segments.at(-1);
+    const obsolete = this.#segments.filter(
+      (segment) => segment !== current && segment.highest <= snapshot.index,
+    );
+    const names = await this.#files.readdir(this.#folder);
+    const old = names.filter(
+      (name) => SNAPSHOT_PATTERN.test(name) && name < toSnapshotName(snapshot.index),
+    );
+    const gone = [...obsolete.map((segment) => toSegmentName(segment.number)), ...old];
+    await Promise.all(gone.map((name) => this.#files.unlink(join(this.#folder, name))));
+    this.#segments = this.#segments.filter((segment) => !obsolete.includes(segment));
+  }
+
+  /** Closes the files. */
+  async close(): Promise<void> {
+    await this.#handle?.close();
+    await this.#marker?.close();
+    this.#handle = undefined;
+    this.#marker = undefined;
+  }
+}
+
+const FOREIGN_REMEDY = 'give each control member its own data folder';
+const EMPTY_REMEDY =
+  'empty the data folder and start with join = true, so that the others replace this member';
+const REPAIR_REMEDY =
+  'no action is needed while the other members run: they send what is missing; if there are none, restore the folder from a copy';
+
+function toBase(snapshot: Snapshot | undefined): Log {
+  if (snapshot === undefined) return emptyLog;
+  return { baseIndex: snapshot.index, baseTerm: snapshot.term, entries: [] };
+}
+
+/** Puts the log on the snapshot. */
+function joinLog(
+  log: Log,
+  snapshot: Snapshot | undefined,
+): { readonly log: Log; readonly gap: boolean } {
+  const base = toBase(snapshot);
+  if (log.baseIndex > base.baseIndex) return { log, gap: true };
+  const at = base.baseIndex - log.baseIndex;
+  const term = at === 0 ? log.baseTerm : log.entries[at - 1]?.term;
+  const entries = term === base.baseTerm ? log.entries.slice(at) : [];
+  return { log: { ...base, entries }, gap: false };
+}
