Add the replicated state machine of operators' intent

applyCommand is pure and deterministic: racing commands are settled in log order, and a command that names the revision its operator had seen is refused with the revision that beat it.

--- /dev/null
+++ b/src/intent/apply.ts
@@ -0,0 +1,310 @@
+/**
+ * Applies commands of the replicated log. Invariant: the outcome of an id never changes, and equal
+ * sequences of commands give equal states on every member.
+ */
+import { checkInvariant, type Revision } from '../model/index.js';
+import { appendHistory, findHistory, listHistory } from './history.js';
+import {
+  applyCancelMove,
+  applyFinishMove,
+  applyStartMove,
+  applyStepMove,
+  applyTakeBackMove,
+} from './moves.js';
+import {
+  applyUpstreamsLeave,
+  applyUpstreamsStay,
+  applyZoneIn,
+  applyZoneOut,
+  findTouch,
+  getTouchRevision,
+} from './placement.js';
+import { applyActivateEntry, applyJoinEntry, applyLapseEntry, applyLeaveEntry } from './roster.js';
+import {
+  checkState,
+  LOG_RECORDS,
+  REMEMBERED_OPERATOR_COMMANDS,
+  REMEMBERED_SUBJECTS,
+  REMEMBERED_SYSTEM_COMMANDS,
+  refuseChange,
+  type Change,
+  type Command,
+  type ConfirmInForce,
+  type IntentState,
+  type LogRecord,
+  type LogRecordKind,
+  type OperatorCommand,
+  type Outcome,
+  type RememberedOutcome,
+  type Touch,
+} from './state.js';
+import { describeCommand, getSubject } from './text.js';
+
+/** The state after a command, and the command's outcome. */
+export interface Applied {
+  readonly state: IntentState;
+  readonly outcome: Outcome;
+}
+
+/** Tells whether operators issue commands of this kind. */
+export function isOperatorCommand(command: Command): command is OperatorCommand {
+  switch (command.kind) {
+    case 'zoneOut':
+    case 'zoneIn':
+    case 'upstreamsLeave':
+    case 'upstreamsStay':
+    case 'startMove':
+    case 'cancelMove':
+      return true;
+    case 'stepMove':
+    case 'finishMove':
+    case 'takeBackMove':
+    case 'joinEntry':
+    case 'activateEntry':
+    case 'leaveEntry':
+    case 'lapseEntry':
+    case 'confirmInForce':
+      return false;
+  }
+}
+
+/** Returns the first outcome of an id, as long as it is remembered. */
+export function findOutcome(state: IntentState, id: string): RememberedOutcome | undefined {
+  const holds = (remembered: RememberedOutcome): boolean => remembered.id === id;
+  return findHistory(state.operatorOutcomes, holds) ?? findHistory(state.systemOutcomes, holds);
+}
+
+function applyConfirmInForce(state: IntentState, command: ConfirmInForce): Change {
+  if (command.revision > state.revision) {
+    return refuseChange('invalid', `confirm revision ${state.revision} or an earlier one`);
+  }
+  if (command.revision <= state.inForce) return { kind: 'unchanged', revision: state.inForce };
+  return { kind: 'noted', state: { ...state, inForce: command.revision } };
+}
+
+function computeChange(state: IntentState, command: Command): Change {
+  switch (command.kind) {
+    case 'zoneOut':
+      return applyZoneOut(state, command.zone);
+    case 'zoneIn':
+      return applyZoneIn(state, command.zone);
+    case 'upstreamsLeave':
+      return applyUpstreamsLeave(state, command.selector);
+    case 'upstreamsStay':
+      return applyUpstreamsStay(state, command.selector);
+    case 'startMove':
+      return applyStartMove(state, command);
+    case 'cancelMove':
+      return applyCancelMove(state, command);
+    case 'stepMove':
+      return applyStepMove(state, command);
+    case 'finishMove':
+      return applyFinishMove(state, command);
+    case 'takeBackMove':
+      return applyTakeBackMove(state, command);
+    case 'joinEntry':
+      return applyJoinEntry(state, command);
+    case 'activateEntry':
+      return applyActivateEntry(state, command);
+    case 'leaveEntry':
+      return applyLeaveEntry(state, command);
+    case 'lapseEntry':
+      return applyLapseEntry(state, command);
+    case 'confirmInForce':
+      return applyConfirmInForce(state, command);
+  }
+}
+
+/** Refuses a command whose subject was changed after the revision that its operator had seen. */
+function checkConflict(state: IntentState, command: Command): Change | undefined {
+  const subject = getSubject(command);
+  if (subject === undefined || command.expectedRevision === undefined) return undefined;
+  const revision = getTouchRevision(state, subject);
+  if (revision <= command.expectedRevision) return undefined;
+  const by = findTouch(state, subject)?.commandId ?? 'an earlier command';
+  const remedy = `${subject} was changed by ${by}: look at it, then issue anew if still wanted`;
+  return refuseChange('conflict', remedy, revision);
+}
+
+/** Refuses a command so old that its outcome may have been forgotten. */
+function checkAge(state: IntentState, command: Command): Change | undefined {
+  if (!isOperatorCommand(command) || command.issuedAt > state.forgottenBefore) return undefined;
+  return refuseChange(
+    'tooOld',
+    'issue it anew under a new id: it is older than the outcomes that are remembered',
+  );
+}
+
+/** Only changes are conflicts: asking for what stands already is not. */
+function decideChange(state: IntentState, command: Command): Change {
+  const tooOld = checkAge(state, command);
+  if (tooOld !== undefined) return tooOld;
+  const change = computeChange(state, command);
+  return change.kind === 'changed' ? (checkConflict(state, command) ?? change) : change;
+}
+
+/** Lists the subjects that a change touches. */
+function listSubjects(state: IntentState, command: Command): readonly string[] {
+  const subject = getSubject(command);
+  if (command.kind === 'startMove') return [`move ${command.id}`];
+  if (
+    command.kind === 'cancelMove' ||
+    command.kind === 'takeBackMove' ||
+    command.kind === 'finishMove'
+  ) {
+    const services = state.moves.find(({ id }) => id === command.moveId)?.services ?? [];
+    return [`move ${command.moveId}`, ...services.map((service) => `service ${service}`)];
+  }
+  return subject === undefined ? [] : [subject];
+}
+
+function recordTouches(
+  before: IntentState,
+  state: IntentState,
+  command: Command,
+  revision: Revision,
+): IntentState {
+  const subjects = listSubjects(before, command);
+  if (subjects.length === 0) return state;
+  const kept = state.touches.filter(({ subject }) => !subjects.includes(subject));
+  const fresh = subjects.map((subject): Touch => ({ subject, revision, commandId: command.id }));
+  const all = [...kept, ...fresh];
+  const excess = Math.max(0, all.length - REMEMBERED_SUBJECTS);
+  const forgotten = all.slice(0, excess).map((touch) => touch.revision);
+  return {
+    ...state,
+    touches: all.slice(excess),
+    forgottenTouch: Math.max(state.forgottenTouch, ...forgotten),
+  };
+}
+
+function toOutcome(command: Command, change: Change, revision: Revision): Outcome {
+  switch (change.kind) {
+    case 'changed':
+      return { kind: 'accepted', id: command.id, revision, changed: true };
+    case 'noted':
+      return { kind: 'accepted', id: command.id, revision, changed: false };
+    case 'unchanged':
+      return { kind: 'accepted', id: command.id, revision: change.revision, changed: false };
+    case 'refused':
+      return { ...change, id: command.id };
+  }
+}
+
+function recordOutcome(state: IntentState, command: Command, outcome: Outcome): IntentState {
+  const subject = getSubject(command);
+  const remembered: RememberedOutcome = {
+    id: command.id,
+    text: describeCommand(command),
+    ...(subject === undefined ? {} : { subject }),
+    issuedAt: command.issuedAt,
+    outcome,
+  };
+  if (!isOperatorCommand(command)) {
+    const { systemOutcomes } = state;
+    const next = appendHistory(systemOutcomes, remembered, REMEMBERED_SYSTEM_COMMANDS);
+    return { ...state, systemOutcomes: next };
+  }
+  const { operatorOutcomes } = state;
+  const next = appendHistory(operatorOutcomes, remembered, REMEMBERED_OPERATOR_COMMANDS);
+  const dropped =
+    next.chunks[0] === operatorOutcomes.chunks[0] ? [] : (operatorOutcomes.chunks[0] ?? []);
+  const lost = dropped.filter((old) => findHistory(next, ({ id }) => id === old.id) === undefined);
+  return {
+    ...state,
+    operatorOutcomes: next,
+    forgottenBefore: Math.max(state.forgottenBefore, ...lost.map(({ issuedAt }) => issuedAt)),
+  };
+}
+
+function getLogKind(command: Command, outcome: Outcome): LogRecordKind {
+  if (outcome.kind === 'refused') return 'refused';
+  switch (command.kind) {
+    case 'zoneOut':
+    case 'zoneIn':
+    case 'upstreamsLeave':
+    case 'upstreamsStay':
+    case 'startMove':
+      return 'accepted';
+    case 'stepMove':
+      return 'step';
+    case 'finishMove':
+      return 'done';
+    case 'takeBackMove':
+    case 'cancelMove':
+      return 'takenBack';
+    case 'joinEntry':
+    case 'activateEntry':
+    case 'leaveEntry':
+    case 'lapseEntry':
+      return 'roster';
+    case 'confirmInForce':
+      return 'inForce';
+  }
+}
+
+/** Returns the line of the logbook; the leader's own refused or idle commands leave none. */
+function buildLogRecord(command: Command, outcome: Outcome, index: number): LogRecord | undefined {
+  const isIdle = outcome.kind === 'refused' || !outcome.changed;
+  if (isIdle && !isOperatorCommand(command)) return undefined;
+  const text = describeCommand(command);
+  const evidence = 'evidence' in command ? `: ${command.evidence}` : '';
+  const remedy = outcome.kind === 'refused' ? `: ${outcome.remedy}` : '';
+  const moveId = 'moveId' in command ? command.moveId : undefined;
+  return {
+    index,
+    at: command.issuedAt,
+    kind: getLogKind(command, outcome),
+    operator: command.operator,
+    commandId: command.id,
+    ...(moveId === undefined ? {} : { moveId }),
+    text: `${text}${evidence}${remedy}`,
+    revision: outcome.kind === 'accepted' ? outcome.revision : (outcome.beatenBy ?? 0),
+  };
+}
+
+function recordLog(state: IntentState, record: LogRecord | undefined): IntentState {
+  if (record === undefined) return state;
+  return { ...state, log: appendHistory(state.log, record, LOG_RECORDS) };
+}
+
+/** Answers a command whose id is known already. */
+function resolveKnown(known: RememberedOutcome, command: Command): Outcome {
+  if (known.text === describeCommand(command)) return known.outcome;
+  const remedy = `choose a new id: this one stands for "${known.text}"`;
+  return { kind: 'refused', id: command.id, reason: 'idReused', remedy };
+}
+
+/**
+ * Applies one command of the log.
+ *
+ * @example
+ * const { state, outcome } = applyCommand(initialIntent, { kind: 'zoneOut', zone: 'cyberjaya', ... }, 1);
+ */
+export function applyCommand(before: IntentState, command: Command, index: number): Applied {
+  const indexed = { ...before, index };
+  const known = findOutcome(before, command.id);
+  if (known !== undefined) return { state: indexed, outcome: resolveKnown(known, command) };
+  const change = decideChange(indexed, command);
+  const revision = before.revision + (change.kind === 'changed' ? 1 : 0);
+  const outcome = toOutcome(command, change, revision);
+  const changed =
+    change.kind === 'changed'
+      ? recordTouches(before, { ...change.state, revision }, command, revision)
+      : change.kind === 'noted'
+        ? change.state
+        : indexed;
+  const recorded = recordOutcome(changed, command, outcome);
+  const state = recordLog(recorded, buildLogRecord(command, outcome, index));
+  checkState(before, state);
+  checkInvariant(
+    findOutcome(state, command.id)?.outcome === outcome,
+    `command ${command.id} has another outcome already`,
+  );
+  return { state, outcome };
+}
+
+/** Returns the records of the log between two wall-clock times, oldest first. */
+export function listLog(state: IntentState, since: number, until: number): readonly LogRecord[] {
+  return listHistory(state.log).filter(({ at }) => at >= since && at < until);
+}
--- /dev/null
+++ b/src/intent/config.ts
@@ -0,0 +1,44 @@
+/**
+ * Derives what entries apply from the state. Invariant: equal states give equal configurations, and the
+ * shares named for a service add up to at most 1.
+ */
+import { checkInvariant, type Config, type VersionWeight } from '../model/index.js';
+import { getVersions } from './moves.js';
+import type { IntentState } from './state.js';
+
+/** Returns the weights of one service: the version moving, then the settled one, then those taken back. */
+function buildWeights(state: IntentState, service: string): readonly VersionWeight[] {
+  const { settled, takenBack } = getVersions(state, service);
+  const move = state.moves.find(({ services }) => services.includes(service));
+  const moving = move === undefined ? [] : [{ service, version: move.version, share: move.share }];
+  const rest = 1 - (move?.share ?? 0);
+  const main =
+    settled === null || settled === move?.version
+      ? []
+      : [{ service, version: settled, share: rest }];
+  const none = takenBack
+    .filter((version) => version !== move?.version)
+    .map((version) => ({ service, version, share: 0 }));
+  const weights = [...moving, ...main, ...none];
+  const total = weights.reduce((sum, { share }) => sum + share, 0);
+  checkInvariant(total <= 1 + 1e-9, `the shares of ${service} add up to ${total}`);
+  return weights;
+}
+
+/**
+ * Returns the configuration of a state.
+ *
+ * @example
+ * const config = buildConfig(state); // config.revision === state.revision
+ */
+export function buildConfig(state: IntentState): Config {
+  const moving = state.moves.flatMap(({ services }) => services);
+  const services = [...new Set([...state.services.map(({ service }) => service), ...moving])];
+  return {
+    revision: state.revision,
+    zonesOut: state.zonesOut,
+    leaving: state.leaving,
+    weights: services.toSorted().flatMap((service) => buildWeights(state, service)),
+    roster: state.roster,
+  };
+}
--- /dev/null
+++ b/src/intent/placement.ts
@@ -0,0 +1,66 @@
+/** Zones and upstreams that operators take out and bring back. Invariant: both lists stay sorted and free of doubles. */
+import type { Selector, ZoneId } from '../model/index.js';
+import {
+  MAX_LEAVING,
+  MAX_ZONES_OUT,
+  refuseChange,
+  type Change,
+  type IntentState,
+  type Touch,
+} from './state.js';
+import { formatSelector } from './text.js';
+
+/** Returns the last change of a subject. */
+export function findTouch(state: IntentState, subject: string): Touch | undefined {
+  return state.touches.find((touch) => touch.subject === subject);
+}
+
+/** Returns the revision at which a subject was last changed, as far as it is remembered. */
+export function getTouchRevision(state: IntentState, subject: string): number {
+  return findTouch(state, subject)?.revision ?? state.forgottenTouch;
+}
+
+/** Takes a zone out. */
+export function applyZoneOut(state: IntentState, zone: ZoneId): Change {
+  if (state.zonesOut.includes(zone)) {
+    return { kind: 'unchanged', revision: getTouchRevision(state, `zone ${zone}`) };
+  }
+  if (state.zonesOut.length >= MAX_ZONES_OUT) {
+    return refuseChange('tooMany', `bring one of the ${MAX_ZONES_OUT} zones back that are out`);
+  }
+  return { kind: 'changed', state: { ...state, zonesOut: [...state.zonesOut, zone].sort() } };
+}
+
+/** Brings a zone back. */
+export function applyZoneIn(state: IntentState, zone: ZoneId): Change {
+  if (!state.zonesOut.includes(zone)) {
+    return { kind: 'unchanged', revision: getTouchRevision(state, `zone ${zone}`) };
+  }
+  const zonesOut = state.zonesOut.filter((other) => other !== zone);
+  return { kind: 'changed', state: { ...state, zonesOut } };
+}
+
+/** Marks the selected upstreams as leaving. */
+export function applyUpstreamsLeave(state: IntentState, selector: Selector): Change {
+  const text = formatSelector(selector);
+  if (state.leaving.some((other) => formatSelector(other) === text)) {
+    return { kind: 'unchanged', revision: getTouchRevision(state, `upstreams ${text}`) };
+  }
+  if (state.leaving.length >= MAX_LEAVING) {
+    return refuseChange('tooMany', `let some of the ${MAX_LEAVING} selected upstreams stay first`);
+  }
+  const leaving = [...state.leaving, selector].sort((one, two) =>
+    formatSelector(one) < formatSelector(two) ? -1 : 1,
+  );
+  return { kind: 'changed', state: { ...state, leaving } };
+}
+
+/** Withdraws the mark of the same selector. */
+export function applyUpstreamsStay(state: IntentState, selector: Selector): Change {
+  const text = formatSelector(selector);
+  const leaving = state.leaving.filter((other) => formatSelector(other) !== text);
+  if (leaving.length === state.leaving.length) {
+    return { kind: 'unchanged', revision: getTouchRevision(state, `upstreams ${text}`) };
+  }
+  return { kind: 'changed', state: { ...state, leaving } };
+}
--- /dev/null
+++ b/src/intent/status.ts
@@ -0,0 +1,97 @@
+/**
+ * Answers what became of a command. Invariant: `done` and `inForce` are only told of commands that were
+ * accepted and whose revision is in force everywhere.
+ */
+import type { Revision } from '../model/index.js';
+import { findOutcome } from './apply.js';
+import { findHistory } from './history.js';
+import { findTouch } from './placement.js';
+import type { Accepted, IntentState, RefusedReason, RememberedOutcome } from './state.js';
+
+/** What became of a command so far. */
+export type CommandStatus =
+  | {
+      readonly kind: 'accepted' | 'inForce' | 'done' | 'takenBack';
+      readonly id: string;
+      readonly text: string;
+      readonly revision: Revision;
+      /** The revision of a later command on the same subject. */
+      readonly supersededBy?: Revision;
+      readonly detail?: string;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly id: string;
+      readonly text: string;
+      readonly reason: RefusedReason;
+      readonly remedy: string;
+      readonly beatenBy?: Revision;
+    }
+  /** The id isn't known: the command was never accepted, or long ago. */
+  | { readonly kind: 'notFound'; readonly id: string };
+
+/** Returns how a move that was started by the command stands or ended. */
+function findMoveEnd(
+  state: IntentState,
+  id: string,
+): { readonly kind: 'done' | 'takenBack'; readonly text: string } | undefined {
+  const record = findHistory(
+    state.log,
+    ({ moveId, kind }) => moveId === id && (kind === 'done' || kind === 'takenBack'),
+  );
+  if (record === undefined) return undefined;
+  return { kind: record.kind === 'done' ? 'done' : 'takenBack', text: record.text };
+}
+
+function describeMove(state: IntentState, id: string): string | undefined {
+  const move = state.moves.find((other) => other.id === id);
+  if (move === undefined) return undefined;
+  return `step ${move.step}, share ${move.share}${move.late ? ', expected to miss its deadline' : ''}`;
+}
+
+function describeAccepted(
+  state: IntentState,
+  known: RememberedOutcome,
+  { revision, changed }: Accepted,
+): CommandStatus {
+  const { id, text } = known;
+  const end = findMoveEnd(state, id);
+  /** Whether all traffic was on the version already when the move was asked for. */
+  const isDone = text.startsWith('move start') && !changed;
+  const inForce = state.inForce >= revision;
+  if (end !== undefined) return { kind: end.kind, id, text, revision, detail: end.text };
+  const detail = describeMove(state, id);
+  const touch = known.subject === undefined ? undefined : findTouch(state, known.subject);
+  const later = touch !== undefined && touch.revision > revision ? touch.revision : undefined;
+  const kind = inForce ? 'inForce' : 'accepted';
+  return {
+    kind: inForce && isDone ? 'done' : kind,
+    id,
+    text,
+    revision,
+    ...(later === undefined ? {} : { supersededBy: later }),
+    ...(detail === undefined ? {} : { detail }),
+  };
+}
+
+/**
+ * Tells what became of the command with this id.
+ *
+ * @example
+ * getStatus(state, 'amina-17').kind // 'inForce' once every entry applies it
+ */
+export function getStatus(state: IntentState, id: string): CommandStatus {
+  const known = findOutcome(state, id);
+  if (known === undefined) return { kind: 'notFound', id };
+  const { outcome } = known;
+  if (outcome.kind === 'accepted') return describeAccepted(state, known, outcome);
+  const { reason, remedy, beatenBy } = outcome;
+  return {
+    kind: 'refused',
+    id,
+    text: known.text,
+    reason,
+    remedy,
+    ...(beatenBy === undefined ? {} : { beatenBy }),
+  };
+}
