--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Runs one named benchmark: `npm run bench -- NAME`. Each bench module registers itself here. */
 const benches: Readonly<Record<string, () => Promise<{ readonly run: () => Promise<void> }>>> = {
   zone: () => import('./zone.js'),
+  policies: () => import('./policies.js'),
 };
 
 const name = process.argv[2];
--- /dev/null
+++ b/bench/queueing.ts
@@ -0,0 +1,284 @@
+/**
+ * A queueing model of one service: upstreams with a few slots and a queue each, entries that choose
+ * without seeing each other, answers that take time, load reports that lag. It drives pure policies, to
+ * find causes; figures of the whole program come from the benches on real processes.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { LoadReport } from '../src/model/index.js';
+
+/** What a policy is told and asked. Times are milliseconds of the model. */
+export interface Policy {
+  /** Handles a call that arrived at an entry. */
+  handleCall(callId: number, entry: number, now: number, send: Send, refuse: Refuse): void;
+  /** Handles an answer. */
+  handleAnswer(answer: Answer, now: number, send: Send, refuse: Refuse): Verdict;
+  /** Is called at each entry every few milliseconds. */
+  handleTick?(entry: number, now: number, send: Send, refuse: Refuse): void;
+  /** Whether the calls wait in one queue that sees every slot; such a policy is never asked. */
+  readonly allKnowing?: boolean;
+}
+
+export type Send = (callId: number, upstream: number) => void;
+export type Refuse = (callId: number) => void;
+/** `again` means that the policy sends the call once more. */
+export type Verdict = 'deliver' | 'again';
+
+export interface Answer {
+  readonly callId: number;
+  readonly entry: number;
+  readonly upstream: number;
+  readonly failed: boolean;
+  readonly report: LoadReport;
+}
+
+/** One load that the model runs. */
+export interface Scenario {
+  readonly name: string;
+  readonly entries: number;
+  readonly upstreams: number;
+  readonly slots: number;
+  readonly zones: number;
+  /** Share of all slots that the calls keep busy when nothing is wrong. */
+  readonly load: number;
+  readonly calls: number;
+  /** Mean milliseconds of work of a call. */
+  readonly work: number;
+  readonly shape: 'exponential' | 'lognormal';
+  /** Milliseconds between two refreshments of an upstream's load report. */
+  readonly reportLag: number;
+  /** Multiplies the work on the upstream; `phase` runs from 0 to 1 over the run. */
+  readonly slowness?: (upstream: number, phase: number, now: number) => number;
+  /** Whether the upstream answers errors at once. */
+  readonly broken?: (upstream: number, phase: number) => boolean;
+}
+
+export interface Outcome {
+  /** Milliseconds of each answered call, sorted. */
+  readonly latencies: Float64Array;
+  /** Share of the calls that ended with an error. */
+  readonly errors: number;
+  /** Share of the calls that were refused. */
+  readonly refused: number;
+  /** Share of the sends to the first upstream. */
+  readonly firstShare: number;
+}
+
+/** Milliseconds one way within a zone, and between zones. */
+const NEAR_DELAY = 0.1;
+const FAR_DELAY = 0.5;
+const TICK = 5;
+const LOGNORMAL_SIGMA = 1;
+/** From this slowness on the all-knowing queue uses an upstream only when calls wait. */
+const SLOW = 1.5;
+
+interface Item {
+  readonly at: number;
+  readonly run: () => void;
+}
+
+/** A binary heap of what happens next. */
+class Agenda {
+  readonly #items: Item[] = [];
+
+  add(at: number, run: () => void): void {
+    const items = this.#items;
+    let place = items.push({ at, run }) - 1;
+    while (place > 0) {
+      const parent = (place - 1) >> 1;
+      if ((items[parent]?.at ?? 0) <= at) break;
+      this.#swap(place, parent);
+      place = parent;
+    }
+  }
+
+  #swap(one: number, other: number): void {
+    const items = this.#items;
+    const [first, second] = [items[one], items[other]];
+    if (first === undefined || second === undefined) return;
+    items[one] = second;
+    items[other] = first;
+  }
+
+  remove(): Item | undefined {
+    const items = this.#items;
+    const first = items[0];
+    const last = items.pop();
+    if (last === undefined || items.length === 0) return first;
+    items[0] = last;
+    let place = 0;
+    for (;;) {
+      const left = place * 2 + 1;
+      const right = left + 1;
+      let least = place;
+      if ((items[left]?.at ?? Infinity) < (items[least]?.at ?? 0)) least = left;
+      if ((items[right]?.at ?? Infinity) < (items[least]?.at ?? 0)) least = right;
+      if (least === place) return first;
+      this.#swap(place, least);
+      place = least;
+    }
+  }
+}
+
+interface Server {
+  running: number;
+  readonly waiting: (() => void)[];
+  report: LoadReport;
+}
+
+/** Returns a seeded source of numbers in [0, 1). */
+export function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+function generateWork(scenario: Scenario, random: () => number): number {
+  if (scenario.shape === 'exponential') return -scenario.work * Math.log(1 - random());
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  return scenario.work * Math.exp(LOGNORMAL_SIGMA * normal - LOGNORMAL_SIGMA ** 2 / 2);
+}
+
+/** Runs one scenario under one policy. */
+export function runModel(scenario: Scenario, policy: Policy, seed: number): Outcome {
+  const random = createRandom(seed);
+  const agenda = new Agenda();
+  const servers: Server[] = Array.from({ length: scenario.upstreams }, () => ({
+    running: 0,
+    waiting: [],
+    report: { inFlight: 0, queued: 0, cold: false },
+  }));
+  const rate = (scenario.upstreams * scenario.slots * scenario.load) / scenario.work;
+  const end = scenario.calls / rate;
+  const arrivedAt = new Float64Array(scenario.calls);
+  const entryOf = new Uint16Array(scenario.calls);
+  const works = Float64Array.from({ length: scenario.calls }, () => generateWork(scenario, random));
+  const latencies: number[] = [];
+  const shared: number[] = [];
+  const totals = { errors: 0, refused: 0, sends: 0, first: 0 };
+  let now = 0;
+
+  const measureDelay = (entry: number, upstream: number): number =>
+    policy.allKnowing === true || entry % scenario.zones === upstream % scenario.zones
+      ? NEAR_DELAY
+      : FAR_DELAY;
+
+  const measureSlowness = (upstream: number): number =>
+    scenario.slowness?.(upstream, now / end, now) ?? 1;
+
+  const isBroken = (upstream: number): boolean => scenario.broken?.(upstream, now / end) ?? false;
+
+  const getServer = (upstream: number): Server => {
+    const server = servers[upstream];
+    if (server === undefined) throw new Error(`the model has no upstream ${upstream}`);
+    return server;
+  };
+
+  const settle = (callId: number, failed: boolean): void => {
+    if (failed) totals.errors += 1;
+    else latencies.push(now - (arrivedAt[callId] ?? 0));
+  };
+
+  const answer = (callId: number, upstream: number, failed: boolean): void => {
+    const entry = entryOf[callId] ?? 0;
+    const server = getServer(upstream);
+    const { report } = server;
+    agenda.add(now + measureDelay(entry, upstream), () => {
+      if (policy.allKnowing === true) {
+        settle(callId, failed);
+        return;
+      }
+      const verdict = policy.handleAnswer(
+        { callId, entry, upstream, failed, report },
+        now,
+        send,
+        refuse,
+      );
+      if (verdict === 'deliver') settle(callId, failed);
+    });
+  };
+
+  const startWork = (callId: number, upstream: number): void => {
+    const server = getServer(upstream);
+    server.running += 1;
+    agenda.add(now + (works[callId] ?? 0) * measureSlowness(upstream), () => {
+      answer(callId, upstream, false);
+      server.running -= 1;
+      const next = server.waiting.shift();
+      if (next !== undefined) next();
+      else if (policy.allKnowing === true) startShared();
+    });
+  };
+
+  const startShared = (): void => {
+    const free = servers
+      .map(({ running }, at) => ({ running, at, slowness: measureSlowness(at) }))
+      .filter(({ running, at }) => running < scenario.slots && !isBroken(at))
+      .filter(({ slowness }) => slowness < SLOW || shared.length > scenario.upstreams)
+      .sort((left, right) => left.slowness - right.slowness || left.running - right.running)[0];
+    if (free === undefined) return;
+    const callId = shared.shift();
+    if (callId !== undefined) startWork(callId, free.at);
+  };
+
+  const send: Send = (callId, upstream) => {
+    totals.sends += 1;
+    if (upstream === 0) totals.first += 1;
+    agenda.add(now + measureDelay(entryOf[callId] ?? 0, upstream), () => {
+      const server = getServer(upstream);
+      if (isBroken(upstream)) answer(callId, upstream, true);
+      else if (server.running < scenario.slots) startWork(callId, upstream);
+      else
+        server.waiting.push(() => {
+          startWork(callId, upstream);
+        });
+    });
+  };
+
+  const refuse: Refuse = () => {
+    totals.refused += 1;
+  };
+
+  const refreshReports = (): void => {
+    servers.forEach((server) => {
+      server.report = { inFlight: server.running, queued: server.waiting.length, cold: false };
+    });
+    if (now < end) agenda.add(now + scenario.reportLag, refreshReports);
+  };
+
+  const tick = (): void => {
+    for (let entry = 0; entry < scenario.entries; entry += 1) {
+      policy.handleTick?.(entry, now, send, refuse);
+    }
+    if (now < end * 1.2) agenda.add(now + TICK, tick);
+  };
+
+  let arrival = 0;
+  const arrive = (): void => {
+    const callId = arrival;
+    arrival += 1;
+    arrivedAt[callId] = now;
+    const entry = Math.floor(random() * scenario.entries);
+    entryOf[callId] = entry;
+    if (policy.allKnowing === true) {
+      shared.push(callId);
+      agenda.add(now + NEAR_DELAY, startShared);
+    } else {
+      policy.handleCall(callId, entry, now, send, refuse);
+    }
+    if (arrival < scenario.calls) agenda.add(now - Math.log(1 - random()) / rate, arrive);
+  };
+
+  agenda.add(0, refreshReports);
+  agenda.add(0, arrive);
+  if (policy.handleTick !== undefined) agenda.add(0, tick);
+  for (let item = agenda.remove(); item !== undefined; item = agenda.remove()) {
+    now = item.at;
+    item.run();
+  }
+  return {
+    latencies: Float64Array.from(latencies).sort(),
+    errors: totals.errors / scenario.calls,
+    refused: totals.refused / scenario.calls,
+    firstShare: totals.sends === 0 ? 0 : totals.first / totals.sends,
+  };
+}
