Add the bench of the entry's cost on a call; spare two hashes and a set on the path

Cause: a profile of the entry showed crypto's hash and the parsing of 'connection: keep-alive' among the functions with the most own time after the writes to sockets. A request without a body is now its own fingerprint up to 128 characters, and a Connection field that names no other field builds no set.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 /** Runs one named benchmark: `npm run bench -- NAME`. Each bench module registers itself here. */
 const benches: Readonly<Record<string, () => Promise<{ readonly run: () => Promise<void> }>>> = {
+  cost: () => import('./cost.js'),
   zone: () => import('./zone.js'),
 };
 
--- a/src/entry/digest.ts
+++ b/src/entry/digest.ts
@@ -1,5 +1,5 @@
 /** Digests of requests. Invariant: equal requests have equal digests. */
-import { createHash, hash } from 'node:crypto';
+import { createHash } from 'node:crypto';
 import type { RequestBody } from './body.js';
 import type { CallHead } from './head.js';
 
@@ -7,10 +7,13 @@
   return `${method} ${target.service} ${target.path}\n`;
 }
 
+/** Characters up to which a request without a body is its own fingerprint. */
+const MAX_PLAIN_LENGTH = 128;
+
 /** Returns the digest by which a request that crashes upstreams is known again. */
 export function computeFingerprint(head: CallHead, body: RequestBody): string {
   const request = describeRequest(head);
-  if (head.framing.kind === 'none') return hash('sha1', request, 'base64');
+  if (head.framing.kind === 'none' && request.length <= MAX_PLAIN_LENGTH) return request.trimEnd();
   return createHash('sha1').update(request).update(body.head).digest('base64');
 }
 
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -39,8 +39,11 @@
 const DROPPED_FROM_REQUEST: ReadonlySet<string> = new Set([...HOP_BY_HOP, ...OWN_IN_REQUEST]);
 const DROPPED_FROM_ANSWER: ReadonlySet<string> = new Set([...HOP_BY_HOP, LOAD_HEADER]);
 
-/** Splits a `Connection` field into the names that it lists. */
-function parseConnection(value: string): ReadonlySet<string> {
+const PERSISTENCE: ReadonlySet<string> = new Set(['keep-alive', 'close', 'Keep-Alive', 'Close']);
+
+/** Splits a `Connection` field into the names that it lists; undefined if it names no other field. */
+function parseConnection(value: string): ReadonlySet<string> | undefined {
+  if (PERSISTENCE.has(value)) return undefined;
   return new Set(value.split(',').map((name) => name.trim().toLowerCase()));
 }
 
@@ -136,14 +139,15 @@
     const name = raw[at]?.toString('latin1') ?? '';
     const value = raw[at + 1]?.toString('latin1') ?? '';
     const lower = name.toLowerCase();
-    if (lower === 'connection') connection += `,${value}`;
+    if (lower === 'connection') connection = connection === '' ? value : `${connection},${value}`;
     else if (lower === LOAD_HEADER) load = parseLoad(value);
     else if (lower === NOT_RUN_HEADER) notRun = value === '1';
     if (lower === 'content-length' || lower === 'transfer-encoding') framed = true;
     if (!DROPPED_FROM_ANSWER.has(lower)) headers.push(name, value);
     at += 2;
   }
-  const forwarded = connection === '' ? headers : dropNamed(headers, parseConnection(connection));
+  const named = connection === '' ? undefined : parseConnection(connection);
+  const forwarded = named === undefined ? headers : dropNamed(headers, named);
   return { status, statusText, headers: forwarded, notRun, load, framed };
 }
 
