Spread announcements, liveness and condemned requests among entries by gossip

Upstreams renew at one entry (their home); only changes are gossiped, and a hash on each probe finds differences, which are repaired by buckets. Entries are probed in the manner of SWIM with refutable suspicions.

--- /dev/null
+++ b/features/membership/membership.steps.ts
@@ -0,0 +1,392 @@
+import { Given, Then, When, After } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { createMembership, type Membership } from '../../src/membership/index.js';
+import { describeEntry } from '../../src/membership/entries.js';
+import { computeHash } from '../../src/membership/gossip.js';
+import type { MembershipState } from '../../src/membership/types.js';
+import { createMesh, type Mesh } from '../../src/wire/index.js';
+import { findFreePorts } from '../support/ports.js';
+import { createUpstream, Network, toAddress } from './network.js';
+
+interface MembershipWorld {
+  network: Network;
+  zones: number;
+  count: number;
+  incidents: Set<string>;
+  homes: Map<string, number>;
+  memberships: Membership[];
+  meshes: Mesh[];
+}
+
+const SEED = 20261204;
+const LONG_AGO = 10_000;
+
+function listStates(network: Network): readonly MembershipState[] {
+  return [...network.processes.values()].map(({ state }) => state);
+}
+
+function listIds(state: MembershipState): string {
+  return state.listed
+    .map(({ record }) => record.upstream.id)
+    .sort()
+    .join(' ');
+}
+
+/** Names what each entry holds against others, such as `entry-1 dead`. */
+function listDoubts(network: Network): readonly string[] {
+  return listStates(network).flatMap((state) =>
+    [...state.entries.values()]
+      .filter(({ record }) => record.status === 'dead' || record.status === 'suspect')
+      .map(({ record }) => `${record.id} ${record.status}`),
+  );
+}
+
+/** Returns a check that no entry ever sees an incarnation fall or a leaving one stay. */
+function createRecordCheck(network: Network): () => void {
+  const seen = new Map<string, readonly [incarnation: number, leaving: boolean]>();
+  return () => {
+    [...network.processes.values()].forEach(({ state }) => {
+      const own = state.entries.get(state.self)?.record.incarnation ?? 0;
+      state.upstreams.forEach(({ record: { upstream } }, id) => {
+        const key = `${state.self}/${own}/${id}`;
+        const [incarnation, leaving] = seen.get(key) ?? [0, false];
+        assert.ok(upstream.incarnation >= incarnation, `incarnation fell at ${key}`);
+        const same = upstream.incarnation === incarnation;
+        assert.ok(!same || !leaving || upstream.leaving, `left process came back at ${key}`);
+        seen.set(key, [upstream.incarnation, upstream.leaving]);
+      });
+    });
+  };
+}
+
+function checkAlive(network: Network): void {
+  const running = listStates(network).map(({ self }) => self);
+  listStates(network).forEach((state) => {
+    const alive = [...state.entries.values()].map(describeEntry).filter((entry) => entry.alive);
+    assert.deepEqual(
+      alive.map(({ id }) => id).sort(),
+      [...running].sort(),
+      `what ${state.self} holds to be alive`,
+    );
+  });
+}
+
+Given(
+  '{int} entries in {int} zones',
+  function (this: MembershipWorld, count: number, zones: number) {
+    this.network = new Network(SEED);
+    this.incidents = new Set();
+    this.homes = new Map();
+    Object.assign(this, { count, zones });
+    Array.from({ length: count }, (_, at) => this.network.start(at, `zone-${at % zones}`));
+    this.network.run(LONG_AGO);
+    this.network.check = () => {
+      listDoubts(this.network).forEach((doubt) => this.incidents.add(doubt));
+    };
+  },
+);
+
+When(
+  'upstream {string} announces itself at entry {int}',
+  function (this: MembershipWorld, id: string, index: number) {
+    this.network.announce(index, createUpstream(id));
+  },
+);
+
+When(
+  'upstream {string} announces itself at entry {int} as incarnation {int}',
+  function (this: MembershipWorld, id: string, index: number, incarnation: number) {
+    this.network.announce(index, createUpstream(id, incarnation));
+  },
+);
+
+When(
+  'upstream {string} announces itself at entry {int} with {int} slots',
+  function (this: MembershipWorld, id: string, index: number, slots: number) {
+    this.network.announce(index, { ...createUpstream(id), slots });
+  },
+);
+
+When(
+  'upstream {string} says at entry {int} that incarnation {int} leaves',
+  function (this: MembershipWorld, id: string, index: number, incarnation: number) {
+    const { now } = this.network;
+    this.network.apply(toAddress(index), { kind: 'upstreamLeft', id, incarnation, now });
+  },
+);
+
+When('{int} ms of membership pass', function (this: MembershipWorld, milliseconds: number) {
+  this.network.run(milliseconds, () => {
+    if (this.network.now % 2000 !== 0) return;
+    this.homes.forEach((index, id) => {
+      this.network.announce(index, createUpstream(id));
+    });
+  });
+});
+
+When(
+  'upstream {string} renews every {int} ms at a random entry for {int} ms',
+  function (this: MembershipWorld, id: string, every: number, milliseconds: number) {
+    this.network.run(milliseconds, () => {
+      const running = [...this.network.processes.keys()];
+      const address = running[Math.floor(this.network.draw() * running.length)] ?? '';
+      const { now } = this.network;
+      if (now % every === 0)
+        this.network.apply(address, { kind: 'announced', upstream: createUpstream(id), now });
+      const missing = listStates(this.network).filter((state) => !listIds(state).includes(id));
+      if (missing.length > 0 && now > LONG_AGO + 5000) this.incidents.add(`${id} missing`);
+    });
+  },
+);
+
+When('entry {int} is killed', function (this: MembershipWorld, index: number) {
+  this.network.processes.delete(toAddress(index));
+});
+
+When(
+  'entry {int} is frozen for {int} ms',
+  function (this: MembershipWorld, index: number, milliseconds: number) {
+    const frozen = this.network.processes.get(toAddress(index));
+    if (frozen !== undefined) frozen.frozenUntil = this.network.now + milliseconds;
+  },
+);
+
+Given(
+  'messages from entry {int} to entry {int} are cut',
+  function (this: MembershipWorld, from: number, to: number) {
+    this.network.cuts.add(`${toAddress(from)}>${toAddress(to)}`);
+  },
+);
+
+When('the entries of zone {int} are killed', function (this: MembershipWorld, zone: number) {
+  Array.from({ length: this.count }, (_, at) => at)
+    .filter((at) => at % this.zones === zone)
+    .forEach((at) => this.network.processes.delete(toAddress(at)));
+});
+
+When('the entries of zone {int} start again', function (this: MembershipWorld, zone: number) {
+  Array.from({ length: this.count }, (_, at) => at)
+    .filter((at) => at % this.zones === zone)
+    .forEach((at) => this.network.start(at, `zone-${zone}`, 2));
+});
+
+When('zone {int} is parted from the others', function (this: MembershipWorld, zone: number) {
+  const indexes = Array.from({ length: this.count }, (_, index) => index);
+  indexes
+    .flatMap((a) => indexes.map((b) => [a, b] as const))
+    .filter(([a, b]) => (a % this.zones === zone) !== (b % this.zones === zone))
+    .forEach(([a, b]) => this.network.cuts.add(`${toAddress(a)}>${toAddress(b)}`));
+});
+
+When('the parted zones are joined', function (this: MembershipWorld) {
+  this.network.cuts.clear();
+});
+
+Given(
+  'upstream {string} renews at entry {int} from now on',
+  function (this: MembershipWorld, id: string, index: number) {
+    this.homes.set(id, index);
+  },
+);
+
+Then(
+  'entry {int} lists the upstreams {string}',
+  function (this: MembershipWorld, index: number, ids: string) {
+    assert.equal(listIds(this.network.stateOf(index)), ids);
+  },
+);
+
+When('entry {int} says that it stops', function (this: MembershipWorld, index: number) {
+  this.network.apply(toAddress(index), { kind: 'stopping', now: this.network.now });
+});
+
+When(
+  'the fingerprint {string} crashes upstreams {string} as seen by entry {int}',
+  function (this: MembershipWorld, fingerprint: string, victims: string, index: number) {
+    victims.split(' ').forEach((upstreamId) => {
+      const crash = { fingerprint, upstreamId, incarnation: 1, now: this.network.now };
+      this.network.apply(toAddress(index), { kind: 'suspected', ...crash });
+    });
+  },
+);
+
+Given(
+  'the fingerprint {string} was answered at entry {int} just now',
+  function (this: MembershipWorld, fingerprint: string, index: number) {
+    this.network.processes.get(toAddress(index))?.answered.add(fingerprint);
+  },
+);
+
+function countRefusing(network: Network, fingerprint: string): number {
+  return [...network.processes.values()].filter(
+    ({ condemned }) => (condemned.get(fingerprint) ?? 0) > network.now,
+  ).length;
+}
+
+Then('every entry refuses {string}', function (this: MembershipWorld, fingerprint: string) {
+  assert.equal(countRefusing(this.network, fingerprint), this.count);
+});
+
+Then('no entry refuses {string}', function (this: MembershipWorld, fingerprint: string) {
+  assert.equal(countRefusing(this.network, fingerprint), 0);
+});
+
+Then('every entry lists the upstreams {string}', function (this: MembershipWorld, ids: string) {
+  listStates(this.network).forEach((state) => {
+    assert.equal(listIds(state), ids, `at ${state.self}`);
+  });
+});
+
+Then('the record of {string} was written once', function (this: MembershipWorld, id: string) {
+  assert.equal(this.network.stateOf(0).upstreams.get(id)?.record.version, 1);
+});
+
+Then(
+  'upstream {string} was never missing at a running entry',
+  function (this: MembershipWorld, id: string) {
+    assert.ok(!this.incidents.has(`${id} missing`));
+  },
+);
+
+Then('no entry was ever held to be {word}', function (this: MembershipWorld, status: string) {
+  const found = [...this.incidents].filter((incident) => incident.endsWith(` ${status}`));
+  assert.deepEqual(found, []);
+});
+
+Then('every entry holds exactly the running ones to be alive', function (this: MembershipWorld) {
+  checkAlive(this.network);
+});
+
+Then('all entries have the same hash', function (this: MembershipWorld) {
+  const hashes = listStates(this.network).map((state) => computeHash(state, this.network.now));
+  assert.equal(new Set(hashes).size, 1);
+});
+
+Then(
+  'every entry knows incarnation {int} of {string}',
+  function (this: MembershipWorld, incarnation: number, id: string) {
+    listStates(this.network).forEach((state) => {
+      assert.equal(state.upstreams.get(id)?.record.upstream.incarnation, incarnation);
+    });
+  },
+);
+
+Then('every entry holds {string} to be leaving', function (this: MembershipWorld, id: string) {
+  listStates(this.network).forEach((state) => {
+    assert.equal(state.upstreams.get(id)?.record.upstream.leaving, true);
+  });
+});
+
+Then(
+  'every entry holds entry {int} to be stopping',
+  function (this: MembershipWorld, index: number) {
+    listStates(this.network).forEach((state) => {
+      assert.equal(state.entries.get(`entry-${index}`)?.record.stopping, true);
+    });
+  },
+);
+
+/** Runs one seed: a minute of faults, then quiet; the invariants are asserted inside the core. */
+function runSeed(seed: number, steps: number): void {
+  const network = new Network(seed);
+  const size = 9;
+  const incarnations = new Map<number, number>();
+  network.doubleShare = 0.1;
+  network.maxDelay = 60;
+  network.check = createRecordCheck(network);
+  Array.from({ length: size }, (_, at) => network.start(at, `zone-${at % 3}`));
+  const pick = (count: number): number => Math.floor(network.draw() * count);
+  Array.from({ length: steps }).forEach(() => {
+    const [one, two] = [pick(size), pick(size)];
+    const faults: readonly (() => void)[] = [
+      () => network.processes.delete(toAddress(one)),
+      () => network.cuts.add(`${toAddress(one)}>${toAddress(two)}`),
+      () => {
+        network.cuts.clear();
+      },
+      () => {
+        const incarnation = (incarnations.get(one) ?? 1) + 1;
+        incarnations.set(one, incarnation);
+        network.start(one, `zone-${one % 3}`, incarnation);
+      },
+      () => {
+        const frozen = network.processes.get(toAddress(one));
+        if (frozen !== undefined) frozen.frozenUntil = network.now + pick(8000);
+      },
+      () => {
+        network.announce(one, createUpstream(`u${pick(12)}`, 1 + pick(3)));
+      },
+      () => {
+        const left = { id: `u${pick(12)}`, incarnation: 1 + pick(3), now: network.now };
+        network.apply(toAddress(one), { kind: 'upstreamLeft', ...left });
+      },
+    ];
+    faults[pick(faults.length)]?.();
+    network.run(pick(1500));
+  });
+  network.cuts.clear();
+  const seeds = Array.from({ length: size }, (_, at) => toAddress(at));
+  [...network.processes.keys()].forEach((address) => {
+    network.apply(address, { kind: 'seedsReplaced', seeds, now: network.now });
+  });
+  network.run(60_000);
+  checkAlive(network);
+  const lists = listStates(network).map(listIds);
+  assert.deepEqual(new Set(lists), new Set(['']), `seed ${seed}: lapsed upstreams are listed`);
+  const hashes = listStates(network).map((state) => computeHash(state, network.now));
+  assert.equal(new Set(hashes).size, 1, `seed ${seed}: records differ`);
+}
+
+Then(
+  'seeded runs of 9 membership entries under kills, cuts, freezes and doubled messages agree in the end',
+  { timeout: -1 },
+  function () {
+    const seeds = Number(process.env.SEEDS ?? 4);
+    const steps = Number(process.env.STEPS ?? 60);
+    Array.from({ length: seeds }, (_, at) => {
+      runSeed(SEED + at, steps);
+    });
+  },
+);
+
+Given('two memberships over loopback', async function (this: MembershipWorld) {
+  const ports = await findFreePorts(2);
+  const addresses = ports.map((port) => `127.0.0.1:${port}`);
+  this.meshes = await Promise.all(
+    addresses.map((address) => createMesh({ address, secret: 'the secret of the site' })),
+  );
+  this.memberships = this.meshes.map((mesh, at) =>
+    createMembership({
+      ...{ mesh, seeds: addresses, now: () => performance.now(), random: () => 0.5 },
+      self: {
+        ...{ id: `entry-${at}`, zone: 'cyberjaya', incarnation: 1 },
+        ...{ peerAddress: mesh.address, callerAddress: mesh.address },
+      },
+    }),
+  );
+});
+
+When('an upstream announces itself at the second one', function (this: MembershipWorld) {
+  this.memberships[1]?.announce(createUpstream('u1'));
+});
+
+Then('the first one lists it and knows both entries', async function (this: MembershipWorld) {
+  const [first] = this.memberships;
+  assert.ok(first !== undefined);
+  await new Promise<void>((resolve) => {
+    const check = (): void => {
+      if (first.upstreams.length === 1 && first.entries.length === 2) resolve();
+    };
+    first.onUpstreamsChanged(check);
+    first.onEntriesChanged(check);
+    check();
+  });
+  assert.equal(first.upstreams[0]?.id, 'u1');
+});
+
+After(async function (this: Partial<MembershipWorld>) {
+  const { memberships, meshes } = this;
+  if (memberships === undefined || meshes === undefined) return;
+  await Promise.all(memberships.map((membership) => membership.close()));
+  await Promise.all(meshes.map((mesh) => mesh.close()));
+});
--- /dev/null
+++ b/src/membership/detector.ts
@@ -0,0 +1,155 @@
+/**
+ * Detects entries that failed, in the manner of SWIM. Invariant: an entry is marked dead only after a
+ * direct probe and indirect ones went unanswered and the full time to refute the suspicion has passed.
+ */
+import type { Address, Instant, Transition } from '../model/index.js';
+import { checkInvariant } from '../model/index.js';
+import { findByAddress, isAlive, listPeers, markEntry } from './entries.js';
+import { buildDelta, computeHash, drainRumours } from './gossip.js';
+import { pickSome } from './random.js';
+import type { EntryState, MembershipEffect, MembershipState } from './types.js';
+
+type Step = Transition<MembershipState, MembershipEffect>;
+
+/** Entries that are asked to probe one that did not answer. */
+const INDIRECT_PROBES = 3;
+
+/** Sends a ping with rumours; a doubt about the receiver is always told to it. */
+export function sendPing(state: MembershipState, to: Address, now: Instant): Step {
+  const sequence = state.sequence + 1;
+  const drained = drainRumours({ ...state, sequence }, 1, now);
+  const doubted = findByAddress(state, to);
+  const doubt = doubted === undefined || doubted.record.status === 'alive' ? [] : [doubted.record];
+  const others = (drained.delta.entries ?? []).filter(({ id }) => id !== doubted?.record.id);
+  const entries = [...doubt, ...others];
+  const delta = entries.length > 0 ? { ...drained.delta, entries } : drained.delta;
+  const hash = computeHash(state, now);
+  const message = { kind: 'ping', sequence, hash, delta } as const;
+  return { state: drained.state, effects: [{ kind: 'send', to, message }] };
+}
+
+/** Answers a ping; a sender that this entry holds to be suspect or gone is told so. */
+export function handlePing(
+  state: MembershipState,
+  to: Address,
+  sequence: number,
+  now: Instant,
+): Step {
+  const sender = findByAddress(state, to)?.record;
+  const doubted = sender !== undefined && sender.status !== 'alive';
+  const delta = doubted ? buildDelta(state, [`e:${sender.id}`], now) : {};
+  const hash = computeHash(state, now);
+  const message = { kind: 'ack', sequence, hash, delta } as const;
+  return { state, effects: [{ kind: 'send', to, message }] };
+}
+
+/** Ends the probe that an answer belongs to, or passes the answer on. */
+export function finishProbe(state: MembershipState, sequence: number, now: Instant): Step {
+  if (state.probe?.sequence === sequence)
+    return { state: { ...state, probe: undefined }, effects: [] };
+  const relay = state.relays.get(sequence);
+  if (relay === undefined) return { state, effects: [] };
+  const relays = new Map([...state.relays].filter(([key]) => key !== sequence));
+  const hash = computeHash(state, now);
+  const message = { kind: 'ack', sequence: relay.originSequence, hash, delta: {} } as const;
+  const effects: readonly MembershipEffect[] = [{ kind: 'send', to: relay.origin, message }];
+  return { state: { ...state, relays }, effects };
+}
+
+/** Probes a third entry for one that gets no answer from it. */
+export function forwardPing(
+  state: MembershipState,
+  origin: Address,
+  originSequence: number,
+  target: Address,
+  now: Instant,
+): Step {
+  const pinged = sendPing(state, target, now);
+  const relay = { origin, originSequence, sentAt: now };
+  const relays = new Map(pinged.state.relays).set(pinged.state.sequence, relay);
+  return { state: { ...pinged.state, relays }, effects: pinged.effects };
+}
+
+/** Advances the probe under way and starts the next one when its time has come. */
+export function advanceProbe(state: MembershipState, now: Instant, random: number): Step {
+  const { probe, intervals, schedule } = state;
+  if (now - schedule.probed >= intervals.probe)
+    return startProbe(closeProbe(state, now), now, random);
+  if (probe === undefined || probe.indirect || now - probe.sentAt < intervals.probeTimeout)
+    return { state, effects: [] };
+  return requestProbes(state, now, random);
+}
+
+/** A probe that is still open when the next one is due makes its target suspect. */
+function closeProbe(state: MembershipState, now: Instant): MembershipState {
+  const { probe } = state;
+  if (probe === undefined) return state;
+  const judged = probe.indirect ? markEntry(state, probe.target, 'suspect', now) : state;
+  return { ...judged, probe: undefined };
+}
+
+function startProbe(state: MembershipState, now: Instant, random: number): Step {
+  const schedule = { ...state.schedule, probed: now };
+  const peers = listPeers(state);
+  const known = new Set(peers.map(({ record }) => record.id));
+  const left = state.round.filter((id) => known.has(id));
+  const round = left.length > 0 ? left : pickSome([...known], known.size, random);
+  const [target, ...rest] = round;
+  const record = target === undefined ? undefined : state.entries.get(target)?.record;
+  if (record === undefined) return { state: { ...state, schedule, round: [] }, effects: [] };
+  const pinged = sendPing({ ...state, schedule, round: rest }, record.peerAddress, now);
+  const { sequence } = pinged.state;
+  const probe = { target: record.id, sequence, sentAt: now, indirect: false };
+  return { state: { ...pinged.state, probe }, effects: pinged.effects };
+}
+
+function requestProbes(state: MembershipState, now: Instant, random: number): Step {
+  const { probe } = state;
+  const target = probe === undefined ? undefined : state.entries.get(probe.target)?.record;
+  if (probe === undefined || target === undefined) return { state, effects: [] };
+  const others = listPeers(state).filter(({ record }) => record.id !== target.id);
+  const effects = pickSome(others, INDIRECT_PROBES, random).map(({ record }) => ({
+    ...{ kind: 'send' as const, to: record.peerAddress },
+    message: {
+      ...{ kind: 'pingRequest' as const, sequence: probe.sequence, target: target.peerAddress },
+    },
+  }));
+  return { state: { ...state, probe: { ...probe, indirect: true } }, effects };
+}
+
+/** Marks suspects dead whose time to refute has passed, and forgets old relays. */
+export function advanceSuspicions(state: MembershipState, now: Instant): MembershipState {
+  const due = [...state.entries.values()].filter(
+    (entry) => entry.record.status === 'suspect' && isOverdue(state, entry, now),
+  );
+  const marked = due.reduce((next, entry) => {
+    checkInvariant(
+      now - entry.statusSince > state.intervals.suspicion,
+      `entry ${entry.record.id} marked dead before it could refute`,
+    );
+    return markEntry(next, entry.record.id, 'dead', now);
+  }, state);
+  const relays = [...state.relays].filter(([, r]) => now - r.sentAt < state.intervals.probe);
+  return relays.length === state.relays.size ? marked : { ...marked, relays: new Map(relays) };
+}
+
+function isOverdue(state: MembershipState, entry: EntryState, now: Instant): boolean {
+  return now - entry.statusSince > state.intervals.suspicion;
+}
+
+/** Tries to reach a lost entry or a seed, so that parted fleets find each other again. */
+export function sendReconnect(state: MembershipState, now: Instant, random: number): Step {
+  const known = new Set(listPeers(state).map(({ record }) => record.peerAddress));
+  const own = state.entries.get(state.self)?.record.peerAddress;
+  const lost = [...state.entries.values()]
+    .filter((entry) => !isAlive(entry))
+    .map(({ record }) => record.peerAddress);
+  const targets = [...new Set([...lost, ...state.seeds])].filter(
+    (address) => address !== own && !known.has(address),
+  );
+  const scheduled = { ...state, schedule: { ...state.schedule, reconnected: now } };
+  const [target] = pickSome(targets, 1, random);
+  return target === undefined
+    ? { state: scheduled, effects: [] }
+    : sendPing(scheduled, target, now);
+}
--- /dev/null
+++ b/src/membership/entries.ts
@@ -0,0 +1,135 @@
+/**
+ * Records of entries. Invariant: the incarnation of an entry never falls, and within an incarnation only a
+ * newer statement of the entry itself can undo a suspicion.
+ */
+import { checkInvariant, type EntryId, type Instant } from '../model/index.js';
+import type { EntryRecord } from '../generated/membership.js';
+import { hashText } from './random.js';
+import type { EntryState, KnownEntry, MembershipState, SelfDescription } from './types.js';
+
+const ranks = { alive: 0, suspect: 1, dead: 2, left: 3 } as const;
+
+/** Names the version of a record of an entry. */
+export function describeEntryStamp(record: EntryRecord): string {
+  return `${record.incarnation}.${record.counter}.${ranks[record.status]}`;
+}
+
+/** Builds what an entry first says of itself. */
+export function createSelfRecord(self: SelfDescription): EntryRecord {
+  const { id, zone, peerAddress, callerAddress, incarnation } = self;
+  return {
+    ...{ id, zone, peerAddress, callerAddress, incarnation },
+    ...{ counter: 1, status: 'alive', stopping: false },
+  };
+}
+
+/** Builds the state of an entry from a newer record. */
+export function createEntryState(
+  record: EntryRecord,
+  known: EntryState | undefined,
+  now: Instant,
+): EntryState {
+  const sameProcess = known?.record.incarnation === record.incarnation;
+  const sameStatus = sameProcess && known.record.status === record.status;
+  return {
+    record,
+    statusSince: sameStatus ? known.statusSince : now,
+    incarnationSince: sameProcess ? known.incarnationSince : now,
+    hash: hashText(`e:${record.id}=${describeEntryStamp(record)}`),
+  };
+}
+
+/** Tells whether the first record replaces the second. */
+export function isNewerEntry(record: EntryRecord, known: EntryRecord): boolean {
+  if (record.incarnation !== known.incarnation) return record.incarnation > known.incarnation;
+  if (record.counter !== known.counter) return record.counter > known.counter;
+  return ranks[record.status] > ranks[known.status];
+}
+
+/** Tells whether an entry is held to run. */
+export function isAlive(entry: EntryState): boolean {
+  return entry.record.status === 'alive' || entry.record.status === 'suspect';
+}
+
+/** Returns this entry's own state. */
+export function getSelf(state: MembershipState): EntryState {
+  const self = state.entries.get(state.self);
+  checkInvariant(self !== undefined, `entry ${state.self} forgot itself`);
+  return self;
+}
+
+/** Returns the other entries that are held to run. */
+export function listPeers(state: MembershipState): readonly EntryState[] {
+  return [...state.entries.values()].filter(
+    (entry) => entry.record.id !== state.self && isAlive(entry),
+  );
+}
+
+/** Finds the entry that has a peer address; a running one goes first. */
+export function findByAddress(state: MembershipState, address: string): EntryState | undefined {
+  const found = [...state.entries.values()].filter((e) => e.record.peerAddress === address);
+  return found.find(isAlive) ?? found[0];
+}
+
+/** Stores a record that this entry states or has learnt. */
+export function replaceEntry(
+  state: MembershipState,
+  record: EntryRecord,
+  now: Instant,
+): MembershipState {
+  const known = state.entries.get(record.id);
+  checkInvariant(
+    known === undefined || isNewerEntry(record, known.record),
+    `record of entry ${record.id} fell from ${known === undefined ? '' : describeEntryStamp(known.record)} to ${describeEntryStamp(record)}`,
+  );
+  const entries = new Map(state.entries).set(record.id, createEntryState(record, known, now));
+  const rumours = new Map(state.rumours).set(`e:${record.id}`, countSpreads(entries.size));
+  return { ...state, entries, rumours, schedule: { ...state.schedule, changed: now } };
+}
+
+/** Computes how often a rumour is sent on so that it most likely reaches all. */
+export function countSpreads(entries: number): number {
+  return 2 * Math.ceil(Math.log2(entries + 1));
+}
+
+/** Merges a record from a peer; a doubt about this entry itself is answered by a newer statement. */
+export function mergeEntry(
+  state: MembershipState,
+  record: EntryRecord,
+  now: Instant,
+): MembershipState {
+  const known = state.entries.get(record.id);
+  if (record.id === state.self) return refuseDoubt(state, record, now);
+  if (known === undefined) {
+    return record.status === 'alive' || record.status === 'suspect'
+      ? replaceEntry(state, record, now)
+      : state;
+  }
+  return isNewerEntry(record, known.record) ? replaceEntry(state, record, now) : state;
+}
+
+function refuseDoubt(state: MembershipState, record: EntryRecord, now: Instant): MembershipState {
+  const own = getSelf(state).record;
+  const doubted = record.incarnation === own.incarnation && isNewerEntry(record, own);
+  if (!doubted || own.status === 'left') return state;
+  return replaceEntry(state, { ...own, counter: record.counter + 1 }, now);
+}
+
+/** Changes the status of another entry on this one's own judgement. */
+export function markEntry(
+  state: MembershipState,
+  id: EntryId,
+  status: 'suspect' | 'dead',
+  now: Instant,
+): MembershipState {
+  const known = state.entries.get(id);
+  if (known === undefined || ranks[known.record.status] >= ranks[status]) return state;
+  return replaceEntry(state, { ...known.record, status }, now);
+}
+
+/** Tells callers of this package about an entry. */
+export function describeEntry({ record }: EntryState): KnownEntry {
+  const { id, zone, peerAddress, callerAddress, incarnation, stopping, status } = record;
+  const alive = status === 'alive' || status === 'suspect';
+  return { id, zone, peerAddress, callerAddress, incarnation, stopping, alive };
+}
--- /dev/null
+++ b/src/membership/gossip.ts
@@ -0,0 +1,316 @@
+/**
+ * Spreads changed records and repairs differences. Invariant: a record is sent unasked only a bounded
+ * number of times after it changed, so that a fleet without changes exchanges nothing but signs of life.
+ */
+import type { Address, Instant } from '../model/index.js';
+import type {
+  Delta,
+  Digest,
+  EntryRecord,
+  KeyStamp,
+  Suspicion,
+  UpstreamRecord,
+} from '../generated/membership.js';
+import { addAnswer, addVictim, type CondemnState } from './condemn.js';
+import {
+  countSpreads,
+  describeEntryStamp,
+  isAlive,
+  isNewerEntry,
+  listPeers,
+  mergeEntry,
+} from './entries.js';
+import { hashText, pickSome } from './random.js';
+import type { MembershipEffect, MembershipState } from './types.js';
+import {
+  describeUpstreamStamp,
+  findEndedAt,
+  isListed,
+  isNewerUpstream,
+  mergeUpstream,
+  toSendableUpstream,
+} from './upstreams.js';
+
+/** Entries that one round of rumours reaches directly. */
+const FAN_OUT = 2;
+/** Records in one message of rumours. */
+const MAX_RUMOURS = 20;
+/** Records in one message of a full copy. */
+const MAX_RECORDS = 100;
+/** Groups of keys that are compared by hash before single stamps are. */
+const BUCKET_COUNT = 32;
+/** Milliseconds without change after which a difference is repaired instead of awaited. */
+const REPAIR_AFTER = 1500;
+
+/** Builds an effect that sends records. */
+export function sendRecords(to: Address, delta: Delta): readonly MembershipEffect[] {
+  const lists = [delta.entries, delta.upstreams, delta.suspicions, delta.acquittals];
+  const empty = lists.every((records) => records === undefined || records.length === 0);
+  return empty ? [] : [{ kind: 'send', to, message: { kind: 'records', delta } }];
+}
+
+/** Returns the records of keys such as `e:ID` and `u:ID`; suspicions have `s:` and answers `a:`. */
+export function buildDelta(state: MembershipState, keys: readonly string[], now: Instant): Delta {
+  const select = (prefix: string): readonly string[] =>
+    keys.filter((key) => key.startsWith(prefix)).map((key) => key.slice(2));
+  const entries = select('e:').flatMap((id) => state.entries.get(id)?.record ?? []);
+  const upstreams = select('u:').flatMap((id) => {
+    const known = state.upstreams.get(id);
+    return known === undefined ? [] : [toSendableUpstream(known, now)];
+  });
+  const suspicions = select('s:').flatMap((fingerprint) =>
+    buildSuspicions(state.condemn, fingerprint, now),
+  );
+  const acquittals = select('a:').flatMap((fingerprint) => {
+    const suspect = state.condemn.get(fingerprint);
+    if (suspect === undefined || suspect.answeredAt === -Infinity) return [];
+    return [{ fingerprint, age: Math.round(now - suspect.answeredAt) }];
+  });
+  return {
+    ...(entries.length > 0 ? { entries } : {}),
+    ...(upstreams.length > 0 ? { upstreams } : {}),
+    ...(suspicions.length > 0 ? { suspicions } : {}),
+    ...(acquittals.length > 0 ? { acquittals } : {}),
+  };
+}
+
+function buildSuspicions(
+  condemn: CondemnState,
+  fingerprint: string,
+  now: Instant,
+): readonly Suspicion[] {
+  return [...(condemn.get(fingerprint)?.victims ?? [])].map(([victim, at]) => {
+    const slash = victim.lastIndexOf('/');
+    const incarnation = Number(victim.slice(slash + 1));
+    const age = Math.round(now - at);
+    return { fingerprint, upstreamId: victim.slice(0, slash), incarnation, age };
+  });
+}
+
+/** Takes the next rumours off the list and returns them. */
+export function drainRumours(
+  state: MembershipState,
+  spreads: number,
+  now: Instant,
+): { readonly state: MembershipState; readonly delta: Delta } {
+  if (state.rumours.size === 0) return { state, delta: {} };
+  const ordered = [...state.rumours].sort(([, a], [, b]) => b - a);
+  const taken = ordered.slice(0, MAX_RUMOURS);
+  const rest = ordered.slice(MAX_RUMOURS);
+  const left = taken.map(([key, count]) => [key, count - spreads] as const);
+  const rumours = new Map([...rest, ...left.filter(([, count]) => count > 0)]);
+  const keys = taken.map(([key]) => key);
+  return { state: { ...state, rumours }, delta: buildDelta(state, keys, now) };
+}
+
+/** Sends the next rumours to a few entries. */
+export function sendRumours(
+  state: MembershipState,
+  now: Instant,
+  random: number,
+): { readonly state: MembershipState; readonly effects: readonly MembershipEffect[] } {
+  const peers = pickSome(listPeers(state), FAN_OUT, random);
+  if (state.rumours.size === 0 || peers.length === 0) return { state, effects: [] };
+  const drained = drainRumours(state, peers.length, now);
+  const effects = peers.flatMap((p) => sendRecords(p.record.peerAddress, drained.delta));
+  return { state: drained.state, effects };
+}
+
+/** Merges records; records that this entry knows better are sent back. */
+export function mergeDelta(
+  state: MembershipState,
+  delta: Delta,
+  from: Address,
+  now: Instant,
+): { readonly state: MembershipState; readonly effects: readonly MembershipEffect[] } {
+  const entries = delta.entries ?? [];
+  const upstreams = delta.upstreams ?? [];
+  const stale = [
+    ...entries.filter((record) => isStaleEntry(state, record)).map(({ id }) => `e:${id}`),
+    ...upstreams
+      .filter((record) => isStaleUpstream(state, record))
+      .map(({ upstream }) => `u:${upstream.id}`),
+  ];
+  const corrections = sendRecords(from, buildDelta(state, stale, now));
+  const withEntries = entries.reduce((next, record) => mergeEntry(next, record, now), state);
+  const merged = upstreams.reduce((next, record) => mergeUpstream(next, record, now), withEntries);
+  const judged = mergeJudgements(merged, delta, now);
+  return { state: judged.state, effects: [...corrections, ...judged.effects] };
+}
+
+function isStaleEntry(state: MembershipState, record: EntryRecord): boolean {
+  const known = state.entries.get(record.id);
+  return known !== undefined && isNewerEntry(known.record, record);
+}
+
+function isStaleUpstream(state: MembershipState, record: UpstreamRecord): boolean {
+  const known = state.upstreams.get(record.upstream.id);
+  return known !== undefined && isNewerUpstream(known.record, record);
+}
+
+function mergeJudgements(
+  state: MembershipState,
+  delta: Delta,
+  now: Instant,
+): { readonly state: MembershipState; readonly effects: readonly MembershipEffect[] } {
+  const suspected = (delta.suspicions ?? []).reduce((next, suspicion) => {
+    const { fingerprint, upstreamId, incarnation, age } = suspicion;
+    return recordCrash(next, fingerprint, `${upstreamId}/${incarnation}`, now - age, now);
+  }, state);
+  const acquitted = (delta.acquittals ?? []).reduce(
+    (next, { fingerprint, age }) => recordAnswer(next, fingerprint, now - age),
+    suspected,
+  );
+  const fresh = [...acquitted.condemn.keys()].filter((key) => !state.condemn.has(key));
+  const effects = fresh.map((fingerprint) => ({ kind: 'seekAcquittal', fingerprint }) as const);
+  return { state: acquitted, effects };
+}
+
+/** Adds a crash and spreads it. */
+export function recordCrash(
+  state: MembershipState,
+  fingerprint: string,
+  victim: string,
+  at: Instant,
+  now: Instant,
+): MembershipState {
+  const condemn = addVictim(state.condemn, fingerprint, victim, at, now);
+  if (condemn === state.condemn) return state;
+  const rumours = new Map(state.rumours).set(`s:${fingerprint}`, countSpreads(state.entries.size));
+  return { ...state, condemn, rumours };
+}
+
+/** Adds an answer for a suspected fingerprint and spreads it. */
+export function recordAnswer(
+  state: MembershipState,
+  fingerprint: string,
+  at: Instant,
+): MembershipState {
+  const condemn = addAnswer(state.condemn, fingerprint, at);
+  if (condemn === state.condemn) return state;
+  const rumours = new Map(state.rumours).set(`a:${fingerprint}`, countSpreads(state.entries.size));
+  return { ...state, condemn, rumours };
+}
+
+interface StampedRecord {
+  readonly key: string;
+  readonly stamp: string;
+  readonly hash: number;
+}
+
+/** Lists the records that all entries are to agree on at an instant. */
+function listAgreed(state: MembershipState, now: Instant): readonly StampedRecord[] {
+  const entries = [...state.entries.values()].filter(isAlive).map(({ record, hash }) => ({
+    ...{ key: `e:${record.id}`, stamp: describeEntryStamp(record), hash },
+  }));
+  const upstreams = [...state.upstreams.values()]
+    .filter((known) => {
+      if (isListed(state, known, now)) return true;
+      const recent = now - findEndedAt(state, known) <= state.intervals.retention / 2;
+      return known.record.lapsed && recent;
+    })
+    .map(({ record, hash }) => ({
+      ...{ key: `u:${record.upstream.id}`, stamp: describeUpstreamStamp(record), hash },
+    }));
+  return [...entries, ...upstreams];
+}
+
+/** Computes one hash over all records that entries are to agree on. */
+export function computeHash(state: MembershipState, now: Instant): number {
+  return listAgreed(state, now).reduce((sum, { hash }) => sum ^ hash, 0);
+}
+
+/** Starts a repair with a peer whose hash differs, once rumours have settled. */
+export function startRepair(
+  state: MembershipState,
+  to: Address,
+  hash: number,
+  now: Instant,
+): readonly MembershipEffect[] {
+  if (now - state.schedule.changed < REPAIR_AFTER || hash === computeHash(state, now)) return [];
+  const hashes = computeBuckets(listAgreed(state, now));
+  return [{ kind: 'send', to, message: { kind: 'buckets', hashes } }];
+}
+
+function computeBuckets(records: readonly StampedRecord[]): number[] {
+  const hashes = new Array<number>(BUCKET_COUNT).fill(0);
+  records.forEach(({ key, hash }) => {
+    const at = hashText(key) % BUCKET_COUNT;
+    hashes[at] = (hashes[at] ?? 0) ^ hash;
+  });
+  return hashes;
+}
+
+function listStamps(
+  records: readonly StampedRecord[],
+  buckets: readonly number[],
+): readonly KeyStamp[] {
+  return records
+    .filter(({ key }) => buckets.includes(hashText(key) % BUCKET_COUNT))
+    .map(({ key, stamp }) => ({ key, stamp }));
+}
+
+/** Answers the hashes of a peer with the stamps in the buckets that differ. */
+export function handleBuckets(
+  state: MembershipState,
+  to: Address,
+  hashes: readonly number[],
+  now: Instant,
+): readonly MembershipEffect[] {
+  const records = listAgreed(state, now);
+  const own = computeBuckets(records);
+  const buckets = own.flatMap((hash, at) => (hash === hashes[at] ? [] : [at]));
+  if (buckets.length === 0) return [];
+  const stamps = listStamps(records, buckets);
+  return [{ kind: 'send', to, message: { kind: 'digest', buckets, stamps } }];
+}
+
+/** Sends what differs from a peer's digest and asks for what the peer may know better. */
+export function handleDigest(
+  state: MembershipState,
+  to: Address,
+  digest: Digest,
+  now: Instant,
+): readonly MembershipEffect[] {
+  const own = listStamps(listAgreed(state, now), digest.buckets);
+  const known = new Map(own.map(({ key, stamp }) => [key, stamp]));
+  const theirs = new Map(digest.stamps.map(({ key, stamp }) => [key, stamp]));
+  const differing = own.filter(({ key, stamp }) => theirs.get(key) !== stamp);
+  const wanted = digest.stamps.filter(({ key, stamp }) => known.get(key) !== stamp);
+  const keys = wanted.map(({ key }) => key);
+  const records = sendAll(
+    state,
+    to,
+    differing.map(({ key }) => key),
+    now,
+  );
+  if (keys.length === 0) return records;
+  return [...records, { kind: 'send', to, message: { kind: 'want', keys } }];
+}
+
+/** Sends the records of many keys in several messages. */
+export function sendAll(
+  state: MembershipState,
+  to: Address,
+  keys: readonly string[],
+  now: Instant,
+): readonly MembershipEffect[] {
+  const parts = Array.from({ length: Math.ceil(keys.length / MAX_RECORDS) }, (_, at) =>
+    keys.slice(at * MAX_RECORDS, (at + 1) * MAX_RECORDS),
+  );
+  return parts.flatMap((part) => sendRecords(to, buildDelta(state, part, now)));
+}
+
+/** Sends everything that this entry knows, to one that joins. */
+export function sendCopy(
+  state: MembershipState,
+  to: Address,
+  now: Instant,
+): readonly MembershipEffect[] {
+  const keys = [
+    ...[...state.entries.keys()].map((id) => `e:${id}`),
+    ...[...state.upstreams.keys()].map((id) => `u:${id}`),
+    ...[...state.condemn.keys()].flatMap((fingerprint) => [`s:${fingerprint}`, `a:${fingerprint}`]),
+  ];
+  return sendAll(state, to, keys, now);
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,14 @@
+/** Announcements of upstreams, liveness of entries and condemned requests, spread by gossip. */
+export {
+  createMembership,
+  type CondemnedListener,
+  type CrashReport,
+  type Membership,
+  type MembershipOptions,
+} from './service.js';
+export {
+  defaultIntervals,
+  type KnownEntry,
+  type MembershipIntervals,
+  type SelfDescription,
+} from './types.js';
--- /dev/null
+++ b/src/membership/random.ts
@@ -0,0 +1,43 @@
+/**
+ * Draws several choices from one random number. Invariant: the same number gives the same choices.
+ */
+
+/** Returns up to `count` different items, each choice equally likely. */
+export function pickSome<T>(items: readonly T[], count: number, random: number): readonly T[] {
+  const drawn = Array.from({ length: Math.min(count, items.length) }).reduce<{
+    readonly left: readonly T[];
+    readonly picked: readonly T[];
+    readonly random: number;
+  }>(
+    ({ left, picked, random: rest }) => {
+      const scaled = rest * left.length;
+      const at = Math.min(Math.floor(scaled), left.length - 1);
+      return {
+        left: left.filter((_, index) => index !== at),
+        picked: [...picked, ...left.slice(at, at + 1)],
+        random: advanceRandom(scaled - at),
+      };
+    },
+    { left: items, picked: [], random },
+  );
+  return drawn.picked;
+}
+
+const LCG_RANGE = 2 ** 32;
+
+function advanceRandom(random: number): number {
+  const seed = Math.floor(random * LCG_RANGE);
+  return ((Math.imul(seed, 1664525) + 1013904223) >>> 0) / LCG_RANGE;
+}
+
+/** Hashes a text to 31 bits (FNV-1a with a final mix). */
+export function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  let at = 0;
+  while (at < text.length) {
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+    at += 1;
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  return (hash ^ (hash >>> 13)) >>> 1;
+}
--- /dev/null
+++ b/src/membership/upstreams.ts
@@ -0,0 +1,170 @@
+/**
+ * Records of upstreams and their leases. Invariants: the incarnation of an upstream never falls, an
+ * incarnation that said that it leaves never comes back, and a lease lapses only after its full time.
+ */
+import { checkInvariant, type Instant, type Upstream } from '../model/index.js';
+import type { UpstreamRecord } from '../generated/membership.js';
+import { countSpreads, getSelf, isAlive } from './entries.js';
+import { hashText } from './random.js';
+import type { MembershipState, UpstreamState } from './types.js';
+
+/** Names the version of a record of an upstream. */
+export function describeUpstreamStamp(record: UpstreamRecord): string {
+  const { incarnation, leaving } = record.upstream;
+  return `${incarnation}.${Number(leaving)}.${record.version}.${Number(record.lapsed)}.${record.home}.${record.homeIncarnation}`;
+}
+
+/** Tells whether the first record replaces the second. */
+export function isNewerUpstream(record: UpstreamRecord, known: UpstreamRecord): boolean {
+  const [one, two] = [record.upstream, known.upstream];
+  if (one.incarnation !== two.incarnation) return one.incarnation > two.incarnation;
+  if (one.leaving !== two.leaving) return one.leaving;
+  if (record.version !== known.version) return record.version > known.version;
+  if (record.lapsed !== known.lapsed) return known.lapsed;
+  if (record.home !== known.home) return record.home > known.home;
+  return record.homeIncarnation > known.homeIncarnation;
+}
+
+/** Stores a record that this entry states or has learnt. */
+export function replaceUpstream(
+  state: MembershipState,
+  record: UpstreamRecord,
+  now: Instant,
+): MembershipState {
+  const { id } = record.upstream;
+  const known = state.upstreams.get(id);
+  checkInvariant(
+    known === undefined || isNewerUpstream(record, known.record),
+    `record of upstream ${id} fell from ${known === undefined ? '' : describeUpstreamStamp(known.record)} to ${describeUpstreamStamp(record)}`,
+  );
+  const hash = hashText(`u:${id}=${describeUpstreamStamp(record)}`);
+  const upstreams = new Map(state.upstreams).set(id, { record, receivedAt: now, hash });
+  const rumours = new Map(state.rumours).set(`u:${id}`, countSpreads(state.entries.size));
+  return { ...state, upstreams, rumours, schedule: { ...state.schedule, changed: now } };
+}
+
+/** Merges a record from a peer; this entry takes on a lease that the record says it holds. */
+export function mergeUpstream(
+  state: MembershipState,
+  record: UpstreamRecord,
+  now: Instant,
+): MembershipState {
+  const { id } = record.upstream;
+  const known = state.upstreams.get(id);
+  if (
+    known === undefined &&
+    record.lapsed &&
+    (record.lapsedFor ?? 0) > state.intervals.retention / 2
+  )
+    return state;
+  if (known !== undefined && !isNewerUpstream(record, known.record)) return state;
+  const merged = replaceUpstream(state, record, now);
+  if (isHome(merged, record)) return renewLease(merged, id, now);
+  return removeLease(merged, id);
+}
+
+/** Tells whether this process holds the lease of a record. */
+export function isHome(state: MembershipState, record: UpstreamRecord): boolean {
+  const own = getSelf(state).record;
+  return record.home === own.id && record.homeIncarnation === own.incarnation && !record.lapsed;
+}
+
+/** Notes that an upstream renewed its lease here. */
+export function renewLease(state: MembershipState, id: string, now: Instant): MembershipState {
+  return { ...state, leases: new Map(state.leases).set(id, now) };
+}
+
+function removeLease(state: MembershipState, id: string): MembershipState {
+  if (!state.leases.has(id)) return state;
+  return { ...state, leases: new Map([...state.leases].filter(([key]) => key !== id)) };
+}
+
+/** Tells whether an announcement says what the record already says. */
+export function isSameUpstream(record: UpstreamRecord, upstream: Upstream): boolean {
+  const describeContent = (u: UpstreamRecord['upstream']): string =>
+    JSON.stringify([
+      ...[u.service, u.version, u.zone, u.address, u.slots, u.maxConnections, u.leaving],
+      ...Object.entries(u.labels).sort(([a], [b]) => (a < b ? -1 : 1)),
+    ]);
+  return describeContent(record.upstream) === describeContent(upstream);
+}
+
+/** Writes a record with this entry as the holder of the lease. */
+export function claimUpstream(
+  state: MembershipState,
+  upstream: Upstream,
+  now: Instant,
+): MembershipState {
+  const known = state.upstreams.get(upstream.id)?.record;
+  const own = getSelf(state).record;
+  const sameProcess = known?.upstream.incarnation === upstream.incarnation;
+  const version = sameProcess ? known.version + 1 : 1;
+  const home = { home: own.id, homeIncarnation: own.incarnation };
+  const record: UpstreamRecord = { upstream, version, ...home, lapsed: false };
+  return renewLease(replaceUpstream(state, record, now), upstream.id, now);
+}
+
+/** Lapses the leases held here that were not renewed in time. */
+export function expireLeases(state: MembershipState, now: Instant): MembershipState {
+  const due = [...state.leases].filter(([, at]) => now - at > state.intervals.lease);
+  return due.reduce((next, [id, at]) => expireLease(next, id, at, now), state);
+}
+
+function expireLease(
+  state: MembershipState,
+  id: string,
+  renewedAt: Instant,
+  now: Instant,
+): MembershipState {
+  const known = state.upstreams.get(id)?.record;
+  checkInvariant(
+    now - renewedAt > state.intervals.lease,
+    `lease of ${id} lapsed after ${now - renewedAt} ms`,
+  );
+  const released = removeLease(state, id);
+  if (known === undefined || !isHome(state, known)) return released;
+  const lapsed = { ...known, version: known.version + 1, lapsed: true };
+  return replaceUpstream(released, lapsed, now);
+}
+
+/** Returns since when the process that holds the lease of a record is known to be gone. */
+export function findGoneSince(state: MembershipState, known: UpstreamState): Instant | undefined {
+  const home = state.entries.get(known.record.home);
+  if (home === undefined) return known.receivedAt;
+  if (home.record.incarnation > known.record.homeIncarnation)
+    return Math.max(home.incarnationSince, known.receivedAt);
+  return isAlive(home) ? undefined : Math.max(home.statusSince, known.receivedAt);
+}
+
+/** Tells whether an upstream is listed: its lease runs, or its holder was lost a moment ago. */
+export function isListed(state: MembershipState, known: UpstreamState, now: Instant): boolean {
+  if (known.record.lapsed) return false;
+  const goneSince = findGoneSince(state, known);
+  return goneSince === undefined || now - goneSince <= state.intervals.grace;
+}
+
+/** Forgets what lapsed or lost its holder long ago. */
+export function pruneUpstreams(state: MembershipState, now: Instant): MembershipState {
+  const kept = [...state.upstreams].filter(([, known]) => {
+    if (isListed(state, known, now)) return true;
+    const since = findEndedAt(state, known);
+    return now - since <= state.intervals.retention;
+  });
+  return kept.length === state.upstreams.size ? state : { ...state, upstreams: new Map(kept) };
+}
+
+/** Returns when a record that is no longer listed ended. */
+export function findEndedAt(state: MembershipState, known: UpstreamState): Instant {
+  if (known.record.lapsed) return known.receivedAt - (known.record.lapsedFor ?? 0);
+  return findGoneSince(state, known) ?? known.receivedAt;
+}
+
+/** Returns a record as it is to be sent now, with its ages brought up to date. */
+export function toSendableUpstream(known: UpstreamState, now: Instant): UpstreamRecord {
+  const { record, receivedAt } = known;
+  const elapsed = Math.round(now - receivedAt);
+  const upstream = { ...record.upstream, age: record.upstream.age + elapsed };
+  return record.lapsed
+    ? { ...record, upstream, lapsedFor: (record.lapsedFor ?? 0) + elapsed }
+    : { ...record, upstream };
+}
