--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,8 @@
 /** Runs one named benchmark: `npm run bench -- NAME`. Each bench module registers itself here. */
 const benches: Readonly<Record<string, () => Promise<{ readonly run: () => Promise<void> }>>> = {
   cost: () => import('./cost.js'),
+  report: () => import('./report.js'),
+  idle: () => import('./idle.js'),
   zone: () => import('./zone.js'),
   policies: () => import('./policies.js'),
 };
--- a/bench/stand/upstream.ts
+++ b/bench/stand/upstream.ts
@@ -86,11 +86,16 @@
   readonly start: () => void;
 }
 
+const HEALTH_PATH = '/.well-known/chivewalk/health';
 const RENEW_MS = 2000;
 const REPORT_MS = 5;
 const CRASH_CODE = 70;
 const MAX_RUNS = 100_000;
 
+function isControl(path: string): boolean {
+  return path === HEALTH_PATH || path.startsWith('/_/');
+}
+
 /** Starts a stand-in upstream in this process. */
 export async function createStand(options: StandOptions): Promise<Stand> {
   const random = createRandom(options.seed);
@@ -185,7 +190,7 @@
     body: string,
   ): void => {
     switch (incoming.url ?? '') {
-      case '/_/probe':
+      case HEALTH_PATH:
         setTimeout(() => {
           sendAnswer(outgoing, performance.now() < fellOverUntil ? 500 : 200, 'probed\n', {});
         }, options.probeMs);
@@ -243,7 +248,7 @@
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
     incoming.on('end', () => {
       const body = Buffer.concat(chunks).toString();
-      if (incoming.url?.startsWith('/_/') === true) handleControl(incoming, outgoing, body);
+      if (isControl(incoming.url ?? '')) handleControl(incoming, outgoing, body);
       else handleCall(incoming, outgoing, body);
     });
   });
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -1,5 +1,107 @@
+/**
+ * The composition root. Invariant: every part of a process is created here or by a role that is created
+ * here, and is stopped in the reverse order on SIGTERM or SIGINT.
+ */
+import { Container } from 'inversify';
 import type { Settings } from '../settings/index.js';
+import {
+  applyLogLevel,
+  createLogger,
+  createMetrics,
+  createPlatformServer,
+  createTracer,
+  type Metrics,
+} from '../telemetry/index.js';
+import { createMesh, type Mesh } from '../wire/index.js';
+import { ControlRole } from './control.js';
+import { EntryRole } from './entry.js';
+import type { ProcessRole } from './role.js';
+import { TOKENS } from './tokens.js';
 
-export function runProcess(settings: Settings): Promise<void> {
-  return Promise.reject(new Error(`not yet: ${settings.process.id}`));
+const log = createLogger('daemon');
+const DEFAULT_TRACE_SHARE = 0.01;
+
+function buildContainer(settings: Settings, mesh: Mesh): Container {
+  const container = new Container();
+  const { id, zone } = settings.process;
+  const tracer = createTracer({
+    processId: id,
+    otlpUrl: settings.telemetry?.otlp_url,
+    share: settings.telemetry?.trace_share ?? DEFAULT_TRACE_SHARE,
+  });
+  container.bind(TOKENS.settings).toConstantValue(settings);
+  container.bind(TOKENS.mesh).toConstantValue(mesh);
+  container.bind(TOKENS.metrics).toConstantValue(createMetrics({ process: id, zone }));
+  container.bind(TOKENS.tracer).toConstantValue(tracer);
+  container.bind(TOKENS.incarnation).toConstantValue(Date.now());
+  container.bind(ControlRole).toSelf().inSingletonScope();
+  container.bind(EntryRole).toSelf().inSingletonScope();
+  return container;
+}
+
+/** Control members come first: an entry of the same process needs them. */
+function pickRoles(settings: Settings, container: Container): readonly ProcessRole[] {
+  const { roles } = settings.process;
+  return [
+    ...(roles.includes('control') ? [container.get(ControlRole)] : []),
+    ...(roles.includes('entry') ? [container.get(EntryRole)] : []),
+  ];
+}
+
+function watchMesh(metrics: Metrics, mesh: Mesh): void {
+  metrics.watchGauge('chivewalk_peer_sent_bytes', 'Bytes sent to peers.', () => mesh.traffic.bytesSent);
+  metrics.watchGauge('chivewalk_peer_received_bytes', 'Bytes received from peers.', () => mesh.traffic.bytesReceived);
+  metrics.watchGauge('chivewalk_peer_sent_messages', 'Messages sent to peers.', () => mesh.traffic.messagesSent);
+}
+
+function waitForSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', () => {
+      resolve('SIGTERM');
+    });
+    process.once('SIGINT', () => {
+      resolve('SIGINT');
+    });
+  });
+}
+
+/**
+ * Runs one process until it is told to stop.
+ *
+ * @example
+ * await runProcess(loadSettings('entry-1.ini').unwrap());
+ */
+export async function runProcess(settings: Settings): Promise<void> {
+  applyLogLevel(settings.telemetry?.log_level ?? 'info');
+  const mesh = await createMesh({
+    address: settings.peer.listen,
+    secret: settings.site.secret,
+    onProblem: (peer, problem) => {
+      log.debug('peer connection failed', { peer, problem });
+    },
+  });
+  const container = buildContainer(settings, mesh);
+  const metrics = container.get<Metrics>(TOKENS.metrics);
+  watchMesh(metrics, mesh);
+  const roles = pickRoles(settings, container);
+  await roles.reduce((before, role) => before.then(() => role.start()), Promise.resolve());
+  let stopping = false;
+  const listen = settings.platform?.listen;
+  const platform =
+    listen === undefined
+      ? undefined
+      : await createPlatformServer(listen, metrics, {
+          isReady: () => !stopping && roles.every((role) => role.isReady()),
+          describeState: () =>
+            roles.map((role) => role.describeState()).reduce((one, two) => ({ ...one, ...two }), {}),
+        });
+  const { id, zone, roles: names } = settings.process;
+  log.info('process runs', { id, zone, roles: names });
+  const signal = await waitForSignal();
+  stopping = true;
+  log.info('process stops gracefully', { signal });
+  await [...roles].reverse().reduce((before, role) => before.then(() => role.stop()), Promise.resolve());
+  await platform?.close();
+  await mesh.close();
+  log.info('process stopped');
 }
