Bring the configuration to entries under leases, and know when it is in force

An entry's lease runs from the moment it sent a poll, and is granted only after a majority confirmed the leadership since the poll arrived. A revision counts as in force once each entry of the roster applies it or its lease has certainly lapsed; a new leader first waits one lease length, as it does not know what the leader before it granted. Removal of an entry bars it from leases before it is proposed.

Found by the random runs: an older incarnation that wakes beside its replacement kept its lease for ever and the newer one never joined (the newer one now bars it); a confirmation asked in one term must not count in another.

--- /dev/null
+++ b/src/distribution/index.ts
@@ -0,0 +1,15 @@
+/** Brings the agreed configuration to the entries, and knows when it is in force everywhere. */
+export type { ClientIdentity } from './client.js';
+export type { EvidenceRow } from './codec.js';
+export type { AwaitedEntry } from './members.js';
+export {
+  createConfigServer,
+  SYSTEM_OPERATOR,
+  type ConfigServer,
+  type ConfigServerOptions,
+  type EntryReport,
+  type ReplicatedLog,
+} from './publisher.js';
+export type { AgreedView } from './state.js';
+export { createConfigClient, type ConfigClient, type ConfigClientOptions } from './subscriber.js';
+export { LEASE } from './timing.js';
--- /dev/null
+++ b/src/distribution/members.ts
@@ -0,0 +1,113 @@
+/**
+ * Judges which entries hold leases and what follows for the roster. Invariant: an entry is called lapsed
+ * only when no leader's lease for that incarnation can still be alive.
+ */
+import type { Duration, EntryId, Instant, Revision, RosterMember } from '../model/index.js';
+import type { MemberProposal, ServerState, Sighting } from './state.js';
+import { EVICTION_DELAY, isCertainlyLapsed, LEASE } from './timing.js';
+
+/** How long a request to join stands without being repeated. */
+const APPLICANT_LIFETIME: Duration = 3000;
+
+/** An entry that a revision is not in force at. */
+export interface AwaitedEntry {
+  readonly id: EntryId;
+  /** The revision that it confirmed last; undefined if this leader heard nothing. */
+  readonly revision: Revision | undefined;
+  /** Milliseconds until its lease has certainly lapsed. */
+  readonly lapsesWithin: Duration;
+}
+
+/** Returns what this leader saw of the member's incarnation. */
+export function findSighting(state: ServerState, member: RosterMember): Sighting | undefined {
+  return state.sightings.find(
+    ({ entryId, incarnation }) => entryId === member.id && incarnation === member.incarnation,
+  );
+}
+
+/** Returns the latest arrival of a poll that any leader may have granted a lease for. */
+function getLastGrant(state: ServerState, member: RosterMember): Instant {
+  return findSighting(state, member)?.grantedAt ?? state.since;
+}
+
+/** Tells whether no lease of the member can be alive. */
+export function isLapsed(state: ServerState, member: RosterMember, now: Instant): boolean {
+  return isCertainlyLapsed(getLastGrant(state, member), now);
+}
+
+/**
+ * Lists the entries that a revision waits for; empty means that it is in force everywhere.
+ *
+ * @example
+ * listAwaited(state, 12, performance.now()).map(({ id }) => id) // ['shah-alam-3']
+ */
+export function listAwaited(
+  state: ServerState,
+  revision: Revision,
+  now: Instant,
+): readonly AwaitedEntry[] {
+  return state.view.config.roster.members.flatMap((member) => {
+    const confirmed = findSighting(state, member)?.revision;
+    if (confirmed !== undefined && confirmed >= revision) return [];
+    if (isLapsed(state, member, now)) return [];
+    const lapsesWithin = Math.max(0, getLastGrant(state, member) + LEASE - now);
+    return [{ id: member.id, revision: confirmed, lapsesWithin }];
+  });
+}
+
+/** Returns the applicants that asked again lately. */
+export function listApplicants(state: ServerState, now: Instant): ServerState['applicants'] {
+  return state.applicants.filter(({ askedAt }) => now - askedAt < APPLICANT_LIFETIME);
+}
+
+/** Tells whether the member may be removed: its lease has lapsed, and it left, was replaced or stays away. */
+function isRemovable(state: ServerState, member: RosterMember, now: Instant): boolean {
+  if (!isLapsed(state, member, now)) return false;
+  const isReplaced = listApplicants(state, now).some(
+    (applicant) =>
+      applicant.member.id === member.id && applicant.member.incarnation > member.incarnation,
+  );
+  const isAway = now > getLastGrant(state, member) + LEASE + EVICTION_DELAY;
+  return member.phase === 'leaving' || isReplaced || isAway;
+}
+
+function planConfirmation(state: ServerState, now: Instant): MemberProposal | undefined {
+  const { revision } = state.view.config;
+  if (revision <= state.view.inForce || listAwaited(state, revision, now).length > 0) {
+    return undefined;
+  }
+  return { kind: 'confirmInForce', revision };
+}
+
+function planLeave(state: ServerState): MemberProposal | undefined {
+  const member = state.view.config.roster.members.find(
+    (other) => other.phase !== 'leaving' && findSighting(state, other)?.leaving === true,
+  );
+  if (member === undefined) return undefined;
+  return { kind: 'leaveEntry', entryId: member.id, incarnation: member.incarnation };
+}
+
+/** Plans the next change of members; it needs the present epoch in force everywhere. */
+function planEpoch(state: ServerState, now: Instant): MemberProposal | undefined {
+  if (state.view.inForce < state.view.epochRevision) return undefined;
+  const { members } = state.view.config.roster;
+  const joining = members.find(({ phase }) => phase === 'joining');
+  if (joining !== undefined) {
+    return { kind: 'activateEntry', entryId: joining.id, incarnation: joining.incarnation };
+  }
+  const gone = members.find((member) => isRemovable(state, member, now));
+  if (gone !== undefined) {
+    return { kind: 'lapseEntry', entryId: gone.id, incarnation: gone.incarnation };
+  }
+  const applicant = listApplicants(state, now).find(({ member }) =>
+    members.every(({ id, peerAddress }) => id !== member.id && peerAddress !== member.peerAddress),
+  );
+  if (applicant === undefined) return undefined;
+  const { id, zone, peerAddress, callerAddress, incarnation } = applicant.member;
+  return { kind: 'joinEntry', entry: { id, zone, peerAddress, callerAddress, incarnation } };
+}
+
+/** Returns what the leader proposes next, if anything. */
+export function planProposal(state: ServerState, now: Instant): MemberProposal | undefined {
+  return planConfirmation(state, now) ?? planLeave(state) ?? planEpoch(state, now);
+}
--- /dev/null
+++ b/src/distribution/publisher.ts
@@ -0,0 +1,212 @@
+/**
+ * A control member's end of the distribution: carries out the effects of {@link decideServer} over the
+ * mesh and the replicated log. Invariant: every event reaches the pure core in the order in which it
+ * happened, with the time at which it was taken up.
+ */
+import { randomBytes } from 'node:crypto';
+import type { Command, Outcome } from '../generated/intent.js';
+import type { Address, Config, Duration, EntryId, Instant, RosterMember } from '../model/index.js';
+import type { Mesh } from '../wire/index.js';
+import { decodeMessage, encodeMessage, type EvidenceRow } from './codec.js';
+import { findSighting, listAwaited, type AwaitedEntry } from './members.js';
+import { decideServer } from './server.js';
+import {
+  createServerState,
+  type AgreedView,
+  type MemberProposal,
+  type ServerEffect,
+  type ServerEvent,
+  type ServerState,
+} from './state.js';
+import { ANSWER_CHANNEL, QUESTION_CHANNEL } from './channels.js';
+import { PROPOSAL_DEADLINE } from './timing.js';
+
+/** Milliseconds between two looks at the clock and at the leadership. */
+const TICK: Duration = 50;
+/** Who issues the commands that the leader proposes by itself. */
+export const SYSTEM_OPERATOR = 'chivewalk';
+
+/** The part of the replicated log that the distribution uses. */
+export interface ReplicatedLog<State> {
+  readonly status: {
+    readonly role: string;
+    readonly term: number;
+    readonly leader: Address | undefined;
+  };
+  /** The state after the last applied command. */
+  readonly applied: State;
+  /** Calls the listener after each applied command. */
+  onApplied(listener: () => void): void;
+  /** Commits in the term of this call or not at all: a proposal rests on what this leader saw. */
+  propose(
+    command: Command,
+    deadlineMs: Duration,
+  ): Promise<{ readonly kind: string; readonly result?: unknown }>;
+  /**
+   * Resolves with true only if a majority confirmed the leadership since the call, and all that was
+   * committed before the call is applied here.
+   */
+  confirmLeadership(): Promise<boolean>;
+}
+
+/** What {@link createConfigServer} needs. */
+export interface ConfigServerOptions<State> {
+  readonly mesh: Mesh;
+  readonly control: ReplicatedLog<State>;
+  /** Derives what the protocol needs from the agreed state. */
+  readonly view: (state: State) => AgreedView;
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => Instant;
+  /** Wall clock in milliseconds, for records only. */
+  readonly wallNow: () => number;
+  readonly onEvidence?: (entryId: EntryId, rows: readonly EvidenceRow[]) => void;
+}
+
+/** One entry as `show entries` lists it. */
+export interface EntryReport extends RosterMember {
+  /** The newest revision that it confirmed to this leader. */
+  readonly revision: number | undefined;
+}
+
+/** A control member's end of the distribution. */
+export interface ConfigServer {
+  readonly config: Config;
+  /** Lists the entries of the roster. */
+  listEntries(): readonly EntryReport[];
+  /** Lists the entries that the revision waits for; only the leader knows. */
+  listAwaited(revision: number): readonly AwaitedEntry[];
+  close(): void;
+}
+
+class MeshConfigServer<State> implements ConfigServer {
+  readonly #options: ConfigServerOptions<State>;
+  readonly #timer: NodeJS.Timeout;
+  /** Makes the ids of this process's proposals unique. */
+  readonly #nonce = randomBytes(6).toString('hex');
+  #state: ServerState;
+  /** The term in which this member was last seen to lead; undefined while it follows. */
+  #term: number | undefined;
+  #closed = false;
+
+  constructor(options: ConfigServerOptions<State>) {
+    this.#options = options;
+    const { mesh, control, now } = options;
+    this.#state = createServerState(mesh.address, now());
+    mesh.handle(QUESTION_CHANNEL, (from, compact) => {
+      const question = decodeMessage(compact);
+      if (question?.kind !== 'poll' && question?.kind !== 'join') return;
+      this.#decide({ kind: 'asked', from, question, now: now() });
+    });
+    control.onApplied(() => {
+      this.#decide({ kind: 'applied', view: options.view(control.applied), now: now() });
+    });
+    this.#timer = setInterval(() => {
+      this.#decide({ kind: 'ticked', now: now() });
+    }, TICK);
+    this.#decide({ kind: 'applied', view: options.view(control.applied), now: now() });
+  }
+
+  get config(): Config {
+    return this.#state.view.config;
+  }
+
+  listEntries(): readonly EntryReport[] {
+    return this.config.roster.members.map((member) => ({
+      ...member,
+      revision: findSighting(this.#state, member)?.revision,
+    }));
+  }
+
+  listAwaited(revision: number): readonly AwaitedEntry[] {
+    return listAwaited(this.#state, revision, this.#options.now());
+  }
+
+  close(): void {
+    this.#closed = true;
+    clearInterval(this.#timer);
+  }
+
+  #decide(event: ServerEvent): void {
+    if (this.#closed) return;
+    this.#watchLeadership(event.now);
+    this.#advance(event);
+  }
+
+  /** Tells the core of a change of leadership before any other event. */
+  #watchLeadership(now: Instant): void {
+    const { role, term, leader } = this.#options.control.status;
+    const leads = role === 'leader';
+    if (leads && this.#term !== term) {
+      this.#term = term;
+      this.#advance({ kind: 'led', now });
+      return;
+    }
+    if (leads) return;
+    this.#term = undefined;
+    if (this.#state.leading || this.#state.leader !== leader) {
+      this.#advance({ kind: 'followed', leader, now });
+    }
+  }
+
+  #advance(event: ServerEvent): void {
+    const { state, effects } = decideServer(this.#state, event);
+    this.#state = state;
+    effects.forEach((effect) => {
+      this.#perform(effect);
+    });
+  }
+
+  #perform(effect: ServerEffect): void {
+    const { mesh, now, onEvidence } = this.#options;
+    switch (effect.kind) {
+      case 'send':
+        mesh.send(effect.to, ANSWER_CHANNEL, encodeMessage(effect.message));
+        break;
+      case 'confirmLeadership':
+        void this.#confirm().then((led) => {
+          this.#decide({ kind: 'roundEnded', round: effect.round, led, now: now() });
+        });
+        break;
+      case 'propose':
+        void this.#propose(effect.body, effect.proposal).then((accepted) => {
+          const { proposal } = effect;
+          this.#decide({ kind: 'proposalEnded', proposal, accepted, now: now() });
+        });
+        break;
+      case 'evidence':
+        onEvidence?.(effect.entryId, effect.rows);
+        break;
+    }
+  }
+
+  async #confirm(): Promise<boolean> {
+    try {
+      return await this.#options.control.confirmLeadership();
+    } catch {
+      return false;
+    }
+  }
+
+  async #propose(body: MemberProposal, proposal: number): Promise<boolean> {
+    const { control, wallNow } = this.#options;
+    const id = `${SYSTEM_OPERATOR}/${this.#nonce}/${proposal}`;
+    const issuedAt = Math.round(wallNow());
+    const command: Command = { ...body, id, operator: SYSTEM_OPERATOR, issuedAt };
+    try {
+      const proposed = await control.propose(command, PROPOSAL_DEADLINE);
+      return proposed.kind === 'committed' && (proposed.result as Outcome).kind === 'accepted';
+    } catch {
+      return false;
+    }
+  }
+}
+
+/**
+ * Starts to bring the agreed configuration to the entries.
+ *
+ * @example
+ * const server = createConfigServer({ mesh, control, view, now: () => performance.now(), wallNow: Date.now });
+ */
+export function createConfigServer<State>(options: ConfigServerOptions<State>): ConfigServer {
+  return new MeshConfigServer(options);
+}
--- /dev/null
+++ b/src/distribution/subscriber.ts
@@ -0,0 +1,180 @@
+/**
+ * An entry's end of the distribution: carries out the effects of {@link decideClient} over the mesh.
+ * Invariant: whether the configuration may be acted upon is computed from the clock at every question,
+ * so a process that was paused notices it before it takes new work.
+ */
+import {
+  emptyConfig,
+  type Address,
+  type Config,
+  type Duration,
+  type Instant,
+} from '../model/index.js';
+import { mergeEvidence, toEvidenceRow, type EvidenceRow, type Sample } from '../rollout/index.js';
+import type { Mesh } from '../wire/index.js';
+import { ANSWER_CHANNEL, QUESTION_CHANNEL } from './channels.js';
+import {
+  createClientState,
+  decideClient,
+  findSelf,
+  isClientFresh,
+  type ClientEffect,
+  type ClientEvent,
+  type ClientIdentity,
+  type ClientState,
+} from './client.js';
+import { decodeMessage, encodeMessage, type DistributionMessage } from './codec.js';
+
+/** Milliseconds between two looks at the clock. */
+const TICK: Duration = 100;
+/** Milliseconds that evidence waits for more, unless it holds a failure. */
+const EVIDENCE_INTERVAL: Duration = 5000;
+/** Rows of evidence that wait for the next poll. */
+const MAX_EVIDENCE_ROWS = 64;
+
+/** What {@link createConfigClient} needs. */
+export interface ConfigClientOptions {
+  readonly mesh: Mesh;
+  readonly self: ClientIdentity;
+  /** Peer addresses of control members. */
+  readonly controlMembers: readonly Address[];
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => Instant;
+  /** What to do with new work while the configuration can't be confirmed. */
+  readonly stalePolicy: 'refuse' | 'serve';
+}
+
+/** An entry's view of the agreed configuration. */
+export interface ConfigClient {
+  /** The newest configuration, empty before the first. */
+  readonly config: Config;
+  /** Calls the listener with each newer configuration. */
+  onChange(listener: (config: Config) => void): void;
+  /** Tells whether the lease is alive at this moment and covers this entry. */
+  isFresh(now: Instant): boolean;
+  /** Tells whether new work may be taken at this moment under the stale policy. */
+  isServing(now: Instant): boolean;
+  /** Adds a finished attempt as evidence for the version moves under way. */
+  addEvidence(sample: Sample): void;
+  /** Asks to leave the roster, and resolves once the agreed configuration says so. */
+  leave(): Promise<void>;
+  close(): void;
+}
+
+class MeshConfigClient implements ConfigClient {
+  readonly #options: ConfigClientOptions;
+  readonly #listeners: ((config: Config) => void)[] = [];
+  readonly #leavers: (() => void)[] = [];
+  readonly #timer: NodeJS.Timeout;
+  #state: ClientState;
+  #evidence: readonly EvidenceRow[] = [];
+  #evidenceSince: Instant = 0;
+
+  constructor(options: ConfigClientOptions) {
+    this.#options = options;
+    this.#state = createClientState(options.self, options.controlMembers, options.now());
+    options.mesh.handle(ANSWER_CHANNEL, (from, compact) => {
+      const message = decodeMessage(compact);
+      if (message === undefined) return;
+      this.#decide({ kind: 'received', from, message, now: options.now() });
+    });
+    this.#timer = setInterval(() => {
+      this.#decide({ kind: 'ticked', now: options.now() });
+    }, TICK);
+    this.#decide({ kind: 'ticked', now: options.now() });
+  }
+
+  get config(): Config {
+    return this.#state.config ?? emptyConfig;
+  }
+
+  onChange(listener: (config: Config) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  isFresh(now: Instant): boolean {
+    return isClientFresh(this.#state, now);
+  }
+
+  isServing(now: Instant): boolean {
+    if (this.isFresh(now)) return true;
+    const wasReady = this.#state.leaseEnd !== undefined && findSelf(this.#state) !== undefined;
+    return this.#options.stalePolicy === 'serve' && wasReady;
+  }
+
+  addEvidence(sample: Sample): void {
+    const isMoving = this.config.weights.some(
+      ({ service, share }) => service === sample.service && share > 0,
+    );
+    if (!isMoving) return;
+    const merged = mergeEvidence(this.#evidence, [toEvidenceRow(sample)]);
+    if (merged.length > MAX_EVIDENCE_ROWS) return;
+    if (this.#evidence.length === 0) this.#evidenceSince = this.#options.now();
+    this.#evidence = merged;
+  }
+
+  leave(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#leavers.push(resolve);
+      this.#decide({ kind: 'leaveAsked', now: this.#options.now() });
+    });
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  #decide(event: ClientEvent): void {
+    const { state, effects } = decideClient(this.#state, event);
+    this.#state = state;
+    effects.forEach((effect) => {
+      this.#perform(effect);
+    });
+    const phase = findSelf(this.#state)?.phase;
+    if (phase !== 'joining' && phase !== 'active') {
+      this.#leavers.splice(0).forEach((resolve) => {
+        resolve();
+      });
+    }
+  }
+
+  #perform(effect: ClientEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        this.#options.mesh.send(
+          effect.to,
+          QUESTION_CHANNEL,
+          encodeMessage(this.#attachEvidence(effect.message)),
+        );
+        break;
+      case 'configChanged':
+        this.#listeners.forEach((listener) => {
+          listener(effect.config);
+        });
+        break;
+    }
+  }
+
+  /** Sends evidence along once it holds a failure or has waited long enough. */
+  #attachEvidence(message: DistributionMessage): DistributionMessage {
+    if (message.kind !== 'poll' || this.#evidence.length === 0) return message;
+    const isNews = this.#evidence.some(({ failed }) => failed > 0);
+    const isDue = this.#options.now() - this.#evidenceSince >= EVIDENCE_INTERVAL;
+    if (!isNews && !isDue) return message;
+    const evidence = [...this.#evidence];
+    this.#evidence = [];
+    return { ...message, evidence };
+  }
+}
+
+/**
+ * Starts to follow the agreed configuration.
+ *
+ * @example
+ * const client = createConfigClient({ mesh, self, controlMembers, now: () => performance.now(), stalePolicy: 'refuse' });
+ * client.onChange((config) => routing.configure(config));
+ * if (!client.isServing(performance.now())) refuse('stale');
+ */
+export function createConfigClient(options: ConfigClientOptions): ConfigClient {
+  return new MeshConfigClient(options);
+}
--- /dev/null
+++ b/src/rollout/evidence.ts
@@ -0,0 +1,92 @@
+/**
+ * Counts of finished attempts that entries send and the leader pools. Invariant: the counts of the
+ * latency buckets of a row add up to its successes.
+ */
+import type { EvidenceRow } from '../generated/distribution.js';
+import type { Duration } from '../model/index.js';
+
+export type { EvidenceRow };
+
+/** One finished attempt. */
+export interface Sample {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly failed: boolean;
+  readonly latency: Duration;
+}
+
+/** Ratio of one bucket's upper limit to the one before. */
+const BUCKET_RATIO = 1.15;
+/** Upper limit of the first bucket, in milliseconds. */
+const FIRST_LIMIT: Duration = 0.5;
+/** Buckets; the last one has no upper limit. */
+const BUCKETS = 90;
+
+/** Returns the latency bucket of a duration. */
+export function getBucket(latency: Duration): number {
+  const bucket = Math.ceil(
+    Math.log(Math.max(latency, FIRST_LIMIT) / FIRST_LIMIT) / Math.log(BUCKET_RATIO),
+  );
+  return Math.min(bucket, BUCKETS - 1);
+}
+
+/** Returns the upper limit of a bucket in milliseconds. */
+export function getBucketLimit(bucket: number): Duration {
+  return FIRST_LIMIT * BUCKET_RATIO ** bucket;
+}
+
+/** Names a row; two rows with one key are about the same thing. */
+export function getRowKey(row: { service: string; version: string; route: string }): string {
+  return JSON.stringify([row.service, row.version, row.route]);
+}
+
+function mergeLatencies(one: readonly number[], two: readonly number[]): readonly number[] {
+  const counts = new Map<number, number>();
+  [one, two].forEach((pairs) => {
+    pairs.forEach((bucket, at) => {
+      if (at % 2 === 0) counts.set(bucket, (counts.get(bucket) ?? 0) + (pairs[at + 1] ?? 0));
+    });
+  });
+  return [...counts].sort(([first], [second]) => first - second).flat();
+}
+
+/**
+ * Adds the rows of the second list to those of the first.
+ *
+ * @example
+ * const pooled = mergeEvidence(pooled, rows);
+ */
+export function mergeEvidence(
+  pooled: readonly EvidenceRow[],
+  rows: readonly EvidenceRow[],
+): readonly EvidenceRow[] {
+  const merged = new Map(pooled.map((row) => [getRowKey(row), row]));
+  rows.forEach((row) => {
+    const found = merged.get(getRowKey(row));
+    const sum: EvidenceRow =
+      found === undefined
+        ? row
+        : {
+            ...row,
+            ok: found.ok + row.ok,
+            failed: found.failed + row.failed,
+            latencies: [...mergeLatencies(found.latencies, row.latencies)],
+          };
+    merged.set(getRowKey(row), sum);
+  });
+  return [...merged.values()];
+}
+
+/** Returns the row of one attempt. */
+export function toEvidenceRow(sample: Sample): EvidenceRow {
+  const { service, version, route, failed, latency } = sample;
+  return {
+    service,
+    version,
+    route,
+    ok: failed ? 0 : 1,
+    failed: failed ? 1 : 0,
+    latencies: failed ? [] : [getBucket(latency), 1],
+  };
+}
