Answer 304 and 204 that announce a length; provoke failures of upstreams

Cause: the HTTP client waits for the body that a Content-Length announces also after 304, where there is none, and calls the handler with neither end nor error; the call hung until its deadline and then its answer was never ended. Ruled out: the deadline timer (it leaves a call alone once its head is delivered). Such an answer is now ended at its head and its connection closed.

--- /dev/null
+++ b/features/entry/failure.steps.ts
@@ -0,0 +1,111 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { findFreePorts } from '../support/ports.js';
+import { startRawUpstream, type RawBehaviour, type RawUpstream } from './raw.js';
+import { announceUpstreams, sendCall, startEntry, type EntryWorld } from './world.js';
+
+interface FailureWorld extends EntryWorld {
+  upstream: RawUpstream | undefined;
+  outcome: unknown;
+}
+
+const OK = 'HTTP/1.1 200 OK\r\n';
+const CLOSING = `${OK}connection: close\r\n`;
+const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
+const CHUNK = '5\r\nwhole\r\n';
+
+const behaviours: Readonly<Record<string, RawBehaviour>> = {
+  'closes after the request': { end: 'close' },
+  'resets after the request': { end: 'reset' },
+  'closes in the head': { answer: `${OK}content-le`, end: 'close' },
+  'cuts a body with a length': { answer: `${OK}content-length: 9\r\n\r\npart`, end: 'close' },
+  'cuts a chunked body': { answer: `${OK}${CHUNKED}${CHUNK}`, end: 'close' },
+  'cuts a closing chunked body': { answer: `${CLOSING}${CHUNKED}${CHUNK}`, end: 'close' },
+  'cuts a closing body with a length': {
+    answer: `${CLOSING}content-length: 9\r\n\r\npart`,
+    end: 'close',
+  },
+  'resets in a chunked body': { answer: `${OK}${CHUNKED}${CHUNK}`, end: 'reset' },
+  'sends a body without framing': { answer: `${CLOSING}\r\nwhole or not?`, end: 'close' },
+  'sends two lengths': { answer: `${OK}content-length: 5\r\ncontent-length: 4\r\n\r\nwhole` },
+  'sends a length and chunked': { answer: `${OK}content-length: 5\r\n${CHUNKED}${CHUNK}0\r\n\r\n` },
+  'sends a bad chunk': { answer: `${OK}${CHUNKED}zz\r\nwhole\r\n` },
+  'sends more than its length': { answer: `${OK}content-length: 5\r\n\r\nwhole and more` },
+  'sends a head of 64 KiB': { answer: `${OK}x-long: ${'x'.repeat(65_536)}\r\n\r\n` },
+  'sends 103 first': {
+    answer: `HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n${OK}content-length: 5\r\n\r\nwhole`,
+  },
+  'sends 100 first': {
+    answer: `HTTP/1.1 100 Continue\r\n\r\n${OK}content-length: 5\r\n\r\nwhole`,
+  },
+  'switches protocols': {
+    answer: 'HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+  },
+  'is not HTTP': { answer: 'SSH-2.0-OpenSSH_9.2\r\n', end: 'close' },
+  'answers HEAD with a body': { answer: `${OK}content-length: 5\r\n\r\nwhole` },
+  'sends 204 with a body': { answer: 'HTTP/1.1 204 No Content\r\n\r\nstray' },
+  'sends 304 with a length': {
+    answer: 'HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\netag: "1"\r\n\r\n',
+  },
+  'says not run': {
+    answer: 'HTTP/1.1 503 Busy\r\nx-chivewalk-not-run: 1\r\ncontent-length: 4\r\n\r\nshed',
+  },
+  'fails with 500': { answer: 'HTTP/1.1 500 Broken\r\ncontent-length: 6\r\n\r\nbroken' },
+  'never answers': {},
+  'answers before the body': { answer: `${OK}content-length: 5\r\n\r\nearly` },
+};
+
+const LONG_BODY = 'x'.repeat(200_000);
+
+Given('an entry whose only upstream {string}', async function (this: FailureWorld, name: string) {
+  this.parts = await startEntry();
+  const behaviour = behaviours[name];
+  if (behaviour === undefined) {
+    assert.equal(name, 'refuses connections');
+    const [port = 0] = await findFreePorts(1);
+    announceUpstreams(this.parts, [`127.0.0.1:${port}`]);
+    return;
+  }
+  this.upstream = await startRawUpstream(behaviour);
+  announceUpstreams(this.parts, [this.upstream.address]);
+});
+
+When(
+  'the caller sends {string} to the failing upstream',
+  async function (this: FailureWorld, method: string) {
+    const hasBody = method === 'POST' || method === 'PUT';
+    const early = this.scenario.includes('before the body');
+    const body = early ? LONG_BODY : 'hold';
+    const seen = await sendCall({
+      port: this.parts.port,
+      method,
+      path: '/seam/batches',
+      headers: {
+        'x-chivewalk-deadline-ms': this.scenario.includes('never') ? '200' : '5000',
+        ...(hasBody ? { 'content-length': String(body.length) } : {}),
+      },
+      ...(hasBody ? { body } : {}),
+    }).catch((error: unknown) => ({ error: String(error) }));
+    this.outcome = seen;
+  },
+);
+
+Then('what the caller and the upstream saw matches the snapshot', function (this: FailureWorld) {
+  const [finished, ...others] = this.parts.finished;
+  assert.deepEqual(others, []);
+  assert.deepEqual(this.parts.defects, []);
+  assert.equal(this.parts.entry.inFlight, 0);
+  assert.equal(this.parts.routing.open(), 0);
+  const { outcome = '', status = 0, attempts = 0 } = finished ?? {};
+  const caller = this.outcome as { headers?: Record<string, unknown> };
+  const headers = Object.entries(caller.headers ?? {}).filter(([name]) => name !== 'date');
+  this.matchSnapshot({
+    caller: { ...caller, headers: Object.fromEntries(headers) },
+    recorded: { outcome, status, attempts },
+    requests: this.upstream?.requests ?? [],
+  });
+});
+
+After(function (this: FailureWorld) {
+  this.upstream?.stop();
+});
--- a/features/entry/fakes.ts
+++ b/features/entry/fakes.ts
@@ -18,6 +18,7 @@
 interface TrackedCall {
   readonly call: Call;
   attempts: number;
+  mayHaveRun: boolean;
 }
 
 /** A routing stand-in: first upstream of the service, retries what may be retried, in turn. */
@@ -31,6 +32,7 @@
     const next = usable[tracked.attempts % Math.max(1, usable.length)];
     if (next === undefined || tracked.attempts >= MAX_ATTEMPTS) {
       calls.delete(id);
+      if (tracked.mayHaveRun) return [{ kind: 'fail', callId: id, failure: 'lost' }];
       return [{ kind: 'refuse', callId: id, reason: 'noUpstream', retryAfter: 1000 }];
     }
     tracked.attempts += 1;
@@ -41,7 +43,9 @@
     id: number,
     failure: 'unreachable' | 'lost' | 'timedOut',
   ): readonly RoutingEffect[] => {
-    const idempotent = calls.get(id)?.call.idempotent === true;
+    const tracked = calls.get(id);
+    const idempotent = tracked?.call.idempotent === true;
+    if (tracked !== undefined && failure !== 'unreachable') tracked.mayHaveRun = true;
     if (failure === 'unreachable' || (failure === 'lost' && idempotent)) return sendNext(id);
     calls.delete(id);
     return [{ kind: 'fail', callId: id, failure }];
@@ -54,7 +58,7 @@
           upstreams = event.upstreams;
           return [];
         case 'arrived':
-          calls.set(event.call.id, { call: event.call, attempts: 0 });
+          calls.set(event.call.id, { call: event.call, attempts: 0, mayHaveRun: false });
           return sendNext(event.call.id);
         case 'headArrived':
           if (event.notRun && (calls.get(event.callId)?.attempts ?? 0) < MAX_ATTEMPTS) {
--- /dev/null
+++ b/features/entry/raw.ts
@@ -0,0 +1,62 @@
+/** A stand-in upstream that answers with given bytes. */
+import { createServer, type Server, type Socket } from 'node:net';
+
+/** What a raw upstream does once a request's head has arrived. */
+export interface RawBehaviour {
+  /** Bytes written as the answer. */
+  readonly answer?: string;
+  /** How the connection ends after the answer; it stays open if absent. */
+  readonly end?: 'close' | 'reset';
+}
+
+/** A running raw upstream. */
+export interface RawUpstream {
+  readonly address: string;
+  /** Start lines of the requests that arrived, in order. */
+  readonly requests: string[];
+  /** Connections that the other side closed. */
+  readonly closed: () => number;
+  readonly stop: () => void;
+}
+
+const START_LINE = /^(?:GET|HEAD|OPTIONS|PUT|DELETE|POST|PATCH) \S+ HTTP\/1\.1$/gm;
+
+function applyBehaviour(socket: Socket, { answer, end }: RawBehaviour): void {
+  if (answer !== undefined) socket.write(answer, 'latin1');
+  if (end === 'close') socket.end();
+  if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 10);
+}
+
+/** Starts a raw upstream on a free loopback port. */
+export async function startRawUpstream(behaviour: RawBehaviour): Promise<RawUpstream> {
+  const requests: string[] = [];
+  const sockets = new Set<Socket>();
+  let closed = 0;
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    let text = '';
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      closed += 1;
+    });
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      if (!text.includes('\r\n\r\n')) return;
+      requests.push(...(text.match(START_LINE) ?? []));
+      text = '';
+      applyBehaviour(socket, behaviour);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const bound = server.address();
+  const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+  return {
+    address: `127.0.0.1:${port}`,
+    requests,
+    closed: () => closed,
+    stop: () => {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    },
+  };
+}
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -93,9 +93,9 @@
 
   onHeaders(status: number, raw: Buffer[], resume: () => void, statusText: string): boolean {
     if (status < FIRST_FINAL_STATUS || this.#phase !== 'written') return true;
-    const bodyless = this.#method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED;
-    const head = readAnswerHead(status, statusText, raw, bodyless);
-    if (!head.framed) {
+    const head = readAnswerHead(status, statusText, raw);
+    const neverHasBody = status === NO_CONTENT || status === NOT_MODIFIED;
+    if (!head.hasFraming && !neverHasBody && this.#method !== 'HEAD') {
       this.#fail();
       return true;
     }
@@ -104,6 +104,7 @@
     if (head.notRun) this.#mayHaveRun = false;
     const wanted = this.#owner.handleHead(this, head);
     if (!wanted && !this.#hasEnded()) this.#phase = 'discarding';
+    if (wanted && neverHasBody && head.hasFraming) this.#finishWithoutBody();
     return true;
   }
 
@@ -126,6 +127,14 @@
     this.#fail();
   }
 
+  /** The client would wait for the body that a length announces, although the status rules it out. */
+  #finishWithoutBody(): void {
+    if (this.#hasEnded()) return;
+    this.#phase = 'ended';
+    this.#pool.drop(this);
+    this.#owner.handleEnd();
+  }
+
   /** Reads the phase again where a callback may have changed it. */
   #hasEnded(): boolean {
     return this.#phase === 'ended';
--- a/src/entry/headers.ts
+++ b/src/entry/headers.ts
@@ -96,8 +96,8 @@
   readonly headers: HeaderList;
   readonly notRun: boolean;
   readonly load: LoadReport | undefined;
-  /** Whether the end of the body can be told from a cut. */
-  readonly framed: boolean;
+  /** Whether the fields tell where the body ends. */
+  readonly hasFraming: boolean;
 }
 
 /**
@@ -127,13 +127,12 @@
   status: number,
   statusText: string,
   raw: readonly Buffer[],
-  bodyless: boolean,
 ): AnswerHead {
   const headers: string[] = [];
   let connection = '';
   let notRun = false;
   let load: LoadReport | undefined;
-  let framed = bodyless;
+  let hasFraming = false;
   let at = 0;
   while (at + 1 < raw.length) {
     const name = raw[at]?.toString('latin1') ?? '';
@@ -142,13 +141,13 @@
     if (lower === 'connection') connection = connection === '' ? value : `${connection},${value}`;
     else if (lower === LOAD_HEADER) load = parseLoad(value);
     else if (lower === NOT_RUN_HEADER) notRun = value === '1';
-    if (lower === 'content-length' || lower === 'transfer-encoding') framed = true;
+    if (lower === 'content-length' || lower === 'transfer-encoding') hasFraming = true;
     if (!DROPPED_FROM_ANSWER.has(lower)) headers.push(name, value);
     at += 2;
   }
   const named = connection === '' ? undefined : parseConnection(connection);
   const forwarded = named === undefined ? headers : dropNamed(headers, named);
-  return { status, statusText, headers: forwarded, notRun, load, framed };
+  return { status, statusText, headers: forwarded, notRun, load, hasFraming };
 }
 
 function dropNamed(headers: HeaderList, named: ReadonlySet<string>): HeaderList {
--- a/src/entry/probe.ts
+++ b/src/entry/probe.ts
@@ -41,7 +41,7 @@
   onHeaders(status: number, raw: Buffer[]): boolean {
     if (status < FIRST_FINAL_STATUS) return true;
     this.#status = status;
-    this.#report = readAnswerHead(status, '', raw, false).load;
+    this.#report = readAnswerHead(status, '', raw).load;
     return true;
   }
 
