--- /dev/null
+++ b/src/daemon/control.ts
@@ -0,0 +1,123 @@
+/**
+ * The role `control`: binds the replicated log, the state machine of intent, the distribution and the
+ * operators' listener together. Invariant: operators are answered only from a committed state.
+ */
+import { inject, injectable } from 'inversify';
+import { openControl, type ControlNode, type ControlProblem } from '../control/index.js';
+import { createConfigServer, type AgreedView, type ConfigServer } from '../distribution/index.js';
+import type { ControlSettings, Settings } from '../generated/settings.js';
+import { buildConfig, createIntentMachine, type IntentState } from '../intent/index.js';
+import { createLogger, type Metrics } from '../telemetry/index.js';
+import type { Mesh } from '../wire/index.js';
+import { ProcessRole, type RoleState } from './role.js';
+import { TOKENS } from './tokens.js';
+
+const log = createLogger('control');
+
+/** Everything that a started control member runs. */
+interface Parts {
+  readonly node: ControlNode<IntentState>;
+  readonly server: ConfigServer;
+}
+
+function getNow(): number {
+  return performance.now();
+}
+
+function buildView(state: IntentState): AgreedView {
+  return {
+    config: buildConfig(state),
+    inForce: state.inForce,
+    epochRevision: state.epochRevision,
+  };
+}
+
+function recordProblem({ kind, message }: ControlProblem): void {
+  log.warn(message, { kind });
+}
+
+/** Runs the role `control`. */
+@injectable()
+export class ControlRole extends ProcessRole {
+  readonly #settings: Settings;
+  readonly #mesh: Mesh;
+  readonly #metrics: Metrics;
+  #parts: Parts | undefined;
+
+  constructor(
+    @inject(TOKENS.settings) settings: Settings,
+    @inject(TOKENS.mesh) mesh: Mesh,
+    @inject(TOKENS.metrics) metrics: Metrics,
+  ) {
+    super();
+    this.#settings = settings;
+    this.#mesh = mesh;
+    this.#metrics = metrics;
+  }
+
+  override async start(): Promise<void> {
+    const options = this.#settings.control;
+    if (options === undefined) throw new Error('settings have no section [control]: add it');
+    const node = await this.#openNode(options);
+    const server = createConfigServer({
+      mesh: this.#mesh,
+      control: node,
+      view: buildView,
+      now: getNow,
+      wallNow: Date.now,
+    });
+    this.#parts = { node, server };
+    this.#watch(node);
+  }
+
+  override async stop(): Promise<void> {
+    this.#parts?.server.close();
+    await this.#parts?.node.close();
+  }
+
+  override isReady(): boolean {
+    return this.#parts?.node.status.healthy ?? false;
+  }
+
+  override describeState(): RoleState {
+    if (this.#parts === undefined) return {};
+    const { role, term, leader, commitIndex, problem } = this.#parts.node.status;
+    return { role, term, leader: leader ?? '', commitIndex, problem: problem ?? '' };
+  }
+
+  #openNode(options: ControlSettings): Promise<ControlNode<IntentState>> {
+    return openControl({
+      address: this.#settings.peer.listen,
+      members: options.members,
+      join: options.join ?? false,
+      dataFolder: options.data_folder ?? '',
+      mesh: this.#mesh,
+      machine: createIntentMachine(),
+      onProblem: recordProblem,
+    });
+  }
+
+  #watch(node: ControlNode<IntentState>): void {
+    const gauges: readonly (readonly [string, string, () => number])[] = [
+      [
+        'chivewalk_control_leader',
+        '1 while this member leads.',
+        () => Number(node.status.role === 'leader'),
+      ],
+      ['chivewalk_control_term', 'Current term.', () => node.status.term],
+      [
+        'chivewalk_control_commit_index',
+        'Newest committed entry of the log.',
+        () => node.status.commitIndex,
+      ],
+      [
+        'chivewalk_control_healthy',
+        '1 while this member votes and knows a leader.',
+        () => Number(node.status.healthy),
+      ],
+    ];
+    gauges.forEach(([name, help, read]) => {
+      this.#metrics.watchGauge(name, help, read);
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/entry.ts
@@ -0,0 +1,294 @@
+/**
+ * The role `entry`: binds membership, distribution, claims, routing and the listeners together.
+ * Invariant: no caller's request is taken before a configuration was confirmed as current.
+ */
+import { inject, injectable } from 'inversify';
+import { createConfigClient, type ConfigClient } from '../distribution/index.js';
+import {
+  createAnnouncements,
+  createEntry,
+  createRouter,
+  type Announcements,
+  type CallHooks,
+  type ClaimPort,
+  type ConfigPort,
+  type Entry,
+  type MembersPort,
+  type RoutingSignal,
+} from '../entry/index.js';
+import { createMembership, type Membership } from '../membership/index.js';
+import type { EntrySettings, Settings } from '../generated/settings.js';
+import { createLogger, type Metrics, type Tracer } from '../telemetry/index.js';
+import type { Mesh } from '../wire/index.js';
+import { ProcessRole, type RoleState } from './role.js';
+import { TOKENS } from './tokens.js';
+
+const log = createLogger('entry');
+/** Milliseconds after which upstreams renew their announcements. */
+const RENEW_AFTER_MS = 2000;
+
+function getNow(): number {
+  return performance.now();
+}
+
+/** Everything that a started entry runs. */
+interface Parts {
+  readonly membership: Membership;
+  readonly client: ConfigClient;
+  readonly entry: Entry;
+  readonly announcements: Announcements;
+}
+
+/** Runs the role `entry`. */
+@injectable()
+export class EntryRole extends ProcessRole {
+  readonly #settings: Settings;
+  readonly #mesh: Mesh;
+  readonly #metrics: Metrics;
+  readonly #tracer: Tracer;
+  readonly #incarnation: number;
+  #parts: Parts | undefined;
+
+  constructor(
+    @inject(TOKENS.settings) settings: Settings,
+    @inject(TOKENS.mesh) mesh: Mesh,
+    @inject(TOKENS.metrics) metrics: Metrics,
+    @inject(TOKENS.tracer) tracer: Tracer,
+    @inject(TOKENS.incarnation) incarnation: number,
+  ) {
+    super();
+    this.#settings = settings;
+    this.#mesh = mesh;
+    this.#metrics = metrics;
+    this.#tracer = tracer;
+    this.#incarnation = incarnation;
+  }
+
+  override async start(): Promise<void> {
+    const options = this.#settings.entry;
+    if (options === undefined) throw new Error('settings have no section [entry]: add it');
+    const membership = this.#startMembership(options);
+    const client = this.#startClient(options);
+    const entry = await this.#openEntry(options, membership, client);
+    const announcements = await createAnnouncements({
+      listen: options.upstream_listen,
+      token: this.#settings.site.upstream_token ?? '',
+      renewAfterMs: RENEW_AFTER_MS,
+      port: {
+        announce: (upstream) => {
+          membership.announce(upstream);
+        },
+        leave: (id, incarnation) => {
+          membership.leaveUpstream(id, incarnation);
+        },
+      },
+    });
+    this.#parts = { membership, client, entry, announcements };
+    this.#shareCondemned(membership, entry);
+    this.#watch(this.#parts);
+  }
+
+  /** Leaves the answers to "which address?", serves on while callers keep addresses, then stops. */
+  override async stop(): Promise<void> {
+    if (this.#parts === undefined) return;
+    const { membership, client, entry, announcements } = this.#parts;
+    membership.setStopping();
+    await entry.stop();
+    await Promise.race([client.leave(), waitAtMost(LEAVE_LIMIT_MS)]);
+    await announcements.stop();
+    await membership.close();
+    client.close();
+  }
+
+  override isReady(): boolean {
+    return this.#parts?.client.isServing(getNow()) ?? false;
+  }
+
+  override describeState(): RoleState {
+    if (this.#parts === undefined) return {};
+    const { client, membership, entry } = this.#parts;
+    return {
+      revision: client.config.revision,
+      fresh: client.isFresh(getNow()),
+      upstreams: membership.upstreams.length,
+      entries: membership.entries.length,
+      inFlight: entry.inFlight,
+    };
+  }
+
+  #startMembership(options: EntrySettings): Membership {
+    return createMembership({
+      mesh: this.#mesh,
+      self: {
+        id: this.#settings.process.id,
+        zone: this.#settings.process.zone,
+        peerAddress: this.#settings.peer.listen,
+        callerAddress: options.caller_listen,
+        incarnation: this.#incarnation,
+      },
+      seeds: options.seeds ?? [],
+      now: getNow,
+      random: Math.random,
+    });
+  }
+
+  #startClient(options: EntrySettings): ConfigClient {
+    return createConfigClient({
+      mesh: this.#mesh,
+      self: {
+        id: this.#settings.process.id,
+        zone: this.#settings.process.zone,
+        callerAddress: options.caller_listen,
+        incarnation: this.#incarnation,
+      },
+      controlMembers: this.#settings.control?.members ?? [],
+      now: getNow,
+      stalePolicy: options.stale_policy ?? 'refuse',
+    });
+  }
+
+  #openEntry(options: EntrySettings, membership: Membership, client: ConfigClient): Promise<Entry> {
+    return createEntry({
+      id: this.#settings.process.id,
+      zone: this.#settings.process.zone,
+      callerListen: options.caller_listen,
+      addressTtlMs: options.address_ttl_ms ?? DEFAULT_TTL_MS,
+      routing: createRouter({ probeShare: options.probe_share ?? DEFAULT_PROBE_SHARE }),
+      claims: buildClaimPort(),
+      config: buildConfigPort(client),
+      members: buildMembersPort(membership),
+      hooks: this.#buildHooks(),
+      onSignal: (signal) => {
+        handleSignal(signal, membership, client);
+      },
+    });
+  }
+
+  #buildHooks(): CallHooks {
+    return {
+      onCallFinished: ({ service, outcome, latency, reason }) => {
+        this.#metrics.recordCall({
+          service,
+          outcome: reason === '' ? outcome : `${outcome}:${reason}`,
+          latency,
+        });
+      },
+      ...(this.#settings.telemetry?.otlp_url === undefined
+        ? {}
+        : {
+            startSpan: ({ service, route, traceparent }) => {
+              const span = this.#tracer.startHop(`${service}/${route}`, traceparent, Math.random());
+              if (span === undefined) return undefined;
+              return {
+                traceparent: span.traceparent,
+                end: ({ status, upstreamId }) => {
+                  span.finish(status, upstreamId);
+                },
+              };
+            },
+          }),
+      onDefect: (error) => {
+        log.error(error.message, { stack: error.stack ?? '' });
+      },
+    };
+  }
+
+  /** Passes condemned fingerprints to the routing decisions, and records them. */
+  #shareCondemned(membership: Membership, entry: Entry): void {
+    membership.onCondemned((fingerprints, until) => {
+      const now = getNow();
+      if (until > now)
+        log.warn('refusing requests that crashed several upstreams', { fingerprints });
+      entry.dispatch({ kind: 'condemned', fingerprints, until, now });
+    });
+  }
+
+  #watch({ membership, client, entry }: Parts): void {
+    const gauges: readonly (readonly [string, string, () => number])[] = [
+      [
+        'chivewalk_upstreams',
+        'Upstreams whose announcement stands.',
+        () => membership.upstreams.length,
+      ],
+      ['chivewalk_entries', 'Entries that are known.', () => membership.entries.length],
+      ['chivewalk_config_revision', 'Revision in force here.', () => client.config.revision],
+      [
+        'chivewalk_config_fresh',
+        '1 while the configuration is confirmed as current.',
+        () => Number(client.isFresh(getNow())),
+      ],
+      ['chivewalk_calls_in_flight', 'Calls without an answer yet.', () => entry.inFlight],
+      ['chivewalk_upstream_connections', 'Connections to upstreams.', () => entry.connections],
+    ];
+    gauges.forEach(([name, help, read]) => {
+      this.#metrics.watchGauge(name, help, read);
+    });
+    client.onChange((config) => {
+      log.info('configuration is in force here', {
+        revision: config.revision,
+        zonesOut: config.zonesOut,
+      });
+      membership.updateSeeds(config.roster.members.map((member) => member.peerAddress));
+    });
+  }
+}
+
+const DEFAULT_TTL_MS = 5000;
+const DEFAULT_PROBE_SHARE = 0.01;
+/** Milliseconds that a stopping entry waits for the roster to do without it. */
+const LEAVE_LIMIT_MS = 3000;
+
+function waitAtMost(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms).unref();
+  });
+}
+
+function buildConfigPort(client: ConfigClient): ConfigPort {
+  return {
+    get config() {
+      return client.config;
+    },
+    isFresh: (now) => client.isServing(now),
+    onChange: (listener) => {
+      client.onChange(listener);
+    },
+  };
+}
+
+function buildMembersPort(membership: Membership): MembersPort {
+  return {
+    entries: () =>
+      membership.entries
+        .filter((entry) => entry.alive && !entry.stopping)
+        .map((entry) => ({ address: entry.callerAddress, zone: entry.zone })),
+    upstreams: () => membership.upstreams,
+    onChange: (listener) => {
+      membership.onUpstreamsChanged(listener);
+      membership.onEntriesChanged(listener);
+    },
+  };
+}
+
+function buildClaimPort(): ClaimPort {
+  return {
+    claim: () => Promise.resolve({ kind: 'unavailable', reason: 'claims are not running yet' }),
+    settle: () => undefined,
+  };
+}
+
+function handleSignal(signal: RoutingSignal, membership: Membership, client: ConfigClient): void {
+  switch (signal.kind) {
+    case 'suspect':
+      membership.addSuspect(signal);
+      break;
+    case 'cleared':
+      membership.addSuccess(signal.fingerprint);
+      break;
+    case 'evidence':
+      client.addEvidence(signal);
+      break;
+    case 'warmth':
+      break;
+  }
+}
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -49,9 +49,21 @@
 }
 
 function watchMesh(metrics: Metrics, mesh: Mesh): void {
-  metrics.watchGauge('chivewalk_peer_sent_bytes', 'Bytes sent to peers.', () => mesh.traffic.bytesSent);
-  metrics.watchGauge('chivewalk_peer_received_bytes', 'Bytes received from peers.', () => mesh.traffic.bytesReceived);
-  metrics.watchGauge('chivewalk_peer_sent_messages', 'Messages sent to peers.', () => mesh.traffic.messagesSent);
+  metrics.watchGauge(
+    'chivewalk_peer_sent_bytes',
+    'Bytes sent to peers.',
+    () => mesh.traffic.bytesSent,
+  );
+  metrics.watchGauge(
+    'chivewalk_peer_received_bytes',
+    'Bytes received from peers.',
+    () => mesh.traffic.bytesReceived,
+  );
+  metrics.watchGauge(
+    'chivewalk_peer_sent_messages',
+    'Messages sent to peers.',
+    () => mesh.traffic.messagesSent,
+  );
 }
 
 function waitForSignal(): Promise<string> {
@@ -93,14 +105,18 @@
       : await createPlatformServer(listen, metrics, {
           isReady: () => !stopping && roles.every((role) => role.isReady()),
           describeState: () =>
-            roles.map((role) => role.describeState()).reduce((one, two) => ({ ...one, ...two }), {}),
+            roles
+              .map((role) => role.describeState())
+              .reduce((one, two) => ({ ...one, ...two }), {}),
         });
   const { id, zone, roles: names } = settings.process;
   log.info('process runs', { id, zone, roles: names });
   const signal = await waitForSignal();
   stopping = true;
   log.info('process stops gracefully', { signal });
-  await [...roles].reverse().reduce((before, role) => before.then(() => role.stop()), Promise.resolve());
+  await [...roles]
+    .reverse()
+    .reduce((before, role) => before.then(() => role.stop()), Promise.resolve());
   await platform?.close();
   await mesh.close();
   log.info('process stopped');
--- /dev/null
+++ b/src/daemon/tokens.ts
@@ -0,0 +1,8 @@
+/** Keys of the container. Invariant: each key is bound once, in {@link runProcess}. */
+export const TOKENS = {
+  settings: Symbol('settings'),
+  mesh: Symbol('mesh'),
+  metrics: Symbol('metrics'),
+  tracer: Symbol('tracer'),
+  incarnation: Symbol('incarnation'),
+} as const;
