Compare all upstreams of a service, own requests in flight first, reports as a small weight

Cause: with two drawn at random the freshest signal, own requests in flight, is mostly unused; with reports at full weight, 18 entries herd on stale ones.

--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -82,13 +82,16 @@
   return moving.length > 0 ? moving : able;
 }
 
-/** Draws `count` different candidates. */
+/** Draws at most `count` different candidates, in an order of chance that settles ties. */
 function pickCandidates(
   candidates: readonly UpstreamState[],
   count: number,
   random: number,
 ): readonly UpstreamState[] {
-  if (candidates.length <= count) return candidates;
+  if (candidates.length <= count) {
+    const start = Math.floor(random * candidates.length);
+    return [...candidates.slice(start), ...candidates.slice(0, start)];
+  }
   const left = [...candidates];
   return Array.from({ length: count }, (_, salt) => {
     const at = Math.floor(generateRandom(random, salt) * left.length);
--- a/src/routing/estimate.ts
+++ b/src/routing/estimate.ts
@@ -16,7 +16,8 @@
   now: Instant,
 ): number {
   const age = now - known.reportedAt;
-  const trust = Math.exp(-age / state.options.reportAge);
+  const { reportAge, reportWeight } = state.options;
+  const trust = reportWeight * Math.exp(-age / (reportAge * service.latency));
   return service.others + (known.others - service.others) * trust;
 }
 
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -14,8 +14,10 @@
   readonly probeQuiet: Duration;
   /** Upstreams that are compared for one call. */
   readonly choices: number;
-  /** Milliseconds after which a load report counts for 1/e of its difference to the average. */
-  readonly reportAge: Duration;
+  /** Age at which a load report counts for 1/e, as a multiple of the service's latency. */
+  readonly reportAge: number;
+  /** Weight of a fresh load report beside the entry's own requests in flight. */
+  readonly reportWeight: number;
   /** Milliseconds after which a measured latency counts for 1/e of its difference to the average. */
   readonly latencyAge: Duration;
   /** Milliseconds added to the expected latency of an upstream in another availability zone. */
@@ -63,8 +65,9 @@
   probeShare: 0.01,
   probeCost: 6,
   probeQuiet: 1000,
-  choices: 2,
-  reportAge: 20,
+  choices: 16,
+  reportAge: 0.3,
+  reportWeight: 0.1,
   latencyAge: 2000,
   zonePenalty: 1,
   overcommit: 3,
