Condemn a request that crashes several upstreams, sparing what was in flight beside it

A pure rule over the fleet's suspicions and clearances. Without the check that another fingerprint explains the same crashes, the scenarios with innocents fail; without clearances the popular innocent does.

--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -4,3 +4,10 @@
 export { defaultOptions, type RoutingOptions } from './options.js';
 export { createRoutingState, type RoutingState } from './state.js';
 export type { AttemptFailure, Call, RefusalReason, RoutingEffect, RoutingEvent } from './types.js';
+export {
+  defaultCondemnLimits,
+  findCondemned,
+  type Clearance,
+  type CondemnOptions,
+  type Suspicion,
+} from './condemn.js';
