Refuse malformed requests with a clear error, never into an answer under way

Two Host fields came through as three attempts that could not be sent; a malformed chunk closed the connection without a word; a malformed request behind a sound one cut the sound one's answer. Each is now refused by its own rule, and the sound request gets its answer first.

--- a/features/entry/call.steps.ts
+++ b/features/entry/call.steps.ts
@@ -39,7 +39,12 @@
   'an entry with one upstream that answers with what it received',
   async function (this: EntryWorld) {
     this.parts = await startEntry();
-    const address = await startUpstream((request, response) => void sendEcho(request, response));
+    this.received = [];
+    const address = await startUpstream((request, response) => {
+      sendEcho(request, response)
+        .then(() => this.received.push(request.url ?? ''))
+        .catch(() => response.destroy());
+    });
     announceUpstreams(this.parts, [address]);
   },
 );
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -30,7 +30,7 @@
   RoutingSignal,
 } from './ports.js';
 import { sendProbe } from './probe.js';
-import { refuseSocket } from './reject.js';
+import { refuseMalformed } from './reject.js';
 import { writeRefusal } from './refusal.js';
 import { UpstreamPools } from './upstreams.js';
 
@@ -95,6 +95,7 @@
         headersTimeout: HEAD_TIMEOUT,
         keepAliveTimeout: CALLER_IDLE_TIMEOUT,
         requestTimeout: 0,
+        requireHostHeader: false,
         noDelay: true,
       },
       (request, response) => {
@@ -103,11 +104,10 @@
     );
     this.#server.maxHeadersCount = 0;
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const latest = this.#responses.get(socket);
-      refuseSocket(socket, error.code, latest === undefined || latest.writableFinished);
+      refuseMalformed(socket, error.code, this.#responses.get(socket));
     });
     this.#server.on('connect', (_: IncomingMessage, socket: Duplex) => {
-      refuseSocket(socket, 'CONNECT', true);
+      refuseMalformed(socket, 'CONNECT', this.#responses.get(socket));
     });
   }
 
--- a/src/entry/head.ts
+++ b/src/entry/head.ts
@@ -84,6 +84,11 @@
   return DECIMAL.test(length) ? { kind: 'body', length: Number(length) } : undefined;
 }
 
+function hasOneHost(raw: readonly string[]): boolean {
+  const isHost = (text: string): boolean => text.length === 4 && text.toLowerCase() === 'host';
+  return raw.filter((text, at) => at % 2 === 0 && isHost(text)).length === 1;
+}
+
 function hasValidKey(key: string | undefined): boolean {
   return key === undefined || (key.length <= MAX_KEY_LENGTH && KEY_PATTERN.test(key));
 }
@@ -102,6 +107,7 @@
   if (!isMethod(method)) return Err('badMethod');
   if (url.length > MAX_TARGET_LENGTH) return Err('targetTooLong');
   if (request.rawHeaders.length > 2 * MAX_HEADER_COUNT) return Err('tooManyHeaders');
+  if (!hasOneHost(request.rawHeaders)) return Err('badHost');
   const framing = readFraming(request);
   if (framing === undefined) return Err('badFraming');
   const target = parseTarget(url);
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -13,6 +13,7 @@
   | 'targetTooLong'
   | 'tooManyHeaders'
   | 'badFraming'
+  | 'badHost'
   | 'badMethod'
   | 'badVersion'
   | 'badDeadline'
@@ -47,6 +48,7 @@
     status: 400,
     message: 'The framing is ambiguous: send exactly one Content-Length or chunked encoding.',
   },
+  badHost: { status: 400, message: 'Send exactly one Host field.' },
   badMethod: {
     status: 405,
     message: 'The method is not forwarded: use GET, HEAD, OPTIONS, PUT, DELETE, POST or PATCH.',
--- a/src/entry/reject.ts
+++ b/src/entry/reject.ts
@@ -2,8 +2,9 @@
  * Refuses what is not a well-formed request. Invariant: nothing is written into a connection that has an
  * answer under way.
  */
+import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
-import { NOT_RUN_HEADER } from './headers.js';
+import { NOT_RUN_HEADER, OUTCOME_HEADER } from './headers.js';
 
 interface Rejection {
   readonly status: string;
@@ -52,25 +53,67 @@
   message: 'This is not a well-formed HTTP/1.1 request: check its framing and header fields.',
 };
 
-/**
- * Answers a malformed request and closes its connection.
- *
- * @example
- * server.on('clientError', (error, socket) => refuseSocket(socket, error.code, isIdle));
- */
-export function refuseSocket(socket: Duplex, code: string | undefined, isIdle: boolean): void {
-  if (!isIdle || !socket.writable || code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const { status, reason, message } = rejections.get(code ?? '') ?? malformed;
+function renderRejection({ status, reason, message }: Rejection, fields: string[]): string {
   const body = `${JSON.stringify({ reason, message })}\n`;
   const head = [
     `HTTP/1.1 ${status}`,
     'content-type: application/json',
     `content-length: ${Buffer.byteLength(body)}`,
-    `${NOT_RUN_HEADER}: 1`,
+    ...fields,
     'connection: close',
   ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
+
+/** What may be done with a connection on which something malformed arrived. */
+type Remedy =
+  /** No answer is under way, so the refusal can be written. */
+  | { readonly kind: 'refuse'; readonly fields: string[] }
+  /** A sound request came before; its answer is finished first. */
+  | { readonly kind: 'finish'; readonly response: ServerResponse }
+  /** A part of an answer is out; only a cut is left. */
+  | { readonly kind: 'cut' };
+
+function chooseRemedy(socket: Duplex, latest: ServerResponse | undefined): Remedy {
+  if (!socket.writable) return { kind: 'cut' };
+  if (latest === undefined || latest.writableFinished) {
+    return { kind: 'refuse', fields: [`${NOT_RUN_HEADER}: 1`] };
+  }
+  if (latest.writableEnded || latest.req.complete) return { kind: 'finish', response: latest };
+  const isUnanswered = latest.socket === socket && !latest.headersSent;
+  return isUnanswered
+    ? { kind: 'refuse', fields: [`${OUTCOME_HEADER}: unknown`] }
+    : { kind: 'cut' };
+}
+
+/**
+ * Refuses what is malformed and closes its connection; `latest` is the response to the last sound head.
+ *
+ * @example
+ * server.on('clientError', (error, socket) => refuseMalformed(socket, error.code, latest));
+ */
+export function refuseMalformed(
+  socket: Duplex,
+  code: string | undefined,
+  latest: ServerResponse | undefined,
+): void {
+  const remedy = chooseRemedy(socket, latest);
+  switch (remedy.kind) {
+    case 'refuse':
+      socket.end(renderRejection(rejections.get(code ?? '') ?? malformed, remedy.fields), () => {
+        socket.destroy();
+      });
+      break;
+    case 'finish':
+      remedy.response.shouldKeepAlive = false;
+      remedy.response.once('finish', () => {
+        socket.end(() => {
+          socket.destroy();
+        });
+      });
+      break;
+    case 'cut':
+      socket.destroy();
+      break;
+  }
 }
