Judge the rise of revisions per process, and check the first configuration after a start

Cause: the check, not the protocol. Where an entry is replaced while its old process is frozen, both run at once for a while; the check compared the new process's first revision with what the old one applied after the new one had asked.

The leadership is now confirmed by readCurrent, which also promises that all earlier commits are applied.

--- a/features/distribution/leases.steps.ts
+++ b/features/distribution/leases.steps.ts
@@ -1,12 +1,21 @@
-import { Then, When } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import fc from 'fast-check';
+import {
+  createClientState,
+  decideClient,
+  isClientFresh,
+  type ClientEvent,
+  type ClientState,
+} from '../../src/distribution/client.js';
+import { LEASE } from '../../src/distribution/timing.js';
 import { decodeMessage, encodeMessage } from '../../src/distribution/codec.js';
 import { applyDelta, computeDelta } from '../../src/distribution/delta.js';
-import type { Config } from '../../src/model/index.js';
+import { emptyConfig, type Config } from '../../src/model/index.js';
 import { Site, type SiteCounts } from './site.js';
 
 interface LeaseWorld {
+  entry: ClientState;
   failures: readonly string[];
   settled: readonly { stale: readonly string[]; awaited: number }[];
   counts: readonly SiteCounts[];
@@ -165,3 +174,63 @@
 Then('every delta gives the configuration that it was made from', function (this: LeaseWorld) {
   assert.equal(this.failure, undefined);
 });
+
+const MEMBER = '10.0.0.1:1';
+const SELF = { id: 'e1', zone: 'z', callerAddress: '10.0.1.1:2', incarnation: 7 };
+const FIRST: Config = {
+  ...emptyConfig,
+  revision: 5,
+  roster: { epoch: 1, members: [{ ...SELF, peerAddress: '10.0.1.1:1', phase: 'active' }] },
+};
+
+function step(state: ClientState, event: ClientEvent): ClientState {
+  return decideClient(state, event).state;
+}
+
+function sendUpdate(state: ClientState, seq: number, granted: boolean, now: number): ClientState {
+  const delta = computeDelta(emptyConfig, FIRST);
+  const message = { kind: 'update' as const, seq, granted, delta };
+  return step(state, { kind: 'received', from: MEMBER, message, now });
+}
+
+Given('a distribution entry that has just started and asked once', function (this: LeaseWorld) {
+  this.entry = step(createClientState(SELF, [MEMBER], 0), { kind: 'ticked', now: 0 });
+});
+
+When(/^it is sent a configuration (.+)$/, function (this: LeaseWorld, how: string) {
+  const isAnswer = how.startsWith('in answer to its question');
+  const seq = isAnswer ? this.entry.seq : how.startsWith('unasked') ? 0 : 99;
+  this.entry = sendUpdate(this.entry, seq, !/without|unasked/.test(how), 10);
+});
+
+Then(/^the distribution entry has taken it: (yes|no)$/, function (this: LeaseWorld, taken: string) {
+  assert.equal(this.entry.config !== undefined, taken === 'yes');
+  assert.equal(isClientFresh(this.entry, 20), taken === 'yes');
+});
+
+Given('a distribution entry with a lease', function (this: LeaseWorld) {
+  const asked = step(createClientState(SELF, [MEMBER], 0), { kind: 'ticked', now: 0 });
+  this.entry = sendUpdate(asked, asked.seq, true, 10);
+  assert.ok(isClientFresh(this.entry, LEASE - 1));
+});
+
+When('it is paused for longer than the lease', function (this: LeaseWorld) {
+  // Nothing reaches a paused process; an answer to a poll of before the pause waits for it.
+  const seq = this.entry.seq;
+  const message = { kind: 'grant' as const, seq, revision: FIRST.revision };
+  const now = LEASE + 500;
+  this.entry = step(this.entry, { kind: 'received', from: MEMBER, message, now });
+});
+
+Then(
+  'the distribution entry takes no new work until a poll sent after the pause is granted',
+  function (this: LeaseWorld) {
+    const now = LEASE + 500;
+    assert.equal(isClientFresh(this.entry, now), false);
+    const asked = step(this.entry, { kind: 'ticked', now });
+    const message = { kind: 'grant' as const, seq: asked.seq, revision: FIRST.revision };
+    const granted = step(asked, { kind: 'received', from: MEMBER, message, now: now + 10 });
+    assert.equal(isClientFresh(granted, now + 10), true);
+    assert.equal(granted.leaseEnd, now + LEASE);
+  },
+);
--- a/features/distribution/site.ts
+++ b/features/distribution/site.ts
@@ -47,6 +47,8 @@
   readonly address: string;
   state: ClientState;
   dead: boolean;
+  /** The revision that it must not go below. */
+  floor: number;
 }
 
 interface Member extends Clocked {
@@ -172,7 +174,8 @@
     const self = { id, zone: 'z', callerAddress: address, incarnation: this.#incarnation };
     const now = this.#readClock(clock);
     const state = createClientState(self, MEMBERS, now);
-    this.#entries.push({ id, address, ...clock, state, dead: false });
+    const floor = this.#highest.get(id) ?? 0;
+    this.#entries.push({ id, address, ...clock, state, dead: false, floor });
   }
 
   /** Draws the faults and the commands of one step. */
@@ -338,12 +341,13 @@
     });
   }
 
+  /** A process never goes below what it, or any process of its id before its start, applied. */
   #checkRise(entry: Entry, revision: number): void {
-    const highest = this.#highest.get(entry.id) ?? 0;
-    if (revision < highest && entry === this.#entries.findLast(({ id }) => id === entry.id)) {
-      throw new Error(`${entry.id} went from revision ${highest} back to ${revision}`);
+    if (revision < entry.floor) {
+      throw new Error(`${entry.id} went from revision ${entry.floor} back to ${revision}`);
     }
-    this.#highest.set(entry.id, Math.max(highest, revision));
+    entry.floor = revision;
+    this.#highest.set(entry.id, Math.max(this.#highest.get(entry.id) ?? 0, revision));
   }
 
   #tellMember(member: Member, event: ServerEvent): void {
--- a/src/distribution/publisher.ts
+++ b/src/distribution/publisher.ts
@@ -23,6 +23,8 @@
 
 /** Milliseconds between two looks at the clock and at the leadership. */
 const TICK: Duration = 50;
+/** Milliseconds that one confirmation of the leadership may take. */
+const CONFIRM_DEADLINE: Duration = 1000;
 /** Who issues the commands that the leader proposes by itself. */
 export const SYSTEM_OPERATOR = 'chivewalk';
 
@@ -43,10 +45,10 @@
     deadlineMs: Duration,
   ): Promise<{ readonly kind: string; readonly result?: unknown }>;
   /**
-   * Resolves with true only if a majority confirmed the leadership since the call, and all that was
+   * Answers `current` only if a majority confirmed the leadership since the call, and all that was
    * committed before the call is applied here.
    */
-  confirmLeadership(): Promise<boolean>;
+  readCurrent(deadlineMs: Duration): Promise<{ readonly kind: string }>;
 }
 
 /** What {@link createConfigServer} needs. */
@@ -181,7 +183,8 @@
 
   async #confirm(): Promise<boolean> {
     try {
-      return await this.#options.control.confirmLeadership();
+      const read = await this.#options.control.readCurrent(CONFIRM_DEADLINE);
+      return read.kind === 'current';
     } catch {
       return false;
     }
--- a/src/intent/machine.ts
+++ b/src/intent/machine.ts
@@ -14,11 +14,11 @@
     index: number,
   ): { readonly state: IntentState; readonly result: Outcome };
   encode(state: IntentState): Buffer;
-  decode(snapshot: Buffer): IntentState;
+  decode(snapshot: Uint8Array): IntentState;
 }
 
-function decodeState(snapshot: Buffer): IntentState {
-  const { format, state } = JSON.parse(snapshot.toString('utf8')) as {
+function decodeState(snapshot: Uint8Array): IntentState {
+  const { format, state } = JSON.parse(Buffer.from(snapshot).toString('utf8')) as {
     readonly format: number;
     readonly state: IntentState;
   };
