Learn latency faster, take only twice the average as slow; hold the cold allowance as the roster changes

What remains with noisy neighbours is calls already sent: each entry learns alone.

The part of the cold allowance that rotates goes by rendezvous over all members, so a joining member never makes a third holder while some entries don't know it; work starts only early in a turn.

--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -9,6 +9,8 @@
 import { generateRandom } from './hash.js';
 import type { CallState, RoutingState, ServiceState, UpstreamState } from './state.js';
 
+/** Consecutive failures after which an upstream gets one request at a time, until one ends well. */
+const TRIAL_FAILURES = 2;
 /** Share of a moving version from which it also takes the calls of a version without upstreams. */
 const MAJORITY = 0.5;
 
@@ -57,7 +59,7 @@
 ): boolean {
   if (known.ejectedUntil > now) return false;
   if (known.cold) return hasColdRoom(state, known, now);
-  if (known.failures > 0 && known.ejections > 0) return known.sentAt.length === 0;
+  if (known.failures >= TRIAL_FAILURES) return known.sentAt.length === 0;
   return known.sentAt.length < computeLimit(state, service, known, batch, now);
 }
 
--- a/src/routing/cold.ts
+++ b/src/routing/cold.ts
@@ -4,23 +4,30 @@
  * that the rendezvous order picks, so the entries need no message to agree.
  */
 import type { Instant } from '../model/index.js';
+import { computeRank } from './hash.js';
 import type { RoutingState, UpstreamState } from './state.js';
 
 const MILLISECONDS = 1000;
+/** Share of a turn in which its holder may start work. */
+const TURN_USE = 0.25;
 
 /**
  * Tells whether this entry holds a part of the cold allowance. All parts but one belong to the first
- * entries in the upstream's rendezvous order; the last part goes round the other entries in turns, so that
- * a dead holder doesn't keep the upstream cold for ever.
+ * entries in the upstream's rendezvous order; the last part goes round all entries in turns, so that the
+ * upstream also warms when those entries have no calls for it. New work starts only in the first
+ * {@link TURN_USE} of a turn; the rest is left for it to end, and for clocks that differ.
+ *
+ * A member that joins takes a part from at most one other and can't use it yet, so the allowance holds
+ * while some entries know it and others don't.
  */
 export function hasColdShare(state: RoutingState, known: UpstreamState, now: Instant): boolean {
+  const { coldConcurrency, coldTurn } = state.options;
   if (!state.active || !state.leaseHeld) return false;
-  const fixed = Math.max(0, state.options.coldConcurrency - 1);
-  if (known.rank < fixed) return true;
-  const rotating = state.fleetSize - fixed;
-  if (rotating <= 1) return true;
-  const turn = Math.floor((now - known.coldSince) / state.options.coldTurn);
-  return known.rank - fixed === turn % rotating;
+  if (known.rank < coldConcurrency - 1 || state.fleetSize <= coldConcurrency) return true;
+  const turn = (now - known.startedAt) / coldTurn;
+  if (turn % 1 > TURN_USE) return false;
+  const key = `${known.upstream.id} ${Math.floor(turn)}`;
+  return computeRank(key, state.self, state.memberIds) === 0;
 }
 
 /** Tells whether a cold upstream may get one more request from this entry. */
@@ -36,9 +43,9 @@
   return Math.min(1, Math.max(0.1, (now - known.warmSince) / state.options.rampTime));
 }
 
-/** Marks an upstream as cold from now on. */
-export function markCold(known: UpstreamState, now: Instant): UpstreamState {
-  return { ...known, cold: true, coldSince: now, warmAnswers: 0 };
+/** Marks an upstream as cold. */
+export function markCold(known: UpstreamState): UpstreamState {
+  return { ...known, cold: true, warmAnswers: 0 };
 }
 
 /** Marks an upstream as warm from now on. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -258,7 +258,7 @@
   const place = findUpstream(service, event.upstreamId);
   const known = service.upstreams[place];
   if (known?.upstream.incarnation !== event.incarnation || known.cold === event.cold) return state;
-  const next: UpstreamState = event.cold ? markCold(known, event.now) : markWarm(known, event.now);
+  const next: UpstreamState = event.cold ? markCold(known) : markWarm(known, event.now);
   return withService(state, at, withUpstream(service, place, next));
 }
 
--- a/src/routing/estimate.ts
+++ b/src/routing/estimate.ts
@@ -5,9 +5,6 @@
 import type { Instant } from '../model/index.js';
 import type { RoutingState, ServiceState, UpstreamState } from './state.js';
 
-/** Latency above this multiple of the service's average is taken as slowness, not as chance. */
-const SLOW_FACTOR = 1.5;
-
 /** Estimates the requests of other entries in the upstream. */
 export function computeOthers(
   state: RoutingState,
@@ -52,7 +49,7 @@
   const oldest = known.sentAt[0];
   const pending = oldest === undefined ? 0 : (now - oldest) / 5;
   const ratio = Math.max(computeLatency(state, service, known, now), pending) / service.latency;
-  return ratio < SLOW_FACTOR ? 1 : ratio;
+  return ratio < state.options.slowFactor ? 1 : ratio;
 }
 
 /** Estimates the milliseconds until the head of one more answer. */
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -28,22 +28,16 @@
   return Math.ceil((state.fleetSize * state.options.subsetSize) / count);
 }
 
-function updateUpstream(
-  state: RoutingState,
-  known: UpstreamState,
-  ids: readonly string[],
-  users: number,
-): UpstreamState {
-  const rank = computeRank(known.upstream.id, state.self, ids);
+function updateUpstream(state: RoutingState, known: UpstreamState, users: number): UpstreamState {
+  const rank = computeRank(known.upstream.id, state.self, state.memberIds);
   const usable = isAllowed(state.config, known.upstream) && rank < users;
   return rank === known.rank && usable === known.usable ? known : { ...known, rank, usable };
 }
 
 function updateService(state: RoutingState, service: ServiceState): ServiceState {
-  const ids = state.config.roster.members.map((member) => member.id);
   const users = computeSubsetUsers(state, service.upstreams.length);
   const weight = state.config.weights.find((candidate) => candidate.service === service.name);
-  const upstreams = service.upstreams.map((known) => updateUpstream(state, known, ids, users));
+  const upstreams = service.upstreams.map((known) => updateUpstream(state, known, users));
   return { ...service, weight, upstreams };
 }
 
@@ -57,6 +51,7 @@
     config: event.config,
     self: event.self,
     zone: event.zone,
+    memberIds: members.map((member) => member.id),
     fleetSize: Math.max(1, members.length),
     active: own === undefined ? members.length === 0 : own.phase !== 'joining',
   };
@@ -82,7 +77,7 @@
     ejectedUntil: -Infinity,
     ejections: 0,
     cold,
-    coldSince: now - upstream.age,
+    startedAt: now - upstream.age,
     warmAnswers: 0,
     warmSince: -Infinity,
     rank: 0,
@@ -164,7 +159,7 @@
 export function getConnectionBudget(state: RoutingState, upstreamId: string): number {
   const service = state.services[state.placeOf.get(upstreamId) ?? -1];
   const known = service?.upstreams.find((one) => one.upstream.id === upstreamId);
-  if (known?.usable !== true) return 0;
+  if (known?.usable !== true || !state.active) return 0;
   const { maxConnections } = known.upstream;
   const whole = Math.floor(maxConnections / state.fleetSize);
   return known.rank < maxConnections % state.fleetSize ? whole + 1 : whole;
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -20,6 +20,10 @@
   readonly reportWeight: number;
   /** Milliseconds after which a measured latency counts for 1/e of its difference to the average. */
   readonly latencyAge: Duration;
+  /** Weight of one answer in the moving average of an upstream's latency. */
+  readonly latencyWeight: number;
+  /** Multiple of the service's latency from which an upstream counts as slow. */
+  readonly slowFactor: number;
   /** Milliseconds added to the expected latency of an upstream in another availability zone. */
   readonly zonePenalty: Duration;
   /** Requests in an upstream, running and waiting, as a multiple of its slots. */
@@ -68,7 +72,9 @@
   choices: 16,
   reportAge: 0.3,
   reportWeight: 0.1,
-  latencyAge: 2000,
+  latencyAge: 500,
+  latencyWeight: 0.3,
+  slowFactor: 2,
   zonePenalty: 1,
   overcommit: 3,
   batchShare: 0.5,
@@ -79,7 +85,7 @@
   ejectionTimeLimit: 30_000,
   coldConcurrency: 2,
   coldRate: 20,
-  coldTurn: 500,
+  coldTurn: 2000,
   warmAge: 60_000,
   warmAnswers: 3,
   rampTime: 2000,
--- a/src/routing/signals.ts
+++ b/src/routing/signals.ts
@@ -7,8 +7,6 @@
 import { computeLatency } from './estimate.js';
 import type { RoutingState, ServiceState, UpstreamState } from './state.js';
 
-/** Weight of one answer in the moving average of an upstream's latency. */
-const LATENCY_WEIGHT = 0.1;
 /** Weight of one answer in the moving averages of the service. */
 const SERVICE_WEIGHT = 0.02;
 /** Milliseconds below which an answer counts as this long, so that ratios stay finite. */
@@ -42,7 +40,7 @@
   const measured = signal.latency ?? 0;
   const sample = signal.failed ? Math.max(measured, service.latency * FAILURE_FACTOR) : measured;
   const before = computeLatency(state, service, known, now);
-  const latency = before + (sample - before) * LATENCY_WEIGHT;
+  const latency = before + (sample - before) * state.options.latencyWeight;
   return { ...known, latency, latencyAt: now };
 }
 
@@ -84,9 +82,10 @@
   now: Instant,
 ): UpstreamState {
   const reportsCold = signal.report?.cold === true;
-  if (!known.cold) return reportsCold ? markCold(known, now) : known;
+  if (signal.report === undefined && signal.latency === undefined) return known;
+  if (!known.cold) return reportsCold ? markCold(known) : known;
   if (reportsCold || signal.failed) return { ...known, warmAnswers: 0 };
-  if (signal.latency === undefined) return known;
+  if (signal.latency === undefined) return markWarm(known, now);
   if (signal.latency > service.latency * NORMAL_FACTOR) return { ...known, warmAnswers: 0 };
   const warmAnswers = known.warmAnswers + 1;
   if (warmAnswers < state.options.warmAnswers) return { ...known, warmAnswers };
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -36,8 +36,8 @@
   /** Ejections since the last good answer. */
   readonly ejections: number;
   readonly cold: boolean;
-  /** When the upstream process started, or turned cold again. */
-  readonly coldSince: Instant;
+  /** When the upstream process started; entries agree on it but for the delay of announcements. */
+  readonly startedAt: Instant;
   /** Consecutive answers at normal latency while cold. */
   readonly warmAnswers: number;
   /** When it became warm. */
@@ -98,6 +98,7 @@
   readonly self: EntryId;
   readonly zone: ZoneId;
   readonly config: Config;
+  readonly memberIds: readonly EntryId[];
   /** Members of the roster, those that join and leave included; at least 1. */
   readonly fleetSize: number;
   /** Whether this entry may use its shares of the fleet's allowances. */
@@ -127,6 +128,7 @@
     self: '',
     zone: '',
     config: emptyConfig,
+    memberIds: [],
     fleetSize: 1,
     active: false,
     leaseHeld: true,
