--- a/features/entry/fakes.ts
+++ b/features/entry/fakes.ts
@@ -30,7 +30,8 @@
     if (tracked === undefined) return [];
     const usable = upstreams.filter((one) => one.service === tracked.call.service);
     const next = usable[tracked.attempts % Math.max(1, usable.length)];
-    if (next === undefined || tracked.attempts >= MAX_ATTEMPTS) {
+    const isSpent = tracked.attempts > 0 && tracked.call.replayable === false;
+    if (next === undefined || isSpent || tracked.attempts >= MAX_ATTEMPTS) {
       calls.delete(id);
       if (tracked.mayHaveRun) return [{ kind: 'fail', callId: id, failure: 'lost' }];
       return [{ kind: 'refuse', callId: id, reason: 'noUpstream', retryAfter: 1000 }];
