--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Runs one named benchmark: `npm run bench -- NAME`. Each bench module registers itself here. */
 const benches: Readonly<Record<string, () => Promise<{ readonly run: () => Promise<void> }>>> = {
   zone: () => import('./zone.js'),
+  decide: () => import('./decide.js'),
   policies: () => import('./policies.js'),
 };
 
--- a/src/routing/cold.ts
+++ b/src/routing/cold.ts
@@ -27,7 +27,7 @@
   const turn = (now - known.startedAt) / coldTurn;
   if (turn % 1 > TURN_USE) return false;
   const key = `${known.upstream.id} ${Math.floor(turn)}`;
-  return computeRank(key, state.self, state.memberIds) === 0;
+  return computeRank(key, state.selfAt, state.memberHashes) === 0;
 }
 
 /** Tells whether a cold upstream may get one more request from this entry. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -17,7 +17,7 @@
 import { markCold, markWarm } from './cold.js';
 import { applyConfig, applyDiscovery } from './fleet.js';
 import { planProbes } from './probes.js';
-import { removeQueued, updateFinishGap } from './queue.js';
+import { countQueued, removeQueued, updateFinishGap } from './queue.js';
 import { addRetryTokens, isServerError } from './retries.js';
 import { applySignal, releaseRequest, updateAverages, type Signal } from './signals.js';
 import {
@@ -269,7 +269,8 @@
 }
 
 function handleTick(state: RoutingState, decision: Decision): RoutingState {
-  const settled = state.services.reduce((next, _, at) => {
+  const settled = state.services.reduce((next, service, at) => {
+    if (countQueued(service) === 0) return next;
     const expired = expireQueue(next, at, decision);
     return drainQueue(expired, at, decision);
   }, state);
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -3,8 +3,14 @@
  * the fleet's budgets. Invariant: shares are divided by every member of the roster, those that join or
  * leave included, so their sum over the fleet never exceeds the budget.
  */
-import { matchSelector, type Config, type Instant, type Upstream } from '../model/index.js';
-import { computeRank } from './hash.js';
+import {
+  matchSelector,
+  type Config,
+  type Instant,
+  type Roster,
+  type Upstream,
+} from '../model/index.js';
+import { computeRank, hashText } from './hash.js';
 import {
   INITIAL_LATENCY,
   type RoutingState,
@@ -29,9 +35,8 @@
 }
 
 function updateUpstream(state: RoutingState, known: UpstreamState, users: number): UpstreamState {
-  const rank = computeRank(known.upstream.id, state.self, state.memberIds);
-  const usable = isAllowed(state.config, known.upstream) && rank < users;
-  return rank === known.rank && usable === known.usable ? known : { ...known, rank, usable };
+  const usable = isAllowed(state.config, known.upstream) && known.rank < users;
+  return usable === known.usable ? known : { ...known, usable };
 }
 
 function updateService(state: RoutingState, service: ServiceState): ServiceState {
@@ -41,20 +46,49 @@
   return { ...service, weight, upstreams };
 }
 
-/** Applies a configuration; one of an older revision is ignored. */
-export function applyConfig(state: RoutingState, event: Configured): RoutingState {
-  if (event.config.revision < state.config.revision) return state;
+/** Returns the place of this entry in the rendezvous order of an upstream. */
+function computeOwnRank(state: RoutingState, upstreamId: string): number {
+  return computeRank(upstreamId, state.selfAt, state.memberHashes);
+}
+
+function updateRanks(state: RoutingState, service: ServiceState): ServiceState {
+  const upstreams = service.upstreams.map((known) => {
+    const rank = computeOwnRank(state, known.upstream.id);
+    return rank === known.rank ? known : { ...known, rank };
+  });
+  return { ...service, upstreams };
+}
+
+function applyRoster(state: RoutingState, event: Configured): RoutingState {
   const { members } = event.config.roster;
-  const own = members.find((member) => member.id === event.self);
+  const selfAt = members.findIndex((member) => member.id === event.self);
+  const phase = members[selfAt]?.phase;
   const next: RoutingState = {
     ...state,
-    config: event.config,
     self: event.self,
-    zone: event.zone,
-    memberIds: members.map((member) => member.id),
+    memberHashes: members.map((member) => hashText(member.id)),
+    selfAt,
     fleetSize: Math.max(1, members.length),
-    active: own === undefined ? members.length === 0 : own.phase !== 'joining',
+    active: phase === undefined ? members.length === 0 : phase !== 'joining',
   };
+  return { ...next, services: next.services.map((service) => updateRanks(next, service)) };
+}
+
+function isSameRoster(one: Roster, other: Roster): boolean {
+  if (one.members.length !== other.members.length) return false;
+  return one.members.every((member, at) => {
+    const counterpart = other.members[at];
+    return member.id === counterpart?.id && member.phase === counterpart.phase;
+  });
+}
+
+/** Applies a configuration; one of an older revision is ignored. */
+export function applyConfig(state: RoutingState, event: Configured): RoutingState {
+  if (event.config.revision < state.config.revision) return state;
+  const sameRoster =
+    event.self === state.self && isSameRoster(event.config.roster, state.config.roster);
+  const ranked = sameRoster ? state : applyRoster(state, event);
+  const next: RoutingState = { ...ranked, config: event.config, zone: event.zone };
   return { ...next, services: next.services.map((service) => updateService(next, service)) };
 }
 
@@ -80,7 +114,7 @@
     startedAt: now - upstream.age,
     warmAnswers: 0,
     warmSince: -Infinity,
-    rank: 0,
+    rank: computeOwnRank(state, upstream.id),
     lastSentAt: -Infinity,
     lastSignalAt: -Infinity,
     lastProbedAt: now,
--- a/src/routing/hash.ts
+++ b/src/routing/hash.ts
@@ -35,15 +35,17 @@
 }
 
 /**
- * Returns how many of `ids` precede `self` in the rendezvous order of a key.
+ * Returns how many of the members precede one of them in the rendezvous order of a key. Members are
+ * given by the hashes of their ids; equal hashes keep the order of the list, which is agreed.
  *
  * @example
- * computeRank('upstream-1', 'entry-2', ['entry-1', 'entry-2', 'entry-3']) // 0, 1 or 2
+ * computeRank('upstream-1', ids.indexOf('entry-2'), ids.map(hashText)) // 0 for exactly one member
  */
-export function computeRank(key: string, self: string, ids: readonly string[]): number {
-  const own = hashText(`${key}\n${self}`);
-  return ids.filter((id) => {
-    const other = hashText(`${key}\n${id}`);
-    return other < own || (other === own && id < self);
+export function computeRank(key: string, self: number, hashes: readonly number[]): number {
+  const keyHash = hashText(key);
+  const own = generateBits(keyHash ^ (hashes[self] ?? 0));
+  return hashes.filter((hash, at) => {
+    const other = generateBits(keyHash ^ hash);
+    return other < own || (other === own && at < self);
   }).length;
 }
--- a/src/routing/probes.ts
+++ b/src/routing/probes.ts
@@ -5,7 +5,7 @@
  */
 import { checkInvariant, type Duration, type Instant } from '../model/index.js';
 import { isAllowed } from './fleet.js';
-import type { RoutingState, ServiceState, UpstreamState } from './state.js';
+import { withService, type RoutingState, type ServiceState, type UpstreamState } from './state.js';
 import type { RoutingEffect } from './types.js';
 
 /** Returns the shortest time between two probes of one upstream by this entry. */
@@ -35,7 +35,6 @@
   now: Instant,
   effects: RoutingEffect[],
 ): ServiceState {
-  if (!service.upstreams.some((known) => isProbeDue(state, known, now))) return service;
   const upstreams = service.upstreams.map((known) => {
     if (!isProbeDue(state, known, now)) return known;
     const { id, address } = known.upstream;
@@ -52,6 +51,8 @@
   effects: RoutingEffect[],
 ): RoutingState {
   if (!state.active || !state.leaseHeld) return state;
-  const services = state.services.map((service) => planServiceProbes(state, service, now, effects));
-  return { ...state, services };
+  return state.services.reduce((next, service, at) => {
+    if (!service.upstreams.some((known) => isProbeDue(next, known, now))) return next;
+    return withService(next, at, planServiceProbes(next, service, now, effects));
+  }, state);
 }
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -98,7 +98,10 @@
   readonly self: EntryId;
   readonly zone: ZoneId;
   readonly config: Config;
-  readonly memberIds: readonly EntryId[];
+  /** Hashes of the ids of the roster's members, in its order. */
+  readonly memberHashes: readonly number[];
+  /** Place of this entry in the roster, or -1. */
+  readonly selfAt: number;
   /** Members of the roster, those that join and leave included; at least 1. */
   readonly fleetSize: number;
   /** Whether this entry may use its shares of the fleet's allowances. */
@@ -128,7 +131,8 @@
     self: '',
     zone: '',
     config: emptyConfig,
-    memberIds: [],
+    memberHashes: [],
+    selfAt: -1,
     fleetSize: 1,
     active: false,
     leaseHeld: true,
