--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
   report: () => import('./report.js'),
   idle: () => import('./idle.js'),
   zone: () => import('./zone.js'),
+  decide: () => import('./decide.js'),
   policies: () => import('./policies.js'),
 };
 
