--- a/features/entry/whole.steps.ts
+++ b/features/entry/whole.steps.ts
@@ -46,6 +46,8 @@
 
 const STEPS = Number(process.env.STEPS ?? 600);
 const SEED = Number(process.env.SEED ?? 11);
+const BASE_TIMEOUT_MS = 20_000;
+const STEP_TIMEOUT_MS = 20;
 const CONNECTIONS = 12;
 const METHODS = ['GET', 'GET', 'HEAD', 'POST', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 const BODY_SIZES = [0, 10, 3000, 100_000] as const;
@@ -132,7 +134,7 @@
 
 When(
   'a seeded mix of requests is sent over kept connections',
-  { timeout: 600_000 },
+  { timeout: BASE_TIMEOUT_MS + STEPS * STEP_TIMEOUT_MS },
   async function (this: WholeWorld) {
     const agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS });
     const waiting = [...planRequests(STEPS, SEED)];
