Claim idempotency keys at a majority of three entries of the agreed roster

A view change carries the claims over: a member answers for an epoch only after it heard enough members of the latest complete epoch, each of which has left earlier epochs for good. A restarted member knows nothing and fetches first; keys whose claimants were lost together are refused for a lifetime.

--- /dev/null
+++ b/features/claims/claims.steps.ts
@@ -0,0 +1,413 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import assert from 'node:assert/strict';
+import { createClaims, type ClaimResult, type ClaimService } from '../../src/claims/index.js';
+import { emptyTable, getClaims, listClaims, replaceClaims } from '../../src/claims/table.js';
+import type { Roster, RosterMember } from '../../src/model/index.js';
+import { createMesh, type Mesh } from '../../src/wire/index.js';
+import { findFreePorts } from '../support/ports.js';
+import { ClaimNetwork, shortTimes, toAddress } from './network.js';
+
+interface ClaimsWorld {
+  network: ClaimNetwork;
+  count: number;
+  meshes: Mesh[];
+  services: ClaimService[];
+  results: ClaimResult[];
+}
+
+const SEED = 20261204;
+/** Milliseconds in which a claim ends in these scenarios. */
+const SETTLED_AFTER = 900;
+
+function listIndexes(count: number): number[] {
+  return Array.from({ length: count }, (_, at) => at);
+}
+
+function createNetwork(seed: number, count: number): ClaimNetwork {
+  const network = new ClaimNetwork(seed);
+  listIndexes(count).forEach((at) => {
+    network.start(at);
+  });
+  network.agree(listIndexes(count));
+  network.run(500);
+  return network;
+}
+
+function startAnew(network: ClaimNetwork, index: number): void {
+  const incarnation = network.process(index).incarnation + 1;
+  network.start(index, incarnation);
+}
+
+Given('{int} entries that answer for claims', function (this: ClaimsWorld, count: number) {
+  this.count = count;
+  this.network = createNetwork(SEED, count);
+});
+
+When(
+  'key {string} is claimed at entry {int}',
+  function (this: ClaimsWorld, key: string, at: number) {
+    const before = this.network.outcomes.length;
+    this.network.claim(at, key);
+    const started = this.network.now;
+    while (this.network.outcomes.length === before && this.network.now < started + SETTLED_AFTER)
+      this.network.run(2);
+  },
+);
+
+When(
+  'key {string} is claimed at entry {int} for another request',
+  function (this: ClaimsWorld, key: string, at: number) {
+    this.network.claim(at, key, 'another digest');
+    this.network.run(SETTLED_AFTER);
+  },
+);
+
+When(
+  'key {string} is claimed at entry {int} which freezes for {int} ms',
+  function (this: ClaimsWorld, key: string, at: number, freeze: number) {
+    this.network.claim(at, key, 'digest', 5000);
+    this.network.process(at).frozenUntil = this.network.now + freeze;
+    this.network.run(2000);
+  },
+);
+
+Then('every grant was still valid when it was given', function (this: ClaimsWorld) {
+  const grants = this.network.outcomes.flatMap(({ result, at }) =>
+    result.kind === 'granted' ? [{ validUntil: result.validUntil, at }] : [],
+  );
+  assert.ok(grants.every(({ validUntil, at }) => at < validUntil));
+  assert.equal(this.network.outcomes.length, 1);
+});
+
+When('{int} ms of claims pass', function (this: ClaimsWorld, milliseconds: number) {
+  this.network.run(milliseconds);
+});
+
+When(
+  /^the granted claim of "(.+)" is settled as (answered|not run)$/,
+  function (this: ClaimsWorld, key: string, how: string) {
+    const granted = this.network.outcomes.find(
+      (outcome) => outcome.key === key && outcome.result.kind === 'granted',
+    );
+    assert.ok(granted?.result.kind === 'granted');
+    const answer = { status: 201, headers: [], body: new Uint8Array([1]) };
+    const settlement =
+      how === 'answered' ? ({ kind: 'answered', ...answer } as const) : { kind: 'notRun' as const };
+    this.network.settle(granted.holder, granted.result.token, settlement);
+    this.network.run(50);
+  },
+);
+
+Then('the claims ended {string}', function (this: ClaimsWorld, kinds: string) {
+  assert.equal(this.network.outcomes.map(({ result }) => result.kind).join(' '), kinds);
+});
+
+Then(
+  'of {int} keys claimed at {int} entries at once each is granted once',
+  function (this: ClaimsWorld, keys: number, entries: number) {
+    const names = listIndexes(keys).map((at) => `key-${at}`);
+    names.forEach((key) => {
+      listIndexes(entries).forEach((at) => {
+        this.network.claim(at, key, 'digest', 2000);
+      });
+      this.network.run(5);
+    });
+    this.network.run(2000);
+    const granted = names.map(
+      (key) =>
+        this.network.outcomes.filter((o) => o.key === key && o.result.kind === 'granted').length,
+    );
+    assert.deepEqual(
+      granted,
+      names.map(() => 1),
+    );
+  },
+);
+
+When('entry {int} loses its claims', function (this: ClaimsWorld, index: number) {
+  startAnew(this.network, index);
+});
+
+When(
+  'each entry but {int} restarts from nothing in turn, under a new roster each time',
+  function (this: ClaimsWorld, kept: number) {
+    listIndexes(this.count)
+      .filter((at) => at !== kept)
+      .forEach((at) => {
+        startAnew(this.network, at);
+        this.network.agree(listIndexes(this.count));
+        this.network.run(1500);
+      });
+  },
+);
+
+When('the roster drops the entries of zone {int}', function (this: ClaimsWorld, zone: number) {
+  const left = this.network.view.members
+    .map(({ id }) => Number(id.slice('entry-'.length)))
+    .filter((at) => at % 3 !== zone);
+  this.network.agree(left);
+  this.network.run(1500);
+});
+
+When(
+  'the entries of zones {int} and {int} restart from nothing under a new roster',
+  function (this: ClaimsWorld, one: number, two: number) {
+    listIndexes(this.count)
+      .filter((at) => at % 3 === one || at % 3 === two)
+      .forEach((at) => {
+        startAnew(this.network, at);
+      });
+    this.network.agree(listIndexes(this.count));
+    this.network.run(1500);
+  },
+);
+
+When(
+  'entries {int} and {int} restart from nothing under a new roster',
+  function (this: ClaimsWorld, one: number, two: number) {
+    [one, two].forEach((at) => {
+      startAnew(this.network, at);
+    });
+    this.network.agree(listIndexes(this.count));
+    this.network.run(2500);
+  },
+);
+
+When(
+  '{int} keys are claimed at entry {int}',
+  function (this: ClaimsWorld, keys: number, at: number) {
+    listIndexes(keys).forEach((key) => {
+      this.network.claim(at, `key-${key}`);
+    });
+    this.network.run(SETTLED_AFTER);
+    assert.equal(countGranted(this.network), keys);
+  },
+);
+
+function countGranted(network: ClaimNetwork): number {
+  return network.outcomes.filter(({ result }) => result.kind === 'granted').length;
+}
+
+Then('none of the keys is granted again', function (this: ClaimsWorld) {
+  const keys = [...new Set(this.network.outcomes.map(({ key }) => key))];
+  const before = countGranted(this.network);
+  keys.forEach((key) => {
+    this.network.claim(3, key);
+  });
+  this.network.run(2000);
+  assert.equal(countGranted(this.network), before);
+});
+
+Then(
+  'some of {int} new keys are refused and most are granted',
+  function (this: ClaimsWorld, keys: number) {
+    const before = countGranted(this.network);
+    listIndexes(keys).forEach((key) => {
+      this.network.claim(4, `new-${key}`, 'digest', 2000);
+    });
+    this.network.run(2000);
+    const granted = countGranted(this.network) - before;
+    assert.ok(granted > keys / 2 && granted < keys, `${granted} of ${keys} were granted`);
+  },
+);
+
+When(
+  'the control cannot reach any entry for {int} ms',
+  function (this: ClaimsWorld, milliseconds: number) {
+    this.network.processes.forEach((process) => {
+      process.controlCut = true;
+    });
+    this.network.run(milliseconds);
+  },
+);
+
+When(
+  'the control cannot reach entries {int} and {int}',
+  function (this: ClaimsWorld, one: number, two: number) {
+    [one, two].forEach((at) => {
+      this.network.process(at).controlCut = true;
+    });
+  },
+);
+
+Then('no claim was granted', function (this: ClaimsWorld) {
+  assert.equal(countGranted(this.network), 0);
+});
+
+Then('every entry is ready', function (this: ClaimsWorld) {
+  [...this.network.processes.values()].forEach(({ state }) => {
+    assert.ok(state.ready, `${state.self} in epoch ${state.view.epoch}`);
+  });
+});
+
+/** What one randomised run did. */
+interface RunCount {
+  readonly sends: number;
+  readonly epochs: number;
+}
+
+/** Checks that sends of one key are a lifetime apart, less the validity of a grant. */
+function createSendCheck(network: ClaimNetwork, seed: number): { readonly count: () => number } {
+  const sent = new Map<string, number>();
+  let sends = 0;
+  network.onOutcome = ({ key, holder, result }) => {
+    if (result.kind !== 'granted') return;
+    const fate = network.pick(4);
+    if (fate === 0) {
+      network.settle(holder, result.token, { kind: 'notRun' });
+      return;
+    }
+    assert.ok(network.now < result.validUntil, 'a grant was given after its validity');
+    const before = sent.get(key) ?? -Infinity;
+    const apart = shortTimes.lifetime - shortTimes.validity;
+    assert.ok(network.now - before >= apart, `seed ${seed}: ${key} was sent twice`);
+    sent.set(key, network.now);
+    sends += 1;
+    if (fate === 1) network.settle(holder, result.token, { kind: 'unknown' });
+  };
+  return { count: () => sends };
+}
+
+function runSeed(seed: number, steps: number): RunCount {
+  const size = 7;
+  const network = createNetwork(seed, size);
+  const check = createSendCheck(network, seed);
+  network.doubleShare = 0.1;
+  network.lossShare = 0.02;
+  network.maxDelay = 15;
+  const keyCount = 40;
+  const faults: readonly (() => void)[] = [
+    () => network.cuts.add(`${toAddress(network.pick(size))}>${toAddress(network.pick(size))}`),
+    () => {
+      network.cuts.clear();
+    },
+    () => {
+      network.process(network.pick(size)).frozenUntil = network.now + network.pick(1500);
+    },
+    () => {
+      const process = network.process(network.pick(size));
+      process.controlCut = !process.controlCut;
+    },
+    () => {
+      startAnew(network, network.pick(size));
+      network.agree(listIndexes(size));
+    },
+    () => {
+      const zone = network.pick(4);
+      network.agree(listIndexes(size).filter((at) => at % 3 !== zone));
+    },
+    () => {
+      network.agree(listIndexes(size));
+    },
+  ];
+  listIndexes(steps).forEach(() => {
+    if (network.draw() < 0.3) faults[network.pick(faults.length)]?.();
+    listIndexes(1 + network.pick(3)).forEach(() => {
+      network.claim(network.pick(size), `key-${network.pick(keyCount)}`, 'digest', 1000);
+    });
+    network.run(network.pick(300));
+  });
+  network.cuts.clear();
+  network.lossShare = 0;
+  network.processes.forEach((process) => {
+    process.controlCut = false;
+  });
+  network.agree(listIndexes(size));
+  network.run(shortTimes.lifetime + shortTimes.staleAfter + 3000);
+  const before = network.outcomes.length;
+  listIndexes(size).forEach((at) => {
+    network.claim(at, `fresh-${at}`);
+  });
+  network.run(1000);
+  const kinds = network.outcomes.slice(before).map(({ result }) => result.kind);
+  assert.deepEqual(new Set(kinds), new Set(['granted']), `seed ${seed}: no progress in the end`);
+  return { sends: check.count(), epochs: network.view.epoch };
+}
+
+Then(
+  'seeded runs of claims under losses, cuts, freezes, restarts and new rosters send no key twice',
+  { timeout: -1 },
+  function () {
+    const seeds = Number(process.env.SEEDS ?? 4);
+    const steps = Number(process.env.STEPS ?? 120);
+    const counts = listIndexes(seeds).map((at) => runSeed(SEED + at, steps));
+    const sends = counts.reduce((sum, count) => sum + count.sends, 0);
+    const epochs = counts.reduce((sum, count) => sum + count.epochs, 0);
+    if (process.env.SEEDS !== undefined)
+      console.log(`${seeds} seeds, ${steps} steps each: ${sends} sends, ${epochs} epochs`);
+    assert.ok(sends > seeds * 10, `only ${sends} claims were granted`);
+  },
+);
+
+Given('three claim services over loopback', async function (this: ClaimsWorld) {
+  const ports = await findFreePorts(3);
+  const members = ports.map((port, at): RosterMember => {
+    const address = `127.0.0.1:${port}`;
+    const addresses = { peerAddress: address, callerAddress: address };
+    return { id: `entry-${at}`, zone: `z${at}`, ...addresses, incarnation: 1, phase: 'active' };
+  });
+  const roster: Roster = { epoch: 1, members };
+  const source = { roster, isFresh: () => true, onChange: () => undefined };
+  this.meshes = await Promise.all(
+    members.map(({ peerAddress }) =>
+      createMesh({ address: peerAddress, secret: 'the secret of the site' }),
+    ),
+  );
+  this.services = this.meshes.map((mesh, at) => {
+    const self = { id: `entry-${at}`, incarnation: 1, peerAddress: mesh.address };
+    const now = (): number => performance.now();
+    return createClaims({ mesh, self, source, now, random: () => 0.5 + at / 10 });
+  });
+});
+
+When(
+  'a key is claimed at the first, settled, and claimed at the second',
+  async function (this: ClaimsWorld) {
+    const [first, second] = this.services;
+    assert.ok(first !== undefined && second !== undefined);
+    const deadline = performance.now() + 2000;
+    const granted = await first.claim('hold-1', 'digest', deadline);
+    assert.ok(granted.kind === 'granted');
+    const answer = { status: 201, headers: ['a', 'b'], body: new Uint8Array([1, 2]) };
+    first.settle(granted.token, { kind: 'answered', ...answer });
+    const again = await second.claim('hold-1', 'digest', deadline);
+    const other = await second.claim('hold-1', 'other digest', deadline);
+    this.results = [again, other];
+  },
+);
+
+Then('the second claim replays the answer of the first', function (this: ClaimsWorld) {
+  const [again, other] = this.results;
+  assert.ok(again?.kind === 'settled');
+  assert.deepEqual([again.status, again.headers, [...again.body]], [201, ['a', 'b'], [1, 2]]);
+  assert.equal(other?.kind, 'mismatch');
+});
+
+After(async function (this: Partial<ClaimsWorld>) {
+  this.services?.forEach((service) => {
+    service.close();
+  });
+  await Promise.all((this.meshes ?? []).map((mesh) => mesh.close()));
+});
+
+Then('the claim table equals a plain map after any updates', function () {
+  const update = fc.tuple(fc.integer({ min: 0, max: 300 }), fc.boolean());
+  const check = (updates: readonly (readonly [number, boolean])[]): void => {
+    const plain = new Map<string, string>();
+    const table = updates.reduce((next, [at, present], index) => {
+      const key = `key-${at}`;
+      const token = `token-${index}`;
+      const claim = { token, digest: '', status: 'claimed', recordedAt: 0, runFor: 0 } as const;
+      if (present) plain.set(key, token);
+      else plain.delete(key);
+      return replaceClaims(next, key, present ? [claim] : []);
+    }, emptyTable);
+    assert.equal(table.size, plain.size);
+    assert.equal(listClaims(table).length, plain.size);
+    plain.forEach((token, key) => {
+      assert.equal(getClaims(table, key)[0]?.token, token);
+    });
+  };
+  fc.assert(fc.property(fc.array(update), check), { seed: SEED });
+});
--- /dev/null
+++ b/features/claims/network.ts
@@ -0,0 +1,181 @@
+/** A network of claim cores in virtual time, with an agreed roster, delays, cuts, freezes and restarts. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Address, Duration, Instant } from '../../src/model/index.js';
+import type { ClaimsMessage, View, ViewMember } from '../../src/generated/claims.js';
+import { createClaimsState, decideClaims } from '../../src/claims/decide.js';
+import type {
+  ClaimResult,
+  ClaimsEffect,
+  ClaimSettlement,
+  ClaimsEvent,
+  ClaimsState,
+  ClaimTimes,
+} from '../../src/claims/types.js';
+
+/** Times of the protocol, shortened so that lifetimes pass within a run. */
+export const shortTimes: ClaimTimes = {
+  ...{ lifetime: 20_000, validity: 500, retry: 20, patience: 80, maxWait: 800, staleAfter: 1000 },
+};
+
+/** Milliseconds of virtual time between two steps. */
+const STEP: Duration = 2;
+const TICK: Duration = 20;
+const ROSTER_PERIOD: Duration = 200;
+
+interface Parcel {
+  readonly at: Instant;
+  readonly from: Address;
+  readonly to: Address;
+  readonly message: ClaimsMessage;
+}
+
+export interface Process {
+  state: ClaimsState;
+  incarnation: number;
+  frozenUntil: Instant;
+  heardRoster: Instant;
+  /** Whether the control cannot reach this process. */
+  controlCut: boolean;
+}
+
+export interface Outcome {
+  readonly key: string;
+  readonly holder: number;
+  readonly result: ClaimResult;
+  readonly at: Instant;
+}
+
+export class ClaimNetwork {
+  readonly processes = new Map<Address, Process>();
+  readonly cuts = new Set<string>();
+  readonly outcomes: Outcome[] = [];
+  now: Instant = 0;
+  doubleShare = 0;
+  lossShare = 0;
+  maxDelay: Duration = 3;
+  view: View = { epoch: 0, members: [] };
+  /** Called with each claim that ended. */
+  onOutcome: (outcome: Outcome) => void = () => undefined;
+  #parcels: Parcel[] = [];
+  #requests = 0;
+  readonly #pending = new Map<string, string>();
+  #random;
+
+  constructor(seed: number) {
+    this.#random = xoroshiro128plus(seed);
+  }
+
+  draw(): number {
+    return (this.#random.next() >>> 0) / 2 ** 32;
+  }
+
+  pick(count: number): number {
+    return Math.floor(this.draw() * count);
+  }
+
+  /** Starts a process that knows nothing; the roster is told separately. */
+  start(index: number, incarnation = 1): void {
+    const peerAddress = toAddress(index);
+    const self = { id: `entry-${index}`, incarnation, peerAddress };
+    this.processes.set(peerAddress, {
+      ...{ state: createClaimsState(self, shortTimes, 1), incarnation },
+      ...{ frozenUntil: 0, heardRoster: this.now, controlCut: false },
+    });
+  }
+
+  /** Agrees on a new roster of the running processes among the given indexes. */
+  agree(indexes: readonly number[]): void {
+    const members = indexes.map((index): ViewMember => {
+      const peerAddress = toAddress(index);
+      const incarnation = this.processes.get(peerAddress)?.incarnation ?? 1;
+      const zone = `zone-${index % 3}`;
+      return { id: `entry-${index}`, zone, peerAddress, incarnation, active: true };
+    });
+    this.view = { epoch: this.view.epoch + 1, members };
+  }
+
+  claim(holder: number, key: string, digest = 'digest', runFor = 300): void {
+    this.#requests += 1;
+    const request = this.#requests;
+    const { now } = this;
+    const token = `${this.pick(1e6)}-${request}`;
+    this.#pending.set(`${toAddress(holder)}#${request}`, key);
+    const event = { request, key, digest, token, deadline: now + runFor, now };
+    this.apply(toAddress(holder), { kind: 'requested', ...event });
+  }
+
+  settle(holder: number, token: string, settlement: ClaimSettlement): void {
+    this.apply(toAddress(holder), { kind: 'ended', token, settlement, now: this.now });
+  }
+
+  process(index: number): Process {
+    const process = this.processes.get(toAddress(index));
+    if (process === undefined) throw new Error(`entry ${index} does not run`);
+    return process;
+  }
+
+  /** Advances virtual time. */
+  run(milliseconds: Duration): void {
+    const end = this.now + milliseconds;
+    while (this.now < end) {
+      this.now += STEP;
+      this.#deliverDue();
+      [...this.processes].forEach(([address, process], at) => {
+        if (process.frozenUntil > this.now) return;
+        const phase = this.now + at * STEP;
+        if (phase % ROSTER_PERIOD < STEP && !process.controlCut) {
+          process.heardRoster = this.now;
+          this.apply(address, { kind: 'viewChanged', view: this.view, now: this.now });
+        }
+        if (phase % TICK < STEP) this.apply(address, { kind: 'ticked', now: this.now });
+      });
+    }
+  }
+
+  apply(address: Address, event: ClaimsEvent): void {
+    const process = this.processes.get(address);
+    if (process === undefined) return;
+    const { state, effects } = decideClaims(process.state, event);
+    process.state = state;
+    effects.forEach((effect) => {
+      this.#carryOut(address, effect);
+    });
+  }
+
+  #deliverDue(): void {
+    const due = this.#parcels.filter(({ at }) => at <= this.now);
+    this.#parcels = this.#parcels.filter(({ at }) => at > this.now);
+    due.forEach((parcel) => {
+      const process = this.processes.get(parcel.to);
+      if (process === undefined) return;
+      if (process.frozenUntil > this.now) {
+        this.#parcels.push({ ...parcel, at: process.frozenUntil });
+        return;
+      }
+      const fresh = this.now - process.heardRoster <= shortTimes.staleAfter;
+      const { from, message } = parcel;
+      this.apply(parcel.to, { kind: 'received', from, message, fresh, now: this.now });
+    });
+  }
+
+  #carryOut(from: Address, effect: ClaimsEffect): void {
+    if (effect.kind === 'resolve') {
+      const key = this.#pending.get(`${from}#${effect.request}`) ?? '';
+      const holder = Number(from.split('.')[3]?.split(':')[0]);
+      const outcome = { key, holder, result: effect.result, at: this.now };
+      this.outcomes.push(outcome);
+      this.onOutcome(outcome);
+      return;
+    }
+    if (this.cuts.has(`${from}>${effect.to}`) || this.draw() < this.lossShare) return;
+    const copies = this.draw() < this.doubleShare ? 2 : 1;
+    Array.from({ length: copies }).forEach(() => {
+      const at = this.now + 1 + this.draw() * this.maxDelay;
+      this.#parcels.push({ at, from, to: effect.to, message: effect.message });
+    });
+  }
+}
+
+export function toAddress(index: number): Address {
+  return `10.0.0.${index}:7400`;
+}
--- /dev/null
+++ b/src/claims/claimant.ts
@@ -0,0 +1,131 @@
+/**
+ * What a claimant does with the claims of others. Invariant: it records a token only while it knows no other
+ * live token for the key, and only for the epoch that it entered last and is ready in.
+ */
+import type { Address, Instant, Transition } from '../model/index.js';
+import { checkInvariant } from '../model/index.js';
+import type { Claim, ClaimRecord, ClaimsMessage, Settle } from '../generated/claims.js';
+import { chooseClaimants, hasKey } from './claimants.js';
+import { BUCKET_COUNT, getClaims, pruneBucket, replaceClaims } from './table.js';
+import type { ClaimsEffect, ClaimsState, StoredClaim } from './types.js';
+
+type Step = Transition<ClaimsState, ClaimsEffect>;
+
+/** Ticks in which the whole table is swept once. */
+const SWEEP_TICKS = 1024;
+
+/** Builds a step that only sends a message. */
+export function sendTo(state: ClaimsState, to: Address, message: ClaimsMessage): Step {
+  return { state, effects: [{ kind: 'send', to, message }] };
+}
+
+/** Returns the claims of a key whose lifetime has not passed. */
+export function listLive(state: ClaimsState, key: string, now: Instant): readonly StoredClaim[] {
+  return getClaims(state.table, key).filter(
+    ({ recordedAt }) => now - recordedAt <= state.times.lifetime,
+  );
+}
+
+/** Answers a holder that asks for a claim. */
+export function handleClaim(
+  state: ClaimsState,
+  from: Address,
+  message: Claim,
+  fresh: boolean,
+  now: Instant,
+): Step {
+  const { request, token, key } = message;
+  if (!isRecordable(state, message, fresh)) return refuseClaim(state, from, message);
+  const dropped = message.superseded.reduce((next, old) => cancelToken(next, key, old, now), state);
+  const claims = listLive(dropped, key, now);
+  const own = claims.find((claim) => claim.token === token);
+  if (own !== undefined && own.status !== 'claimed') return { state: dropped, effects: [] };
+  const rival = claims.find((claim) => claim.token !== token && claim.status !== 'withdrawn');
+  if (rival !== undefined) {
+    const holder = toRecord(rival, now);
+    return sendTo(dropped, from, { kind: 'held', request, token, holder });
+  }
+  const recorded = own === undefined ? recordToken(dropped, message, now) : dropped;
+  const { epoch } = message;
+  return sendTo(recorded, from, { kind: 'accepted', request, epoch, token });
+}
+
+function isRecordable(state: ClaimsState, message: Claim, fresh: boolean): boolean {
+  if (!fresh || !state.ready || message.epoch !== state.view.epoch) return false;
+  if (!isKnown(state, message.key)) return false;
+  return chooseClaimants(state.view, message.key).some(
+    (member) => member.id === state.self && member.incarnation === state.incarnation,
+  );
+}
+
+/** Tells whether no gap may hide an earlier grant of the key. */
+function isKnown(state: ClaimsState, key: string): boolean {
+  return state.gaps.every(({ view, heard }) =>
+    hasKey(view, key, (member) => heard.includes(member.peerAddress)),
+  );
+}
+
+function refuseClaim(state: ClaimsState, from: Address, message: Claim): Step {
+  const { request } = message;
+  const newer = state.view.epoch > message.epoch;
+  const refusal = { kind: 'notReady', request } as const;
+  return sendTo(state, from, newer ? { ...refusal, view: state.view } : refusal);
+}
+
+function recordToken(state: ClaimsState, message: Claim, now: Instant): ClaimsState {
+  const { key, token, digest, runFor } = message;
+  checkInvariant(
+    listLive(state, key, now).every((claim) => claim.status === 'withdrawn'),
+    `claimant ${state.self} recorded a second token for one key`,
+  );
+  const claim: StoredClaim = { token, digest, status: 'claimed', recordedAt: now, runFor };
+  return replaceToken(state, key, claim);
+}
+
+/** Adds or replaces the claim of one token. */
+export function replaceToken(state: ClaimsState, key: string, claim: StoredClaim): ClaimsState {
+  const others = getClaims(state.table, key).filter(({ token }) => token !== claim.token);
+  return { ...state, table: replaceClaims(state.table, key, [...others, claim]) };
+}
+
+/** Marks a token that its holder will never use. */
+export function cancelToken(
+  state: ClaimsState,
+  key: string,
+  token: string,
+  now: Instant,
+): ClaimsState {
+  const known = getClaims(state.table, key).find((claim) => claim.token === token);
+  if (known?.status === 'withdrawn') return state;
+  checkInvariant(
+    known === undefined || known.status === 'claimed',
+    `token ${token} was withdrawn after its request had ended`,
+  );
+  const blank = { token, digest: '', recordedAt: now, runFor: 0 };
+  return replaceToken(state, key, { ...(known ?? blank), status: 'withdrawn' });
+}
+
+/** Records how a granted request ended. */
+export function recordSettlement(state: ClaimsState, message: Settle, now: Instant): ClaimsState {
+  const { key, token, digest, status, runFor, answer } = message;
+  if (status === 'withdrawn') return cancelToken(state, key, token, now);
+  const known = getClaims(state.table, key).find((claim) => claim.token === token);
+  const recordedAt = known?.recordedAt ?? now;
+  const ended: StoredClaim = { token, digest, status, recordedAt, runFor };
+  return replaceToken(state, key, answer === undefined ? ended : { ...ended, answer });
+}
+
+/** Returns a claim as it is sent, with its age as of now. */
+export function toRecord(claim: StoredClaim, now: Instant): ClaimRecord {
+  const { recordedAt, ...content } = claim;
+  return { ...content, age: now - recordedAt };
+}
+
+/** Drops expired claims from the next few buckets. */
+export function pruneTable(state: ClaimsState, now: Instant): ClaimsState {
+  const count = Math.ceil(BUCKET_COUNT / SWEEP_TICKS);
+  const indexes = Array.from({ length: count }, (_, at) => (state.sweep + at) % BUCKET_COUNT);
+  const keeps = (claim: StoredClaim): boolean => now - claim.recordedAt <= state.times.lifetime;
+  const table = indexes.reduce((next, index) => pruneBucket(next, index, keeps), state.table);
+  return { ...state, table, sweep: (state.sweep + count) % BUCKET_COUNT };
+}
--- /dev/null
+++ b/src/claims/holder.ts
@@ -0,0 +1,283 @@
+/**
+ * What an entry does to get a claim for a caller. Invariant: a token is granted only when a majority of
+ * the key's claimants in one epoch recorded it, and a token that was given up is never granted.
+ */
+import type { Address, Duration, Instant, Transition } from '../model/index.js';
+import { checkInvariant } from '../model/index.js';
+import type {
+  Accepted,
+  ClaimRecord,
+  ClaimStatus,
+  Held,
+  Settled,
+  StoredAnswer,
+} from '../generated/claims.js';
+import { chooseClaimants, countMajority } from './claimants.js';
+import type {
+  Attempt,
+  ClaimResult,
+  ClaimsEffect,
+  ClaimSettlement,
+  ClaimsState,
+  PendingSettlement,
+} from './types.js';
+
+type Step = Transition<ClaimsState, ClaimsEffect>;
+
+/** Times that the end of a request is sent to claimants that do not confirm it. */
+const MAX_SETTLE_SENDS = 8;
+/** Retries of a claim in the time after which an unconfirmed end is sent again. */
+const SETTLE_RETRIES = 4;
+
+/** What a caller asks for. */
+export interface ClaimRequest {
+  readonly request: number;
+  readonly key: string;
+  readonly digest: string;
+  readonly token: string;
+  readonly deadline: Instant;
+}
+
+/** Starts to claim a key. */
+export function startAttempt(state: ClaimsState, wanted: ClaimRequest, now: Instant): Step {
+  const { request, key, digest, token, deadline } = wanted;
+  const attempt: Attempt = {
+    ...{ request, key, digest, token, deadline, superseded: [], requestedAt: now },
+    ...{ startedAt: now, sentAt: now, claimants: listClaimants(state, key), former: [] },
+    ...{ accepted: new Set(), held: new Map() },
+  };
+  return sendClaims(state, attempt, now);
+}
+
+function listClaimants(state: ClaimsState, key: string): readonly Address[] {
+  return chooseClaimants(state.view, key).map((member) => member.peerAddress);
+}
+
+/** Starts every attempt anew in the epoch just entered; their earlier tokens are given up. */
+export function renewAttempts(state: ClaimsState, now: Instant): Step {
+  return [...state.attempts.values()].reduce<Step>(
+    (step, attempt) => {
+      const renewed = renewAttempt(step.state, attempt, now);
+      return { state: renewed.state, effects: [...step.effects, ...renewed.effects] };
+    },
+    { state, effects: [] },
+  );
+}
+
+function renewAttempt(state: ClaimsState, attempt: Attempt, now: Instant): Step {
+  const [base = attempt.token] = attempt.token.split('/');
+  const superseded = [...attempt.superseded, attempt.token];
+  const renewed: Attempt = {
+    ...attempt,
+    ...{ token: `${base}/${superseded.length}`, superseded, startedAt: now },
+    ...{ accepted: new Set(), held: new Map() },
+    claimants: listClaimants(state, attempt.key),
+    former: [...new Set([...attempt.former, ...attempt.claimants])],
+  };
+  return sendClaims(state, renewed, now);
+}
+
+function sendClaims(state: ClaimsState, attempt: Attempt, now: Instant): Step {
+  const { request, key, digest, token, superseded, deadline } = attempt;
+  const runFor = Math.max(0, deadline - now);
+  const { epoch } = state.view;
+  const message = {
+    kind: 'claim',
+    request,
+    epoch,
+    key,
+    digest,
+    token,
+    runFor,
+    superseded,
+  } as const;
+  const effects = attempt.claimants
+    .filter((to) => !attempt.accepted.has(to))
+    .map((to) => ({ kind: 'send', to, message }) as const);
+  return { state: replaceAttempt(state, { ...attempt, sentAt: now }), effects };
+}
+
+function replaceAttempt(state: ClaimsState, attempt: Attempt): ClaimsState {
+  return { ...state, attempts: new Map(state.attempts).set(attempt.request, attempt) };
+}
+
+/** Counts a claimant that recorded the token. */
+export function handleAccepted(
+  state: ClaimsState,
+  from: Address,
+  message: Accepted,
+  now: Instant,
+): Step {
+  const attempt = state.attempts.get(message.request);
+  const current = attempt?.token === message.token && message.epoch === state.view.epoch;
+  if (!current || !attempt.claimants.includes(from)) return { state, effects: [] };
+  const accepted = new Set([...attempt.accepted, from]);
+  const held = new Map([...attempt.held].filter(([address]) => address !== from));
+  return judgeAttempt(state, { ...attempt, accepted, held }, now);
+}
+
+/** Notes a claimant that knows another token. */
+export function handleHeld(state: ClaimsState, from: Address, message: Held, now: Instant): Step {
+  const attempt = state.attempts.get(message.request);
+  const current = attempt?.token === message.token && attempt.claimants.includes(from);
+  if (!current || attempt.accepted.has(from)) return { state, effects: [] };
+  const held = new Map(attempt.held).set(from, message.holder);
+  return judgeAttempt(state, { ...attempt, held }, now);
+}
+
+/** Decides whether an attempt has ended. */
+function judgeAttempt(state: ClaimsState, attempt: Attempt, now: Instant): Step {
+  const { claimants, accepted, held, startedAt } = attempt;
+  const majority = countMajority(claimants.length);
+  const noted = replaceAttempt(state, attempt);
+  if (claimants.length > 0 && accepted.size >= majority) {
+    if (now - startedAt < state.times.validity) return grantAttempt(noted, attempt);
+    return renewAttempt(noted, attempt, now);
+  }
+  const records = [...held.values()];
+  const waited = now - attempt.requestedAt;
+  const expired = waited >= state.times.maxWait || now >= attempt.deadline;
+  const answered = records.some(({ status }) => status === 'answered' || status === 'unknown');
+  const lost = records.some(
+    ({ token }) => records.filter((record) => record.token === token).length >= majority,
+  );
+  const blocked = held.size > claimants.length - majority;
+  const outranked = records.some(({ token }) => token < attempt.token);
+  const givesWay = outranked && (blocked || (held.size > 0 && waited >= state.times.patience));
+  if (answered || lost || givesWay || expired)
+    return closeAttempt(noted, attempt, describeHolder(attempt));
+  return { state: noted, effects: [] };
+}
+
+function grantAttempt(state: ClaimsState, attempt: Attempt): Step {
+  const { key, digest, token, deadline } = attempt;
+  checkInvariant(!attempt.superseded.includes(token), `token ${token} was given up and granted`);
+  const validUntil = attempt.startedAt + state.times.validity;
+  const granted = new Map(state.granted).set(token, { key, digest, validUntil, deadline });
+  const closed = closeAttempt(state, attempt, { kind: 'granted', token, validUntil });
+  return { state: { ...closed.state, granted }, effects: closed.effects };
+}
+
+/** Ends an attempt and withdraws every token of it that was not granted. */
+function closeAttempt(state: ClaimsState, attempt: Attempt, result: ClaimResult): Step {
+  const { request, key, superseded, token } = attempt;
+  const attempts = new Map([...state.attempts].filter(([id]) => id !== request));
+  const tokens = result.kind === 'granted' ? superseded : [...superseded, token];
+  const targets = [...new Set([...attempt.claimants, ...attempt.former])];
+  const withdrawals = tokens.flatMap((old) =>
+    targets.map((to): ClaimsEffect => ({
+      kind: 'send',
+      to,
+      message: { kind: 'withdraw', key, token: old },
+    })),
+  );
+  const effects: readonly ClaimsEffect[] = [...withdrawals, { kind: 'resolve', request, result }];
+  return { state: { ...state, attempts }, effects };
+}
+
+/** Tells the caller what stands in the way of its claim. */
+function describeHolder(attempt: Attempt): ClaimResult {
+  const records = [...attempt.held.values()];
+  const [first] = [...records].sort((a, b) => computeRank(b) - computeRank(a));
+  if (first === undefined) return { kind: 'unavailable', reason: describeSilence(attempt) };
+  if (first.digest !== attempt.digest) return { kind: 'mismatch' };
+  if (first.status === 'answered' && first.answer !== undefined)
+    return { kind: 'settled', ...first.answer };
+  const running = first.status === 'claimed' && first.age <= first.runFor;
+  return running ? { kind: 'running' } : { kind: 'unknown' };
+}
+
+function computeRank({ status }: ClaimRecord): number {
+  return status === 'answered' ? 2 : Number(status === 'unknown');
+}
+
+function describeSilence({ claimants, accepted }: Attempt): string {
+  if (claimants.length === 0) return 'no agreed roster of entries is known yet; try again soon';
+  const needed = countMajority(claimants.length);
+  return `${accepted.size} of the ${needed} entries needed recorded the key; try again soon`;
+}
+
+/** Sends unanswered claims and ends again, and ends attempts whose time is over. */
+export function advanceHolder(state: ClaimsState, now: Instant): Step {
+  const due = (sentAt: Instant, after: Duration): boolean => now - sentAt >= after;
+  const start: Step = { state: dropOldGrants(state, now), effects: [] };
+  const attempted = [...state.attempts.values()].reduce<Step>((step, attempt) => {
+    const judged = judgeAttempt(step.state, attempt, now);
+    const open = judged.state.attempts.get(attempt.request);
+    const sent =
+      open !== undefined && due(open.sentAt, state.times.retry)
+        ? sendClaims(judged.state, open, now)
+        : { state: judged.state, effects: [] };
+    return { state: sent.state, effects: [...step.effects, ...judged.effects, ...sent.effects] };
+  }, start);
+  return [...state.settlements.values()]
+    .filter(({ sentAt }) => due(sentAt, state.times.retry * SETTLE_RETRIES))
+    .reduce<Step>((step, pending) => {
+      const sent = sendSettlement(step.state, pending, now);
+      return { state: sent.state, effects: [...step.effects, ...sent.effects] };
+    }, attempted);
+}
+
+function dropOldGrants(state: ClaimsState, now: Instant): ClaimsState {
+  const kept = [...state.granted].filter(
+    ([, grant]) => now - Math.max(grant.deadline, grant.validUntil) <= state.times.lifetime,
+  );
+  return kept.length === state.granted.size ? state : { ...state, granted: new Map(kept) };
+}
+
+/** Tells the claimants how a granted request ended. */
+export function finishGrant(
+  state: ClaimsState,
+  token: string,
+  settlement: ClaimSettlement,
+  now: Instant,
+): Step {
+  const grant = state.granted.get(token);
+  if (grant === undefined) return { state, effects: [] };
+  const granted = new Map([...state.granted].filter(([key]) => key !== token));
+  const { key, digest } = grant;
+  const pending: PendingSettlement = {
+    ...{ key, token, digest, sentAt: now, sends: 0, confirmed: new Set() },
+    status: toStatus(settlement),
+    answer: settlement.kind === 'answered' ? toAnswer(settlement) : undefined,
+  };
+  return sendSettlement({ ...state, granted }, pending, now);
+}
+
+function toAnswer({ status, headers, body }: StoredAnswer): StoredAnswer {
+  return { status, headers, body };
+}
+
+function toStatus({ kind }: ClaimSettlement): ClaimStatus {
+  return kind === 'notRun' ? 'withdrawn' : kind;
+}
+
+function sendSettlement(state: ClaimsState, pending: PendingSettlement, now: Instant): Step {
+  const { key, token, digest, status, answer, confirmed } = pending;
+  const targets = listClaimants(state, key).filter((to) => !confirmed.has(to));
+  const over = pending.sends >= MAX_SETTLE_SENDS || targets.length === 0;
+  if (over) return { state: dropSettlement(state, token), effects: [] };
+  const base = { kind: 'settle', key, token, digest, status, runFor: 0 } as const;
+  const message = answer === undefined ? base : { ...base, answer };
+  const sent = { ...pending, sentAt: now, sends: pending.sends + 1 };
+  const settlements = new Map(state.settlements).set(token, sent);
+  const effects = targets.map((to) => ({ kind: 'send', to, message }) as const);
+  return { state: { ...state, settlements }, effects };
+}
+
+function dropSettlement(state: ClaimsState, token: string): ClaimsState {
+  const settlements = new Map([...state.settlements].filter(([key]) => key !== token));
+  return { ...state, settlements };
+}
+
+/** Notes a claimant that recorded the end of a request. */
+export function handleSettled(state: ClaimsState, from: Address, message: Settled): Step {
+  const pending = state.settlements.get(message.token);
+  if (pending === undefined) return { state, effects: [] };
+  const confirmed = new Set([...pending.confirmed, from]);
+  const claimants = listClaimants(state, pending.key);
+  if (claimants.every((address) => confirmed.has(address)))
+    return { state: dropSettlement(state, message.token), effects: [] };
+  const settlements = new Map(state.settlements).set(message.token, { ...pending, confirmed });
+  return { state: { ...state, settlements }, effects: [] };
+}
--- /dev/null
+++ b/src/claims/index.ts
@@ -0,0 +1,9 @@
+/** At most once: claims of idempotency keys at a few entries of the agreed roster. */
+export {
+  createClaims,
+  type ClaimService,
+  type ClaimsOptions,
+  type RosterSource,
+} from './service.js';
+export type { ClaimsSelf } from './decide.js';
+export { defaultTimes, type ClaimResult, type ClaimSettlement, type ClaimTimes } from './types.js';
--- /dev/null
+++ b/src/claims/service.ts
@@ -0,0 +1,196 @@
+/**
+ * Runs the claim protocol over the mesh. Invariant: every event goes through {@link decideClaims}, one
+ * after another; a granted claim names the instant after which it may not be used.
+ */
+import { createHash } from 'node:crypto';
+import type { Duration, Instant, Roster } from '../model/index.js';
+import type { ClaimsMessage, View } from '../generated/claims.js';
+import type { Mesh } from '../wire/index.js';
+import { createClaimsState, decideClaims, type ClaimsSelf } from './decide.js';
+import {
+  defaultTimes,
+  type ClaimResult,
+  type ClaimsEffect,
+  type ClaimSettlement,
+  type ClaimsEvent,
+  type ClaimsState,
+  type ClaimTimes,
+} from './types.js';
+
+const CHANNEL = 'claims';
+/** Milliseconds between two ticks. */
+const TICK: Duration = 50;
+/** Bytes of an answer's body that are kept to be replayed. */
+const MAX_ANSWER_BYTES = 4096;
+/** Characters of the hashes that stand for keys and request digests. */
+const HASH_LENGTH = 22;
+/** Range of the random part of a token. */
+const TOKEN_RANGE = 2 ** 48;
+
+/** The agreed roster as the claim protocol needs it. */
+export interface RosterSource {
+  readonly roster: Roster;
+  /** Tells whether the roster is known to be current, as by a lease that runs. */
+  readonly isFresh: (now: Instant) => boolean;
+  readonly onChange: (listener: () => void) => void;
+  /**
+   * The last epoch that is known to have had no grants before it; 1 if absent. In later epochs the members
+   * fetch earlier claims from each other first.
+   */
+  readonly genesisEpoch?: number;
+}
+
+/** What {@link createClaims} needs to know. */
+export interface ClaimsOptions {
+  readonly mesh: Mesh;
+  readonly self: ClaimsSelf;
+  readonly source: RosterSource;
+  /** Reads the monotonic clock. */
+  readonly now: () => Instant;
+  /** Returns a number from 0 to 1; it must differ between entries. */
+  readonly random: () => number;
+  readonly times?: Partial<ClaimTimes>;
+}
+
+/** Grants each idempotency key at most once in the fleet. */
+export interface ClaimService {
+  /** Claims a key for a request; `digest` tells requests with the same key apart. */
+  claim(key: string, digest: string, deadline: Instant): Promise<ClaimResult>;
+  /** Records how a granted request ended. */
+  settle(token: string, settlement: ClaimSettlement): void;
+  /** Whether this entry answers for claims in the current epoch. */
+  readonly isReady: boolean;
+  /** Claims that this entry remembers for others. */
+  readonly size: number;
+  /** Refuses open claims and stops. */
+  close(): void;
+}
+
+class ClaimProtocol implements ClaimService {
+  readonly #options: ClaimsOptions;
+  readonly #waiting = new Map<number, (result: ClaimResult) => void>();
+  readonly #timer: NodeJS.Timeout;
+  #state: ClaimsState;
+  #requests = 0;
+  #closed = false;
+
+  private constructor(options: ClaimsOptions) {
+    this.#options = options;
+    const times = { ...defaultTimes, ...options.times };
+    const genesisEpoch = options.source.genesisEpoch ?? 1;
+    this.#state = createClaimsState(options.self, times, genesisEpoch);
+    options.mesh.handle(CHANNEL, (from, message) => {
+      const now = this.#options.now();
+      const fresh = this.#options.source.isFresh(now);
+      this.#apply({ kind: 'received', from, message: message as ClaimsMessage, fresh, now });
+    });
+    options.source.onChange(() => {
+      this.#enterRoster();
+    });
+    this.#timer = setInterval(() => {
+      this.#apply({ kind: 'ticked', now: this.#options.now() });
+    }, TICK);
+    this.#timer.unref();
+    this.#enterRoster();
+  }
+
+  static create(options: ClaimsOptions): ClaimProtocol {
+    return new ClaimProtocol(options);
+  }
+
+  get isReady(): boolean {
+    return this.#state.ready;
+  }
+
+  get size(): number {
+    return this.#state.table.size;
+  }
+
+  claim(key: string, digest: string, deadline: Instant): Promise<ClaimResult> {
+    if (this.#closed) return Promise.resolve({ kind: 'unavailable', reason: 'the entry stops' });
+    this.#requests += 1;
+    const request = this.#requests;
+    return new Promise((resolve) => {
+      this.#waiting.set(request, resolve);
+      const hashes = { key: hashValue(key), digest: hashValue(digest) };
+      const now = this.#options.now();
+      const token = this.#createToken();
+      this.#apply({ kind: 'requested', request, ...hashes, token, deadline, now });
+    });
+  }
+
+  settle(token: string, settlement: ClaimSettlement): void {
+    const tooLarge =
+      settlement.kind === 'answered' && settlement.body.byteLength > MAX_ANSWER_BYTES;
+    const kept: ClaimSettlement = tooLarge ? { kind: 'unknown' } : settlement;
+    this.#apply({ kind: 'ended', token, settlement: kept, now: this.#options.now() });
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    this.#closed = true;
+    this.#waiting.forEach((resolve) => {
+      resolve({ kind: 'unavailable', reason: 'the entry stops' });
+    });
+    this.#waiting.clear();
+  }
+
+  /** The random part goes first, so that no entry is always the earlier one of two rivals. */
+  #createToken(): string {
+    const { id, incarnation } = this.#options.self;
+    const random = Math.floor(this.#options.random() * TOKEN_RANGE).toString(36);
+    return `${random}-${id}-${incarnation.toString(36)}-${this.#requests.toString(36)}`;
+  }
+
+  #enterRoster(): void {
+    const view = toView(this.#options.source.roster);
+    this.#apply({ kind: 'viewChanged', view, now: this.#options.now() });
+  }
+
+  #apply(event: ClaimsEvent): void {
+    if (this.#closed) return;
+    const { state, effects } = decideClaims(this.#state, event);
+    this.#state = state;
+    effects.forEach((effect) => {
+      this.#carryOut(effect);
+    });
+  }
+
+  #carryOut(effect: ClaimsEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        this.#options.mesh.send(effect.to, CHANNEL, effect.message);
+        break;
+      case 'resolve':
+        this.#waiting.get(effect.request)?.(effect.result);
+        this.#waiting.delete(effect.request);
+        break;
+    }
+  }
+}
+
+function hashValue(value: string): string {
+  return createHash('sha256').update(value).digest('base64url').slice(0, HASH_LENGTH);
+}
+
+/** Returns what claims need of a roster. */
+export function toView({ epoch, members }: Roster): View {
+  return {
+    epoch,
+    members: members.map(({ id, zone, peerAddress, incarnation, phase }) => ({
+      ...{ id, zone, peerAddress, incarnation, active: phase === 'active' },
+    })),
+  };
+}
+
+/**
+ * Starts the claim protocol.
+ *
+ * @example
+ * const claims = createClaims({ mesh, self, source, now, random: Math.random });
+ * const result = await claims.claim(key, digest, deadline);
+ * if (result.kind === 'granted' && now() < result.validUntil) sendRequest();
+ */
+export function createClaims(options: ClaimsOptions): ClaimService {
+  return ClaimProtocol.create(options);
+}
--- /dev/null
+++ b/src/claims/table.ts
@@ -0,0 +1,94 @@
+/**
+ * An immutable map from keys to claims whose updates copy only a small part. Invariant: a key lives in the
+ * bucket that its hash names.
+ */
+import type { StoredClaim } from './types.js';
+
+type Bucket = ReadonlyMap<string, readonly StoredClaim[]>;
+type Branch = readonly (Bucket | undefined)[];
+
+const FAN_OUT = 64;
+/** Number of buckets; a sweep visits them one by one. */
+export const BUCKET_COUNT = FAN_OUT * FAN_OUT;
+
+/** All claims of one claimant. */
+export interface ClaimTable {
+  readonly size: number;
+  readonly branches: readonly (Branch | undefined)[];
+}
+
+/** The table without claims. */
+export const emptyTable: ClaimTable = {
+  size: 0,
+  branches: new Array<undefined>(FAN_OUT).fill(undefined),
+};
+const emptyBranch: Branch = new Array<undefined>(FAN_OUT).fill(undefined);
+const emptyBucket: Bucket = new Map();
+
+/** Hashes a text to 32 bits (FNV-1a with a final mix). */
+export function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  let at = 0;
+  while (at < text.length) {
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+    at += 1;
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  return (hash ^ (hash >>> 13)) >>> 0;
+}
+
+function findBucket(table: ClaimTable, index: number): Bucket {
+  return table.branches[Math.floor(index / FAN_OUT)]?.[index % FAN_OUT] ?? emptyBucket;
+}
+
+function replaceBucket(table: ClaimTable, index: number, bucket: Bucket): ClaimTable {
+  const before = findBucket(table, index);
+  const at = Math.floor(index / FAN_OUT);
+  const branch = (table.branches[at] ?? emptyBranch).with(index % FAN_OUT, bucket);
+  return {
+    size: table.size + bucket.size - before.size,
+    branches: table.branches.with(at, branch),
+  };
+}
+
+/** Returns the claims of a key. */
+export function getClaims(table: ClaimTable, key: string): readonly StoredClaim[] {
+  return findBucket(table, hashText(key) % BUCKET_COUNT).get(key) ?? [];
+}
+
+/** Replaces the claims of a key. */
+export function replaceClaims(
+  table: ClaimTable,
+  key: string,
+  claims: readonly StoredClaim[],
+): ClaimTable {
+  const index = hashText(key) % BUCKET_COUNT;
+  const bucket = new Map(findBucket(table, index));
+  if (claims.length > 0) bucket.set(key, claims);
+  else bucket.delete(key);
+  return replaceBucket(table, index, bucket);
+}
+
+/** Keeps only the claims of one bucket that pass the test. */
+export function pruneBucket(
+  table: ClaimTable,
+  index: number,
+  keeps: (claim: StoredClaim) => boolean,
+): ClaimTable {
+  const bucket = findBucket(table, index);
+  const expired = [...bucket.values()].some((claims) => !claims.every(keeps));
+  if (!expired) return table;
+  const kept = [...bucket]
+    .map(([key, claims]) => [key, claims.filter(keeps)] as const)
+    .filter(([, claims]) => claims.length > 0);
+  return replaceBucket(table, index, new Map(kept));
+}
+
+/** Returns every key with its claims. */
+export function listClaims(
+  table: ClaimTable,
+): readonly (readonly [string, readonly StoredClaim[]])[] {
+  return table.branches.flatMap((branch) =>
+    (branch ?? []).flatMap((bucket) => (bucket === undefined ? [] : [...bucket])),
+  );
+}
