Judge crashes by the rule of the routing decisions, on certain ends of upstreams

Cause: two rules for the same judgement. Membership now only keeps and spreads the reports; suspects are announced so that entries report their good ends.

--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -123,17 +123,37 @@
 
   Scenario: Innocent requests on crashed upstreams are not condemned
     Given 6 entries in 3 zones
-    And the fingerprint "popular" was answered at entry 5 just now
     When the fingerprint "killer" crashes upstreams "a b" as seen by entry 1
     And the fingerprint "killer" crashes upstreams "c d" as seen by entry 2
     And the fingerprint "popular" crashes upstreams "a b" as seen by entry 1
     And the fingerprint "popular" crashes upstreams "c d" as seen by entry 2
     And the fingerprint "rare" crashes upstreams "a b" as seen by entry 1
-    And 1500 ms of membership pass
+    And 1000 ms of membership pass
+    And a request with the fingerprint "popular" ends well at entry 5
+    And 1000 ms of membership pass
     Then every entry refuses "killer"
     And no entry refuses "popular"
     And no entry refuses "rare"
 
+  Scenario: Lost connections to upstreams that run on condemn nothing
+    Given 6 entries in 3 zones
+    And upstream "u1" renews at entry 0 from now on
+    And upstream "u2" renews at entry 1 from now on
+    And upstream "u3" renews at entry 2 from now on
+    And 4000 ms of membership pass
+    When the fingerprint "unlucky" crashes upstreams "u1 u2 u3" as seen by entry 1
+    And 10000 ms of membership pass
+    Then no entry refuses "unlucky"
+
+  Scenario: A request that ends well after all is no longer refused
+    Given 6 entries in 3 zones
+    When the fingerprint "fixed" crashes upstreams "a b c" as seen by entry 1
+    And 1000 ms of membership pass
+    Then every entry refuses "fixed"
+    When a request with the fingerprint "fixed" ends well at entry 5
+    And 1000 ms of membership pass
+    Then no entry refuses "fixed"
+
   Scenario: A randomised run keeps the invariants and ends in agreement
     Then seeded runs of 9 membership entries under kills, cuts, freezes and doubled messages agree in the end
 
--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -211,9 +211,9 @@
 );
 
 Given(
-  'the fingerprint {string} was answered at entry {int} just now',
+  'a request with the fingerprint {string} ends well at entry {int}',
   function (this: MembershipWorld, fingerprint: string, index: number) {
-    this.network.processes.get(toAddress(index))?.answered.add(fingerprint);
+    this.network.apply(toAddress(index), { kind: 'cleared', fingerprint, now: this.network.now });
   },
 );
 
--- a/features/membership/network.ts
+++ b/features/membership/network.ts
@@ -21,7 +21,6 @@
   state: MembershipState;
   frozenUntil: Instant;
   readonly condemned: Map<string, Instant>;
-  readonly answered: Set<string>;
 }
 
 /** Milliseconds of virtual time between two steps. */
@@ -57,7 +56,6 @@
       state: createMembershipState(self, seeds, this.intervals, this.now),
       frozenUntil: 0,
       condemned: new Map(),
-      answered: new Set(),
     });
     this.apply(peerAddress, { kind: 'started', now: this.now, random: this.draw() });
     return peerAddress;
@@ -127,8 +125,6 @@
       effect.fingerprints.forEach((fingerprint) => {
         process.condemned.set(fingerprint, effect.until);
       });
-    if (effect.kind === 'seekAcquittal' && process.answered.delete(effect.fingerprint))
-      this.apply(from, { kind: 'acquitted', fingerprint: effect.fingerprint, now: this.now });
   }
 }
 
--- a/src/membership/condemn.ts
+++ b/src/membership/condemn.ts
@@ -1,75 +1,88 @@
 /**
- * Finds requests that crash each upstream that runs them. Invariant: a fingerprint is condemned only after
- * crashes of {@link MIN_VICTIMS} different upstream processes within one window with no answer in between.
+ * Keeps what the fleet reported of requests that may crash upstreams. Invariant: a crash counts once for a
+ * fingerprint, whatever number of entries report it, and nothing is kept beyond its time.
  */
 import type { Duration, Instant } from '../model/index.js';
+import { defaultCondemnLimits, findCondemned, type Suspicion } from '../routing/index.js';
 
-/** Crashed upstream processes after which a fingerprint is refused. */
-export const MIN_VICTIMS = 3;
-/** Milliseconds for which a crash counts against a fingerprint. */
-export const VICTIM_WINDOW: Duration = 300_000;
 /** Milliseconds for which a condemned fingerprint is refused. */
 export const CONDEMNED_FOR: Duration = 600_000;
-/** Milliseconds before the first crash in which an answer still acquits. */
-export const ACQUITTAL_WINDOW: Duration = 10_000;
-/** Fingerprints that are kept under suspicion; the oldest are forgotten first. */
-const MAX_SUSPECTS = 1000;
+/** Reports that are kept; the oldest are forgotten first. */
+const MAX_SUSPICIONS = 1000;
 
-/** What is held against one fingerprint. */
-export interface Suspect {
-  /** When each upstream process, named `id/incarnation`, crashed. */
-  readonly victims: ReadonlyMap<string, Instant>;
-  /** When a request with the fingerprint was last answered. */
-  readonly answeredAt: Instant;
-  readonly condemnedUntil: Instant;
+/** All reports that still count. */
+export interface CondemnState {
+  readonly suspicions: readonly Suspicion[];
+  /** When a request with the fingerprint last ended well. */
+  readonly clearedAt: ReadonlyMap<string, Instant>;
+  readonly condemnedUntil: ReadonlyMap<string, Instant>;
 }
 
-/** Suspects by fingerprint. */
-export type CondemnState = ReadonlyMap<string, Suspect>;
-
-const noSuspect: Suspect = {
-  victims: new Map(),
-  answeredAt: -Infinity,
-  condemnedUntil: -Infinity,
+/** No reports. */
+export const emptyCondemnState: CondemnState = {
+  suspicions: [],
+  clearedAt: new Map(),
+  condemnedUntil: new Map(),
 };
 
-/** Counts the crashes that stand against a suspect at an instant. */
-export function countVictims(suspect: Suspect, now: Instant): number {
-  const from = Math.max(now - VICTIM_WINDOW, suspect.answeredAt);
-  return [...suspect.victims.values()].filter((at) => at > from).length;
+/** Adds the report of a crash. */
+export function addSuspicion(state: CondemnState, added: Suspicion): CondemnState {
+  const known = state.suspicions.some(
+    ({ fingerprint, upstreamId, incarnation }) =>
+      fingerprint === added.fingerprint &&
+      upstreamId === added.upstreamId &&
+      incarnation === added.incarnation,
+  );
+  if (known) return state;
+  return { ...state, suspicions: [...state.suspicions, added].slice(-MAX_SUSPICIONS) };
 }
 
-/** Adds a crash; the suspect is condemned once enough different processes crashed. */
-export function addVictim(
-  state: CondemnState,
-  fingerprint: string,
-  victim: string,
-  at: Instant,
-  now: Instant,
-): CondemnState {
-  const known = state.get(fingerprint) ?? noSuspect;
-  if (known.victims.has(victim)) return state;
-  const added = { ...known, victims: new Map([...known.victims, [victim, at]]) };
-  const condemned = countVictims(added, now) >= MIN_VICTIMS;
-  const condemnedUntil = condemned ? now + CONDEMNED_FOR : known.condemnedUntil;
-  const next = new Map(state).set(fingerprint, { ...added, condemnedUntil });
-  return next.size > MAX_SUSPECTS ? new Map([...next].slice(1)) : next;
+/** Adds the report that a suspected request ended well; it lifts an earlier verdict. */
+export function addClearance(state: CondemnState, fingerprint: string, at: Instant): CondemnState {
+  const known = state.clearedAt.get(fingerprint) ?? -Infinity;
+  if (!hasSuspect(state, fingerprint) || known >= at) return state;
+  const clearedAt = new Map(state.clearedAt).set(fingerprint, at);
+  const kept = [...state.condemnedUntil].filter(([key]) => key !== fingerprint);
+  return { ...state, clearedAt, condemnedUntil: new Map(kept) };
+}
+
+/** Tells whether anything is held against a fingerprint. */
+export function hasSuspect(state: CondemnState, fingerprint: string): boolean {
+  return state.suspicions.some((suspicion) => suspicion.fingerprint === fingerprint);
 }
 
-/** Records an answer: earlier crashes no longer count, and a condemnation is lifted. */
-export function addAnswer(state: CondemnState, fingerprint: string, at: Instant): CondemnState {
-  const known = state.get(fingerprint);
-  if (known === undefined || known.answeredAt >= at) return state;
-  const lifted = { ...known, answeredAt: at, condemnedUntil: -Infinity };
-  return new Map(state).set(fingerprint, lifted);
+/** Returns the fingerprints against which something is held. */
+export function listSuspects(state: CondemnState): readonly string[] {
+  return [...new Set(state.suspicions.map(({ fingerprint }) => fingerprint))];
 }
 
-/** Forgets suspects against whom nothing stands any more. */
-export function pruneSuspects(state: CondemnState, now: Instant): CondemnState {
-  const kept = [...state].filter(
-    ([, suspect]) =>
-      suspect.condemnedUntil > now ||
-      [...suspect.victims.values()].some((at) => at > now - VICTIM_WINDOW),
+/** Judges the reports by the rule of the routing decisions, and forgets those whose time is over. */
+export function judgeSuspects(
+  state: CondemnState,
+  hasCrashed: (upstreamId: string, incarnation: number) => boolean,
+  now: Instant,
+): CondemnState {
+  if (state.suspicions.length === 0 && state.condemnedUntil.size === 0) return state;
+  const pruned = pruneReports(state, now);
+  const clearances = [...pruned.clearedAt].map(([fingerprint, at]) => ({ fingerprint, at }));
+  const options = { ...defaultCondemnLimits, hasCrashed };
+  const found = findCondemned(pruned.suspicions, clearances, options, now).filter(
+    (fingerprint) => !pruned.condemnedUntil.has(fingerprint),
   );
-  return kept.length === state.size ? state : new Map(kept);
+  if (found.length === 0) return pruned;
+  const added = found.map((fingerprint) => [fingerprint, now + CONDEMNED_FOR] as const);
+  return { ...pruned, condemnedUntil: new Map([...pruned.condemnedUntil, ...added]) };
+}
+
+function pruneReports(state: CondemnState, now: Instant): CondemnState {
+  const { window } = defaultCondemnLimits;
+  const suspicions = state.suspicions.filter(({ at }) => now - at <= window);
+  const condemnedUntil = [...state.condemnedUntil].filter(([, until]) => until > now);
+  const clearedAt = [...state.clearedAt].filter(([, at]) => now - at <= window);
+  const unchanged =
+    suspicions.length === state.suspicions.length &&
+    condemnedUntil.length === state.condemnedUntil.size &&
+    clearedAt.length === state.clearedAt.size;
+  if (unchanged) return state;
+  return { suspicions, condemnedUntil: new Map(condemnedUntil), clearedAt: new Map(clearedAt) };
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -4,7 +4,7 @@
  */
 import type { Address, Instant, Transition, Upstream } from '../model/index.js';
 import type { MembershipMessage } from '../generated/membership.js';
-import { pruneSuspects } from './condemn.js';
+import { emptyCondemnState, judgeSuspects, listSuspects } from './condemn.js';
 import {
   advanceProbe,
   advanceSuspicions,
@@ -22,7 +22,7 @@
   replaceEntry,
 } from './entries.js';
 import {
-  recordAnswer,
+  recordClearance,
   buildDelta,
   mergeDelta,
   handleBuckets,
@@ -75,7 +75,7 @@
     ...{ self: self.id, seeds, intervals, schedule, sequence: 0 },
     ...{ entries: new Map([[self.id, own]]), upstreams: new Map(), leases: new Map() },
     ...{ passed: new Map(), rumours: new Map([[`e:${self.id}`, 4]]), probe: undefined },
-    ...{ relays: new Map(), round: [], condemn: new Map(), listed: [] },
+    ...{ relays: new Map(), round: [], condemn: emptyCondemnState, listed: [] },
   };
 }
 
@@ -109,14 +109,12 @@
     case 'closing':
       return sendFarewell(state, event.now, event.random);
     case 'suspected': {
-      const victim = `${event.upstreamId}/${event.incarnation}`;
-      const added = recordCrash(state, event.fingerprint, victim, event.now, event.now);
-      if (state.condemn.has(event.fingerprint)) return { state: added, effects: [] };
-      const { fingerprint } = event;
-      return { state: added, effects: [{ kind: 'seekAcquittal', fingerprint }] };
+      const { fingerprint, upstreamId, incarnation, now: at } = event;
+      const crash = { fingerprint, upstreamId, incarnation, at };
+      return { state: recordCrash(state, crash), effects: [] };
     }
-    case 'acquitted':
-      return { state: recordAnswer(state, event.fingerprint, event.now), effects: [] };
+    case 'cleared':
+      return { state: recordClearance(state, event.fingerprint, event.now), effects: [] };
   }
 }
 
@@ -169,7 +167,6 @@
     ...state,
     entries: entries.length === state.entries.size ? state.entries : new Map(entries),
     passed: passed.length === state.passed.size ? state.passed : new Map(passed),
-    condemn: pruneSuspects(state.condemn, now),
   };
 }
 
@@ -317,7 +314,7 @@
 /** Brings the list of upstreams up to date and reports what changed. */
 function finishStep(before: MembershipState, step: Step, event: MembershipEvent): Step {
   const { now } = event;
-  const { state } = step;
+  const state = judgeReports(step.state, event.kind === 'ticked', now);
   const entriesChanged = state.entries !== before.entries;
   const due = entriesChanged || state.upstreams !== before.upstreams || event.kind === 'ticked';
   const listed = due ? listUpstreams(state, now) : state.listed;
@@ -336,16 +333,30 @@
   return [...state.upstreams.values()].filter((known) => isListed(state, known, now));
 }
 
+/** Judges the reports of crashes when there are new ones, or an upstream may have ended since. */
+function judgeReports(state: MembershipState, ticked: boolean, now: Instant): MembershipState {
+  if (!ticked && state.condemn.suspicions.length === 0) return state;
+  const hasCrashed = (id: string, incarnation: number): boolean => {
+    const record = state.upstreams.get(id)?.record;
+    return record === undefined || record.lapsed || record.upstream.incarnation > incarnation;
+  };
+  const condemn = judgeSuspects(state.condemn, hasCrashed, now);
+  return condemn === state.condemn ? state : { ...state, condemn };
+}
+
 function listCondemned(
-  before: MembershipState,
-  after: MembershipState,
+  { condemn: before }: MembershipState,
+  { condemn: after }: MembershipState,
   now: Instant,
 ): readonly MembershipEffect[] {
-  if (before.condemn === after.condemn) return [];
-  return [...after.condemn].flatMap(([fingerprint, suspect]) => {
-    const earlier = before.condemn.get(fingerprint)?.condemnedUntil ?? -Infinity;
-    if (earlier === suspect.condemnedUntil) return [];
-    const until = Math.max(now, suspect.condemnedUntil);
-    return [{ kind: 'condemned', fingerprints: [fingerprint], until } as const];
-  });
+  if (before === after) return [];
+  const added = [...after.condemnedUntil].filter(([key]) => !before.condemnedUntil.has(key));
+  const lifted = [...before.condemnedUntil.keys()].filter((key) => !after.condemnedUntil.has(key));
+  const verdicts: readonly MembershipEffect[] = added.map(([fingerprint, until]) => ({
+    ...{ kind: 'condemned', fingerprints: [fingerprint], until },
+  }));
+  const pardons: readonly MembershipEffect[] =
+    lifted.length > 0 ? [{ kind: 'condemned', fingerprints: lifted, until: now }] : [];
+  const fingerprints = listSuspects(after);
+  return [...verdicts, ...pardons, { kind: 'suspectsChanged', fingerprints }];
 }
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -8,10 +8,9 @@
   Digest,
   EntryRecord,
   KeyStamp,
-  Suspicion,
   UpstreamRecord,
 } from '../generated/membership.js';
-import { addAnswer, addVictim, type CondemnState } from './condemn.js';
+import { addClearance, addSuspicion, listSuspects } from './condemn.js';
 import {
   countSpreads,
   describeEntryStamp,
@@ -22,6 +21,7 @@
 } from './entries.js';
 import { hashText, pickSome } from './random.js';
 import type { MembershipEffect, MembershipState } from './types.js';
+import type { Suspicion } from '../routing/index.js';
 import {
   describeUpstreamStamp,
   findEndedAt,
@@ -44,7 +44,7 @@
 
 /** Builds an effect that sends records. */
 export function sendRecords(to: Address, delta: Delta): readonly MembershipEffect[] {
-  const lists = [delta.entries, delta.upstreams, delta.suspicions, delta.acquittals];
+  const lists = [delta.entries, delta.upstreams, delta.suspicions, delta.clearances];
   const empty = lists.every((records) => records === undefined || records.length === 0);
   return empty ? [] : [{ kind: 'send', to, message: { kind: 'records', delta } }];
 }
@@ -58,35 +58,22 @@
     const known = state.upstreams.get(id);
     return known === undefined ? [] : [toSendableUpstream(known, now)];
   });
-  const suspicions = select('s:').flatMap((fingerprint) =>
-    buildSuspicions(state.condemn, fingerprint, now),
-  );
-  const acquittals = select('a:').flatMap((fingerprint) => {
-    const suspect = state.condemn.get(fingerprint);
-    if (suspect === undefined || suspect.answeredAt === -Infinity) return [];
-    return [{ fingerprint, age: Math.round(now - suspect.answeredAt) }];
+  const accused = select('s:');
+  const suspicions = state.condemn.suspicions
+    .filter(({ fingerprint }) => accused.includes(fingerprint))
+    .map(({ at, ...suspicion }) => ({ ...suspicion, age: Math.round(now - at) }));
+  const clearances = select('a:').flatMap((fingerprint) => {
+    const at = state.condemn.clearedAt.get(fingerprint);
+    return at === undefined ? [] : [{ fingerprint, age: Math.round(now - at) }];
   });
   return {
     ...(entries.length > 0 ? { entries } : {}),
     ...(upstreams.length > 0 ? { upstreams } : {}),
     ...(suspicions.length > 0 ? { suspicions } : {}),
-    ...(acquittals.length > 0 ? { acquittals } : {}),
+    ...(clearances.length > 0 ? { clearances } : {}),
   };
 }
 
-function buildSuspicions(
-  condemn: CondemnState,
-  fingerprint: string,
-  now: Instant,
-): readonly Suspicion[] {
-  return [...(condemn.get(fingerprint)?.victims ?? [])].map(([victim, at]) => {
-    const slash = victim.lastIndexOf('/');
-    const incarnation = Number(victim.slice(slash + 1));
-    const age = Math.round(now - at);
-    return { fingerprint, upstreamId: victim.slice(0, slash), incarnation, age };
-  });
-}
-
 /** Takes the next rumours off the list and returns them. */
 export function drainRumours(
   state: MembershipState,
@@ -134,8 +121,7 @@
   const corrections = sendRecords(from, buildDelta(state, stale, now));
   const withEntries = entries.reduce((next, record) => mergeEntry(next, record, now), state);
   const merged = upstreams.reduce((next, record) => mergeUpstream(next, record, now), withEntries);
-  const judged = mergeJudgements(merged, delta, now);
-  return { state: judged.state, effects: [...corrections, ...judged.effects] };
+  return { state: mergeReports(merged, delta, now), effects: corrections };
 }
 
 function isStaleEntry(state: MembershipState, record: EntryRecord): boolean {
@@ -148,45 +134,33 @@
   return known !== undefined && isNewerUpstream(known.record, record);
 }
 
-function mergeJudgements(
-  state: MembershipState,
-  delta: Delta,
-  now: Instant,
-): { readonly state: MembershipState; readonly effects: readonly MembershipEffect[] } {
-  const suspected = (delta.suspicions ?? []).reduce((next, suspicion) => {
-    const { fingerprint, upstreamId, incarnation, age } = suspicion;
-    return recordCrash(next, fingerprint, `${upstreamId}/${incarnation}`, now - age, now);
-  }, state);
-  const acquitted = (delta.acquittals ?? []).reduce(
-    (next, { fingerprint, age }) => recordAnswer(next, fingerprint, now - age),
+function mergeReports(state: MembershipState, delta: Delta, now: Instant): MembershipState {
+  const suspected = (delta.suspicions ?? []).reduce(
+    (next, { age, ...crash }) => recordCrash(next, { ...crash, at: now - age }),
+    state,
+  );
+  return (delta.clearances ?? []).reduce(
+    (next, { fingerprint, age }) => recordClearance(next, fingerprint, now - age),
     suspected,
   );
-  const fresh = [...acquitted.condemn.keys()].filter((key) => !state.condemn.has(key));
-  const effects = fresh.map((fingerprint) => ({ kind: 'seekAcquittal', fingerprint }) as const);
-  return { state: acquitted, effects };
 }
 
 /** Adds a crash and spreads it. */
-export function recordCrash(
-  state: MembershipState,
-  fingerprint: string,
-  victim: string,
-  at: Instant,
-  now: Instant,
-): MembershipState {
-  const condemn = addVictim(state.condemn, fingerprint, victim, at, now);
+export function recordCrash(state: MembershipState, crash: Suspicion): MembershipState {
+  const condemn = addSuspicion(state.condemn, crash);
   if (condemn === state.condemn) return state;
-  const rumours = new Map(state.rumours).set(`s:${fingerprint}`, countSpreads(state.entries.size));
+  const spreads = countSpreads(state.entries.size);
+  const rumours = new Map(state.rumours).set(`s:${crash.fingerprint}`, spreads);
   return { ...state, condemn, rumours };
 }
 
-/** Adds an answer for a suspected fingerprint and spreads it. */
-export function recordAnswer(
+/** Adds the report that a suspected request ended well, and spreads it. */
+export function recordClearance(
   state: MembershipState,
   fingerprint: string,
   at: Instant,
 ): MembershipState {
-  const condemn = addAnswer(state.condemn, fingerprint, at);
+  const condemn = addClearance(state.condemn, fingerprint, at);
   if (condemn === state.condemn) return state;
   const rumours = new Map(state.rumours).set(`a:${fingerprint}`, countSpreads(state.entries.size));
   return { ...state, condemn, rumours };
@@ -310,7 +284,10 @@
   const keys = [
     ...[...state.entries.keys()].map((id) => `e:${id}`),
     ...[...state.upstreams.keys()].map((id) => `u:${id}`),
-    ...[...state.condemn.keys()].flatMap((fingerprint) => [`s:${fingerprint}`, `a:${fingerprint}`]),
+    ...listSuspects(state.condemn).flatMap((fingerprint) => [
+      `s:${fingerprint}`,
+      `a:${fingerprint}`,
+    ]),
   ];
   return sendAll(state, to, keys, now);
 }
--- a/src/membership/service.ts
+++ b/src/membership/service.ts
@@ -5,7 +5,6 @@
 import type { Address, Instant, Upstream } from '../model/index.js';
 import type { MembershipMessage } from '../generated/membership.js';
 import type { Mesh } from '../wire/index.js';
-import { ACQUITTAL_WINDOW } from './condemn.js';
 import { createMembershipState, decideMembership } from './decide.js';
 import { describeEntry } from './entries.js';
 import {
@@ -19,8 +18,6 @@
 } from './types.js';
 
 const CHANNEL = 'membership';
-/** Fingerprints whose last answer is remembered. */
-const MAX_ANSWERED = 4096;
 
 /** What {@link createMembership} needs to know. */
 export interface MembershipOptions {
@@ -62,9 +59,11 @@
   setStopping(): void;
   /** Reports that an upstream crashed while it ran a request. */
   addSuspect(report: CrashReport): void;
-  /** Reports that a request was answered. */
+  /** Reports that a request ended well; only suspected fingerprints matter. */
   addSuccess(fingerprint: string): void;
   onCondemned(listener: CondemnedListener): void;
+  /** Is told of all fingerprints whose good ends are to be reported with {@link addSuccess}. */
+  onSuspectsChanged(listener: (fingerprints: readonly string[]) => void): void;
   /** Says farewell and stops. */
   close(): Promise<void>;
 }
@@ -74,7 +73,7 @@
   readonly #upstreamListeners: (() => void)[] = [];
   readonly #entryListeners: (() => void)[] = [];
   readonly #condemnedListeners: CondemnedListener[] = [];
-  readonly #answered = new Map<string, Instant>();
+  readonly #suspectListeners: ((fingerprints: readonly string[]) => void)[] = [];
   readonly #timer: NodeJS.Timeout;
   #state: MembershipState;
   #closed = false;
@@ -132,15 +131,7 @@
   }
 
   addSuccess(fingerprint: string): void {
-    const now = this.#options.now();
-    this.#answered.delete(fingerprint);
-    this.#answered.set(fingerprint, now);
-    if (this.#answered.size > MAX_ANSWERED) {
-      const oldest = this.#answered.keys().next().value;
-      if (oldest !== undefined) this.#answered.delete(oldest);
-    }
-    const suspected = this.#state.condemn.has(fingerprint);
-    if (suspected) this.#apply({ kind: 'acquitted', fingerprint, now });
+    this.#apply({ kind: 'cleared', fingerprint, now: this.#options.now() });
   }
 
   onUpstreamsChanged(listener: () => void): void {
@@ -155,6 +146,10 @@
     this.#condemnedListeners.push(listener);
   }
 
+  onSuspectsChanged(listener: (fingerprints: readonly string[]) => void): void {
+    this.#suspectListeners.push(listener);
+  }
+
   async close(): Promise<void> {
     if (this.#closed) return;
     clearInterval(this.#timer);
@@ -200,20 +195,13 @@
           listener(effect.fingerprints, effect.until);
         });
         break;
-      case 'seekAcquittal':
-        this.#seekAcquittal(effect.fingerprint);
+      case 'suspectsChanged':
+        this.#suspectListeners.forEach((listener) => {
+          listener(effect.fingerprints);
+        });
         break;
     }
   }
-
-  /** An answer of a moment ago speaks for the request once; then it is used up. */
-  #seekAcquittal(fingerprint: string): void {
-    const now = this.#options.now();
-    const answeredAt = this.#answered.get(fingerprint);
-    if (answeredAt === undefined || now - answeredAt > ACQUITTAL_WINDOW) return;
-    this.#answered.delete(fingerprint);
-    this.#apply({ kind: 'acquitted', fingerprint, now });
-  }
 }
 
 /**
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -154,7 +154,7 @@
       readonly incarnation: number;
       readonly now: Instant;
     }
-  | { readonly kind: 'acquitted'; readonly fingerprint: string; readonly now: Instant };
+  | { readonly kind: 'cleared'; readonly fingerprint: string; readonly now: Instant };
 
 /** What the shell must do. */
 export type MembershipEffect =
@@ -166,5 +166,5 @@
       readonly fingerprints: readonly string[];
       readonly until: Instant;
     }
-  /** Look whether a request with this fingerprint was answered lately, and acquit it if so. */
-  | { readonly kind: 'seekAcquittal'; readonly fingerprint: string };
+  /** Requests with these fingerprints that end well are to be reported. */
+  | { readonly kind: 'suspectsChanged'; readonly fingerprints: readonly string[] };
