Let a call that tried every upstream use them again, instead of blocking the queue until it is overdue

Cause: a waiting retry left out each upstream it had tried; once it had tried all that are alive it could never start, and as head of the queue it held every call behind it for 7.5 s (503 overloaded at 7,513 ms on an idle upstream). Ruled out: finish-gap estimate, stale reports, a tick that doesn't drain (it does).

--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -63,6 +63,28 @@
   return known.sentAt.length < computeLimit(state, service, known, batch, now);
 }
 
+/**
+ * Returns the upstreams that the call may not use because it was there before. One that it tried is left
+ * out only while another could take it; else a call that tried them all would wait, and every call behind
+ * it, until it is overdue.
+ */
+function listExcluded(
+  service: ServiceState,
+  call: CallState,
+  side: boolean | undefined,
+  now: Instant,
+): readonly string[] {
+  if (call.tried.length === 0) return call.tried;
+  const hasUntried = service.upstreams.some(
+    (known) =>
+      known.usable &&
+      known.ejectedUntil <= now &&
+      matchSide(service, known, side) &&
+      !call.tried.includes(known.upstream.id),
+  );
+  return hasUntried ? call.tried : [];
+}
+
 /** Returns the upstreams that the call may be sent to now. */
 function listCandidates(
   state: RoutingState,
@@ -72,11 +94,12 @@
 ): readonly UpstreamState[] {
   const side = pickVersionSide(service, call.roll);
   const batch = call.call.criticality === 'batch';
+  const excluded = listExcluded(service, call, side, now);
   const able = service.upstreams.filter(
     (known) =>
       known.usable &&
       matchSide(service, known, side) &&
-      !call.tried.includes(known.upstream.id) &&
+      !excluded.includes(known.upstream.id) &&
       hasRoom(state, service, known, batch, now),
   );
   if (side !== true) return able;
