Check a claim's validity right before the first byte, and bind the claim protocol to the entry

A holder that was paused past its claim must not send. The scenario fails with the check taken out. A caller's deadline that passes while its request waits for a connection is no longer told as unreachable, which would have ejected the upstream.

--- a/features/entry/fakes.ts
+++ b/features/entry/fakes.ts
@@ -86,10 +86,12 @@
 }
 
 /** A claim table in memory that any number of entries can share. */
-export function createFakeClaims(): ClaimPort & { isAvailable: boolean } {
+export function createFakeClaims(): ClaimPort & { isAvailable: boolean; validity: number } {
   const claims = new Map<string, { digest: string; state: ClaimSettlement | undefined }>();
   const port = {
     isAvailable: true,
+    /** Milliseconds for which a granted claim is valid. */
+    validity: 30_000,
     claim: (key: string, digest: string): Promise<ClaimResult> => {
       if (!port.isAvailable) {
         return Promise.resolve({ kind: 'unavailable', reason: 'no majority' });
@@ -97,7 +99,8 @@
       const found = claims.get(key);
       if (found === undefined || found.state?.kind === 'notRun') {
         claims.set(key, { digest, state: undefined });
-        return Promise.resolve({ kind: 'granted', token: key });
+        const validUntil = performance.now() + port.validity;
+        return Promise.resolve({ kind: 'granted', token: key, validUntil });
       }
       if (found.digest !== digest) return Promise.resolve({ kind: 'mismatch' });
       if (found.state === undefined) return Promise.resolve({ kind: 'running' });
--- a/features/entry/promises.feature
+++ b/features/entry/promises.feature
@@ -60,6 +60,13 @@
     Then the second answer has status 503 and not-run "1"
     And the upstream ran 0 requests
 
+  Scenario: A claim that is no longer valid when the request could be written
+    Given an entry with an upstream that notes each request
+    And claims are valid for 0 ms only
+    When the caller sends two "quick" requests with one key
+    Then the second answer has status 503 and not-run "1"
+    And the upstream ran 0 requests
+
   Scenario: An entry that lost touch
     Given an entry with an upstream that notes each request
     And the entry's configuration is not fresh
--- a/features/entry/promises.steps.ts
+++ b/features/entry/promises.steps.ts
@@ -91,6 +91,10 @@
   this.parts.claims.isAvailable = false;
 });
 
+Given('claims are valid for 0 ms only', function (this: PromisesWorld) {
+  this.parts.claims.validity = 0;
+});
+
 Given("the entry's configuration is not fresh", function (this: PromisesWorld) {
   this.parts.config.fresh = false;
 });
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -3,6 +3,7 @@
  * Invariant: no caller's request is taken before a configuration was confirmed as current.
  */
 import { inject, injectable } from 'inversify';
+import { createClaims, type ClaimService } from '../claims/index.js';
 import { createConfigClient, type ConfigClient } from '../distribution/index.js';
 import {
   createAnnouncements,
@@ -35,6 +36,7 @@
 interface Parts {
   readonly membership: Membership;
   readonly client: ConfigClient;
+  readonly claims: ClaimService;
   readonly entry: Entry;
   readonly announcements: Announcements;
 }
@@ -69,7 +71,8 @@
     if (options === undefined) throw new Error('settings have no section [entry]: add it');
     const membership = this.#startMembership(options);
     const client = this.#startClient(options);
-    const entry = await this.#openEntry(options, membership, client);
+    const claims = this.#startClaims(client);
+    const entry = await this.#openEntry(options, membership, client, claims);
     const announcements = await createAnnouncements({
       listen: options.upstream_listen,
       token: this.#settings.site.upstream_token ?? '',
@@ -83,7 +86,7 @@
         },
       },
     });
-    this.#parts = { membership, client, entry, announcements };
+    this.#parts = { membership, client, claims, entry, announcements };
     this.#shareCondemned(membership, entry);
     this.#watch(this.#parts);
   }
@@ -91,11 +94,12 @@
   /** Leaves the answers to "which address?", serves on while callers keep addresses, then stops. */
   override async stop(): Promise<void> {
     if (this.#parts === undefined) return;
-    const { membership, client, entry, announcements } = this.#parts;
+    const { membership, client, claims, entry, announcements } = this.#parts;
     membership.setStopping();
     await entry.stop();
     await Promise.race([client.leave(), waitAtMost(LEAVE_LIMIT_MS)]);
     await announcements.stop();
+    claims.close();
     await membership.close();
     client.close();
   }
@@ -147,14 +151,41 @@
     });
   }
 
-  #openEntry(options: EntrySettings, membership: Membership, client: ConfigClient): Promise<Entry> {
+  #startClaims(client: ConfigClient): ClaimService {
+    return createClaims({
+      mesh: this.#mesh,
+      self: {
+        id: this.#settings.process.id,
+        incarnation: this.#incarnation,
+        peerAddress: this.#settings.peer.listen,
+      },
+      source: {
+        get roster() {
+          return client.config.roster;
+        },
+        isFresh: (now) => client.isFresh(now),
+        onChange: (listener) => {
+          client.onChange(listener);
+        },
+      },
+      now: getNow,
+      random: Math.random,
+    });
+  }
+
+  #openEntry(
+    options: EntrySettings,
+    membership: Membership,
+    client: ConfigClient,
+    claims: ClaimService,
+  ): Promise<Entry> {
     return createEntry({
       id: this.#settings.process.id,
       zone: this.#settings.process.zone,
       callerListen: options.caller_listen,
       addressTtlMs: options.address_ttl_ms ?? DEFAULT_TTL_MS,
       routing: createRouter({ probeShare: options.probe_share ?? DEFAULT_PROBE_SHARE }),
-      claims: buildClaimPort(),
+      claims: buildClaimPort(claims),
       config: buildConfigPort(client),
       members: buildMembersPort(membership),
       hooks: this.#buildHooks(),
@@ -203,7 +234,7 @@
     });
   }
 
-  #watch({ membership, client, entry }: Parts): void {
+  #watch({ membership, client, claims, entry }: Parts): void {
     const gauges: readonly (readonly [string, string, () => number])[] = [
       [
         'chivewalk_upstreams',
@@ -217,6 +248,12 @@
         '1 while the configuration is confirmed as current.',
         () => Number(client.isFresh(getNow())),
       ],
+      ['chivewalk_claims', 'Claims that are remembered here.', () => claims.size],
+      [
+        'chivewalk_claims_ready',
+        '1 while this entry answers for claims.',
+        () => Number(claims.isReady),
+      ],
       ['chivewalk_calls_in_flight', 'Calls without an answer yet.', () => entry.inFlight],
       ['chivewalk_upstream_connections', 'Connections to upstreams.', () => entry.connections],
     ];
@@ -270,10 +307,12 @@
   };
 }
 
-function buildClaimPort(): ClaimPort {
+function buildClaimPort(claims: ClaimService): ClaimPort {
   return {
-    claim: () => Promise.resolve({ kind: 'unavailable', reason: 'claims are not running yet' }),
-    settle: () => undefined,
+    claim: (key, digest, deadline) => claims.claim(key, digest, deadline),
+    settle: (_, token, settlement) => {
+      claims.settle(token, settlement);
+    },
   };
 }
 
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -11,6 +11,8 @@
 export interface AttemptOwner {
   /** Builds the request; called once, when a connection is there to carry it. */
   readonly buildOptions: () => Dispatcher.DispatchOptions;
+  /** Tells whether the request may still be written; asked right before the first byte is. */
+  readonly mayWrite: () => boolean;
   /** The head arrived; the answer is discarded unless the owner returns true. */
   readonly handleHead: (attempt: Attempt, head: AnswerHead) => boolean;
   /** A part of the body arrived; false pauses the upstream until `resume` is called. */
@@ -83,7 +85,7 @@
 
   /** Called by the client just before it writes; a second call would be a second sending. */
   onConnect(abort: () => void): void {
-    if (this.#phase !== 'starting') {
+    if (this.#phase !== 'starting' || !this.#owner.mayWrite()) {
       abort();
       return;
     }
--- a/src/entry/call.ts
+++ b/src/entry/call.ts
@@ -60,6 +60,7 @@
   #hasEnded = false;
   #callerIsGone = false;
   #settle: ((settlement: ClaimSettlement) => void) | undefined;
+  #claimValidUntil: Instant = Infinity;
 
   private constructor(context: CallContext, start: CallStart) {
     this.#context = context;
@@ -90,9 +91,18 @@
     return this.#mayHaveRunBefore || this.#attempt?.mayHaveRun === true;
   }
 
-  /** Lets the end of the call settle the claim that was granted to it. */
-  attachClaim(settle: (settlement: ClaimSettlement) => void): void {
+  /** Lets the end of the call settle the claim that was granted to it, and its validity bound the sending. */
+  attachClaim(settle: (settlement: ClaimSettlement) => void, validUntil: Instant): void {
     this.#settle = settle;
+    this.#claimValidUntil = validUntil;
+  }
+
+  /** Refuses the call if its claim is no longer valid, as after a pause of the process. */
+  mayWrite(): boolean {
+    if (this.#context.getNow() < this.#claimValidUntil) return true;
+    this.#leaveRouting();
+    this.refuse({ kind: 'notRun', reason: 'claimUnavailable', retryAfter: 0 });
+    return false;
   }
 
   /** Hands the call to the routing decisions. */
@@ -266,9 +276,9 @@
   #expire(): void {
     if (this.#hasEnded || this.#writer !== undefined) return;
     const attempt = this.#attempt;
-    if (attempt?.isWaiting === true) {
+    if (attempt?.isWaiting === true && attempt.mayHaveRun) {
       attempt.abort();
-      this.#tellFailed(attempt.mayHaveRun ? 'timedOut' : 'unreachable');
+      this.#tellFailed('timedOut');
     }
     if (this.hasEnded) return;
     this.#attempt?.abort();
--- a/src/entry/keyed.ts
+++ b/src/entry/keyed.ts
@@ -55,7 +55,7 @@
     case 'granted':
       call.attachClaim((settlement) => {
         claims.settle(scoped, result.token, settlement);
-      });
+      }, result.validUntil);
       proceed();
       break;
     case 'running':
--- a/src/entry/ports.ts
+++ b/src/entry/ports.ts
@@ -31,8 +31,8 @@
 
 /** What the claimants said about an idempotency key. */
 export type ClaimResult =
-  /** This entry, and no other, may send the request on. */
-  | { readonly kind: 'granted'; readonly token: string }
+  /** This entry, and no other, may send the request on if it writes the first byte before `validUntil`. */
+  | { readonly kind: 'granted'; readonly token: string; readonly validUntil: Instant }
   /** The first request with this key has not ended. */
   | { readonly kind: 'running' }
   /** The first request with this key may have run, and its answer is lost. */
