Prove the consensus core and its storage under faults

A seeded simulation runs the real core with disks in memory: crashes, lost and damaged disks, cuts (also one-way), freezes with and without the clock, late, doubled and reordered messages, resent commands, changes of members. It checks state machine safety, leader completeness, one leader a term, linearizability, and that the group settles once all is healed.

Two faults found by it and mended: an admission of a member that already belonged demoted and retired it (no leader ever after), and a removal could be started while too few of the rest answered (it could then neither be committed nor undone).

--- /dev/null
+++ b/features/control/disk.ts
@@ -0,0 +1,91 @@
+/**
+ * A disk in memory for the simulation. Invariant: a crash keeps every synced write, and of the others a
+ * prefix, the last of it possibly in part; a disk that lies breaks this on purpose.
+ */
+import { appendEntries, emptyLog, joinLog, type Log } from '../../src/control/log.js';
+import type { WriteEffect } from '../../src/control/storage.js';
+import type { LogEntry, Snapshot, Vote } from '../../src/generated/control.js';
+
+interface Waiting {
+  readonly effect: WriteEffect;
+  readonly due: number;
+}
+
+export class Disk {
+  vote: Vote = { term: 0, repairing: false };
+  log: Log = emptyLog;
+  snapshot: Snapshot | undefined;
+  #waiting: readonly Waiting[] = [];
+  /** Before the latest synced write; what a disk that lies falls back to. */
+  #older: Pick<Disk, 'vote' | 'log' | 'snapshot'> = this.#copy();
+
+  #copy(): Pick<Disk, 'vote' | 'log' | 'snapshot'> {
+    return { vote: this.vote, log: this.log, snapshot: this.snapshot };
+  }
+
+  add(effect: WriteEffect, due: number): void {
+    const last = this.#waiting.at(-1)?.due ?? 0;
+    this.#waiting = [...this.#waiting, { effect, due: Math.max(due, last) }];
+  }
+
+  /** Makes due writes durable and returns the number of the last one. */
+  sync(now: number): number | undefined {
+    const due = this.#waiting.filter((waiting) => waiting.due <= now);
+    if (due.length === 0) return undefined;
+    this.#older = this.#copy();
+    due.forEach(({ effect }) => {
+      this.#apply(effect);
+    });
+    this.#waiting = this.#waiting.slice(due.length);
+    return due.at(-1)?.effect.write;
+  }
+
+  /** Loses what was not synced, but for the first `kept` writes. */
+  crash(kept: number, partial: boolean, lies: boolean): void {
+    if (lies) Object.assign(this, this.#older);
+    const survivors = this.#waiting.slice(0, kept).map(({ effect }) => effect);
+    const torn = this.#waiting[kept]?.effect;
+    this.#waiting = [];
+    if (lies) return;
+    survivors.forEach((effect) => {
+      this.#apply(effect);
+    });
+    if (partial && torn?.kind === 'writeEntries') {
+      this.#apply({ ...torn, entries: torn.entries.slice(0, 1) });
+    }
+  }
+
+  /** Loses entries in the middle; the member is under repair from then on. */
+  damage(keptEntries: number): void {
+    this.log = { ...this.log, entries: this.log.entries.slice(0, keptEntries) };
+    this.vote = { ...this.vote, repairing: true };
+  }
+
+  load(): { readonly vote: Vote; readonly log: Log; readonly snapshot: Snapshot | undefined } {
+    this.log = joinLog(this.log, this.snapshot).log;
+    return this.#copy();
+  }
+
+  #apply(effect: WriteEffect): void {
+    switch (effect.kind) {
+      case 'writeVote': {
+        const { term, votedFor, repairing } = effect;
+        this.vote = votedFor === undefined ? { term, repairing } : { term, votedFor, repairing };
+        return;
+      }
+      case 'writeEntries':
+        this.#append(effect.entries);
+        return;
+      case 'writeSnapshot':
+        this.snapshot = effect.snapshot;
+        if (effect.resetsLog) {
+          const { index, term } = effect.snapshot;
+          this.log = { baseIndex: index, baseTerm: term, entries: [] };
+        }
+    }
+  }
+
+  #append(entries: readonly LogEntry[]): void {
+    this.log = appendEntries(this.log, entries);
+  }
+}
--- /dev/null
+++ b/features/control/simulation.ts
@@ -0,0 +1,523 @@
+/**
+ * Runs the real consensus core of several members under random faults: crashes, lost and damaged disks,
+ * cuts (also one-way), freezes, lost, doubled and reordered messages, racing proposers, changes of
+ * members. One seed gives one run.
+ */
+import assert from 'node:assert/strict';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { createConsensus, decideConsensus } from '../../src/control/consensus.js';
+import { getLastIndex, getTermAt } from '../../src/control/log.js';
+import { toAddress } from '../../src/control/steps.js';
+import {
+  defaultTimings,
+  type ConsensusEffect,
+  type ConsensusInput,
+  type ConsensusState,
+  type ControlMessage,
+  type LogEntry,
+  type MemberId,
+} from '../../src/control/types.js';
+import { Disk } from './disk.js';
+import { History } from './history.js';
+
+const STEP = 5;
+const TICK = 50;
+const PAUSE_LIMIT = 600;
+const COMPACT_AFTER = 12;
+const SETTLE_TIME = 30_000;
+const FOUNDERS = 3;
+
+/** What a run may do beside the faults that are always on. */
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly steps: number;
+  /** Whether disks lose writes that they reported as synced. */
+  readonly lyingDisks: boolean;
+}
+
+interface Packet {
+  readonly from: MemberId;
+  readonly to: MemberId;
+  readonly message: ControlMessage;
+  readonly due: number;
+}
+
+interface Proposal {
+  readonly id: number;
+  readonly index: number;
+  readonly term: number;
+}
+
+interface Member {
+  id: MemberId;
+  disk: Disk;
+  consensus: ConsensusState | undefined;
+  joining: boolean;
+  frozenUntil: number;
+  /** How far its clock is behind, because it stood still while the VM was frozen. */
+  clockLag: number;
+  downUntil: number;
+  looked: number;
+  nextTick: number;
+  applied: readonly number[];
+  appliedIndex: number;
+  proposals: Proposal[];
+  reads: Map<number, number>;
+}
+
+/** One run. */
+export class Simulation {
+  readonly counts = new Map<string, number>();
+  readonly history = new History();
+  readonly #random: RandomGenerator;
+  readonly #options: SimulationOptions;
+  readonly #members: Member[];
+  readonly #cuts = new Map<string, number>();
+  readonly #committed = new Map<number, LogEntry>();
+  readonly #leaders = new Map<number, MemberId>();
+  #packets: readonly Packet[] = [];
+  #now = 0;
+  #nextCommand = 1;
+  #nextCall = 1;
+  #nextIncarnation = 1;
+  #faults = true;
+  #unanswered: readonly number[] = [];
+
+  constructor(options: SimulationOptions) {
+    this.#options = options;
+    this.#random = xoroshiro128plus(options.seed);
+    this.#members = Array.from({ length: 5 }, (_, at) => this.#createMember(at));
+    const founders = this.#members.slice(0, FOUNDERS);
+    founders.forEach((member) => {
+      this.#start(member);
+      this.#handle(member, { kind: 'founded', founders: founders.map(({ id }) => id) });
+    });
+    this.#members.slice(FOUNDERS).forEach((member) => {
+      member.joining = true;
+      this.#start(member);
+    });
+  }
+
+  #pick(limit: number): number {
+    return uniformInt(this.#random, 0, limit - 1);
+  }
+
+  #isChosen(oneIn: number): boolean {
+    return this.#pick(oneIn) === 0;
+  }
+
+  #count(what: string): void {
+    this.counts.set(what, (this.counts.get(what) ?? 0) + 1);
+  }
+
+  #createId(at: number): MemberId {
+    const incarnation = String(this.#nextIncarnation).padStart(8, '0');
+    this.#nextIncarnation += 1;
+    return `10.0.0.${at}:7400#${incarnation}`;
+  }
+
+  #createMember(at: number): Member {
+    return {
+      id: this.#createId(at),
+      disk: new Disk(),
+      consensus: undefined,
+      joining: false,
+      frozenUntil: 0,
+      clockLag: 0,
+      downUntil: 0,
+      looked: 0,
+      nextTick: 0,
+      applied: [],
+      appliedIndex: 0,
+      proposals: [],
+      reads: new Map(),
+    };
+  }
+
+  #start(member: Member): void {
+    const stored = member.disk.load();
+    member.consensus = createConsensus({
+      self: member.id,
+      timings: defaultTimings,
+      now: this.#now - member.clockLag,
+      random: this.#pick(1000) / 1000,
+      nonce: String(this.#now),
+      ...stored,
+    });
+    member.looked = this.#now - member.clockLag;
+    member.proposals = [];
+    member.reads.clear();
+    member.applied = stored.snapshot === undefined ? [] : decodeList(stored.snapshot.data);
+    member.appliedIndex = stored.snapshot?.index ?? 0;
+  }
+
+  /** Runs all steps, then heals everything and checks that the group settles. */
+  run(): void {
+    for (let step = 0; step < this.#options.steps; step += 1) this.#advance();
+    this.#faults = false;
+    this.#cuts.clear();
+    this.#members.forEach((member) => {
+      if (member.frozenUntil > this.#now) member.frozenUntil = this.#now;
+      member.downUntil = Math.min(member.downUntil, this.#now);
+    });
+    const end = this.#now + SETTLE_TIME;
+    while (this.#now < end) this.#advance();
+    this.#checkSettled();
+  }
+
+  #advance(): void {
+    this.#now += STEP;
+    this.#deliver();
+    this.#members.forEach((member) => {
+      this.#stepMember(member);
+    });
+    if (this.#isChosen(12)) this.#propose();
+    if (this.#isChosen(25)) this.#read();
+    if (this.#isChosen(50)) this.#requestJoin();
+    if (this.#faults) this.#breakSomething();
+  }
+
+  #isRunning(member: Member): boolean {
+    return member.consensus !== undefined && member.frozenUntil <= this.#now;
+  }
+
+  #stepMember(member: Member): void {
+    if (member.consensus === undefined) {
+      if (member.downUntil <= this.#now) this.#start(member);
+      return;
+    }
+    if (!this.#isRunning(member)) return;
+    const write = member.disk.sync(this.#now);
+    if (write !== undefined) this.#handle(member, { kind: 'synced', write });
+    if (member.nextTick > this.#now) return;
+    member.nextTick = this.#now + TICK;
+    this.#handle(member, { kind: 'ticked' });
+  }
+
+  #deliver(): void {
+    const due = this.#packets.filter((packet) => packet.due <= this.#now);
+    this.#packets = this.#packets.filter((packet) => packet.due > this.#now);
+    due.forEach((packet) => {
+      const to = this.#members.find((member) => member.id === packet.to);
+      if (to?.consensus === undefined) return;
+      if (!this.#isRunning(to)) {
+        this.#packets = [...this.#packets, { ...packet, due: to.frozenUntil }];
+        return;
+      }
+      this.#handle(to, { kind: 'messageArrived', from: packet.from, message: packet.message });
+    });
+  }
+
+  #send(from: MemberId, to: MemberId, message: ControlMessage): void {
+    const cut = this.#cuts.get(`${toAddress(from)}>${toAddress(to)}`) ?? 0;
+    if (cut > this.#now || (this.#faults && this.#isChosen(50))) return;
+    const late = this.#faults && this.#isChosen(40) ? this.#pick(3000) : 0;
+    const due = this.#now + this.#pick(20) + late;
+    this.#packets = [...this.#packets, { from, to, message, due }];
+    if (this.#faults && this.#isChosen(30)) {
+      const again = due + this.#pick(1000);
+      this.#packets = [...this.#packets, { from, to, message, due: again }];
+    }
+  }
+
+  #handle(member: Member, input: ConsensusInput): void {
+    const now = this.#now - member.clockLag;
+    const paused = now - member.looked > PAUSE_LIMIT;
+    member.looked = now;
+    if (paused) {
+      this.#count('wake');
+      this.#decide(member, { kind: 'woke' });
+    }
+    this.#decide(member, input);
+    const since = member.appliedIndex - (member.consensus?.snapshot?.index ?? 0);
+    if (since < COMPACT_AFTER) return;
+    const data = Buffer.from(JSON.stringify(member.applied));
+    this.#decide(member, { kind: 'compacted', index: member.appliedIndex, data });
+  }
+
+  #decide(member: Member, input: ConsensusInput): void {
+    if (member.consensus === undefined) return;
+    const now = this.#now - member.clockLag;
+    const event = { ...input, now, random: this.#pick(1000) / 1000 };
+    const before = member.consensus;
+    const { state, effects } = decideConsensus(before, event);
+    member.consensus = state;
+    if (before.role.kind !== 'leader' && state.role.kind === 'leader') this.#checkLeader(state);
+    if (state.membership.members.some(({ id }) => id === member.id)) member.joining = false;
+    effects.forEach((effect) => {
+      this.#carryOut(member, effect);
+    });
+  }
+
+  #carryOut(member: Member, effect: ConsensusEffect): void {
+    switch (effect.kind) {
+      case 'send':
+        this.#send(member.id, effect.to, effect.message);
+        return;
+      case 'writeVote':
+      case 'writeEntries':
+      case 'writeSnapshot':
+        member.disk.add(effect, this.#now + this.#pick(this.#isChosen(20) ? 300 : 10));
+        return;
+      case 'apply':
+        effect.entries.forEach((entry) => {
+          this.#apply(member, entry);
+        });
+        return;
+      case 'restore':
+        this.#count('snapshot installed');
+        member.applied = decodeList(effect.snapshot.data);
+        member.appliedIndex = effect.snapshot.index;
+        return;
+      case 'accepted':
+        this.#recordAccepted(member, effect.proposal, effect.index, effect.term);
+        return;
+      case 'readConfirmed':
+        this.history.finishRead(member.reads.get(effect.read) ?? 0, member.applied);
+        this.#count('read');
+        return;
+      case 'repaired':
+        this.#count('repaired');
+        return;
+      case 'refused':
+      case 'readRefused':
+        return;
+    }
+  }
+
+  #recordAccepted(member: Member, proposal: number, index: number, term: number): void {
+    if (proposal > 0) member.proposals.push({ id: proposal, index, term });
+  }
+
+  /** State machine safety: whoever applies an index applies the same entry. */
+  #apply(member: Member, entry: LogEntry): void {
+    const known = this.#committed.get(entry.index);
+    if (known === undefined) this.#committed.set(entry.index, entry);
+    else assert.deepEqual(entry, known, `entry ${entry.index} differs at ${member.id}`);
+    assert.equal(entry.index, member.appliedIndex + 1);
+    member.appliedIndex = entry.index;
+    if (entry.kind !== 'command') return;
+    const id = Buffer.from(entry.command).readUInt32BE();
+    const found = member.applied.indexOf(id);
+    const position = found === -1 ? member.applied.length : found;
+    if (found === -1) member.applied = [...member.applied, id];
+    const mine = member.proposals.find(
+      ({ index, term }) => index === entry.index && term === entry.term,
+    );
+    if (mine === undefined) return;
+    this.history.finishAppend(mine.id, position);
+    this.#unanswered = this.#unanswered.filter((unanswered) => unanswered !== mine.id);
+    this.#count('command accepted');
+  }
+
+  /** Leader completeness, and one leader a term. */
+  #checkLeader(state: ConsensusState): void {
+    this.#count('election won');
+    const other = this.#leaders.get(state.term);
+    assert.ok(other === undefined, `two leaders in term ${state.term}`);
+    this.#leaders.set(state.term, state.self);
+    this.#committed.forEach((entry, index) => {
+      if (index < state.log.baseIndex) return;
+      assert.equal(
+        getTermAt(state.log, index),
+        entry.term,
+        `leader ${state.self} of term ${state.term} lacks committed entry ${index}`,
+      );
+    });
+  }
+
+  #findLeaders(): readonly Member[] {
+    return this.#members.filter(
+      (member) => this.#isRunning(member) && member.consensus?.role.kind === 'leader',
+    );
+  }
+
+  /** A caller proposes a new command, or again one whose answer it did not get. */
+  #propose(): void {
+    const resend = this.#unanswered.length > 0 && this.#isChosen(3);
+    const id = resend
+      ? (this.#unanswered[this.#pick(this.#unanswered.length)] ?? 0)
+      : this.#nextCommand;
+    if (!resend) {
+      this.#nextCommand += 1;
+      this.#unanswered = [...this.#unanswered, id].slice(-20);
+    }
+    const leaders = this.#findLeaders();
+    const targets = leaders.length > 0 ? leaders : this.#members;
+    const target = targets[this.#pick(targets.length)];
+    if (target === undefined || !this.#isRunning(target)) return;
+    this.history.startAppend(id);
+    const command = Buffer.alloc(4);
+    command.writeUInt32BE(id);
+    this.#handle(target, { kind: 'proposed', proposal: id, command });
+  }
+
+  #read(): void {
+    const leaders = this.#findLeaders();
+    const target = leaders[this.#pick(Math.max(1, leaders.length))];
+    if (target === undefined) return;
+    const read = this.#nextCall;
+    this.#nextCall += 1;
+    target.reads.set(read, this.history.startRead());
+    this.#handle(target, { kind: 'readRequested', read });
+  }
+
+  /** Members with a new identity ask every leader to be admitted; the group holds three to five. */
+  #requestJoin(): void {
+    this.#findLeaders().forEach((leader) => {
+      this.#members
+        .filter((member) => member.joining && this.#isRunning(member))
+        .forEach(({ id }) => {
+          this.#handle(leader, { kind: 'joinRequested', id });
+          if (!this.#isChosen(10) || !this.#faults) return;
+          const change = { kind: 'admit', id } as const;
+          this.#handle(leader, { kind: 'membershipProposed', proposal: 0, change });
+        });
+    });
+  }
+
+  #breakSomething(): void {
+    if (this.#isChosen(400)) this.#crash();
+    if (this.#isChosen(600)) this.#freeze();
+    if (this.#isChosen(300)) this.#cut();
+    if (this.#isChosen(1500)) this.#loseDisk();
+    if (this.#isChosen(1500)) this.#damageDisk();
+    if (this.#isChosen(800)) this.#transfer();
+    if (this.#isChosen(2500)) this.#removeMember();
+  }
+
+  #pickMember(): Member {
+    const found = this.#members[this.#pick(this.#members.length)];
+    assert.ok(found !== undefined);
+    return found;
+  }
+
+  #stop(member: Member): void {
+    member.consensus = undefined;
+    member.downUntil = this.#now + this.#pick(5000);
+    member.disk.crash(this.#pick(3), this.#isChosen(2), this.#options.lyingDisks);
+  }
+
+  #crash(): void {
+    const member = this.#pickMember();
+    if (member.consensus === undefined) return;
+    this.#count('crash');
+    this.#stop(member);
+  }
+
+  #freeze(): void {
+    this.#count('freeze');
+    const member = this.#pickMember();
+    if (member.frozenUntil > this.#now) return;
+    const duration = this.#pick(6000);
+    member.frozenUntil = this.#now + duration;
+    if (this.#isChosen(2)) member.clockLag += duration;
+  }
+
+  /** Cuts one member off from others, in one or both directions. */
+  #cut(): void {
+    this.#count('cut');
+    const address = toAddress(this.#pickMember().id);
+    const until = this.#now + this.#pick(8000);
+    const direction = this.#pick(3);
+    this.#members
+      .map(({ id }) => toAddress(id))
+      .forEach((other) => {
+        if (this.#isChosen(4)) return;
+        if (direction !== 0) this.#cuts.set(`${address}>${other}`, until);
+        if (direction !== 1) this.#cuts.set(`${other}>${address}`, until);
+      });
+  }
+
+  /** Whether every set of voters that any member knows survives the loss of one more disk. */
+  #canLose(victim: Member): boolean {
+    const sound = new Set(
+      this.#members
+        .filter((member) => member !== victim)
+        .filter(({ disk, consensus }) => !disk.vote.repairing && consensus?.repair === undefined)
+        .map(({ id }) => id),
+    );
+    return this.#members.every((member) => {
+      const { membership } = member.consensus ?? this.#loadMembership(member);
+      const voters = membership.members.filter(({ voter }) => voter);
+      const lost = voters.filter(({ id }) => !sound.has(id)).length;
+      return lost * 2 < voters.length || voters.length === 0;
+    });
+  }
+
+  #loadMembership(member: Member): ConsensusState {
+    const stored = member.disk.load();
+    const start = { timings: defaultTimings, now: 0, random: 0, nonce: '', self: member.id };
+    return createConsensus({ ...start, ...stored });
+  }
+
+  #loseDisk(): void {
+    const member = this.#pickMember();
+    if (member.joining || !this.#canLose(member)) return;
+    this.#count('disk lost');
+    this.#stop(member);
+    member.disk = new Disk();
+    member.id = this.#createId(this.#members.indexOf(member));
+    member.joining = true;
+  }
+
+  #damageDisk(): void {
+    const member = this.#pickMember();
+    if (member.joining || !this.#canLose(member)) return;
+    this.#count('disk damaged');
+    this.#stop(member);
+    member.disk.damage(this.#pick(member.disk.log.entries.length + 1));
+  }
+
+  #transfer(): void {
+    this.#findLeaders().forEach((leader) => {
+      this.#count('transfer');
+      this.#handle(leader, { kind: 'transferRequested' });
+    });
+  }
+
+  #removeMember(): void {
+    const leader = this.#findLeaders()[0];
+    const victim = this.#pickMember();
+    const voters = leader?.consensus?.membership.members.filter(({ voter }) => voter).length ?? 0;
+    if (leader === undefined || voters <= FOUNDERS) return;
+    this.#count('member removed');
+    const change = { kind: 'remove', address: toAddress(victim.id) } as const;
+    this.#handle(leader, { kind: 'membershipProposed', proposal: 0, change });
+  }
+
+  #describe(): string {
+    const members = this.#members.map(({ id, joining, consensus }) => {
+      const { role, term, log, membership, repair } = consensus ?? {};
+      return { id, joining, role, term, last: log && getLastIndex(log), membership, repair };
+    });
+    return JSON.stringify(members, null, 1);
+  }
+
+  #checkSettled(): void {
+    const leader = this.#findLeaders()[0];
+    assert.ok(
+      leader?.consensus !== undefined,
+      `no leader after everything healed: ${this.#describe()}`,
+    );
+    const { membership, commitIndex } = leader.consensus;
+    const lastIndex = getLastIndex(leader.consensus.log);
+    assert.ok(lastIndex - commitIndex < 20, `commits stopped at ${commitIndex} of ${lastIndex}`);
+    this.history.check(leader.applied);
+    this.#members
+      .filter(({ id }) => membership.members.some((member) => member.id === id && member.voter))
+      .forEach((member) => {
+        assert.ok(
+          leader.applied.length - member.applied.length < 60,
+          `${member.id} applied ${member.applied.length} of ${leader.applied.length}`,
+        );
+        assert.deepEqual(member.applied, leader.applied.slice(0, member.applied.length));
+      });
+  }
+}
+
+function decodeList(bytes: Uint8Array): readonly number[] {
+  return JSON.parse(Buffer.from(bytes).toString()) as readonly number[];
+}
--- a/src/control/log.ts
+++ b/src/control/log.ts
@@ -3,7 +3,7 @@
  * their terms never fall.
  */
 import { checkInvariant } from '../model/index.js';
-import type { LogEntry } from '../generated/control.js';
+import type { LogEntry, Snapshot } from '../generated/control.js';
 
 /** Entries after a base whose own entry may be compacted away. */
 export interface Log {
@@ -88,3 +88,22 @@
     .findLastIndex((entry) => entry.term !== term);
   return log.baseIndex + at + 2;
 }
+
+/** Returns a log that holds no entry after the snapshot. */
+export function toBase(snapshot: Snapshot | undefined): Log {
+  if (snapshot === undefined) return emptyLog;
+  return { baseIndex: snapshot.index, baseTerm: snapshot.term, entries: [] };
+}
+
+/** Puts the log on the snapshot; entries that do not follow from the snapshot are dropped. */
+export function joinLog(
+  log: Log,
+  snapshot: Snapshot | undefined,
+): { readonly log: Log; readonly gap: boolean } {
+  const base = toBase(snapshot);
+  if (log.baseIndex > base.baseIndex) return { log, gap: true };
+  const at = base.baseIndex - log.baseIndex;
+  const term = at === 0 ? log.baseTerm : log.entries[at - 1]?.term;
+  const entries = term === base.baseTerm ? log.entries.slice(at) : [];
+  return { log: { ...base, entries }, gap: false };
+}
--- a/src/control/members.ts
+++ b/src/control/members.ts
@@ -3,6 +3,7 @@
  * of the leader's own term are committed, and it changes at most one voter.
  */
 import type { LogEntry, Membership } from '../generated/control.js';
+import { hasQuorumContact } from './election.js';
 import { appendOwn, hasCommittedOwnTerm, startTransfer } from './leading.js';
 import { getLastIndex } from './log.js';
 import { listVoters, runSteps, toAddress, toStep } from './steps.js';
@@ -18,6 +19,11 @@
   return !hasCommittedOwnTerm(state) || state.membershipIndex > state.commitIndex;
 }
 
+/** Tells whether a majority of the voters would answer; otherwise the change might never be committed. */
+function hasAnsweringMajority(state: ConsensusState, membership: Membership): boolean {
+  return hasQuorumContact({ ...state, membership });
+}
+
 function appendMembership(state: ConsensusState, membership: Membership): Step {
   const entry: LogEntry = {
     kind: 'membership',
@@ -42,18 +48,32 @@
   return { ...rest, members: [...rest.members, { id, voter: false }] };
 }
 
+function isOwnAddress(state: ConsensusState, id: MemberId): boolean {
+  return toAddress(id) === toAddress(state.self);
+}
+
+function findQuorumRefusal(
+  state: ConsensusState,
+  membership: Membership,
+): RefusalReason | undefined {
+  if (membership.members.length > MAX_VOTERS) return 'tooMany';
+  return hasAnsweringMajority(state, membership) ? undefined : 'fewAnswer';
+}
+
 function findRefusal(state: ConsensusState, change: MembershipChange): RefusalReason | undefined {
   if (state.role.kind !== 'leader') return 'notLeader';
   if (hasPendingChange(state)) return 'changePending';
   const { members, retired } = state.membership;
   switch (change.kind) {
     case 'admit':
-      if (retired.includes(change.id)) return 'notMember';
-      return members.length >= MAX_VOTERS ? 'tooMany' : undefined;
+      if (retired.includes(change.id) || isOwnAddress(state, change.id)) return 'notMember';
+      if (members.some((member) => member.id === change.id)) return 'alreadyMember';
+      return findQuorumRefusal(state, addMember(state.membership, change.id));
     case 'remove': {
       const found = members.find((member) => toAddress(member.id) === change.address);
       if (found === undefined) return 'notMember';
-      return found.voter && listVoters(state.membership).length === 1 ? 'lastVoter' : undefined;
+      if (found.voter && listVoters(state.membership).length === 1) return 'lastVoter';
+      return findQuorumRefusal(state, removeMember(state.membership, found.id));
     }
   }
 }
@@ -95,7 +115,10 @@
     return toStep(state);
   }
   if (old.voter && listVoters(state.membership).length === 1) return toStep(state);
-  return appendMembership(state, addMember(state.membership, id));
+  const membership = addMember(state.membership, id);
+  return hasAnsweringMajority(state, membership)
+    ? appendMembership(state, membership)
+    : toStep(state);
 }
 
 /** Lets a learner vote once it holds all that is committed. */
@@ -109,5 +132,8 @@
   const members = state.membership.members.map((member) =>
     member === ready ? { ...member, voter: true } : member,
   );
-  return appendMembership(state, { ...state.membership, members });
+  const membership = { ...state.membership, members };
+  return hasAnsweringMajority(state, membership)
+    ? appendMembership(state, membership)
+    : toStep(state);
 }
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -63,7 +63,9 @@
 const refusalRemedies: Readonly<Record<Exclude<RefusalReason, 'notLeader'>, string>> = {
   changePending: 'another change of members is under way: try again in a moment',
   notMember: 'no such member: check the address',
+  alreadyMember: 'this member already belongs to the group: nothing is to be done',
   tooMany: 'the group has as many members as it may have: remove one first',
+  fewAnswer: 'too few of the members that would remain answer: bring them back first',
   lastVoter: 'the last voting member cannot be removed: add another one first',
 };
 
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -16,7 +16,7 @@
   renderDocument,
 } from './formats.js';
 import { realFileSystem, replaceFile, StorageError, syncFolder, type FileSystem } from './files.js';
-import { emptyLog, getLastIndex, getLastTerm, type Log } from './log.js';
+import { getLastIndex, getLastTerm, joinLog, toBase, type Log } from './log.js';
 import { encodeRecord } from './records.js';
 import { loadSegments, toSegmentName, type LoadedSegment } from './segments.js';
 import { toAddress } from './steps.js';
@@ -297,21 +297,3 @@
   'empty the data folder and start with join = true, so that the others replace this member';
 const REPAIR_REMEDY =
   'no action is needed while the other members run: they send what is missing; if there are none, restore the folder from a copy';
-
-function toBase(snapshot: Snapshot | undefined): Log {
-  if (snapshot === undefined) return emptyLog;
-  return { baseIndex: snapshot.index, baseTerm: snapshot.term, entries: [] };
-}
-
-/** Puts the log on the snapshot. */
-function joinLog(
-  log: Log,
-  snapshot: Snapshot | undefined,
-): { readonly log: Log; readonly gap: boolean } {
-  const base = toBase(snapshot);
-  if (log.baseIndex > base.baseIndex) return { log, gap: true };
-  const at = base.baseIndex - log.baseIndex;
-  const term = at === 0 ? log.baseTerm : log.entries[at - 1]?.term;
-  const entries = term === base.baseTerm ? log.entries.slice(at) : [];
-  return { log: { ...base, entries }, gap: false };
-}
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -64,7 +64,14 @@
 export type ConsensusEvent = ConsensusInput & { readonly now: Instant; readonly random: number };
 
 /** Why a proposal was certainly not accepted. */
-export type RefusalReason = 'notLeader' | 'changePending' | 'notMember' | 'tooMany' | 'lastVoter';
+export type RefusalReason =
+  | 'notLeader'
+  | 'changePending'
+  | 'notMember'
+  | 'alreadyMember'
+  | 'tooMany'
+  | 'lastVoter'
+  | 'fewAnswer';
 
 /** What the shell must carry out, in the order given. */
 export type ConsensusEffect =
