Add the operators' calls and the chivewalk tool

tRPC over HTTP with a bearer token compared in constant time, bounded bodies and deadlines; the tool goes from member to member, resends under the same id, and ends with one outcome and exit code.

Run against a real control member and two entries over the mesh: 22 outcomes and exit codes, one lost answer (the resend gets the first outcome), all answers lost (unknown, then asked for by id), nothing reachable, and an entry cut off, which is awaited until its lease has lapsed.

--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,43 @@
+/** The commands of `chivewalk`, the operators' tool. */
+import { Builtins, Cli } from 'clipanion';
+import {
+  AskCommand,
+  LogCommand,
+  MoveCancelCommand,
+  MoveStartCommand,
+  UpstreamsLeaveCommand,
+  UpstreamsStayCommand,
+  ZoneInCommand,
+  ZoneOutCommand,
+} from './commands.js';
+import { ShowCommand } from './show.js';
+
+/**
+ * Returns the tool with all its commands.
+ *
+ * @example
+ * process.exitCode = await createCli().run(['zone', 'out', 'cyberjaya', '--site', 'site.ini']);
+ */
+export function createCli(): Cli {
+  const cli = new Cli({
+    binaryName: 'chivewalk',
+    binaryLabel: "chivewalk operators' tool",
+    binaryVersion: '0.1.0',
+  });
+  [
+    ZoneOutCommand,
+    ZoneInCommand,
+    UpstreamsLeaveCommand,
+    UpstreamsStayCommand,
+    MoveStartCommand,
+    MoveCancelCommand,
+    ShowCommand,
+    LogCommand,
+    AskCommand,
+    Builtins.HelpCommand,
+    Builtins.VersionCommand,
+  ].forEach((command) => {
+    cli.register(command);
+  });
+  return cli;
+}
--- a/src/distribution/members.ts
+++ b/src/distribution/members.ts
@@ -12,8 +12,8 @@
 /** An entry that a revision is not in force at. */
 export interface AwaitedEntry {
   readonly id: EntryId;
-  /** The revision that it confirmed last; undefined if this leader heard nothing. */
-  readonly revision: Revision | undefined;
+  /** The revision that it confirmed last; absent if this leader heard nothing. */
+  readonly revision?: Revision;
   /** Milliseconds until its lease has certainly lapsed. */
   readonly lapsesWithin: Duration;
 }
@@ -51,7 +51,8 @@
     if (confirmed !== undefined && confirmed >= revision) return [];
     if (isLapsed(state, member, now)) return [];
     const lapsesWithin = Math.max(0, getLastGrant(state, member) + LEASE - now);
-    return [{ id: member.id, revision: confirmed, lapsesWithin }];
+    const known = confirmed === undefined ? {} : { revision: confirmed };
+    return [{ id: member.id, ...known, lapsesWithin }];
   });
 }
 
--- a/src/distribution/publisher.ts
+++ b/src/distribution/publisher.ts
@@ -67,7 +67,7 @@
 /** One entry as `show entries` lists it. */
 export interface EntryReport extends RosterMember {
   /** The newest revision that it confirmed to this leader. */
-  readonly revision: number | undefined;
+  readonly revision?: number;
 }
 
 /** A control member's end of the distribution. */
@@ -113,10 +113,10 @@
   }
 
   listEntries(): readonly EntryReport[] {
-    return this.config.roster.members.map((member) => ({
-      ...member,
-      revision: findSighting(this.#state, member)?.revision,
-    }));
+    return this.config.roster.members.map((member) => {
+      const revision = findSighting(this.#state, member)?.revision;
+      return revision === undefined ? member : { ...member, revision };
+    });
   }
 
   listAwaited(revision: number): readonly AwaitedEntry[] {
--- /dev/null
+++ b/src/operators/index.ts
@@ -0,0 +1,12 @@
+/** The operators' calls and their listener. */
+export type {
+  AskAnswer,
+  LogAnswer,
+  NoAnswer,
+  ShowAnswer,
+  SiteReport,
+  SubmitAnswer,
+} from './answers.js';
+export { openOperators, type OperatorsListener, type OperatorsOptions } from './listener.js';
+export type { OperatorsRouter } from './router.js';
+export { CommandError, parseCommand } from './validate.js';
--- /dev/null
+++ b/src/operators/router.ts
@@ -0,0 +1,229 @@
+/**
+ * The operators' calls. Invariant: every call is answered within its deadline, and reads are answered
+ * only from a state that a majority confirmed since the call.
+ */
+import { initTRPC, TRPCError } from '@trpc/server';
+import type { ControlNode } from '../control/index.js';
+import type { ConfigServer } from '../distribution/index.js';
+import {
+  getStatus,
+  listLog,
+  type IntentState,
+  type OperatorCommand,
+  type Outcome,
+} from '../intent/index.js';
+import { matchSelector, type Address, type Upstream } from '../model/index.js';
+import type {
+  AskAnswer,
+  LogAnswer,
+  MemberReport,
+  NoAnswer,
+  ShowAnswer,
+  SiteReport,
+  SubmitAnswer,
+} from './answers.js';
+import { CommandError, MAX_CALL_DEADLINE, parseCommand } from './validate.js';
+
+/** What the calls work on. */
+export interface OperatorsServices {
+  readonly control: ControlNode<IntentState>;
+  readonly distribution: ConfigServer;
+  /** Operators' addresses of the control members, by peer address, as far as known. */
+  readonly operatorAddresses: Readonly<Record<Address, Address>>;
+  /** The upstreams that are announced, as far as this member knows. */
+  readonly listUpstreams: () => readonly Upstream[];
+  /** Wall clock in milliseconds. */
+  readonly wallNow: () => number;
+}
+
+/** What each call knows of its sender. */
+export interface OperatorsContext {
+  readonly isTrusted: boolean;
+}
+
+/** Records that one call returns at most. */
+const MAX_LOG_RECORDS = 2000;
+
+function readField(value: unknown, key: string): unknown {
+  return typeof value === 'object' && value !== null
+    ? (value as Readonly<Record<string, unknown>>)[key]
+    : undefined;
+}
+
+function readNumber(value: unknown, key: string): number {
+  const found = readField(value, key);
+  if (typeof found === 'number' && Number.isFinite(found)) return found;
+  throw new CommandError(`give ${key} as a number`);
+}
+
+function readDeadline(value: unknown): number {
+  return Math.min(Math.max(readNumber(value, 'deadlineMs'), 1), MAX_CALL_DEADLINE);
+}
+
+/** Returns the services that a move's selector stands for. */
+function listServices(command: OperatorCommand, upstreams: readonly Upstream[]): readonly string[] {
+  if (command.kind !== 'startMove') return [];
+  const { service } = command.selector.match;
+  // The version that is asked for replaces the one that the selector may name.
+  const pairs = Object.entries(command.selector.match).filter(([key]) => key !== 'version');
+  const selector = { match: Object.fromEntries(pairs) };
+  const selected = upstreams.filter((upstream) => matchSelector(selector, upstream));
+  const found = [...new Set(selected.map((upstream) => upstream.service))].sort();
+  return found.length > 0 || service === undefined ? found : [service];
+}
+
+function withServices(command: OperatorCommand, upstreams: readonly Upstream[]): OperatorCommand {
+  if (command.kind !== 'startMove') return command;
+  return { ...command, services: [...listServices(command, upstreams)] };
+}
+
+/** Names the leader by its address for operators. */
+function toNoAnswer(
+  services: OperatorsServices,
+  answer: { readonly kind: 'notLeader'; readonly leader: Address | undefined } | NoAnswer,
+): NoAnswer {
+  if (answer.kind === 'unavailable') return answer;
+  const { leader } = answer;
+  const known = leader === undefined ? undefined : services.operatorAddresses[leader];
+  return { kind: 'notLeader', leader: known };
+}
+
+async function sendCommand(
+  services: OperatorsServices,
+  command: OperatorCommand,
+  deadlineMs: number,
+): Promise<SubmitAnswer> {
+  const complete = withServices(command, services.listUpstreams());
+  const proposed = await services.control.propose(complete, deadlineMs);
+  switch (proposed.kind) {
+    case 'committed':
+      return { kind: 'outcome', outcome: proposed.result as Outcome };
+    case 'unknown':
+      return { kind: 'unknown' };
+    case 'notLeader':
+    case 'unavailable':
+      return toNoAnswer(services, proposed);
+  }
+}
+
+async function withState<Answer>(
+  services: OperatorsServices,
+  deadlineMs: number,
+  build: (state: IntentState) => Answer,
+): Promise<Answer | NoAnswer> {
+  const read = await services.control.readCurrent(deadlineMs);
+  return read.kind === 'current' ? build(read.state) : toNoAnswer(services, read);
+}
+
+function buildAskAnswer(services: OperatorsServices, state: IntentState, id: string): AskAnswer {
+  const status = getStatus(state, id);
+  const isOpen = status.kind === 'accepted';
+  const awaited = isOpen ? services.distribution.listAwaited(status.revision) : [];
+  return { kind: 'status', status, awaited };
+}
+
+/** A member's id is its address and the incarnation of its data folder. */
+function toMemberReport(id: string, voter: boolean, leader: Address | undefined): MemberReport {
+  const [address = id] = id.split('#');
+  return { address, voter, leader: address === leader };
+}
+
+function buildSite(services: OperatorsServices, state: IntentState): SiteReport {
+  const { control, distribution } = services;
+  const entries = distribution.listEntries();
+  const upstreams = services.listUpstreams();
+  const names = [
+    ...state.zonesOut,
+    ...entries.map(({ zone }) => zone),
+    ...upstreams.map(({ zone }) => zone),
+  ];
+  const { leader, members } = control.status;
+  return {
+    revision: state.revision,
+    inForce: state.inForce,
+    awaited: distribution.listAwaited(state.revision),
+    zones: [...new Set(names)].sort().map((zone) => ({
+      zone,
+      out: state.zonesOut.includes(zone),
+      entries: entries.filter((entry) => entry.zone === zone).length,
+    })),
+    moves: state.moves,
+    entries,
+    members: members.map(({ id, voter }) => toMemberReport(id, voter, leader)),
+    leaving: state.leaving,
+    upstreams,
+  };
+}
+
+const trpc = initTRPC.context<OperatorsContext>().create();
+
+/** Lets only operators through who proved themselves, and turns bad input into a clear answer. */
+const trusted = trpc.procedure.use(async ({ ctx, next }) => {
+  if (!ctx.isTrusted) {
+    const message = "present the operators' token: --token, or token in the site file";
+    throw new TRPCError({ code: 'UNAUTHORIZED', message });
+  }
+  return next();
+});
+
+/** Parses the input of a call; a fault of it becomes a bad request. */
+function withInput<Input>(parse: (value: unknown) => Input): (value: unknown) => Input {
+  return (value) => {
+    try {
+      return parse(value);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      throw new TRPCError({ code: 'BAD_REQUEST', message });
+    }
+  };
+}
+
+/**
+ * Returns the router of the operators' calls.
+ *
+ * @example
+ * const router = createOperatorsRouter({ control, distribution, operatorAddresses: {}, listUpstreams, wallNow: Date.now });
+ */
+export function createOperatorsRouter(services: OperatorsServices) {
+  const parseSubmit = withInput((value) => ({
+    command: parseCommand(readField(value, 'command'), services.wallNow()),
+    deadlineMs: readDeadline(value),
+  }));
+  const parseAsk = withInput((value) => ({
+    id: String(readField(value, 'id')),
+    deadlineMs: readDeadline(value),
+  }));
+  const parseShow = withInput((value) => ({ deadlineMs: readDeadline(value) }));
+  const parseLog = withInput((value) => ({
+    since: readNumber(value, 'since'),
+    until: readNumber(value, 'until'),
+    deadlineMs: readDeadline(value),
+  }));
+  return trpc.router({
+    submit: trusted
+      .input(parseSubmit)
+      .mutation(({ input }) => sendCommand(services, input.command, input.deadlineMs)),
+    ask: trusted
+      .input(parseAsk)
+      .query(({ input }) =>
+        withState<AskAnswer>(services, input.deadlineMs, (state) =>
+          buildAskAnswer(services, state, input.id),
+        ),
+      ),
+    show: trusted.input(parseShow).query(({ input }) =>
+      withState<ShowAnswer>(services, input.deadlineMs, (state) => ({
+        kind: 'site',
+        site: buildSite(services, state),
+      })),
+    ),
+    log: trusted.input(parseLog).query(({ input }) =>
+      withState<LogAnswer>(services, input.deadlineMs, (state) => ({
+        kind: 'log',
+        records: listLog(state, input.since, input.until).slice(-MAX_LOG_RECORDS),
+      })),
+    ),
+  });
+}
+
+/** The type of the router, for clients. */
+export type OperatorsRouter = ReturnType<typeof createOperatorsRouter>;
