--- a/features/entry/failure.steps.ts
+++ b/features/entry/failure.steps.ts
@@ -5,7 +5,7 @@
 import { announceUpstreams, sendCall, startEntry, type EntryWorld } from './world.js';
 
 interface FailureWorld extends EntryWorld {
-  upstream: RawUpstream | undefined;
+  rawUpstream: RawUpstream | undefined;
   outcome: unknown;
 }
 
@@ -66,8 +66,8 @@
     announceUpstreams(this.parts, [`127.0.0.1:${port}`]);
     return;
   }
-  this.upstream = await startRawUpstream(behaviour);
-  announceUpstreams(this.parts, [this.upstream.address]);
+  this.rawUpstream = await startRawUpstream(behaviour);
+  announceUpstreams(this.parts, [this.rawUpstream.address]);
 });
 
 When(
@@ -102,10 +102,10 @@
   this.matchSnapshot({
     caller: { ...caller, headers: Object.fromEntries(headers) },
     recorded: { outcome, status, attempts },
-    requests: this.upstream?.requests ?? [],
+    requests: this.rawUpstream?.requests ?? [],
   });
 });
 
-After(function (this: FailureWorld) {
-  this.upstream?.stop();
+After({ tags: '@entry' }, function (this: FailureWorld) {
+  this.rawUpstream?.stop();
 });
--- /dev/null
+++ b/features/entry/restart.steps.ts
@@ -0,0 +1,134 @@
+import { Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Upstream } from '../../src/model/index.js';
+import { ContractCaller } from './caller.js';
+import { createUpstream } from './fakes.js';
+import { sendCall, startEntry, startUpstream, type EntryParts, type EntryWorld } from './world.js';
+
+interface RestartWorld extends EntryWorld {
+  fleet: Map<number, EntryParts>;
+  upstream: Upstream;
+  callers: ContractCaller[];
+  draw: () => number;
+  /** Calls that each entry finished after its restart. */
+  servedAfter: number[];
+  stopping: EntryParts;
+  stopped: Promise<void>;
+}
+
+const SEED = Number(process.env.SEED ?? 5);
+const CALLERS = 6;
+const TTL_MS = 100;
+const LAG_MS = 60;
+const SETTLE_MS = 250;
+
+function listFleet(world: RestartWorld, without: EntryParts | undefined): void {
+  const listed = [...world.fleet.values()].filter((parts) => parts !== without);
+  const entries = listed.map(({ entry }) => ({ address: entry.address, zone: 'klang' }));
+  world.fleet.forEach((parts) => {
+    parts.members.set(entries, [world.upstream]);
+  });
+}
+
+function startMember(port?: number): Promise<EntryParts> {
+  return startEntry({
+    addressTtlMs: TTL_MS,
+    listingLagMs: LAG_MS,
+    ...(port === undefined ? {} : { callerListen: `127.0.0.1:${port}` }),
+  });
+}
+
+Given('three entries and callers that follow the contract', async function (this: RestartWorld) {
+  const generator = xoroshiro128plus(SEED);
+  this.draw = () => uniformFloat64(generator);
+  const address = await startUpstream((request, response) => {
+    request.resume();
+    request.on('error', () => undefined);
+    const wait = this.draw() * 30;
+    request.on('end', () => setTimeout(() => response.end(`answer to ${request.url ?? ''}`), wait));
+  });
+  this.upstream = createUpstream('seam', 'seam-1', address);
+  const members = [await startMember(), await startMember(), await startMember()];
+  this.fleet = new Map(members.map((parts) => [parts.port, parts]));
+  listFleet(this, undefined);
+  const ports = [...this.fleet.keys()];
+  this.callers = Array.from({ length: CALLERS }, () => new ContractCaller(ports, this.draw));
+});
+
+async function replaceMember(world: RestartWorld, port: number): Promise<void> {
+  const before = world.fleet.get(port);
+  assert.ok(before !== undefined);
+  const stopped = before.entry.stop();
+  await delay(LAG_MS * world.draw());
+  listFleet(world, before);
+  await stopped;
+  assert.equal(before.entry.inFlight, 0);
+  const after = await startMember(port);
+  world.fleet.set(port, after);
+  listFleet(world, undefined);
+  await delay(SETTLE_MS);
+  world.servedAfter.push(after.finished.length);
+}
+
+When(
+  'every entry is restarted, one after another',
+  { timeout: 30_000 },
+  async function (this: RestartWorld) {
+    let running = true;
+    this.servedAfter = [];
+    const loops = this.callers.map(async (caller, which) => {
+      let count = 0;
+      while (running) {
+        await caller.sendRequest(`caller-${which}-${count}`);
+        count += 1;
+        if (this.draw() < 0.1) await delay(this.draw() * TTL_MS);
+      }
+    });
+    await [...this.fleet.keys()].reduce(async (done, port) => {
+      await done;
+      await replaceMember(this, port);
+    }, Promise.resolve());
+    running = false;
+    await Promise.all(loops);
+    this.callers.forEach((caller) => {
+      caller.close();
+    });
+  },
+);
+
+Then('no request of the callers was cut off or refused', function (this: RestartWorld) {
+  assert.deepEqual(
+    this.callers.flatMap(({ faults }) => faults),
+    [],
+  );
+  assert.ok(this.callers.every(({ answered }) => answered > 10));
+});
+
+Then('every entry served requests after its restart', function (this: RestartWorld) {
+  assert.equal(this.servedAfter.length, this.fleet.size);
+  assert.ok(this.servedAfter.every((count) => count > 0));
+});
+
+When('one entry begins to stop', function (this: RestartWorld) {
+  const [first] = this.fleet.values();
+  assert.ok(first !== undefined);
+  this.stopping = first;
+  this.stopped = first.entry.stop();
+});
+
+Then(
+  'it leaves its own answer at once, serves on and closes its connections',
+  async function (this: RestartWorld) {
+    const { port, entry } = this.stopping;
+    const listed = await sendCall({ port, path: '/.well-known/chivewalk/addresses' });
+    assert.equal(listed.body.includes(entry.address), false);
+    const served = await sendCall({ port, path: '/seam/a' });
+    assert.equal(served.status, 200);
+    assert.equal(served.headers.connection, 'close');
+    await this.stopped;
+    await assert.rejects(sendCall({ port, path: '/seam/a' }));
+  },
+);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -16,9 +16,11 @@
 import {
   CALLER_IDLE_TIMEOUT,
   HEAD_TIMEOUT,
+  LISTING_LAG,
   MAX_HEAD_BYTES,
   MAX_KEYED_BODY_BYTES,
   MAX_REPLAY_BYTES,
+  STOP_MARGIN,
   TICK_INTERVAL,
 } from './limits.js';
 import type {
@@ -69,8 +71,6 @@
   readonly stop: () => Promise<void>;
 }
 
-const DEFAULT_LISTING_LAG: Duration = 2000;
-
 class RunningEntry implements Entry {
   readonly #options: EntryOptions;
   readonly #server: Server;
@@ -336,8 +336,8 @@
 
   /** Serves on while callers may still hold this address, then closes idle connections. */
   async #stop(): Promise<void> {
-    const { addressTtlMs, listingLagMs = DEFAULT_LISTING_LAG } = this.#options;
-    await delay(addressTtlMs + listingLagMs);
+    const { addressTtlMs, listingLagMs = LISTING_LAG } = this.#options;
+    await delay(addressTtlMs + listingLagMs + STOP_MARGIN);
     await new Promise((resolve) => this.#server.close(resolve));
     clearInterval(this.#ticker);
     this.#pools.close();
--- a/src/entry/limits.ts
+++ b/src/entry/limits.ts
@@ -43,5 +43,9 @@
 export const PROBE_TIMEOUT: Duration = 2_000;
 /** Time between two `ticked` events to the routing decisions. */
 export const TICK_INTERVAL: Duration = 20;
+/** How long other entries may go on listing an entry that began to stop, unless settings say so. */
+export const LISTING_LAG: Duration = 2_000;
+/** Time on top for a request that a caller sent at the last moment. */
+export const STOP_MARGIN: Duration = 500;
 /** Addresses in one answer to a caller. */
 export const MAX_ADDRESSES = 4;
