--- a/features/entry/restart.feature
+++ b/features/entry/restart.feature
@@ -11,4 +11,4 @@
   Scenario: An entry that stops announces it
     Given three entries and callers that follow the contract
     When one entry begins to stop
-    Then it leaves its own answer at once, serves on and closes its connections
+    Then it leaves its own answer at once, serves on, closes its connections and finishes what runs
--- a/features/entry/restart.steps.ts
+++ b/features/entry/restart.steps.ts
@@ -1,12 +1,20 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { Agent } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Upstream } from '../../src/model/index.js';
 import { ContractCaller } from './caller.js';
 import { createUpstream } from './fakes.js';
-import { sendCall, startEntry, startUpstream, type EntryParts, type EntryWorld } from './world.js';
+import {
+  sendCall,
+  startEntry,
+  startUpstream,
+  type EntryParts,
+  type EntryWorld,
+  type SeenAnswer,
+} from './world.js';
 
 interface RestartWorld extends EntryWorld {
   fleet: Map<number, EntryParts>;
@@ -17,6 +25,8 @@
   servedAfter: number[];
   stopping: EntryParts;
   stopped: Promise<void>;
+  /** A request that runs while the entry stops. */
+  long: Promise<SeenAnswer>;
 }
 
 const SEED = Number(process.env.SEED ?? 5);
@@ -24,6 +34,8 @@
 const TTL_MS = 100;
 const LAG_MS = 60;
 const SETTLE_MS = 250;
+/** Longer than an entry serves on before it closes its listener. */
+const LONG_MS = 1500;
 
 function listFleet(world: RestartWorld, without: EntryParts | undefined): void {
   const listed = [...world.fleet.values()].filter((parts) => parts !== without);
@@ -47,7 +59,7 @@
   const address = await startUpstream((request, response) => {
     request.resume();
     request.on('error', () => undefined);
-    const wait = this.draw() * 30;
+    const wait = request.url === '/long' ? LONG_MS : this.draw() * 30;
     request.on('end', () => setTimeout(() => response.end(`answer to ${request.url ?? ''}`), wait));
   });
   this.upstream = createUpstream('seam', 'seam-1', address);
@@ -112,22 +124,28 @@
   assert.ok(this.servedAfter.every((count) => count > 0));
 });
 
-When('one entry begins to stop', function (this: RestartWorld) {
+When('one entry begins to stop', async function (this: RestartWorld) {
   const [first] = this.fleet.values();
   assert.ok(first !== undefined);
   this.stopping = first;
+  this.long = sendCall({ port: first.port, path: '/seam/long' });
+  await delay(SETTLE_MS);
   this.stopped = first.entry.stop();
 });
 
 Then(
-  'it leaves its own answer at once, serves on and closes its connections',
+  'it leaves its own answer at once, serves on, closes its connections and finishes what runs',
   async function (this: RestartWorld) {
     const { port, entry } = this.stopping;
     const listed = await sendCall({ port, path: '/.well-known/chivewalk/addresses' });
     assert.equal(listed.body.includes(entry.address), false);
-    const served = await sendCall({ port, path: '/seam/a' });
+    const agent = new Agent({ keepAlive: true });
+    const served = await sendCall({ port, path: '/seam/a', agent });
     assert.equal(served.status, 200);
     assert.equal(served.headers.connection, 'close');
+    const long = await this.long;
+    assert.equal(long.body, 'answer to /long');
+    assert.equal(long.complete, true);
     await this.stopped;
     await assert.rejects(sendCall({ port, path: '/seam/a' }));
   },
