--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -9,6 +9,8 @@
 import { generateRandom } from './hash.js';
 import type { CallState, RoutingState, ServiceState, UpstreamState } from './state.js';
 
+/** Consecutive failures after which an upstream gets one request at a time, until one ends well. */
+const TRIAL_FAILURES = 2;
 /** Share of a moving version from which it also takes the calls of a version without upstreams. */
 const MAJORITY = 0.5;
 
@@ -57,10 +59,32 @@
 ): boolean {
   if (known.ejectedUntil > now) return false;
   if (known.cold) return hasColdRoom(state, known, now);
-  if (known.failures > 0 && known.ejections > 0) return known.sentAt.length === 0;
+  if (known.failures >= TRIAL_FAILURES) return known.sentAt.length === 0;
   return known.sentAt.length < computeLimit(state, service, known, batch, now);
 }
 
+/**
+ * Returns the upstreams that the call may not use because it was there before. One that it tried is left
+ * out only while another could take it; else a call that tried them all would wait, and every call behind
+ * it, until it is overdue.
+ */
+function listExcluded(
+  service: ServiceState,
+  call: CallState,
+  side: boolean | undefined,
+  now: Instant,
+): readonly string[] {
+  if (call.tried.length === 0) return call.tried;
+  const hasUntried = service.upstreams.some(
+    (known) =>
+      known.usable &&
+      known.ejectedUntil <= now &&
+      matchSide(service, known, side) &&
+      !call.tried.includes(known.upstream.id),
+  );
+  return hasUntried ? call.tried : [];
+}
+
 /** Returns the upstreams that the call may be sent to now. */
 function listCandidates(
   state: RoutingState,
@@ -70,11 +94,12 @@
 ): readonly UpstreamState[] {
   const side = pickVersionSide(service, call.roll);
   const batch = call.call.criticality === 'batch';
+  const excluded = listExcluded(service, call, side, now);
   const able = service.upstreams.filter(
     (known) =>
       known.usable &&
       matchSide(service, known, side) &&
-      !call.tried.includes(known.upstream.id) &&
+      !excluded.includes(known.upstream.id) &&
       hasRoom(state, service, known, batch, now),
   );
   if (side !== true) return able;
@@ -82,13 +107,16 @@
   return moving.length > 0 ? moving : able;
 }
 
-/** Draws `count` different candidates. */
+/** Draws at most `count` different candidates, in an order of chance that settles ties. */
 function pickCandidates(
   candidates: readonly UpstreamState[],
   count: number,
   random: number,
 ): readonly UpstreamState[] {
-  if (candidates.length <= count) return candidates;
+  if (candidates.length <= count) {
+    const start = Math.floor(random * candidates.length);
+    return [...candidates.slice(start), ...candidates.slice(0, start)];
+  }
   const left = [...candidates];
   return Array.from({ length: count }, (_, salt) => {
     const at = Math.floor(generateRandom(random, salt) * left.length);
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -17,7 +17,7 @@
 import { markCold, markWarm } from './cold.js';
 import { applyConfig, applyDiscovery } from './fleet.js';
 import { planProbes } from './probes.js';
-import { removeQueued, updateFinishGap } from './queue.js';
+import { countQueued, removeQueued, updateFinishGap } from './queue.js';
 import { addRetryTokens, isServerError } from './retries.js';
 import { applySignal, releaseRequest, updateAverages, type Signal } from './signals.js';
 import {
@@ -145,7 +145,7 @@
   if (failed) addEvidence(learned, call, true, latency, decision);
   const released = releaseCall(learned, call, event.now);
   const ended: CallState = failed ? { ...call, mayHaveRun: true, lastFailure: 'lost' } : call;
-  const retried = startRetry(released, ended, decision);
+  const retried = startRetry(released, ended, true, decision);
   if (retried !== undefined) return drainQueue(retried, at, decision);
   if (failed) return forwardAnswer(learned, call, latency, true, decision);
   return drainQueue(closeCall(released, ended, 'retriesSpent', decision), at, decision);
@@ -182,18 +182,20 @@
   const latency = event.now - call.sentAt;
   const [at] = getService(state, call);
   addEvidence(state, call, true, latency, decision);
-  const signal: Signal = { failed: true, latency, report: undefined };
+  const wasReached = event.failure !== 'unreachable';
+  const signal: Signal = { failed: true, latency, report: undefined, unreachable: !wasReached };
   const released = releaseCall(state, call, event.now);
   const learned = applyUpstreamSignal(released, at, call.tried.at(-1), signal, decision);
   const lost = event.failure === 'lost';
   const known = lost ? addSuspect(learned, call, decision) : learned;
   const ended: CallState = {
     ...call,
-    mayHaveRun: call.mayHaveRun || event.failure !== 'unreachable',
-    lastFailure: event.failure === 'unreachable' ? call.lastFailure : event.failure,
+    mayHaveRun: call.mayHaveRun || wasReached,
+    lastFailure: wasReached ? event.failure : call.lastFailure,
   };
   const next =
-    startRetry(known, ended, decision) ?? closeCall(known, ended, 'retriesSpent', decision);
+    startRetry(known, ended, wasReached, decision) ??
+    closeCall(known, ended, 'retriesSpent', decision);
   return drainQueue(next, at, decision);
 }
 
@@ -258,7 +260,7 @@
   const place = findUpstream(service, event.upstreamId);
   const known = service.upstreams[place];
   if (known?.upstream.incarnation !== event.incarnation || known.cold === event.cold) return state;
-  const next: UpstreamState = event.cold ? markCold(known, event.now) : markWarm(known, event.now);
+  const next: UpstreamState = event.cold ? markCold(known) : markWarm(known, event.now);
   return withService(state, at, withUpstream(service, place, next));
 }
 
@@ -269,7 +271,8 @@
 }
 
 function handleTick(state: RoutingState, decision: Decision): RoutingState {
-  const settled = state.services.reduce((next, _, at) => {
+  const settled = state.services.reduce((next, service, at) => {
+    if (countQueued(service) === 0) return next;
     const expired = expireQueue(next, at, decision);
     return drainQueue(expired, at, decision);
   }, state);
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -14,10 +14,16 @@
   readonly probeQuiet: Duration;
   /** Upstreams that are compared for one call. */
   readonly choices: number;
-  /** Milliseconds after which a load report counts for 1/e of its difference to the average. */
-  readonly reportAge: Duration;
+  /** Age at which a load report counts for 1/e, as a multiple of the service's latency. */
+  readonly reportAge: number;
+  /** Weight of a fresh load report beside the entry's own requests in flight. */
+  readonly reportWeight: number;
   /** Milliseconds after which a measured latency counts for 1/e of its difference to the average. */
   readonly latencyAge: Duration;
+  /** Weight of one answer in the moving average of an upstream's latency. */
+  readonly latencyWeight: number;
+  /** Multiple of the service's latency from which an upstream counts as slow. */
+  readonly slowFactor: number;
   /** Milliseconds added to the expected latency of an upstream in another availability zone. */
   readonly zonePenalty: Duration;
   /** Requests in an upstream, running and waiting, as a multiple of its slots. */
@@ -63,9 +69,12 @@
   probeShare: 0.01,
   probeCost: 6,
   probeQuiet: 1000,
-  choices: 2,
-  reportAge: 20,
-  latencyAge: 2000,
+  choices: 16,
+  reportAge: 0.3,
+  reportWeight: 0.1,
+  latencyAge: 500,
+  latencyWeight: 0.3,
+  slowFactor: 2,
   zonePenalty: 1,
   overcommit: 3,
   batchShare: 0.5,
@@ -76,7 +85,7 @@
   ejectionTimeLimit: 30_000,
   coldConcurrency: 2,
   coldRate: 20,
-  coldTurn: 500,
+  coldTurn: 2000,
   warmAge: 60_000,
   warmAnswers: 3,
   rampTime: 2000,
