--- a/features/control/group.steps.ts
+++ b/features/control/group.steps.ts
@@ -2,6 +2,9 @@
 import assert from 'node:assert/strict';
 import { Group, waitFor } from './group.js';
 
+/** Milliseconds for a step on a busy machine. */
+const SLOW = { timeout: 120_000 };
+
 interface GroupWorld {
   group: Group | undefined;
 }
@@ -33,48 +36,58 @@
   );
 }
 
-Given('a control group of {int}', async function (this: GroupWorld, size: number) {
+Given('a control group of {int}', SLOW, async function (this: GroupWorld, size: number) {
   this.group = await startGroup(size);
 });
 
 Given(
   'a control group of {int} that compacts after {int} entries',
+  SLOW,
   async function (this: GroupWorld, size: number, entries: number) {
     this.group = await startGroup(size, entries);
   },
 );
 
-When('the control group accepts {int} numbers', async function (this: GroupWorld, count: number) {
-  const group = getGroup(this);
-  for (let at = 0; at < count; at += 1) await group.accept(group.accepted.length);
-});
+When(
+  'the control group accepts {int} numbers',
+  SLOW,
+  async function (this: GroupWorld, count: number) {
+    const group = getGroup(this);
+    for (let at = 0; at < count; at += 1) await group.accept(group.accepted.length);
+  },
+);
 
-When('the control leader stops gracefully', async function (this: GroupWorld) {
+When('the control leader stops gracefully', SLOW, async function (this: GroupWorld) {
   const group = getGroup(this);
   await group.stop(group.findLeader() ?? -1, true);
 });
 
-When('control member {int} loses its disk', async function (this: GroupWorld, at: number) {
+When('control member {int} loses its disk', SLOW, async function (this: GroupWorld, at: number) {
   await getGroup(this).loseDisk(at);
 });
 
-When('control member {int} joins again', async function (this: GroupWorld, at: number) {
+When('control member {int} joins again', SLOW, async function (this: GroupWorld, at: number) {
   await joinAgain(getGroup(this), at);
 });
 
 When(
   'control member {int} loses its disk and joins again',
+  SLOW,
   async function (this: GroupWorld, at: number) {
     await getGroup(this).loseDisk(at);
     await joinAgain(getGroup(this), at);
   },
 );
 
-When('control member {int} starts without joining', async function (this: GroupWorld, at: number) {
-  await getGroup(this).start(at);
-});
+When(
+  'control member {int} starts without joining',
+  SLOW,
+  async function (this: GroupWorld, at: number) {
+    await getGroup(this).start(at);
+  },
+);
 
-When('both other control members stop', async function (this: GroupWorld) {
+When('both other control members stop', SLOW, async function (this: GroupWorld) {
   const group = getGroup(this);
   const leader = group.findLeader();
   const others = [...group.running.keys()].filter((at) => at !== leader);
@@ -83,6 +96,7 @@
 
 Then(
   'a current read at the control leader returns every accepted number',
+  SLOW,
   async function (this: GroupWorld) {
     const group = getGroup(this);
     const outcome = await group.getNode(group.findLeader() ?? -1).readCurrent(2000);
@@ -90,7 +104,7 @@
   },
 );
 
-Then('every control member applies every accepted number', async function (this: GroupWorld) {
+Then('every control member applies every accepted number', SLOW, async function (this: GroupWorld) {
   const group = getGroup(this);
   const wanted = JSON.stringify(group.accepted);
   await waitFor(`all members to apply ${wanted}`, () =>
@@ -100,6 +114,7 @@
 
 Then(
   'control member {int} says that its folder is empty but the group exists',
+  SLOW,
   async function (this: GroupWorld, at: number) {
     const group = getGroup(this);
     await waitFor('the report', () =>
@@ -111,6 +126,7 @@
 
 Then(
   'control member {int} is no voter under its new identity',
+  SLOW,
   async function (this: GroupWorld, at: number) {
     const group = getGroup(this);
     await group.accept(group.accepted.length);
@@ -121,6 +137,7 @@
 
 Then(
   'the control leader steps down without accepting or answering',
+  SLOW,
   async function (this: GroupWorld) {
     const group = getGroup(this);
     const node = group.getNode(group.findLeader() ?? -1);
@@ -131,6 +148,6 @@
   },
 );
 
-After(async function (this: GroupWorld) {
+After(SLOW, async function (this: GroupWorld) {
   await this.group?.remove();
 });
--- a/features/control/spin.steps.ts
+++ b/features/control/spin.steps.ts
@@ -5,6 +5,9 @@
 import { join } from 'node:path';
 import { runSpin, type SpinOutcome } from '../support/spin.js';
 
+/** Milliseconds for a step on a busy machine. */
+const SLOW = { timeout: 120_000 };
+
 interface SpinWorld {
   fault: number;
   outcome: SpinOutcome;
@@ -30,6 +33,7 @@
 
 When(
   'the model checker searches it to depth {int} within {int} MB',
+  SLOW,
   async function (this: SpinWorld, depth: number, memory: number) {
     const folder = await mkdtemp(join(tmpdir(), 'chivewalk-model-'));
     const model = join(folder, 'counter.pml');
--- a/features/control/storage.steps.ts
+++ b/features/control/storage.steps.ts
@@ -10,6 +10,9 @@
 import type { LogEntry } from '../../src/generated/control.js';
 import { Group, waitFor } from './group.js';
 
+/** Milliseconds for a step on a busy machine. */
+const SLOW = { timeout: 120_000 };
+
 interface StorageWorld {
   folder: string | undefined;
   group: Group | undefined;
@@ -71,6 +74,7 @@
 
 Given(
   'a control folder with entries 1 to {int}',
+  SLOW,
   async function (this: StorageWorld, last: number) {
     this.folder = await mkdtemp(join(tmpdir(), 'chivewalk-storage-'));
     const entries = createEntries(1, last, 1);
@@ -80,18 +84,23 @@
 
 When(
   'the control folder replaces the entries from {int} on by {int} entries of term {int}',
+  SLOW,
   async function (this: StorageWorld, first: number, count: number, term: number) {
     const entries = createEntries(first, count, term);
     await writeFolder(this, [{ kind: 'writeEntries', write: 1, entries }]);
   },
 );
 
-When('the control folder votes in term {int}', async function (this: StorageWorld, term: number) {
-  const vote = { kind: 'writeVote', write: 1, term, votedFor: CANDIDATE } as const;
-  await writeFolder(this, [{ ...vote, repairing: false }]);
-});
+When(
+  'the control folder votes in term {int}',
+  SLOW,
+  async function (this: StorageWorld, term: number) {
+    const vote = { kind: 'writeVote', write: 1, term, votedFor: CANDIDATE } as const;
+    await writeFolder(this, [{ ...vote, repairing: false }]);
+  },
+);
 
-When('the last control segment grows by half a record', async function (this: StorageWorld) {
+When('the last control segment grows by half a record', SLOW, async function (this: StorageWorld) {
   const file = await findSegment(getFolder(this));
   const bytes = await readFile(file);
   const { payloads } = parseRecords(bytes);
@@ -101,6 +110,7 @@
 
 When(
   'the control folder saves a snapshot at entry {int}',
+  SLOW,
   async function (this: StorageWorld, index: number) {
     const membership = { members: [], retired: [] };
     const snapshot = { index, term: 1, membership, data: Buffer.from(`state ${index}`) };
@@ -108,31 +118,40 @@
   },
 );
 
-When('the control folder suffers {string}', async function (this: StorageWorld, damage: string) {
-  const folder = getFolder(this);
-  if (damage === 'a synced tail that is gone') {
-    const file = await findSegment(folder);
-    const { payloads } = parseRecords(await readFile(file));
-    const kept = payloads.slice(0, -1).map((payload) => HEADER_BYTES + payload.length);
-    await truncate(
-      file,
-      kept.reduce((sum, size) => sum + size, 0),
-    );
-    return;
-  }
-  const entry = /entry (\d+)/.exec(damage)?.[1];
-  if (entry === undefined) await writeFlippedByte(await findFile(folder, 'snapshot-'), 0);
-  else await writeFlippedByte(await findSegment(folder), Number(entry));
-});
+When(
+  'the control folder suffers {string}',
+  SLOW,
+  async function (this: StorageWorld, damage: string) {
+    const folder = getFolder(this);
+    if (damage === 'a synced tail that is gone') {
+      const file = await findSegment(folder);
+      const { payloads } = parseRecords(await readFile(file));
+      const kept = payloads.slice(0, -1).map((payload) => HEADER_BYTES + payload.length);
+      await truncate(
+        file,
+        kept.reduce((sum, size) => sum + size, 0),
+      );
+      return;
+    }
+    const entry = /entry (\d+)/.exec(damage)?.[1];
+    if (entry === undefined) await writeFlippedByte(await findFile(folder, 'snapshot-'), 0);
+    else await writeFlippedByte(await findSegment(folder), Number(entry));
+  },
+);
 
-When('the control file {string} is damaged', async function (this: StorageWorld, name: string) {
-  const file = join(getFolder(this), name);
-  const text = (await readFile(file)).toString();
-  await writeFile(file, text.replace(/"(term|id)":./, '"$1":7'));
-});
+When(
+  'the control file {string} is damaged',
+  SLOW,
+  async function (this: StorageWorld, name: string) {
+    const file = join(getFolder(this), name);
+    const text = (await readFile(file)).toString();
+    await writeFile(file, text.replace(/"(term|id)":./, '"$1":7'));
+  },
+);
 
 Then(
   'the control folder reads back entries 1 to {int} of terms {string}',
+  SLOW,
   async function (this: StorageWorld, last: number, terms: string) {
     const { log } = await openFolder(getFolder(this));
     assert.equal(log.entries.map((entry) => entry.term).join(' '), terms);
@@ -143,19 +162,24 @@
   },
 );
 
-Then('the control folder reads back the vote', async function (this: StorageWorld) {
+Then('the control folder reads back the vote', SLOW, async function (this: StorageWorld) {
   const { vote } = await openFolder(getFolder(this));
   assert.deepEqual(vote, { term: 9, votedFor: CANDIDATE, repairing: false });
 });
 
-Then('the control folder reports a torn write and no damage', async function (this: StorageWorld) {
-  const { damage, tornBytes, vote } = await openFolder(getFolder(this));
-  assert.ok(tornBytes > 0);
-  assert.deepEqual([damage, vote.repairing], [undefined, false]);
-});
+Then(
+  'the control folder reports a torn write and no damage',
+  SLOW,
+  async function (this: StorageWorld) {
+    const { damage, tornBytes, vote } = await openFolder(getFolder(this));
+    assert.ok(tornBytes > 0);
+    assert.deepEqual([damage, vote.repairing], [undefined, false]);
+  },
+);
 
 Then(
   'opening it as one of several reports damage in {string} and keeps {int} entries',
+  SLOW,
   async function (this: StorageWorld, file: string, kept: number) {
     const { damage, log, vote } = await openFolder(getFolder(this));
     assert.ok(damage?.file.includes(file));
@@ -166,6 +190,7 @@
 
 Then(
   'opening the control folder alone fails, naming {string} and the remedy',
+  SLOW,
   async function (this: StorageWorld, file: string) {
     await assert.rejects(openFolder(getFolder(this), false), (error: unknown) => {
       assert.ok(error instanceof StorageError);
@@ -179,6 +204,7 @@
 
 Then(
   'the control folder stays under repair when it is opened again',
+  SLOW,
   async function (this: StorageWorld) {
     const { damage, vote } = await openFolder(getFolder(this));
     assert.deepEqual([damage, vote.repairing], [undefined, true]);
@@ -187,6 +213,7 @@
 
 Then(
   'the control folder holds {int} snapshot and {int} segment',
+  SLOW,
   async function (this: StorageWorld, snapshots: number, segments: number) {
     const names = await readdir(getFolder(this));
     assert.equal(names.filter((name) => name.startsWith('snapshot-')).length, snapshots);
@@ -196,6 +223,7 @@
 
 Then(
   'the control folder reads back the snapshot at entry {int}',
+  SLOW,
   async function (this: StorageWorld, index: number) {
     const { snapshot, log } = await openFolder(getFolder(this));
     assert.equal(snapshot?.index, index);
@@ -204,7 +232,7 @@
   },
 );
 
-When('the disk of the control leader fails', async function (this: StorageWorld) {
+When('the disk of the control leader fails', SLOW, async function (this: StorageWorld) {
   assert.ok(this.group !== undefined);
   const at = this.group.findLeader() ?? -1;
   await this.group.stop(at, true);
@@ -231,6 +259,7 @@
 
 Then(
   'the control leader accepts nothing and names the remedy',
+  SLOW,
   async function (this: StorageWorld) {
     const failed = [...(this.group?.running.values() ?? [])].filter(
       ({ node }) => node.status.role === 'failed',
@@ -243,18 +272,23 @@
   },
 );
 
-Then('the other control members apply every accepted number', async function (this: StorageWorld) {
-  assert.ok(this.group !== undefined);
-  const { running, accepted } = this.group;
-  const sound = [...running.values()].filter(({ node }) => node.status.role !== 'failed');
-  assert.equal(sound.length, 2);
-  await waitFor('both to apply', () =>
-    sound.every(({ node }) => JSON.stringify(node.applied) === JSON.stringify(accepted)),
-  );
-});
+Then(
+  'the other control members apply every accepted number',
+  SLOW,
+  async function (this: StorageWorld) {
+    assert.ok(this.group !== undefined);
+    const { running, accepted } = this.group;
+    const sound = [...running.values()].filter(({ node }) => node.status.role !== 'failed');
+    assert.equal(sound.length, 2);
+    await waitFor('both to apply', () =>
+      sound.every(({ node }) => JSON.stringify(node.applied) === JSON.stringify(accepted)),
+    );
+  },
+);
 
 When(
   'control member {int} stops, suffers a flipped byte and starts again',
+  SLOW,
   async function (this: StorageWorld, at: number) {
     assert.ok(this.group !== undefined);
     const { group } = this;
@@ -267,6 +301,7 @@
 
 Then(
   'control member {int} reports the damage and then the repair',
+  SLOW,
   async function (this: StorageWorld, at: number) {
     assert.ok(this.group !== undefined);
     const { group } = this;
@@ -277,6 +312,6 @@
   },
 );
 
-After(async function (this: StorageWorld) {
+After(SLOW, async function (this: StorageWorld) {
   if (this.folder !== undefined) await rm(this.folder, { recursive: true, force: true });
 });
