--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -35,7 +35,8 @@
 }
 
 function updateUpstream(state: RoutingState, known: UpstreamState, users: number): UpstreamState {
-  const usable = isAllowed(state.config, known.upstream) && known.rank < users;
+  const sharers = Math.min(users, known.upstream.maxConnections);
+  const usable = isAllowed(state.config, known.upstream) && known.rank < sharers;
   return usable === known.usable ? known : { ...known, usable };
 }
 
