--- a/features/site/path.steps.ts
+++ b/features/site/path.steps.ts
@@ -136,6 +136,19 @@
   },
 );
 
+When(
+  'the caller sends {int} calls for {string} one after another',
+  { timeout: 30_000 },
+  async function (this: SiteWorld, count: number, service: string) {
+    const entries = getCallerAddresses(getSite(this));
+    const answers: CallAnswer[] = [];
+    for (let at = 0; at < count; at += 1) {
+      answers.push(await sendCall(entries[at % entries.length] ?? '', service, at + 1));
+    }
+    this.answers = answers;
+  },
+);
+
 Then(
   'every call of the site is answered whole by an upstream that announced itself',
   function (this: SiteWorld) {
@@ -197,3 +210,27 @@
     );
   },
 );
+
+When(
+  'the upstream {string} is killed while the caller sends calls for {string}',
+  { timeout: 30_000 },
+  async function (this: SiteWorld, id: string, service: string) {
+    const site = getSite(this);
+    const entries = getCallerAddresses(site);
+    const calls = Array.from({ length: 60 }, (_, at) =>
+      sendCall(entries[at % entries.length] ?? '', service, at + 1).catch(() => undefined),
+    );
+    await site.end(id, 'SIGKILL');
+    await Promise.all(calls);
+  },
+);
+
+Then('every entry of the site still runs', function (this: SiteWorld) {
+  const ended = getSite(this).processes.filter(
+    ({ role, child }) => role === 'entry' && (child.exitCode !== null || child.signalCode !== null),
+  );
+  assert.deepEqual(
+    ended.map(({ id, output }) => ({ id, output })),
+    [],
+  );
+});
