Name what the upstream ran when a count differs; refuse connections at an address nobody can take

'A key that is running' failed once (2 requests counted, 1 wanted) while other test runs used the same loopback ports; a port that was free a moment ago and stood for 'refuses connections' may have been this test's upstream. The counter now names each request, so that a repetition shows where it came from.

--- a/features/entry/failure.steps.ts
+++ b/features/entry/failure.steps.ts
@@ -1,6 +1,5 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { findFreePorts } from '../support/ports.js';
 import { startRawUpstream, type RawBehaviour, type RawUpstream } from './raw.js';
 import { announceUpstreams, sendCall, startEntry, type EntryWorld } from './world.js';
 
@@ -9,6 +8,9 @@
   outcome: unknown;
 }
 
+/** A loopback address that no test listens on, so that nobody can take the port meanwhile. */
+const REFUSING_ADDRESS = '127.0.0.77:9';
+
 const OK = 'HTTP/1.1 200 OK\r\n';
 const CLOSING = `${OK}connection: close\r\n`;
 const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
@@ -62,8 +64,7 @@
   const behaviour = behaviours[name];
   if (behaviour === undefined) {
     assert.equal(name, 'refuses connections');
-    const [port = 0] = await findFreePorts(1);
-    announceUpstreams(this.parts, [`127.0.0.1:${port}`]);
+    announceUpstreams(this.parts, [REFUSING_ADDRESS]);
     return;
   }
   this.rawUpstream = await startRawUpstream(behaviour);
--- a/features/entry/promises.steps.ts
+++ b/features/entry/promises.steps.ts
@@ -13,7 +13,8 @@
 
 interface PromisesWorld extends EntryWorld {
   deadlines: number[];
-  ran: number;
+  /** What the upstream ran: method, path and key of each request. */
+  runs: string[];
   cancelled: number;
   answers: SeenAnswer[];
   connections: Set<unknown>;
@@ -61,8 +62,8 @@
 ): void {
   world.connections.add(request.socket);
   world.deadlines.push(Number(request.headers['x-chivewalk-deadline-ms']));
-  world.ran += 1;
-  const { ran } = world;
+  const key = String(request.headers['idempotency-key'] ?? 'no key');
+  const ran = world.runs.push(`${request.method ?? ''} ${request.url ?? ''} ${key}`);
   request.on('error', () => undefined);
   request.resume();
   response.on('close', () => {
@@ -80,7 +81,13 @@
 
 Given('an entry with an upstream that notes each request', async function (this: PromisesWorld) {
   this.parts = await startEntry();
-  Object.assign(this, { deadlines: [], answers: [], ran: 0, cancelled: 0, connections: new Set() });
+  Object.assign(this, {
+    deadlines: [],
+    answers: [],
+    runs: [],
+    cancelled: 0,
+    connections: new Set(),
+  });
   const address = await startUpstream((request, response) => {
     recordRequest(this, request, response);
   });
@@ -155,7 +162,7 @@
   'the caller sends a request with a key while the first with it {string}',
   async function (this: PromisesWorld, wish: string) {
     const first = sendKeyed(this, wish);
-    await waitUntil(() => this.ran === 1, 'the first request ran');
+    await waitUntil(() => this.runs.length === 1, 'the first request ran');
     this.answers = [await sendKeyed(this, wish), await first].reverse();
   },
 );
@@ -201,7 +208,7 @@
 });
 
 Then('the upstream ran {int} request(s)', function (this: PromisesWorld, count: number) {
-  assert.equal(this.ran, count);
+  assert.equal(this.runs.length, count, `it ran ${this.runs.join(', ')}`);
 });
 
 Then(
