--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -10,3 +10,4 @@
 export { openOperators, type OperatorsListener, type OperatorsOptions } from './listener.js';
 export type { OperatorsRouter } from './router.js';
 export { CommandError, parseCommand } from './validate.js';
+export { createMoveSteering, type MoveSteering, type MoveSteeringOptions } from './steering.js';
