Refuse early: at most 1.5 times the slots in an upstream, a short wait in the entry

Cause: under overload the queues filled up to a quarter of the deadline. Batch calls get two thirds of it, which is the slots alone; waiting batch calls no longer take queue room from interactive ones.

--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -40,6 +40,9 @@
   return [
     ...loads.map((load) => ({ ...base, name: 'steady', load })),
     { ...base, name: 'steady, lognormal work', load: 0.85, shape: 'lognormal' as const },
+    { ...base, name: 'steady, old reports', load: 0.85, reportLag: 50 },
+    { ...base, name: 'steady, short work', load: 0.85, work: 1 },
+    { ...base, name: 'overload', load: 1.2 },
     {
       ...base,
       name: 'sudden slowdown',
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -52,7 +52,7 @@
   readonly warmAnswers: number;
   /** Milliseconds in which traffic to an upstream that became warm rises to its full share. */
   readonly rampTime: Duration;
-  /** Share of the time left to its deadline that a call may wait in this entry. */
+  /** Share of the time to its deadline that a call may wait in this entry, or once the usual latency. */
   readonly queueShare: number;
   /** Retries for each call at depth 0, as a share; the share of depth d is this divided by d + 1. */
   readonly retryShare: number;
@@ -76,8 +76,8 @@
   latencyWeight: 0.3,
   slowFactor: 2,
   zonePenalty: 1,
-  overcommit: 3,
-  batchShare: 0.5,
+  overcommit: 1.5,
+  batchShare: 2 / 3,
   queueLimit: 200,
   ejectionShare: 0.5,
   ejectionFailures: 5,
@@ -89,7 +89,7 @@
   warmAge: 60_000,
   warmAnswers: 3,
   rampTime: 2000,
-  queueShare: 0.25,
+  queueShare: 0.02,
   retryShare: 0.1,
   retryBurst: 20,
   attempts: 3,
--- a/src/routing/queue.ts
+++ b/src/routing/queue.ts
@@ -22,6 +22,17 @@
   return (ahead + 1) * service.finishGap;
 }
 
+/** Returns how long a call that arrived at the instant may wait: shortly, but in reach of one free slot. */
+function computeLongestWait(
+  state: RoutingState,
+  service: ServiceState,
+  call: CallState,
+  arrivedAt: Instant,
+): Duration {
+  const slack = call.call.deadline - arrivedAt - service.latency;
+  return Math.min(slack, Math.max(service.latency, state.options.queueShare * slack));
+}
+
 /** Tells whether the queue has room for the call and it can start in time. */
 export function hasQueueRoom(
   state: RoutingState,
@@ -29,11 +40,11 @@
   call: CallState,
   now: Instant,
 ): boolean {
-  const { queueLimit, queueShare, batchShare } = state.options;
+  const { queueLimit, batchShare } = state.options;
   const batch = call.call.criticality === 'batch';
-  if (countQueued(service) >= queueLimit * (batch ? batchShare : 1)) return false;
-  if (batch && service.interactiveQueue.length > 0) return false;
-  return computeWait(service, call) <= queueShare * (call.call.deadline - now - service.latency);
+  if (service.interactiveQueue.length >= (batch ? 1 : queueLimit)) return false;
+  if (batch && service.batchQueue.length >= queueLimit * batchShare) return false;
+  return computeWait(service, call) <= computeLongestWait(state, service, call, now);
 }
 
 /** Tells whether a waiting call has waited too long to be worth starting. */
@@ -44,8 +55,7 @@
   now: Instant,
 ): boolean {
   if (now + service.latency >= call.call.deadline) return true;
-  const allowed = state.options.queueShare * (call.call.deadline - call.arrivedAt);
-  return now - call.arrivedAt > allowed;
+  return now - call.arrivedAt > computeLongestWait(state, service, call, call.arrivedAt);
 }
 
 /** Returns the service with the call at the end of its queue. */
