Pause an upstream that refuses work; let short deadlines blame no upstream; ramp concurrency too

Causes: an upstream that drains unannounced and refuses all looked idle and used up the retries; callers with deadlines shorter than the usual latency ejected half of the healthy upstreams; a call that was cancelled on a stalled upstream taught nothing; an upstream that became warm drew full concurrency when it was compared at all.

--- a/features/routing/limits.feature
+++ b/features/routing/limits.feature
@@ -63,3 +63,14 @@
     Given a routing entry with one upstream of 6 slots
     When fingerprint "kill" is condemned for 100 ms
     Then a call with fingerprint "kill" is refused now and sent after 100 ms
+
+  Scenario: An upstream that drains unannounced and refuses all is left alone
+    Given a routing state with upstreams in zones a, b and c
+    When the routing upstream "a1" refuses all as not run and others take 10 ms
+    Then "a1" got less than 2 percent of the sends
+    And no routing call was refused
+
+  Scenario: Callers with deadlines that are too short eject no upstream
+    Given a routing state with upstreams in zones a, b and c
+    When 200 routing calls time out after 1 ms where answers take 10 ms
+    Then at most 0 of the 6 upstreams are ejected at once
--- a/features/routing/limits.steps.ts
+++ b/features/routing/limits.steps.ts
@@ -246,6 +246,40 @@
   },
 );
 
+When(
+  'the routing upstream {string} refuses all as not run and others take 10 ms',
+  function (this: LimitsWorld, draining: string) {
+    this.entry = createZones();
+    Array.from({ length: 1000 }).forEach(() => {
+      const { id } = this.entry.arrive({ idempotent: false });
+      if (this.entry.list('send').at(-1)?.upstreamId === draining) {
+        const event = { callId: id, now: this.entry.now, random: 0.5 };
+        const refusal = { status: 503, notRun: true, report: undefined };
+        this.entry.apply({ kind: 'headArrived', ...refusal, ...event });
+      }
+      this.entry.now += 10;
+      this.entry.answer(id);
+    });
+  },
+);
+
+Then('no routing call was refused', function (this: LimitsWorld) {
+  assert.deepEqual(this.entry.list('refuse'), []);
+});
+
+When(
+  '{int} routing calls time out after {int} ms where answers take 10 ms',
+  function (this: LimitsWorld, count: number, timeout: number) {
+    this.entry = createZones();
+    Array.from({ length: count }).forEach(() => {
+      const { id } = this.entry.arrive({ idempotent: false });
+      this.entry.now += timeout;
+      const event = { callId: id, now: this.entry.now, random: 0.5 };
+      this.entry.apply({ kind: 'failed', failure: 'timedOut', ...event });
+    });
+  },
+);
+
 Then(
   '{string} got less than {int} percent of the sends',
   function (this: LimitsWorld, id: string, percent: number) {
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -44,7 +44,8 @@
   now: Instant,
 ): number {
   const { overcommit, batchShare } = state.options;
-  const room = known.upstream.slots * overcommit * (batch ? batchShare : 1);
+  const ramp = computeRamp(state, known, now);
+  const room = known.upstream.slots * overcommit * ramp * (batch ? batchShare : 1);
   const whole = Math.floor(room / state.fleetSize);
   const share = known.rank < room % state.fleetSize ? whole + 1 : whole;
   return Math.max(share, room - computeOthers(state, service, known, now));
@@ -57,7 +58,7 @@
   batch: boolean,
   now: Instant,
 ): boolean {
-  if (known.ejectedUntil > now) return false;
+  if (known.ejectedUntil > now || known.pausedUntil > now) return false;
   if (known.cold) return hasColdRoom(state, known, now);
   if (known.failures >= TRIAL_FAILURES) return known.sentAt.length === 0;
   return known.sentAt.length < computeLimit(state, service, known, batch, now);
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -2,7 +2,7 @@
  * The routing decisions: one event in, the next state and the effects out. Invariant: the result
  * depends on the state and the event alone.
  */
-import { checkInvariant, type Instant, type Transition } from '../model/index.js';
+import { checkInvariant, type Duration, type Instant, type Transition } from '../model/index.js';
 import {
   enterCall,
   closeCall,
@@ -26,6 +26,7 @@
   withUpstream,
   type CallState,
   type RoutingState,
+  type ServiceState,
   type UpstreamState,
 } from './state.js';
 import { getRecord, removeRecord, withRecord } from './table.js';
@@ -139,7 +140,7 @@
   const measured = event.notRun ? undefined : latency;
   const [at] = getService(state, call);
   const id = call.tried.at(-1);
-  const signal: Signal = { failed, latency: measured, report: event.report };
+  const signal: Signal = { failed, refused: event.notRun, latency: measured, report: event.report };
   const learned = applyUpstreamSignal(state, at, id, signal, decision);
   if (!failed && !event.notRun) return forwardAnswer(learned, call, latency, false, decision);
   if (failed) addEvidence(learned, call, true, latency, decision);
@@ -172,6 +173,11 @@
   return { ...state, suspected: new Set([...state.suspected, fingerprint]) };
 }
 
+/** Tells whether the time says something about the upstream; a caller's short deadline doesn't. */
+function isSlow(state: RoutingState, service: ServiceState, time: Duration): boolean {
+  return time > service.latency * state.options.slowFactor;
+}
+
 function handleFailed(
   state: RoutingState,
   event: EventOf<'failed'>,
@@ -180,12 +186,15 @@
   const call = getRecord(state.calls, event.callId);
   if (call?.phase !== 'sent') return state;
   const latency = event.now - call.sentAt;
-  const [at] = getService(state, call);
-  addEvidence(state, call, true, latency, decision);
+  const [at, service] = getService(state, call);
   const wasReached = event.failure !== 'unreachable';
   const signal: Signal = { failed: true, latency, report: undefined, unreachable: !wasReached };
   const released = releaseCall(state, call, event.now);
-  const learned = applyUpstreamSignal(released, at, call.tried.at(-1), signal, decision);
+  const tells = event.failure !== 'timedOut' || isSlow(state, service, latency);
+  const learned = tells
+    ? applyUpstreamSignal(released, at, call.tried.at(-1), signal, decision)
+    : released;
+  if (tells) addEvidence(state, call, true, latency, decision);
   const lost = event.failure === 'lost';
   const known = lost ? addSuspect(learned, call, decision) : learned;
   const ended: CallState = {
@@ -235,10 +244,14 @@
   const next = { ...state, calls: removeRecord(state.calls, call.id) };
   if (call.phase === 'queued') return withService(next, at, removeQueued(service, call.id));
   const waited = event.now - call.sentAt;
-  if (call.phase === 'sent' && waited > service.latency) {
-    addEvidence(state, call, false, waited, decision);
+  const released = releaseCall(next, call, event.now);
+  if (call.phase !== 'sent' || !isSlow(state, service, waited)) {
+    return drainQueue(released, at, decision);
   }
-  return drainQueue(releaseCall(next, call, event.now), at, decision);
+  addEvidence(state, call, false, waited, decision);
+  const signal: Signal = { failed: false, latency: waited, report: undefined };
+  const learned = applyUpstreamSignal(released, at, call.tried.at(-1), signal, decision);
+  return drainQueue(learned, at, decision);
 }
 
 function handleProbed(
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -19,6 +19,9 @@
 } from './state.js';
 import type { RoutingEvent } from './types.js';
 
+/** Retries at depth 0 that a service may use before its first calls have paid for any. */
+const INITIAL_RETRY_TOKENS = 5;
+
 type Configured = Extract<RoutingEvent, { kind: 'configured' }>;
 
 /** Tells whether operators allow new work on the upstream. */
@@ -111,6 +114,8 @@
     failures: 0,
     ejectedUntil: -Infinity,
     ejections: 0,
+    refusals: 0,
+    pausedUntil: -Infinity,
     cold,
     startedAt: now - upstream.age,
     warmAnswers: 0,
@@ -149,7 +154,7 @@
     others: 0,
     finishGap: INITIAL_LATENCY,
     lastFinishAt: -Infinity,
-    retryTokens: 1,
+    retryTokens: INITIAL_RETRY_TOKENS,
   };
 }
 
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -40,6 +40,10 @@
   readonly ejectionTime: Duration;
   /** Milliseconds that no ejection exceeds. */
   readonly ejectionTimeLimit: Duration;
+  /** Milliseconds without work for an upstream that refused some; each further refusal doubles it. */
+  readonly pauseTime: Duration;
+  /** Milliseconds that no such pause exceeds. */
+  readonly pauseTimeLimit: Duration;
   /** Requests that the whole fleet may have in flight on a cold upstream. */
   readonly coldConcurrency: number;
   /** Requests a second that the whole fleet may start on a cold upstream. */
@@ -83,6 +87,8 @@
   ejectionFailures: 5,
   ejectionTime: 1000,
   ejectionTimeLimit: 30_000,
+  pauseTime: 20,
+  pauseTimeLimit: 1000,
   coldConcurrency: 2,
   coldRate: 20,
   coldTurn: 2000,
--- a/src/routing/signals.ts
+++ b/src/routing/signals.ts
@@ -19,6 +19,8 @@
 /** One ended attempt, or a probe, as a signal. */
 export interface Signal {
   readonly failed: boolean;
+  /** Whether the upstream refused the request without running it. */
+  readonly refused?: boolean;
   /** Absent if nothing was measured. */
   readonly latency: number | undefined;
   readonly report: LoadReport | undefined;
@@ -56,6 +58,13 @@
   return ejected + 1 <= service.upstreams.length * state.options.ejectionShare;
 }
 
+/** Leaves an upstream alone that sheds or drains, so that it doesn't use up the retries. */
+function applyRefusal(state: RoutingState, known: UpstreamState, now: Instant): UpstreamState {
+  const { pauseTime, pauseTimeLimit } = state.options;
+  const pause = Math.min(pauseTimeLimit, pauseTime * 2 ** known.refusals);
+  return { ...known, refusals: known.refusals + 1, pausedUntil: now + pause };
+}
+
 function applyOutcome(
   state: RoutingState,
   service: ServiceState,
@@ -63,8 +72,10 @@
   signal: Signal,
   now: Instant,
 ): UpstreamState {
+  if (signal.refused === true) return applyRefusal(state, known, now);
   if (!signal.failed) {
-    return known.failures === 0 ? known : { ...known, failures: 0, ejections: 0 };
+    if (known.failures === 0 && known.refusals === 0) return known;
+    return { ...known, failures: 0, ejections: 0, refusals: 0 };
   }
   const failures = known.failures + 1;
   const enough =
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -35,6 +35,10 @@
   readonly ejectedUntil: Instant;
   /** Ejections since the last good answer. */
   readonly ejections: number;
+  /** Consecutive refusals that ran nothing. */
+  readonly refusals: number;
+  /** Until when it gets no work because it refused some. */
+  readonly pausedUntil: Instant;
   readonly cold: boolean;
   /** When the upstream process started; entries agree on it but for the delay of announcements. */
   readonly startedAt: Instant;
