Assert at each tick that no waiting call is lost; stop believing an upstream that calls itself cold for ever

Load reports may mislead: one that always says cold would hold its upstream at 20 requests a second. After 2 minutes of answers at normal latency it is ramped like a warm one, until it is slow.

--- a/features/routing/limits.feature
+++ b/features/routing/limits.feature
@@ -74,3 +74,7 @@
     Given a routing state with upstreams in zones a, b and c
     When 200 routing calls time out after 1 ms where answers take 10 ms
     Then at most 0 of the 6 upstreams are ejected at once
+
+  Scenario: An upstream that calls itself cold for minutes at normal latency is used in full again
+    Given routing entries 1 that know a cold upstream and share calls
+    Then the minute in which routing no longer believes its reports matches the snapshot
--- a/features/routing/limits.steps.ts
+++ b/features/routing/limits.steps.ts
@@ -69,6 +69,26 @@
   assert.ok(idle.length <= this.entries.length / 2, `${idle.length} entries had no turn`);
 });
 
+Then(
+  'the minute in which routing no longer believes its reports matches the snapshot',
+  function (this: LimitsWorld) {
+    const [entry] = this.entries;
+    assert.ok(entry !== undefined);
+    const sends = [0, 1, 2, 3].map((minute) => {
+      const before = entry.list('send').length;
+      Array.from({ length: 6000 }, (_, at) => minute * 60_000 + at * 10).forEach((now) => {
+        entry.now = now;
+        const { id, effects } = entry.arrive({ deadline: now + 5 });
+        if (!hasSend(effects)) return;
+        entry.now = now + 5;
+        entry.answer(id, 200, true);
+      });
+      return entry.list('send').length - before;
+    });
+    this.matchSnapshot({ sends, warmth: entry.list('warmth') });
+  },
+);
+
 Given('a routing entry that is still joining', function (this: LimitsWorld) {
   const config = buildConfig(3);
   const [first, ...rest] = config.roster.members;
--- a/src/routing/cold.ts
+++ b/src/routing/cold.ts
@@ -44,8 +44,8 @@
 }
 
 /** Marks an upstream as cold. */
-export function markCold(known: UpstreamState): UpstreamState {
-  return { ...known, cold: true, warmAnswers: 0 };
+export function markCold(known: UpstreamState, now: Instant): UpstreamState {
+  return { ...known, cold: true, coldSince: now, coldDisbelieved: false, warmAnswers: 0 };
 }
 
 /** Marks an upstream as warm from now on. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -99,7 +99,11 @@
   const place = findUpstream(service, event.upstreamId);
   const known = service.upstreams[place];
   if (known?.upstream.incarnation !== event.incarnation || known.cold === event.cold) return state;
-  const next: UpstreamState = event.cold ? markCold(known) : markWarm(known, event.now);
+  if (event.cold && known.coldDisbelieved) return state;
+  const coldDisbelieved = event.now - known.coldSince > state.options.coldTimeLimit;
+  const next: UpstreamState = event.cold
+    ? markCold(known, event.now)
+    : { ...markWarm(known, event.now), coldDisbelieved };
   return withService(state, at, withUpstream(service, place, next));
 }
 
@@ -109,7 +113,18 @@
   return { ...state, condemned: new Map([...alive, ...added]) };
 }
 
+/** Asserts that no call is lost: as many wait in the queues as the table of calls says. */
+function checkQueues(state: RoutingState): void {
+  const queued = state.services.reduce((total, service) => total + countQueued(service), 0);
+  const waiting = state.calls.buckets.reduce(
+    (total, bucket) => total + bucket.filter((call) => call.phase === 'queued').length,
+    0,
+  );
+  checkInvariant(queued === waiting, `${waiting} calls wait, but ${queued} are in the queues`);
+}
+
 function handleTick(state: RoutingState, decision: Decision): RoutingState {
+  checkQueues(state);
   const settled = state.services.reduce((next, service, at) => {
     if (countQueued(service) === 0) return next;
     const expired = expireQueue(next, at, decision);
--- a/src/routing/fleet.ts
+++ b/src/routing/fleet.ts
@@ -118,6 +118,8 @@
     pausedUntil: -Infinity,
     cold,
     startedAt: now - upstream.age,
+    coldSince: now,
+    coldDisbelieved: false,
     warmAnswers: 0,
     warmSince: -Infinity,
     rank: computeOwnRank(state, upstream.id),
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -52,6 +52,8 @@
   readonly coldTurn: Duration;
   /** Milliseconds since its start after which an upstream seen for the first time counts as warm. */
   readonly warmAge: Duration;
+  /** Milliseconds for which an upstream that answers at normal latency is believed to be cold. */
+  readonly coldTimeLimit: Duration;
   /** Consecutive answers at normal latency that make a cold upstream warm. */
   readonly warmAnswers: number;
   /** Milliseconds in which traffic to an upstream that became warm rises to its full share. */
@@ -93,6 +95,7 @@
   coldRate: 20,
   coldTurn: 2000,
   warmAge: 60_000,
+  coldTimeLimit: 120_000,
   warmAnswers: 3,
   rampTime: 2000,
   queueShare: 0.02,
--- a/src/routing/signals.ts
+++ b/src/routing/signals.ts
@@ -97,15 +97,18 @@
   signal: Signal,
   now: Instant,
 ): UpstreamState {
-  const reportsCold = signal.report?.cold === true;
   if (signal.report === undefined && signal.latency === undefined) return known;
-  if (!known.cold) return reportsCold ? markCold(known) : known;
-  if (reportsCold || signal.failed) return { ...known, warmAnswers: 0 };
-  if (signal.latency === undefined) return markWarm(known, now);
-  if (signal.latency > service.latency * NORMAL_FACTOR) return { ...known, warmAnswers: 0 };
+  const reportsCold = signal.report?.cold === true;
+  const slow = (signal.latency ?? 0) > service.latency * NORMAL_FACTOR;
+  if (!known.cold) {
+    return reportsCold && (slow || !known.coldDisbelieved) ? markCold(known, now) : known;
+  }
+  const overlong = now - known.coldSince > state.options.coldTimeLimit;
+  if (slow || signal.failed || (reportsCold && !overlong)) return { ...known, warmAnswers: 0 };
+  if (signal.latency === undefined) return reportsCold ? known : markWarm(known, now);
   const warmAnswers = known.warmAnswers + 1;
   if (warmAnswers < state.options.warmAnswers) return { ...known, warmAnswers };
-  return markWarm(known, now);
+  return { ...markWarm(known, now), coldDisbelieved: reportsCold };
 }
 
 /** Returns the upstream as known after the signal. */
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -42,6 +42,10 @@
   readonly cold: boolean;
   /** When the upstream process started; entries agree on it but for the delay of announcements. */
   readonly startedAt: Instant;
+  /** When it was last found cold. */
+  readonly coldSince: Instant;
+  /** Whether it called itself cold for so long, at normal latency, that this is no longer believed. */
+  readonly coldDisbelieved: boolean;
   /** Consecutive answers at normal latency while cold. */
   readonly warmAnswers: number;
   /** When it became warm. */
