--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -2,24 +2,28 @@
  * The routing decisions: one event in, the next state and the effects out. Invariant: the result
  * depends on the state and the event alone.
  */
-import { checkInvariant, type Instant, type Transition } from '../model/index.js';
+import { checkInvariant, type Transition } from '../model/index.js';
+import {
+  applyUpstreamSignal,
+  handleCancelled,
+  handleFailed,
+  handleFinished,
+  handleHead,
+} from './attempts.js';
 import {
-  enterCall,
-  closeCall,
   drainQueue,
+  enterCall,
   expireQueue,
   flushQueue,
-  getService,
   refuseCall,
-  startRetry,
   type Decision,
 } from './calls.js';
 import { markCold, markWarm } from './cold.js';
 import { applyConfig, applyDiscovery } from './fleet.js';
 import { planProbes } from './probes.js';
-import { countQueued, removeQueued, updateFinishGap } from './queue.js';
-import { addRetryTokens, isServerError } from './retries.js';
-import { applySignal, releaseRequest, updateAverages, type Signal } from './signals.js';
+import { countQueued } from './queue.js';
+import { addRetryTokens } from './retries.js';
+import type { Signal } from './signals.js';
 import {
   findUpstream,
   withService,
@@ -28,7 +32,7 @@
   type RoutingState,
   type UpstreamState,
 } from './state.js';
-import { getRecord, removeRecord, withRecord } from './table.js';
+import { getRecord } from './table.js';
 import type { Call, RoutingEffect, RoutingEvent } from './types.js';
 
 type EventOf<Kind extends RoutingEvent['kind']> = Extract<RoutingEvent, { kind: Kind }>;
@@ -76,171 +80,6 @@
   return enterCall(withService(state, at, addRetryTokens(state, service)), record, decision);
 }
 
-/** Applies a signal to an upstream and tells the fleet if it was found warm or cold. */
-function applyUpstreamSignal(
-  state: RoutingState,
-  at: number,
-  id: string | undefined,
-  signal: Signal,
-  decision: Decision,
-): RoutingState {
-  const service = state.services[at];
-  const place = service === undefined ? -1 : findUpstream(service, id);
-  const known = service?.upstreams[place];
-  if (service === undefined || known === undefined) return state;
-  const next = applySignal(state, service, known, signal, decision.now);
-  if (next.cold !== known.cold) {
-    const { incarnation } = known.upstream;
-    decision.effects.push({
-      kind: 'warmth',
-      upstreamId: known.upstream.id,
-      incarnation,
-      cold: next.cold,
-    });
-  }
-  return withService(state, at, withUpstream(updateAverages(service, next, signal), place, next));
-}
-
-/** Removes the call's request from its upstream. */
-function releaseCall(state: RoutingState, call: CallState, now: Instant): RoutingState {
-  const [at, service] = getService(state, call);
-  const place = findUpstream(service, call.tried.at(-1));
-  const known = service.upstreams[place];
-  if (known === undefined) return state;
-  const released = withUpstream(service, place, releaseRequest(known, call.sentAt));
-  return withService(state, at, updateFinishGap(released, now));
-}
-
-/** Reports how an attempt ended to those who judge versions. */
-function addEvidence(
-  state: RoutingState,
-  call: CallState,
-  failed: boolean,
-  latency: number,
-  decision: Decision,
-): void {
-  const [, service] = getService(state, call);
-  const known = service.upstreams[findUpstream(service, call.tried.at(-1))];
-  if (known === undefined) return;
-  const { service: name, version } = known.upstream;
-  const { route } = call.call;
-  decision.effects.push({ kind: 'evidence', service: name, version, route, failed, latency });
-}
-
-function handleHead(
-  state: RoutingState,
-  event: EventOf<'headArrived'>,
-  decision: Decision,
-): RoutingState {
-  const call = getRecord(state.calls, event.callId);
-  if (call?.phase !== 'sent') return state;
-  const latency = event.now - call.sentAt;
-  const failed = !event.notRun && isServerError(event.status);
-  const measured = event.notRun ? undefined : latency;
-  const [at] = getService(state, call);
-  const id = call.tried.at(-1);
-  const signal: Signal = { failed, latency: measured, report: event.report };
-  const learned = applyUpstreamSignal(state, at, id, signal, decision);
-  if (!failed && !event.notRun) return forwardAnswer(learned, call, latency, false, decision);
-  if (failed) addEvidence(learned, call, true, latency, decision);
-  const released = releaseCall(learned, call, event.now);
-  const ended: CallState = failed ? { ...call, mayHaveRun: true, lastFailure: 'lost' } : call;
-  const retried = startRetry(released, ended, true, decision);
-  if (retried !== undefined) return drainQueue(retried, at, decision);
-  if (failed) return forwardAnswer(learned, call, latency, true, decision);
-  return drainQueue(closeCall(released, ended, 'retriesSpent', decision), at, decision);
-}
-
-function forwardAnswer(
-  state: RoutingState,
-  call: CallState,
-  headLatency: number,
-  headFailed: boolean,
-  decision: Decision,
-): RoutingState {
-  decision.effects.push({ kind: 'deliver', callId: call.id });
-  const delivered: CallState = { ...call, phase: 'delivered', headLatency, headFailed };
-  return { ...state, calls: withRecord(state.calls, delivered) };
-}
-
-function addSuspect(state: RoutingState, call: CallState, decision: Decision): RoutingState {
-  const { fingerprint } = call.call;
-  const upstreamId = call.tried.at(-1) ?? '';
-  const { incarnation } = call;
-  decision.effects.push({ kind: 'suspect', fingerprint, upstreamId, incarnation });
-  if (state.suspected.has(fingerprint)) return state;
-  return { ...state, suspected: new Set([...state.suspected, fingerprint]) };
-}
-
-function handleFailed(
-  state: RoutingState,
-  event: EventOf<'failed'>,
-  decision: Decision,
-): RoutingState {
-  const call = getRecord(state.calls, event.callId);
-  if (call?.phase !== 'sent') return state;
-  const latency = event.now - call.sentAt;
-  const [at] = getService(state, call);
-  addEvidence(state, call, true, latency, decision);
-  const wasReached = event.failure !== 'unreachable';
-  const signal: Signal = { failed: true, latency, report: undefined, unreachable: !wasReached };
-  const released = releaseCall(state, call, event.now);
-  const learned = applyUpstreamSignal(released, at, call.tried.at(-1), signal, decision);
-  const lost = event.failure === 'lost';
-  const known = lost ? addSuspect(learned, call, decision) : learned;
-  const ended: CallState = {
-    ...call,
-    mayHaveRun: call.mayHaveRun || wasReached,
-    lastFailure: wasReached ? event.failure : call.lastFailure,
-  };
-  const next =
-    startRetry(known, ended, wasReached, decision) ??
-    closeCall(known, ended, 'retriesSpent', decision);
-  return drainQueue(next, at, decision);
-}
-
-function handleFinished(
-  state: RoutingState,
-  event: EventOf<'finished'>,
-  decision: Decision,
-): RoutingState {
-  const call = getRecord(state.calls, event.callId);
-  if (call?.phase !== 'delivered') return state;
-  const [at] = getService(state, call);
-  if (!call.headFailed) {
-    addEvidence(state, call, !event.complete, call.headLatency, decision);
-  }
-  const { fingerprint } = call.call;
-  if (event.complete && state.suspected.has(fingerprint)) {
-    decision.effects.push({ kind: 'cleared', fingerprint });
-  }
-  const cut: Signal = { failed: true, latency: call.headLatency, report: undefined };
-  const id = call.tried.at(-1);
-  const released = releaseCall(state, call, event.now);
-  const learned = event.complete
-    ? released
-    : addSuspect(applyUpstreamSignal(released, at, id, cut, decision), call, decision);
-  const next = { ...learned, calls: removeRecord(learned.calls, call.id) };
-  return drainQueue(next, at, decision);
-}
-
-function handleCancelled(
-  state: RoutingState,
-  event: EventOf<'cancelled'>,
-  decision: Decision,
-): RoutingState {
-  const call = getRecord(state.calls, event.callId);
-  if (call === undefined) return state;
-  const [at, service] = getService(state, call);
-  const next = { ...state, calls: removeRecord(state.calls, call.id) };
-  if (call.phase === 'queued') return withService(next, at, removeQueued(service, call.id));
-  const waited = event.now - call.sentAt;
-  if (call.phase === 'sent' && waited > service.latency) {
-    addEvidence(state, call, false, waited, decision);
-  }
-  return drainQueue(releaseCall(next, call, event.now), at, decision);
-}
-
 function handleProbed(
   state: RoutingState,
   event: EventOf<'probed'>,
@@ -260,7 +99,11 @@
   const place = findUpstream(service, event.upstreamId);
   const known = service.upstreams[place];
   if (known?.upstream.incarnation !== event.incarnation || known.cold === event.cold) return state;
-  const next: UpstreamState = event.cold ? markCold(known) : markWarm(known, event.now);
+  if (event.cold && known.coldDisbelieved) return state;
+  const coldDisbelieved = event.now - known.coldSince > state.options.coldTimeLimit;
+  const next: UpstreamState = event.cold
+    ? markCold(known, event.now)
+    : { ...markWarm(known, event.now), coldDisbelieved };
   return withService(state, at, withUpstream(service, place, next));
 }
 
@@ -270,7 +113,18 @@
   return { ...state, condemned: new Map([...alive, ...added]) };
 }
 
+/** Asserts that no call is lost: as many wait in the queues as the table of calls says. */
+function checkQueues(state: RoutingState): void {
+  const queued = state.services.reduce((total, service) => total + countQueued(service), 0);
+  const waiting = state.calls.buckets.reduce(
+    (total, bucket) => total + bucket.filter((call) => call.phase === 'queued').length,
+    0,
+  );
+  checkInvariant(queued === waiting, `${waiting} calls wait, but ${queued} are in the queues`);
+}
+
 function handleTick(state: RoutingState, decision: Decision): RoutingState {
+  checkQueues(state);
   const settled = state.services.reduce((next, service, at) => {
     if (countQueued(service) === 0) return next;
     const expired = expireQueue(next, at, decision);
--- a/src/routing/options.ts
+++ b/src/routing/options.ts
@@ -40,6 +40,10 @@
   readonly ejectionTime: Duration;
   /** Milliseconds that no ejection exceeds. */
   readonly ejectionTimeLimit: Duration;
+  /** Milliseconds without work for an upstream that refused some; each further refusal doubles it. */
+  readonly pauseTime: Duration;
+  /** Milliseconds that no such pause exceeds. */
+  readonly pauseTimeLimit: Duration;
   /** Requests that the whole fleet may have in flight on a cold upstream. */
   readonly coldConcurrency: number;
   /** Requests a second that the whole fleet may start on a cold upstream. */
@@ -48,11 +52,13 @@
   readonly coldTurn: Duration;
   /** Milliseconds since its start after which an upstream seen for the first time counts as warm. */
   readonly warmAge: Duration;
+  /** Milliseconds for which an upstream that answers at normal latency is believed to be cold. */
+  readonly coldTimeLimit: Duration;
   /** Consecutive answers at normal latency that make a cold upstream warm. */
   readonly warmAnswers: number;
   /** Milliseconds in which traffic to an upstream that became warm rises to its full share. */
   readonly rampTime: Duration;
-  /** Share of the time left to its deadline that a call may wait in this entry. */
+  /** Share of the time to its deadline that a call may wait in this entry, or once the usual latency. */
   readonly queueShare: number;
   /** Retries for each call at depth 0, as a share; the share of depth d is this divided by d + 1. */
   readonly retryShare: number;
@@ -76,20 +82,23 @@
   latencyWeight: 0.3,
   slowFactor: 2,
   zonePenalty: 1,
-  overcommit: 3,
-  batchShare: 0.5,
+  overcommit: 1.5,
+  batchShare: 2 / 3,
   queueLimit: 200,
   ejectionShare: 0.5,
   ejectionFailures: 5,
   ejectionTime: 1000,
   ejectionTimeLimit: 30_000,
+  pauseTime: 20,
+  pauseTimeLimit: 1000,
   coldConcurrency: 2,
   coldRate: 20,
   coldTurn: 2000,
   warmAge: 60_000,
+  coldTimeLimit: 120_000,
   warmAnswers: 3,
   rampTime: 2000,
-  queueShare: 0.25,
+  queueShare: 0.02,
   retryShare: 0.1,
   retryBurst: 20,
   attempts: 3,
