Keep joining entries, judge crashes at once, change control members, and show failures on separate processes

Join: an entry that joined a leader older than 10 s was lapsed within 9 ms of its activation, again and again (111 to 367 revisions in 12 s), because without a grant its last sign was the start of the leadership. Its wish to join now counts as a sign. Seen in 'Restarting all entries one after another'. Crash: two victims fell before the first report counted (6 of 6 upstreams crashed). An entry now looks whether anything listens at the upstream, and a call is sent again after at most two lost connections.

--- a/bench/stand/site.ts
+++ b/bench/stand/site.ts
@@ -2,7 +2,7 @@
  * A small site on loopback for the quick start, the benches and the features: every process is separate.
  * Invariant: each process that a site started is ended by `stop`, by its own id.
  */
-import { spawn, type ChildProcess } from 'node:child_process';
+import { execFile, spawn, type ChildProcess } from 'node:child_process';
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer, type AddressInfo, type Server } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -39,6 +39,8 @@
   find(id: string): SiteProcess;
   /** Starts a stopped process again with the same settings. */
   restart(id: string): Promise<void>;
+  /** Starts a stopped control process on an empty disk with `join = true`, and waits until it is a member. */
+  replaceDisk(id: string): Promise<void>;
   /** Starts one more upstream. */
   addUpstream(options: Partial<StandOptions>): Promise<SiteProcess>;
   /** Ends a process with a signal and waits until it is gone. */
@@ -188,6 +190,25 @@
   ].join('\n');
 }
 
+function withControlLines(options: SiteOptions, lines: readonly string[]): SiteOptions {
+  const control = [...(options.settings?.control ?? []), ...lines];
+  return { ...options, settings: { ...options.settings, control } };
+}
+
+/** Runs the operators' tool and returns what it printed. */
+export function runTool(
+  cliArguments: readonly string[],
+  words: readonly string[],
+): Promise<string> {
+  return new Promise((done, reject) => {
+    const program = [getProgram('src/cli/main.js'), ...words, ...cliArguments];
+    execFile(process.execPath, program, { timeout: START_LIMIT_MS }, (error, out, problems) => {
+      if (error === null) done(out);
+      else reject(new Error(`chivewalk ${words.join(' ')}: ${error.message} ${out} ${problems}`));
+    });
+  });
+}
+
 async function planDaemons(options: SiteOptions): Promise<readonly DaemonPlan[]> {
   const plan = async (id: string, role: 'control' | 'entry', zone: string): Promise<DaemonPlan> => {
     const [peer = '', platform = '', caller = '', upstream = '', operator = ''] =
@@ -218,10 +239,13 @@
   const plans = await planDaemons(options);
   const processes = new Map<string, SiteProcess>();
   const standOptions = new Map<string, StandOptions>();
-  const startDaemon = (plan: DaemonPlan): SiteProcess => {
+  const startDaemon = (plan: DaemonPlan, controlLines: readonly string[] = []): SiteProcess => {
     const file = join(folder, `${plan.id}.ini`);
     mkdirSync(join(folder, plan.id), { recursive: true });
-    writeFileSync(file, renderSettings(plan, plans, options, folder));
+    writeFileSync(
+      file,
+      renderSettings(plan, plans, withControlLines(options, controlLines), folder),
+    );
     const started = startChild(plan, 'src/daemon/main.js', file);
     processes.set(plan.id, started);
     return started;
@@ -260,6 +284,13 @@
     standOptions.set(full.id, full);
     return startUpstream(full.id);
   };
+  const cliArguments = [
+    ...plans.flatMap((plan) =>
+      plan.role === 'control' ? ['--control', plan.addresses.operator ?? ''] : [],
+    ),
+    '--token',
+    OPERATOR_TOKEN,
+  ];
   const find = (id: string): SiteProcess => {
     const found = processes.get(id);
     if (found === undefined)
@@ -281,7 +312,7 @@
     rmSync(folder, { recursive: true, force: true });
   };
   try {
-    const daemons = plans.map(startDaemon);
+    const daemons = plans.map((plan) => startDaemon(plan));
     await Promise.all(daemons.map(waitReady));
     await Promise.all(options.upstreams.map(addUpstream));
   } catch (error) {
@@ -299,15 +330,16 @@
       if (plan === undefined) await startUpstream(id);
       else await waitReady(startDaemon(plan));
     },
+    replaceDisk: async (id) => {
+      const plan = plans.find((one) => one.id === id);
+      if (plan === undefined) throw new Error(`no daemon ${id}`);
+      rmSync(join(folder, id), { recursive: true, force: true });
+      const started = startDaemon(plan, ['join = true']);
+      await waitReady(started);
+    },
     addUpstream,
     end,
-    cliArguments: [
-      ...plans.flatMap((plan) =>
-        plan.role === 'control' ? ['--control', plan.addresses.operator ?? ''] : [],
-      ),
-      '--token',
-      OPERATOR_TOKEN,
-    ],
+    cliArguments,
     stop,
   };
 }
--- a/bench/zone.ts
+++ b/bench/zone.ts
@@ -2,10 +2,9 @@
  * Service while an availability zone leaves and returns: separate processes, open loop, one row a second.
  * Scenarios: an operator takes the zone out and brings it in; the zone's processes are killed and come back cold.
  */
-import { execFile } from 'node:child_process';
 import { computeSpread, formatSpread, writeReport } from './stand/report.js';
 import { defaultLoad, runLoad, type LoadReport } from './stand/load.js';
-import { startSite, type Site } from './stand/site.js';
+import { runTool, startSite, type Site } from './stand/site.js';
 import type { StandOptions } from './stand/upstream.js';
 
 const ZONES = ['shah-alam', 'putrajaya', 'cyberjaya', 'port-klang'] as const;
@@ -41,24 +40,9 @@
   };
 }
 
-function runZoneCommand(site: Site, direction: 'out' | 'in'): Promise<void> {
-  const words = [
-    'dist/src/cli/main.js',
-    'zone',
-    direction,
-    LEAVING_ZONE,
-    '--wait',
-    'in-force',
-    '--deadline',
-    '10',
-    ...site.cliArguments,
-  ];
-  return new Promise((resolve, reject) => {
-    execFile(process.execPath, words, (error) => {
-      if (error === null) resolve();
-      else reject(new Error(error.message));
-    });
-  });
+async function runZoneCommand(site: Site, direction: 'out' | 'in'): Promise<void> {
+  const words = ['zone', direction, LEAVING_ZONE, '--wait', 'in-force', '--deadline', '10'];
+  await runTool(site.cliArguments, words);
 }
 
 async function applyFault(site: Site, fault: Fault, phase: 'leave' | 'return'): Promise<void> {
--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -205,7 +205,7 @@
   function (this: MembershipWorld, fingerprint: string, victims: string, index: number) {
     victims.split(' ').forEach((upstreamId) => {
       const crash = { fingerprint, upstreamId, incarnation: 1, now: this.network.now };
-      this.network.apply(toAddress(index), { kind: 'suspected', ...crash });
+      this.network.apply(toAddress(index), { kind: 'suspected', ended: false, ...crash });
     });
   },
 );
--- a/features/site/path.steps.ts
+++ b/features/site/path.steps.ts
@@ -1,8 +1,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { execFile } from 'node:child_process';
 import assert from 'node:assert/strict';
 import { request } from 'undici';
-import { startSite, waitUntil, type Site } from '../../bench/stand/site.js';
+import { runTool as runSiteTool, startSite, waitUntil, type Site } from '../../bench/stand/site.js';
 import type { SnapshotWorld } from '../support/snapshot.js';
 
 /** The world of scenarios over separate processes. */
@@ -24,7 +23,6 @@
   readonly text: string;
 }
 
-const COMMAND_LIMIT_MS = 20_000;
 const SETTLE_LIMIT_MS = 15_000;
 
 /** Returns the running site. */
@@ -33,7 +31,8 @@
   return world.site;
 }
 
-function getCallerAddresses(site: Site): readonly string[] {
+/** Returns the addresses for callers of every entry. */
+export function getCallerAddresses(site: Site): readonly string[] {
   return site.processes.flatMap((one) =>
     one.role === 'entry' ? [one.addresses.caller ?? ''] : [],
   );
@@ -48,13 +47,7 @@
 
 /** Runs the operators' tool and returns what it printed. */
 export function runTool(site: Site, words: readonly string[]): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const program = ['dist/src/cli/main.js', ...words, ...site.cliArguments];
-    execFile(process.execPath, program, { timeout: COMMAND_LIMIT_MS }, (error, out, problems) => {
-      if (error === null) resolve(out);
-      else reject(new Error(`chivewalk ${words.join(' ')}: ${error.message} ${out} ${problems}`));
-    });
-  });
+  return runSiteTool(site.cliArguments, words);
 }
 
 After(async function (this: SiteWorld) {
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -10,6 +10,7 @@
   ZoneInCommand,
   ZoneOutCommand,
 } from './commands.js';
+import { MembersAddCommand, MembersRemoveCommand } from './members.js';
 import { ShowCommand } from './show.js';
 
 /**
@@ -31,6 +32,8 @@
     UpstreamsStayCommand,
     MoveStartCommand,
     MoveCancelCommand,
+    MembersAddCommand,
+    MembersRemoveCommand,
     ShowCommand,
     LogCommand,
     AskCommand,
--- /dev/null
+++ b/src/daemon/crash.ts
@@ -0,0 +1,58 @@
+/**
+ * Looks whether an upstream that lost a connection has ended. Invariant: it makes at most
+ * {@link CHECKS} connections a lost request, writes nothing to them, and reports exactly once.
+ */
+import { connect } from 'node:net';
+import { setTimeout as waitFor } from 'node:timers/promises';
+import type { RoutingSignal } from '../entry/index.js';
+import type { Membership } from '../membership/index.js';
+import type { Address, Duration } from '../model/index.js';
+
+/** A request was in flight when its upstream lost the connection. */
+export type SuspectSignal = Extract<RoutingSignal, { readonly kind: 'suspect' }>;
+
+const CHECKS = 2;
+/** Milliseconds between two checks: a process that ends may close its listener last. */
+const CHECK_PAUSE: Duration = 50;
+const CONNECT_TIMEOUT: Duration = 500;
+
+/** Tells whether the connection is refused, so that nothing listens there. */
+function isRefused(address: Address): Promise<boolean> {
+  const at = address.lastIndexOf(':');
+  return new Promise((resolve) => {
+    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+    const settle = (refused: boolean): void => {
+      socket.destroy();
+      resolve(refused);
+    };
+    socket.setTimeout(CONNECT_TIMEOUT, () => {
+      settle(false);
+    });
+    socket.on('connect', () => {
+      settle(false);
+    });
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      settle(error.code === 'ECONNREFUSED');
+    });
+  });
+}
+
+async function hasEnded(address: Address, checks: number): Promise<boolean> {
+  if (await isRefused(address)) return true;
+  if (checks <= 1) return false;
+  await waitFor(CHECK_PAUSE);
+  return hasEnded(address, checks - 1);
+}
+
+/**
+ * Reports the crash to the fleet, as certain if nothing listens at the upstream any more.
+ *
+ * @example
+ * await reportCrash(membership, signal);
+ */
+export async function reportCrash(membership: Membership, signal: SuspectSignal): Promise<void> {
+  const { fingerprint, upstreamId, incarnation } = signal;
+  const upstream = membership.upstreams.find((known) => known.id === upstreamId);
+  const ended = upstream !== undefined && (await hasEnded(upstream.address, CHECKS));
+  membership.addSuspect({ fingerprint, upstreamId, incarnation, ended });
+}
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -21,8 +21,10 @@
 import type { EntrySettings, Settings } from '../generated/settings.js';
 import { createLogger, type Metrics, type Tracer } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
+import { reportCrash } from './crash.js';
 import { ProcessRole, type RoleState } from './role.js';
 import { TOKENS } from './tokens.js';
+import { handleWarmth, sendWarmth } from './warmth.js';
 
 const log = createLogger('entry');
 /** Milliseconds after which upstreams renew their announcements. */
@@ -91,6 +93,7 @@
     });
     this.#parts = { membership, client, claims, entry, announcements };
     this.#shareCondemned(membership, entry);
+    handleWarmth(this.#mesh, entry);
     this.#watch(this.#parts);
   }
 
@@ -176,7 +179,7 @@
       members: buildMembersPort(membership),
       hooks: this.#buildHooks(),
       onSignal: (signal) => {
-        handleSignal(signal, membership, client);
+        this.#handleSignal(signal, membership, client);
       },
     });
   }
@@ -210,6 +213,25 @@
     };
   }
 
+  #handleSignal(signal: RoutingSignal, membership: Membership, client: ConfigClient): void {
+    switch (signal.kind) {
+      case 'suspect':
+        void reportCrash(membership, signal);
+        break;
+      case 'cleared':
+        membership.addSuccess(signal.fingerprint);
+        break;
+      case 'evidence':
+        client.addEvidence(signal);
+        break;
+      case 'warmth': {
+        const peers = client.config.roster.members.map((member) => member.peerAddress);
+        sendWarmth(this.#mesh, peers, signal);
+        break;
+      }
+    }
+  }
+
   /** Passes condemned fingerprints to the routing decisions, and records them. */
   #shareCondemned(membership: Membership, entry: Entry): void {
     membership.onCondemned((fingerprints, until) => {
@@ -218,6 +240,9 @@
         log.warn('refusing requests that crashed several upstreams', { fingerprints });
       entry.dispatch({ kind: 'condemned', fingerprints, until, now });
     });
+    membership.onSuspectsChanged((fingerprints) => {
+      entry.dispatch({ kind: 'suspected', fingerprints, now: getNow() });
+    });
   }
 
   #watch({ membership, client, claims, entry }: Parts): void {
@@ -301,23 +326,3 @@
     },
   };
 }
-
-function handleSignal(signal: RoutingSignal, membership: Membership, client: ConfigClient): void {
-  switch (signal.kind) {
-    case 'suspect':
-      membership.addSuspect({
-        fingerprint: signal.fingerprint,
-        upstreamId: signal.upstreamId,
-        incarnation: signal.incarnation,
-      });
-      break;
-    case 'cleared':
-      membership.addSuccess(signal.fingerprint);
-      break;
-    case 'evidence':
-      client.addEvidence(signal);
-      break;
-    case 'warmth':
-      break;
-  }
-}
--- a/src/distribution/members.ts
+++ b/src/distribution/members.ts
@@ -61,6 +61,15 @@
   return state.applicants.filter(({ askedAt }) => now - askedAt < APPLICANT_LIFETIME);
 }
 
+/** Returns when this leader last had a sign of the member: a grant, or its wish to join. */
+function getLastSign(state: ServerState, member: RosterMember): Instant {
+  const asked = state.applicants.find(
+    (applicant) =>
+      applicant.member.id === member.id && applicant.member.incarnation === member.incarnation,
+  );
+  return Math.max(getLastGrant(state, member), asked?.askedAt ?? -Infinity);
+}
+
 /** Tells whether the member may be removed: its lease has lapsed, and it left, was replaced or stays away. */
 function isRemovable(state: ServerState, member: RosterMember, now: Instant): boolean {
   if (!isLapsed(state, member, now)) return false;
@@ -68,7 +77,7 @@
     (applicant) =>
       applicant.member.id === member.id && applicant.member.incarnation > member.incarnation,
   );
-  const isAway = now > getLastGrant(state, member) + LEASE + EVICTION_DELAY;
+  const isAway = now > getLastSign(state, member) + LEASE + EVICTION_DELAY;
   return member.phase === 'leaving' || isReplaced || isAway;
 }
 
--- a/src/membership/condemn.ts
+++ b/src/membership/condemn.ts
@@ -27,14 +27,14 @@
 
 /** Adds the report of a crash. */
 export function addSuspicion(state: CondemnState, added: Suspicion): CondemnState {
-  const known = state.suspicions.some(
-    ({ fingerprint, upstreamId, incarnation }) =>
-      fingerprint === added.fingerprint &&
-      upstreamId === added.upstreamId &&
-      incarnation === added.incarnation,
-  );
-  if (known) return state;
-  return { ...state, suspicions: [...state.suspicions, added].slice(-MAX_SUSPICIONS) };
+  const isSame = ({ fingerprint, upstreamId, incarnation }: Suspicion): boolean =>
+    fingerprint === added.fingerprint &&
+    upstreamId === added.upstreamId &&
+    incarnation === added.incarnation;
+  const known = state.suspicions.find(isSame);
+  if (known !== undefined && (known.ended === true || added.ended !== true)) return state;
+  const others = state.suspicions.filter((suspicion) => !isSame(suspicion));
+  return { ...state, suspicions: [...others, added].slice(-MAX_SUSPICIONS) };
 }
 
 /** Adds the report that a suspected request ended well; it lifts an earlier verdict. */
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -109,8 +109,8 @@
     case 'closing':
       return sendFarewell(state, event.now, event.random);
     case 'suspected': {
-      const { fingerprint, upstreamId, incarnation, now: at } = event;
-      const crash = { fingerprint, upstreamId, incarnation, at };
+      const { fingerprint, upstreamId, incarnation, ended, now: at } = event;
+      const crash = { fingerprint, upstreamId, incarnation, ended, at };
       return { state: recordCrash(state, crash), effects: [] };
     }
     case 'cleared':
--- a/src/membership/service.ts
+++ b/src/membership/service.ts
@@ -37,6 +37,8 @@
   readonly fingerprint: string;
   readonly upstreamId: string;
   readonly incarnation: number;
+  /** Whether nothing listened at the upstream right after. */
+  readonly ended: boolean;
 }
 
 /** Is told which fingerprints to refuse until when; an instant that has passed lifts the refusal. */
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -152,6 +152,8 @@
       readonly fingerprint: string;
       readonly upstreamId: string;
       readonly incarnation: number;
+      /** Whether nothing listened at the upstream right after. */
+      readonly ended: boolean;
       readonly now: Instant;
     }
   | { readonly kind: 'cleared'; readonly fingerprint: string; readonly now: Instant };
--- a/src/operators/answers.ts
+++ b/src/operators/answers.ts
@@ -57,3 +57,11 @@
 
 /** Records of the log. */
 export type LogAnswer = { readonly kind: 'log'; readonly records: readonly LogRecord[] } | NoAnswer;
+
+/** What became of a change of the control members. */
+export type ChangeAnswer =
+  | { readonly kind: 'committed'; readonly index: number }
+  | { readonly kind: 'refused'; readonly remedy: string }
+  /** It may or may not be agreed; look at the members. */
+  | { readonly kind: 'unknown' }
+  | NoAnswer;
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -1,6 +1,7 @@
 /** The operators' calls and their listener. */
 export type {
   AskAnswer,
+  ChangeAnswer,
   LogAnswer,
   NoAnswer,
   ShowAnswer,
--- a/src/operators/router.ts
+++ b/src/operators/router.ts
@@ -3,7 +3,7 @@
  * only from a state that a majority confirmed since the call.
  */
 import { initTRPC, TRPCError } from '@trpc/server';
-import type { ControlNode } from '../control/index.js';
+import type { ControlNode, MemberChange } from '../control/index.js';
 import type { ConfigServer } from '../distribution/index.js';
 import {
   getStatus,
@@ -15,6 +15,7 @@
 import { matchSelector, type Address, type Upstream } from '../model/index.js';
 import type {
   AskAnswer,
+  ChangeAnswer,
   LogAnswer,
   MemberReport,
   NoAnswer,
@@ -166,6 +167,33 @@
   return next();
 });
 
+/** Reads a change of members. */
+function readChange(value: unknown): MemberChange {
+  const kind = readField(value, 'kind');
+  const address = readField(value, 'address');
+  if (kind !== 'add' && kind !== 'remove') throw new CommandError('give kind as add or remove');
+  if (typeof address === 'string' && /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/.test(address)) {
+    return { kind, address };
+  }
+  throw new CommandError('give the peer address of a member as IP:PORT');
+}
+
+async function replaceMembers(
+  services: OperatorsServices,
+  change: MemberChange,
+): Promise<ChangeAnswer> {
+  const changed = await services.control.changeMembers(change);
+  switch (changed.kind) {
+    case 'committed':
+    case 'refused':
+    case 'unknown':
+      return changed;
+    case 'notLeader':
+    case 'unavailable':
+      return toNoAnswer(services, changed);
+  }
+}
+
 /** Parses the input of a call; a fault of it becomes a bad request. */
 function withInput<Input>(parse: (value: unknown) => Input): (value: unknown) => Input {
   return (value) => {
@@ -199,7 +227,11 @@
     until: readNumber(value, 'until'),
     deadlineMs: readDeadline(value),
   }));
+  const parseChange = withInput(readChange);
   return trpc.router({
+    changeMembers: trusted
+      .input(parseChange)
+      .mutation(({ input }) => replaceMembers(services, input)),
     submit: trusted
       .input(parseSubmit)
       .mutation(({ input }) => sendCommand(services, input.command, input.deadlineMs)),
--- a/src/routing/attempts.ts
+++ b/src/routing/attempts.ts
@@ -145,6 +145,7 @@
   const ended: CallState = {
     ...call,
     mayHaveRun: call.mayHaveRun || wasReached,
+    lost: call.lost + (lost ? 1 : 0),
     lastFailure: wasReached ? event.failure : call.lastFailure,
   };
   const next =
--- a/src/routing/condemn.ts
+++ b/src/routing/condemn.ts
@@ -10,6 +10,8 @@
   readonly fingerprint: string;
   readonly upstreamId: string;
   readonly incarnation: number;
+  /** Whether nothing listened at the upstream right after; a lost connection alone is no crash. */
+  readonly ended?: boolean;
   readonly at: Instant;
 }
 
@@ -42,11 +44,12 @@
   now: Instant,
 ): Victims {
   const victims = new Map<string, Set<string>>();
-  suspicions.forEach(({ fingerprint, upstreamId, incarnation, at }) => {
+  suspicions.forEach(({ fingerprint, upstreamId, incarnation, ended, at }) => {
     const cleared = clearances.some(
       (clearance) => clearance.fingerprint === fingerprint && clearance.at >= at,
     );
-    const counts = now - at <= options.window && options.hasCrashed(upstreamId, incarnation);
+    const crashed = ended === true || options.hasCrashed(upstreamId, incarnation);
+    const counts = now - at <= options.window && crashed;
     if (cleared || !counts) return;
     const known = victims.get(fingerprint) ?? new Set();
     victims.set(fingerprint, known.add(`${upstreamId}#${incarnation}`));
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -52,6 +52,7 @@
     incarnation: 0,
     sentAt: decision.now,
     mayHaveRun: false,
+    lost: 0,
     lastFailure: 'unreachable',
     headLatency: 0,
     headFailed: false,
--- a/src/routing/retries.ts
+++ b/src/routing/retries.ts
@@ -9,6 +9,8 @@
 const FIRST_SERVER_ERROR = 500;
 const NOT_IMPLEMENTED = 501;
 const VERSION_NOT_SUPPORTED = 505;
+/** Lost connections after which a call is not sent again: it may be what crashes its upstreams. */
+const MAX_LOST = 2;
 
 /** Tells whether the status says that the upstream failed. */
 export function isServerError(status: number): boolean {
@@ -41,7 +43,7 @@
 ): boolean {
   if (call.call.replayable === false) return false;
   if (call.mayHaveRun && !call.call.idempotent) return false;
-  if (call.attempt >= state.options.attempts) return false;
+  if (call.attempt >= state.options.attempts || call.lost >= MAX_LOST) return false;
   if (now + service.latency >= call.call.deadline) return false;
   return service.retryTokens >= computeRetryCost(call, wasReached);
 }
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -93,6 +93,8 @@
   readonly sentAt: Instant;
   /** Whether an earlier attempt may have run. */
   readonly mayHaveRun: boolean;
+  /** Attempts whose connection was lost; each may have crashed its upstream. */
+  readonly lost: number;
   readonly lastFailure: AttemptFailure;
   /** Milliseconds from sending to the head of the answer that is passed on. */
   readonly headLatency: Duration;
