--- a/src/entry/addresses.ts
+++ b/src/entry/addresses.ts
@@ -2,12 +2,14 @@
  * The answer to "which address?". Invariant: it never lists an entry that is stopping or out of touch,
  * as far as this entry knows.
  */
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Duration, ZoneId } from '../model/index.js';
 import { MAX_ADDRESSES } from './limits.js';
 import type { CallerAddress } from './ports.js';
+import { writeRefusal } from './refusal.js';
 
 /** Path that callers ask. */
-export const ADDRESSES_PATH = '/.well-known/chivewalk/addresses';
+const ADDRESSES_PATH = '/.well-known/chivewalk/addresses';
 
 /** What callers get. */
 export interface AddressAnswer {
@@ -53,3 +55,21 @@
   const zone = at < 0 ? null : new URLSearchParams(url.slice(at)).get('zone');
   return zone ?? undefined;
 }
+
+/** Writes the answer to a request for addresses, or refuses another request under the same prefix. */
+export function writeAddresses(
+  request: IncomingMessage,
+  response: ServerResponse,
+  answer: AddressAnswer,
+): void {
+  const path = request.url?.split('?', 1)[0];
+  if (path !== ADDRESSES_PATH || request.method !== 'GET') {
+    writeRefusal(response, { kind: 'fault', fault: 'badTarget' });
+    return;
+  }
+  const body = Buffer.from(`${JSON.stringify(answer)}\n`);
+  const type = ['content-type', 'application/json', 'cache-control', 'no-store'];
+  const status = answer.addresses.length > 0 ? 200 : 503;
+  response.writeHead(status, [...type, 'content-length', String(body.length)]);
+  response.end(body);
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,7 +7,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Address, Duration, EntryId, Instant, ZoneId } from '../model/index.js';
 import type { RoutingEffect, RoutingEvent } from '../routing/types.js';
-import { ADDRESSES_PATH, parseZone, pickAddresses, type AddressAnswer } from './addresses.js';
+import { parseZone, pickAddresses, writeAddresses } from './addresses.js';
 import { RequestBody, type Gathered } from './body.js';
 import { CallRun, type CallContext, type CallEffect } from './call.js';
 import { computeDigest, computeFingerprint } from './digest.js';
@@ -212,29 +212,12 @@
   }
 
   #serveAddresses(request: IncomingMessage, response: ServerResponse, url: string): void {
-    const path = url.split('?', 1)[0];
-    if (path !== ADDRESSES_PATH || request.method !== 'GET') {
-      writeRefusal(response, { kind: 'fault', fault: 'badTarget' });
-      return;
-    }
-    const answer: AddressAnswer = {
-      addresses: this.#pickAddresses(parseZone(url)),
-      ttl_ms: this.#options.addressTtlMs,
-    };
-    const body = Buffer.from(`${JSON.stringify(answer)}\n`);
-    const type = ['content-type', 'application/json', 'cache-control', 'no-store'];
-    const status = answer.addresses.length > 0 ? 200 : 503;
-    response.writeHead(status, [...type, 'content-length', String(body.length)]);
-    response.end(body);
-  }
-
-  #pickAddresses(zone: ZoneId | undefined): AddressAnswer['addresses'] {
-    const { members, config } = this.#options;
+    const { members, config, addressTtlMs, callerListen } = this.#options;
     const isListed = this.#stopped === undefined && config.isFresh(performance.now());
-    const entries = members
-      .entries()
-      .filter((entry) => isListed || entry.address !== this.#options.callerListen);
-    return pickAddresses(entries, zone, config.config.zonesOut, this.#getRandom);
+    const entries = members.entries().filter((entry) => isListed || entry.address !== callerListen);
+    const { zonesOut } = config.config;
+    const addresses = pickAddresses(entries, parseZone(url), zonesOut, this.#getRandom);
+    writeAddresses(request, response, { addresses, ttl_ms: addressTtlMs });
   }
 
   #beginCall(request: IncomingMessage, response: ServerResponse): void {
