--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -3,11 +3,12 @@
  * Rows: a direct call, a bare proxy on node:http as the other way weighed, and the entry. Then processor
  * time a call, the highest rate held, and the memory that a body of 100 MB takes.
  */
-import { fork, execFile, type ChildProcess } from 'node:child_process';
-import { Agent, createServer, get, request as sendRequest } from 'node:http';
+import { execFile, type ChildProcess } from 'node:child_process';
+import { get } from 'node:http';
+import { loadavg } from 'node:os';
 import { fileURLToPath } from 'node:url';
-import { emptyConfig, type Upstream } from '../src/model/index.js';
-import { createEntry, createRouter } from '../src/entry/index.js';
+import { Client } from 'undici';
+import { BODY_BYTES, readUsage, startRole } from './proxies.js';
 import { defaultLoad, type LoadOptions, type LoadReport } from './stand/load.js';
 import { computeSpread, formatSpread, writeReport, type Spread } from './stand/report.js';
 import { findFreeAddresses } from './stand/site.js';
@@ -19,137 +20,14 @@
 const HIGH_RATES = [2000, 3000, 4000, 5000, 6000, 8000] as const;
 const HIGH_SECONDS = 4;
 const HIGH_WARM_MS = 1500;
+const ALTERNATE_CALLS = 4000;
+const ALTERNATE_WARM_CALLS = 1500;
 /** A rate counts as held if this share of the calls succeeds with a p99 under the limit. */
 const HELD_SHARE = 0.999;
 const HELD_P99_MS = 10;
 const TARGET_ADDED_MS = 0.34;
-const BODY_BYTES = 100 * 1024 * 1024;
-const CHUNK_BYTES = 64 * 1024;
-const SMALL_BODY = Buffer.alloc(200, 'a');
 const MIB = 1024 * 1024;
 
-type Role = 'upstream' | 'plain' | 'entry';
-
-interface Usage {
-  /** Processor time so far in microseconds. */
-  readonly cpu: number;
-  /** Resident memory in bytes. */
-  readonly rss: number;
-}
-
-function startUpstream(address: string): void {
-  const [host = '', port = ''] = address.split(':');
-  const chunk = Buffer.alloc(CHUNK_BYTES, 'b');
-  const server = createServer((request, response) => {
-    if (request.url !== '/big') {
-      response.writeHead(200, ['content-length', String(SMALL_BODY.length)]);
-      response.end(SMALL_BODY);
-      return;
-    }
-    response.writeHead(200, ['content-length', String(BODY_BYTES)]);
-    let left = BODY_BYTES;
-    const writeMore = (): void => {
-      while (left > 0) {
-        left -= CHUNK_BYTES;
-        if (!response.write(chunk)) {
-          response.once('drain', writeMore);
-          return;
-        }
-      }
-      response.end();
-    };
-    writeMore();
-  });
-  server.keepAliveTimeout = 60_000;
-  server.listen(Number(port), host, () => process.send?.('ready'));
-}
-
-function startPlainProxy(address: string, upstream: string): void {
-  const [host = '', port = ''] = address.split(':');
-  const [upstreamHost, upstreamPort] = upstream.split(':');
-  const agent = new Agent({ keepAlive: true, maxSockets: 250 });
-  createServer((request, response) => {
-    const path = (request.url ?? '').replace('/seam', '');
-    const { method = 'GET', headers } = request;
-    const target = { host: upstreamHost, port: upstreamPort, method, path, headers, agent };
-    const outgoing = sendRequest(target, (answer) => {
-      response.writeHead(answer.statusCode ?? 0, answer.rawHeaders);
-      answer.pipe(response);
-    });
-    request.pipe(outgoing);
-  }).listen(Number(port), host, () => process.send?.('ready'));
-}
-
-async function startEntry(address: string, upstreamAddress: string): Promise<void> {
-  const upstream: Upstream = {
-    id: 'seam-1',
-    service: 'seam',
-    version: '1',
-    zone: 'klang',
-    labels: {},
-    address: upstreamAddress,
-    slots: 250,
-    maxConnections: 250,
-    incarnation: 1,
-    leaving: false,
-    age: 3_600_000,
-  };
-  await createEntry({
-    id: 'entry-1',
-    zone: 'klang',
-    callerListen: address,
-    addressTtlMs: 1000,
-    routing: createRouter(),
-    claims: {
-      claim: () => Promise.resolve({ kind: 'unavailable', reason: 'not in this bench' }),
-      settle: () => undefined,
-    },
-    config: { config: emptyConfig, isFresh: () => true, onChange: () => undefined },
-    members: {
-      entries: () => [{ address, zone: 'klang' }],
-      upstreams: () => [upstream],
-      onChange: () => undefined,
-    },
-    hooks: {},
-  });
-  process.send?.('ready');
-}
-
-async function runRole(role: Role, address: string, upstream: string): Promise<void> {
-  process.on('message', () => {
-    const { user, system } = process.cpuUsage();
-    const usage: Usage = { cpu: user + system, rss: process.memoryUsage.rss() };
-    process.send?.(usage);
-  });
-  process.once('disconnect', () => process.exit(0));
-  switch (role) {
-    case 'upstream':
-      startUpstream(address);
-      break;
-    case 'plain':
-      startPlainProxy(address, upstream);
-      break;
-    case 'entry':
-      await startEntry(address, upstream);
-      break;
-  }
-}
-
-function waitForMessage(child: ChildProcess): Promise<unknown> {
-  return new Promise((resolve) => child.once('message', resolve));
-}
-
-async function startRole(role: Role, address: string, upstream: string): Promise<ChildProcess> {
-  const child = fork(fileURLToPath(import.meta.url), [role, address, upstream]);
-  await waitForMessage(child);
-  return child;
-}
-
-async function readUsage(child: ChildProcess): Promise<Usage> {
-  child.send('usage');
-  return (await waitForMessage(child)) as Usage;
-}
-
 function runLoadProcess(options: Partial<LoadOptions>): Promise<LoadReport> {
   const program = fileURLToPath(new URL('./stand/load.js', import.meta.url));
   const given = JSON.stringify({ ...defaultLoad, ...options });
@@ -199,6 +77,38 @@
   return { direct, through, cpuPerCall: (after.cpu - before.cpu) / (RATE * SECONDS) };
 }
 
+/** Percentiles in milliseconds of calls that are sent one at a time. */
+interface Alternate {
+  readonly p10: number;
+  readonly p50: number;
+  readonly p99: number;
+}
+
+function computeAlternate(times: readonly number[]): Alternate {
+  const sorted = [...times].sort((one, two) => one - two);
+  const read = (share: number): number => sorted[Math.floor(share * sorted.length)] ?? NaN;
+  return { p10: read(0.1), p50: read(0.5), p99: read(0.99) };
+}
+
+/** Sends calls one at a time, direct and through each proxy by turns, so that all meet the same noise. */
+async function runAlternate(processes: Processes): Promise<Readonly<Record<string, Alternate>>> {
+  const ways = [
+    { name: 'direct', path: '/r', address: processes.upstream.address },
+    { name: 'plain', path: '/seam/r', address: processes.plain.address },
+    { name: 'entry', path: '/seam/r', address: processes.entry.address },
+  ].map((way) => ({ ...way, client: new Client(`http://${way.address}`), times: [] as number[] }));
+  for (let at = 0; at < ALTERNATE_WARM_CALLS + ALTERNATE_CALLS; at += 1) {
+    for (const { client, path, times } of ways) {
+      const startedAt = performance.now();
+      const answer = await client.request({ method: 'GET', path });
+      await answer.body.text();
+      if (at >= ALTERNATE_WARM_CALLS) times.push(performance.now() - startedAt);
+    }
+  }
+  await Promise.all(ways.map(({ client }) => client.close()));
+  return Object.fromEntries(ways.map(({ name, times }) => [name, computeAlternate(times)]));
+}
+
 interface HighRate {
   readonly rate: number;
   readonly okShare: number;
@@ -315,15 +225,22 @@
   });
 }
 
+function formatLoad(load: readonly number[]): string {
+  return (load[0] ?? 0).toFixed(1);
+}
+
 /** Runs the bench and writes `bench/out/cost.json`. */
 export async function run(): Promise<void> {
   const processes = await startProcesses();
   try {
     const plain: PairReport[] = [];
     const entry: PairReport[] = [];
+    const alternate: Readonly<Record<string, Alternate>>[] = [];
     const rates: HighRate[][] = [];
+    const loadBefore = loadavg();
     const growth: number[] = [];
     for (let at = 1; at <= RUNS; at += 1) {
+      alternate.push(await runAlternate(processes));
       plain.push(await runPair(processes, 'plain', at));
       entry.push(await runPair(processes, 'entry', at));
     }
@@ -333,6 +250,13 @@
     }
     const held = rates.map((rows) => Math.max(0, ...rows.filter(isHeld).map(({ rate }) => rate)));
     const summaries = { plain: buildSummary(plain), entry: buildSummary(entry) };
+    console.log(
+      `load of the machine before and after: ${formatLoad(loadBefore)}, ${formatLoad(loadavg())}`,
+    );
+    console.log('one call at a time, by turns, ms:');
+    alternate.forEach((row) => {
+      console.table(row);
+    });
     printSummary('node:http proxy', summaries.plain);
     printSummary('entry', summaries.entry);
     console.log(`target: at most ${TARGET_ADDED_MS} ms added at p99 with ${RATE} calls a second`);
@@ -340,13 +264,12 @@
     console.table(rates.flat());
     console.log(`memory grown by a body of 100 MB, MiB: ${formatSpread(computeSpread(growth), 1)}`);
     const target = { addedP99: TARGET_ADDED_MS, rate: RATE };
-    writeReport('cost', { target, runs: RUNS, summaries, held, rates, growthMib: growth });
+    const load = { before: loadBefore, after: loadavg() };
+    const figures = { target, runs: RUNS, load, alternate, summaries, held, rates };
+    writeReport('cost', { ...figures, growthMib: growth });
   } finally {
     Object.values(processes).forEach(({ child }: { readonly child: ChildProcess }) => {
       child.kill('SIGTERM');
     });
   }
 }
-
-const [, program = '', role = '', address = '', upstream = ''] = process.argv;
-if (program === fileURLToPath(import.meta.url)) await runRole(role as Role, address, upstream);
--- a/src/entry/answer.ts
+++ b/src/entry/answer.ts
@@ -57,9 +57,6 @@
     const response = this.#response;
     response.sendDate = false;
     response.writeHead(head.status, head.statusText, head.headers as string[]);
-    response.on('drain', () => {
-      this.#continue();
-    });
   }
 
   /** Writes a part of the body; returns false if the upstream must wait for `resume`. */
@@ -68,6 +65,9 @@
     if (this.#detached) return true;
     if (this.#response.write(chunk)) return true;
     this.#resume = resume;
+    this.#response.once('drain', () => {
+      this.#continue();
+    });
     return false;
   }
 
