--- a/src/claims/service.ts
+++ b/src/claims/service.ts
@@ -58,7 +58,7 @@
   claim(key: string, digest: string, deadline: Instant): Promise<ClaimResult>;
   /** Records how a granted request ended. */
   settle(token: string, settlement: ClaimSettlement): void;
-  /** Whether this entry answers for claims in the current epoch. */
+  /** Whether this entry answers for every key that it is a claimant of in the current epoch. */
   readonly isReady: boolean;
   /** Claims that this entry remembers for others. */
   readonly size: number;
@@ -99,7 +99,7 @@
   }
 
   get isReady(): boolean {
-    return this.#state.ready;
+    return this.#state.ready && this.#state.transfer === undefined;
   }
 
   get size(): number {
--- a/src/claims/table.ts
+++ b/src/claims/table.ts
@@ -7,7 +7,7 @@
 type Bucket = ReadonlyMap<string, readonly StoredClaim[]>;
 type Branch = readonly (Bucket | undefined)[];
 
-const FAN_OUT = 64;
+const FAN_OUT = 128;
 /** Number of buckets; a sweep visits them one by one. */
 export const BUCKET_COUNT = FAN_OUT * FAN_OUT;
 
--- a/src/claims/transfer.ts
+++ b/src/claims/transfer.ts
@@ -30,8 +30,10 @@
 
 /** Keys in one part of a report. */
 const KEYS_PER_PART = 2000;
-/** Retries of a claim in the time after which an unanswered fetch is sent again. */
+/** Retries of a claim in the time after which an unanswered fetch is first sent again. */
 const FETCH_RETRIES = 4;
+/** Times that the pause between fetches doubles; a long report must not be asked for again while it comes. */
+const MAX_DOUBLINGS = 5;
 /** Patience of a claim by which a transfer waits for the last reports before it leaves a gap. */
 const GAP_PATIENCE = 4;
 /** Views that are remembered in order to find members of earlier epochs. */
@@ -50,7 +52,13 @@
     ...left,
     ...{ view, ready: false, reported: false },
     seen: [...state.seen, view].slice(-MAX_SEEN),
-    transfer: { startedAt: now, askedAt: -Infinity, reports: new Map(), asked: new Set() },
+    transfer: {
+      startedAt: now,
+      askedAt: -Infinity,
+      rounds: 0,
+      reports: new Map(),
+      asked: new Set(),
+    },
   };
   const member = findMember(view, state.self, state.incarnation);
   if (member === undefined) return { state: { ...entered, transfer: undefined }, effects: [] };
@@ -86,15 +94,17 @@
 
 function sendFetches(state: ClaimsState, transfer: Transfer, now: Instant): Step {
   const wanted = listWanted(state, transfer);
-  const due = now - transfer.askedAt >= state.times.retry * FETCH_RETRIES;
+  const pause = state.times.retry * FETCH_RETRIES * 2 ** Math.min(transfer.rounds, MAX_DOUBLINGS);
+  const due = now - transfer.askedAt >= pause;
   const targets = due ? wanted : wanted.filter((address) => !transfer.asked.has(address));
   if (targets.length === 0) return { state, effects: [] };
   const basis = state.basis?.epoch ?? 0;
   const message = { kind: 'fetch', view: state.view, basis } as const;
   const asked = new Set([...transfer.asked, ...targets]);
   const askedAt = due ? now : transfer.askedAt;
+  const rounds = due ? transfer.rounds + 1 : transfer.rounds;
   const effects = targets.map((to) => ({ kind: 'send', to, message }) as const);
-  return { state: { ...state, transfer: { ...transfer, asked, askedAt } }, effects };
+  return { state: { ...state, transfer: { ...transfer, asked, askedAt, rounds } }, effects };
 }
 
 function listWanted(state: ClaimsState, transfer: Transfer): readonly Address[] {
--- a/src/claims/types.ts
+++ b/src/claims/types.ts
@@ -125,6 +125,8 @@
 export interface Transfer {
   readonly startedAt: Instant;
   readonly askedAt: Instant;
+  /** How often all that have not reported were asked. */
+  readonly rounds: number;
   readonly reports: ReadonlyMap<Address, MemberReport>;
   /** Members of earlier epochs that are to be asked, by peer address. */
   readonly asked: ReadonlySet<Address>;
