--- a/src/claims/claimants.ts
+++ b/src/claims/claimants.ts
@@ -8,9 +8,17 @@
 /** Entries that record each claim, where the view has as many. */
 const CLAIMANT_COUNT = 3;
 
-/** Members of a view that may be claimants, prepared for choosing. */
-interface Candidates {
-  readonly members: readonly { readonly member: ViewMember; readonly hash: number }[];
+interface Candidate {
+  readonly member: ViewMember;
+  readonly hash: number;
+}
+
+/** Members of a view that may be claimants, by availability zone. */
+type Candidates = readonly (readonly Candidate[])[];
+
+interface Ranked {
+  readonly member: ViewMember;
+  readonly score: number;
 }
 
 const candidatesOf = new WeakMap<View, Candidates>();
@@ -18,10 +26,13 @@
 function findCandidates(view: View): Candidates {
   const found = candidatesOf.get(view);
   if (found !== undefined) return found;
-  const members = view.members
-    .filter((member) => member.active)
-    .map((member) => ({ member, hash: hashText(member.id) }));
-  const created = { members };
+  const active = view.members.filter((member) => member.active);
+  const zones = [...new Set(active.map((member) => member.zone))];
+  const created = zones.map((zone) =>
+    active
+      .filter((member) => member.zone === zone)
+      .map((member) => ({ member, hash: hashText(member.id) })),
+  );
   candidatesOf.set(view, created);
   return created;
 }
@@ -41,17 +52,30 @@
  */
 export function chooseClaimants(view: View, key: string): readonly ViewMember[] {
   const keyHash = hashText(key);
-  const ranked = findCandidates(view)
-    .members.map(({ member, hash }) => ({ member, score: computeScore(keyHash, hash) }))
-    .sort((a, b) => b.score - a.score || (a.member.id < b.member.id ? -1 : 1))
-    .map(({ member }) => member);
-  const bestOfZone = new Map<string, ViewMember>();
-  ranked.forEach((member) => {
-    if (!bestOfZone.has(member.zone)) bestOfZone.set(member.zone, member);
+  const zones = findCandidates(view);
+  const leaders = zones.flatMap((zone) => pickBest(zone, keyHash) ?? []).sort(compareRanked);
+  if (leaders.length >= CLAIMANT_COUNT)
+    return leaders.slice(0, CLAIMANT_COUNT).map(({ member }) => member);
+  const others = zones
+    .flat()
+    .filter(({ member }) => leaders.every((leader) => leader.member !== member))
+    .map(({ member, hash }) => ({ member, score: computeScore(keyHash, hash) }))
+    .sort(compareRanked);
+  return [...leaders, ...others].slice(0, CLAIMANT_COUNT).map(({ member }) => member);
+}
+
+function compareRanked(a: Ranked, b: Ranked): number {
+  return b.score - a.score || (a.member.id < b.member.id ? -1 : 1);
+}
+
+function pickBest(zone: readonly Candidate[], keyHash: number): Ranked | undefined {
+  let best: Ranked | undefined;
+  zone.forEach(({ member, hash }) => {
+    const score = computeScore(keyHash, hash);
+    const ranked = { member, score };
+    if (best === undefined || compareRanked(ranked, best) < 0) best = ranked;
   });
-  const spread = [...bestOfZone.values()];
-  const others = ranked.filter((member) => !spread.includes(member));
-  return [...spread, ...others].slice(0, CLAIMANT_COUNT);
+  return best;
 }
 
 /** Returns how many of the claimants must record a claim. */
