--- a/src/claims/claimants.ts
+++ b/src/claims/claimants.ts
@@ -1,6 +1,6 @@
 /**
  * Chooses the claimants of a key and judges which members must be heard. Invariant: a majority of the
- * claimants of any key contains a member of every set that {@link hasKey} accepts.
+ * claimants of a key shares a member with every set that {@link hasKey} accepts for it.
  */
 import type { View, ViewMember } from '../generated/claims.js';
 import { hashText } from './table.js';
@@ -8,9 +8,17 @@
 /** Entries that record each claim, where the view has as many. */
 const CLAIMANT_COUNT = 3;
 
-/** Members of a view that may be claimants, prepared for choosing. */
-interface Candidates {
-  readonly members: readonly { readonly member: ViewMember; readonly hash: number }[];
+interface Candidate {
+  readonly member: ViewMember;
+  readonly hash: number;
+}
+
+/** Members of a view that may be claimants, by availability zone. */
+type Candidates = readonly (readonly Candidate[])[];
+
+interface Ranked {
+  readonly member: ViewMember;
+  readonly score: number;
 }
 
 const candidatesOf = new WeakMap<View, Candidates>();
@@ -18,10 +26,13 @@
 function findCandidates(view: View): Candidates {
   const found = candidatesOf.get(view);
   if (found !== undefined) return found;
-  const members = view.members
-    .filter((member) => member.active)
-    .map((member) => ({ member, hash: hashText(member.id) }));
-  const created = { members };
+  const active = view.members.filter((member) => member.active);
+  const zones = [...new Set(active.map((member) => member.zone))];
+  const created = zones.map((zone) =>
+    active
+      .filter((member) => member.zone === zone)
+      .map((member) => ({ member, hash: hashText(member.id) })),
+  );
   candidatesOf.set(view, created);
   return created;
 }
@@ -41,17 +52,30 @@
  */
 export function chooseClaimants(view: View, key: string): readonly ViewMember[] {
   const keyHash = hashText(key);
-  const ranked = findCandidates(view)
-    .members.map(({ member, hash }) => ({ member, score: computeScore(keyHash, hash) }))
-    .sort((a, b) => b.score - a.score || (a.member.id < b.member.id ? -1 : 1))
-    .map(({ member }) => member);
-  const bestOfZone = new Map<string, ViewMember>();
-  ranked.forEach((member) => {
-    if (!bestOfZone.has(member.zone)) bestOfZone.set(member.zone, member);
+  const zones = findCandidates(view);
+  const leaders = zones.flatMap((zone) => pickBest(zone, keyHash) ?? []).sort(compareRanked);
+  if (leaders.length >= CLAIMANT_COUNT)
+    return leaders.slice(0, CLAIMANT_COUNT).map(({ member }) => member);
+  const others = zones
+    .flat()
+    .filter(({ member }) => leaders.every((leader) => leader.member !== member))
+    .map(({ member, hash }) => ({ member, score: computeScore(keyHash, hash) }))
+    .sort(compareRanked);
+  return [...leaders, ...others].slice(0, CLAIMANT_COUNT).map(({ member }) => member);
+}
+
+function compareRanked(a: Ranked, b: Ranked): number {
+  return b.score - a.score || (a.member.id < b.member.id ? -1 : 1);
+}
+
+function pickBest(zone: readonly Candidate[], keyHash: number): Ranked | undefined {
+  let best: Ranked | undefined;
+  zone.forEach(({ member, hash }) => {
+    const score = computeScore(keyHash, hash);
+    const ranked = { member, score };
+    if (best === undefined || compareRanked(ranked, best) < 0) best = ranked;
   });
-  const spread = [...bestOfZone.values()];
-  const others = ranked.filter((member) => !spread.includes(member));
-  return [...spread, ...others].slice(0, CLAIMANT_COUNT);
+  return best;
 }
 
 /** Returns how many of the claimants must record a claim. */
@@ -64,24 +88,12 @@
   return view.members.find((member) => member.id === id && member.incarnation === incarnation);
 }
 
-/** Returns the members that could grant in a view, or all of them if none could. */
-function listVoters(view: View): readonly ViewMember[] {
-  const active = view.members.filter((member) => member.active);
-  return active.length > 0 ? active : view.members;
-}
-
-/** Tells whether more than half of the members that could grant in a view were heard. */
-export function hasMajority(view: View, hears: (member: ViewMember) => boolean): boolean {
-  const voters = listVoters(view);
-  return voters.filter(hears).length >= countMajority(voters.length);
-}
-
 /**
  * Tells whether enough claimants were heard for every key there can be: those missing are in a single
  * availability zone out of three or more, or are a single member.
  */
 export function hasEveryKey(view: View, hears: (member: ViewMember) => boolean): boolean {
-  const voters = listVoters(view);
+  const voters = view.members.filter((member) => member.active);
   const missing = voters.filter((member) => !hears(member));
   if (voters.length < CLAIMANT_COUNT) return missing.length === 0;
   const zones = new Set(voters.map((member) => member.zone));
@@ -89,9 +101,8 @@
   return zones.size >= CLAIMANT_COUNT ? missingZones.size <= 1 : missing.length <= 1;
 }
 
-/** Tells whether the claimants heard include one of every majority that may have granted the key. */
+/** Tells whether a majority of the key's claimants was heard, so that any two such sets share a member. */
 export function hasKey(view: View, key: string, hears: (member: ViewMember) => boolean): boolean {
   const claimants = chooseClaimants(view, key);
-  const missing = claimants.filter((member) => !hears(member));
-  return missing.length < countMajority(claimants.length);
+  return claimants.filter(hears).length >= countMajority(claimants.length);
 }
--- a/src/claims/transfer.ts
+++ b/src/claims/transfer.ts
@@ -3,16 +3,17 @@
  * Invariant: an entry answers for a key only after it heard enough of the key's claimants in the latest
  * earlier epoch that had complete knowledge, each of which left all earlier epochs for good.
  *
- * Why this suffices. Let `b` be the latest basis that was reported. A grant in `b` was recorded by a
- * majority of the key's claimants, so one of the claimants heard knows it. A grant in a later epoch needs
- * members that became ready after `b`; they heard a majority of `b`, and so did this entry, hence one
- * member that both heard lists their epoch as open. Of each open epoch a majority of members and enough
- * claimants of the key must be heard too; none of them became ready in it and none will, so neither a
- * grant nor a successor can come from it.
+ * Why this suffices for a key. Let `b` be the latest basis that was reported. A grant in `b` was recorded
+ * by a majority of the key's claimants, and a majority of them was heard, so one that was heard knows it.
+ * A grant in a later epoch needs members that became ready after `b`; they heard a majority of the key's
+ * claimants in `b`, and so did this entry, hence one member that both heard lists their epoch as open. Of
+ * each open epoch a majority of the key's claimants must be heard too; none of them became ready in it
+ * and none will, so neither a grant nor a successor can come from it. Where that majority is missing, a
+ * gap remains, and the key is refused until every earlier claim has expired.
  */
 import type { Address, Duration, Instant, Transition } from '../model/index.js';
 import type { Fetch, KeyRecords, Report, View, ViewMember } from '../generated/claims.js';
-import { chooseClaimants, findMember, hasEveryKey, hasMajority } from './claimants.js';
+import { chooseClaimants, findMember, hasEveryKey } from './claimants.js';
 import { listLive, replaceToken, toRecord } from './claimant.js';
 import { getClaims, listClaims } from './table.js';
 import type {
@@ -29,8 +30,10 @@
 
 /** Keys in one part of a report. */
 const KEYS_PER_PART = 2000;
-/** Retries of a claim in the time after which an unanswered fetch is sent again. */
+/** Retries of a claim in the time after which an unanswered fetch is first sent again. */
 const FETCH_RETRIES = 4;
+/** Times that the pause between fetches doubles; a long report must not be asked for again while it comes. */
+const MAX_DOUBLINGS = 5;
 /** Patience of a claim by which a transfer waits for the last reports before it leaves a gap. */
 const GAP_PATIENCE = 4;
 /** Views that are remembered in order to find members of earlier epochs. */
@@ -49,7 +52,13 @@
     ...left,
     ...{ view, ready: false, reported: false },
     seen: [...state.seen, view].slice(-MAX_SEEN),
-    transfer: { startedAt: now, askedAt: -Infinity, reports: new Map(), asked: new Set() },
+    transfer: {
+      startedAt: now,
+      askedAt: -Infinity,
+      rounds: 0,
+      reports: new Map(),
+      asked: new Set(),
+    },
   };
   const member = findMember(view, state.self, state.incarnation);
   if (member === undefined) return { state: { ...entered, transfer: undefined }, effects: [] };
@@ -85,15 +94,17 @@
 
 function sendFetches(state: ClaimsState, transfer: Transfer, now: Instant): Step {
   const wanted = listWanted(state, transfer);
-  const due = now - transfer.askedAt >= state.times.retry * FETCH_RETRIES;
+  const pause = state.times.retry * FETCH_RETRIES * 2 ** Math.min(transfer.rounds, MAX_DOUBLINGS);
+  const due = now - transfer.askedAt >= pause;
   const targets = due ? wanted : wanted.filter((address) => !transfer.asked.has(address));
   if (targets.length === 0) return { state, effects: [] };
   const basis = state.basis?.epoch ?? 0;
   const message = { kind: 'fetch', view: state.view, basis } as const;
   const asked = new Set([...transfer.asked, ...targets]);
   const askedAt = due ? now : transfer.askedAt;
+  const rounds = due ? transfer.rounds + 1 : transfer.rounds;
   const effects = targets.map((to) => ({ kind: 'send', to, message }) as const);
-  return { state: { ...state, transfer: { ...transfer, asked, askedAt } }, effects };
+  return { state: { ...state, transfer: { ...transfer, asked, askedAt, rounds } }, effects };
 }
 
 function listWanted(state: ClaimsState, transfer: Transfer): readonly Address[] {
@@ -183,7 +194,7 @@
 
 /** What the reports so far allow. */
 interface Judgement {
-  /** Whether no unknown epoch can have granted anything. */
+  /** Whether a basis and this entry's own gaps were reported. */
   readonly sound: boolean;
   /** Whether every key can be answered for. */
   readonly whole: boolean;
@@ -230,9 +241,7 @@
       ...{ view, startedAt: transfer.startedAt },
       heard: view.members.filter(heard).map((member) => member.peerAddress),
     }));
-  const sound =
-    reports.has(state.address) && needs.every(({ view, heard }) => hasMajority(view, heard));
-  return { sound, whole: gaps.length === 0, gaps };
+  return { sound: reports.has(state.address), whole: gaps.length === 0, gaps };
 }
 
 function listDistinct(views: readonly View[]): readonly View[] {
