--- a/features/control/core.feature
+++ b/features/control/core.feature
@@ -15,3 +15,23 @@
     Given a leading control core of 3 members
     When the control core is asked to remove member 1 while only that member answers
     Then the control core refuses with "fewAnswer"
+
+  Scenario: An isolated member raises no term, however long it is alone
+    Given a following control core of 3 members
+    When the control core hears nothing for 600 seconds
+    Then the term of the control core is still 1 and it asked only whether it would win
+
+  Scenario: A member that hears a leader lets nobody stand for election
+    Given a following control core of 3 members
+    When the control core hears a leader of term 2 and then a candidate of term 9
+    Then the term of the control core is still 2 and it answered nothing
+
+  Scenario: A leader that nobody answers steps down, and refuses the reads that waited
+    Given a leading control core of 3 members
+    When the control core is asked for a read and hears nothing for 2 seconds
+    Then the control core follows and the read was refused
+
+  Scenario: A leader that woke from a pause steps down before it does anything else
+    Given a leading control core of 3 members
+    When the control core wakes after 5 seconds and is asked to commit
+    Then the control core refuses with "notLeader"
--- a/features/control/core.steps.ts
+++ b/features/control/core.steps.ts
@@ -14,6 +14,7 @@
   state: ConsensusState;
   effects: readonly ConsensusEffect[];
   now: number;
+  sent: ConsensusEffect[];
 }
 
 function toMember(at: number, incarnation = 1): MemberId {
@@ -40,10 +41,10 @@
   decide(world, { kind: 'messageArrived', from, message });
 }
 
-Given('a leading control core of {int} members', function (this: CoreWorld, size: number) {
+function startCore(world: CoreWorld, size: number): void {
   const founders = Array.from({ length: size }, (_, at) => toMember(at));
-  this.now = 0;
-  this.state = createConsensus({
+  world.now = 0;
+  world.state = createConsensus({
     self: toMember(0),
     timings: defaultTimings,
     now: 0,
@@ -53,8 +54,17 @@
     snapshot: undefined,
     nonce: '',
   });
-  decide(this, { kind: 'founded', founders });
-  syncAll(this);
+  decide(world, { kind: 'founded', founders });
+  syncAll(world);
+}
+
+Given('a following control core of {int} members', function (this: CoreWorld, size: number) {
+  this.sent = [];
+  startCore(this, size);
+});
+
+Given('a leading control core of {int} members', function (this: CoreWorld, size: number) {
+  startCore(this, size);
   this.now = defaultTimings.electionMax;
   decide(this, { kind: 'ticked' });
   const grant = { kind: 'voteReply', term: 1, asked: 2, granted: true } as const;
@@ -105,3 +115,77 @@
   const found = this.state.membership.members.find(({ id }) => id === toMember(at));
   assert.equal(found?.voter, true);
 });
+
+function waitAlone(world: CoreWorld, seconds: number): void {
+  const end = world.now + seconds * 1000;
+  while (world.now < end) {
+    world.now += 50;
+    decide(world, { kind: 'ticked' });
+    world.sent.push(...world.effects);
+    syncAll(world);
+    world.sent.push(...world.effects);
+  }
+}
+
+When(
+  'the control core hears nothing for {int} seconds',
+  function (this: CoreWorld, seconds: number) {
+    waitAlone(this, seconds);
+  },
+);
+
+Then(
+  'the term of the control core is still {int} and it asked only whether it would win',
+  function (this: CoreWorld, term: number) {
+    assert.equal(this.state.term, term);
+    const messages = this.sent.flatMap((effect) => (effect.kind === 'send' ? effect.message : []));
+    assert.ok(messages.length > 100);
+    assert.ok(messages.every((message) => message.kind === 'voteRequest' && message.preVote));
+  },
+);
+
+When(
+  'the control core hears a leader of term {int} and then a candidate of term {int}',
+  function (this: CoreWorld, term: number, candidacy: number) {
+    const entries = { prevIndex: 1, prevTerm: 1, entries: [], commitIndex: 0, round: 1 };
+    const heartbeat = { kind: 'append', term, ...entries } as const;
+    decide(this, { kind: 'messageArrived', from: toMember(1), message: heartbeat });
+    syncAll(this);
+    this.now += 500;
+    const log = { lastIndex: 9, lastTerm: 2, preVote: false, transfer: false };
+    const request = { kind: 'voteRequest', term: candidacy, ...log } as const;
+    decide(this, { kind: 'messageArrived', from: toMember(2), message: request });
+  },
+);
+
+Then(
+  'the term of the control core is still {int} and it answered nothing',
+  function (this: CoreWorld, term: number) {
+    assert.equal(this.state.term, term);
+    assert.deepEqual(this.effects, []);
+  },
+);
+
+When(
+  'the control core is asked for a read and hears nothing for {int} seconds',
+  function (this: CoreWorld, seconds: number) {
+    this.sent = [];
+    decide(this, { kind: 'readRequested', read: 7 });
+    waitAlone(this, seconds);
+  },
+);
+
+Then('the control core follows and the read was refused', function (this: CoreWorld) {
+  assert.notEqual(this.state.role.kind, 'leader');
+  const answers = this.sent.filter((effect) => 'read' in effect);
+  assert.deepEqual(answers, [{ kind: 'readRefused', read: 7 }]);
+});
+
+When(
+  'the control core wakes after {int} seconds and is asked to commit',
+  function (this: CoreWorld, seconds: number) {
+    this.now += seconds * 1000;
+    decide(this, { kind: 'woke' });
+    decide(this, { kind: 'proposed', proposal: 1, command: Buffer.from('x') });
+  },
+);
--- a/src/control/consensus.ts
+++ b/src/control/consensus.ts
@@ -146,6 +146,23 @@
   }
 }
 
+const messageKinds: Readonly<Record<ControlMessage['kind'], true>> = {
+  voteRequest: true,
+  voteReply: true,
+  append: true,
+  appendReply: true,
+  snapshotChunk: true,
+  snapshotReply: true,
+  timeoutNow: true,
+  repairRequest: true,
+  repairReply: true,
+};
+
+/** Tells whether this version knows the kind of message; a newer peer may send others. */
+export function isKnownKind(kind: string): kind is ControlMessage['kind'] {
+  return Object.hasOwn(messageKinds, kind);
+}
+
 function handleMessage(state: ConsensusState, from: MemberId, message: ControlMessage): Step {
   switch (message.kind) {
     case 'voteRequest':
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -11,7 +11,7 @@
   LogEntry,
   MemberId,
 } from '../generated/control.js';
-import { createConsensus, decideConsensus } from './consensus.js';
+import { createConsensus, decideConsensus, isKnownKind } from './consensus.js';
 import type {
   ChangeOutcome,
   ControlNode,
@@ -186,6 +186,7 @@
       return;
     }
     if (envelope.to !== toIncarnation(this.#self) || envelope.group === undefined) return;
+    if (!isKnownKind(message.kind)) return;
     if (this.#founding.kind === 'newborn') {
       void this.#found({ kind: 'addressed', group: envelope.group });
       return;
