Keep the simulated faults within what a change of members can bear

The harness let it happen because it judged a lost disk by the members known before the removal, yet forbade the same loss right after it. It now forbids a removal, too, that would leave no majority of sound disks, and counts learners, who may be about to vote, in every loss. What the core itself must refuse (fewAnswer) stays shown by core.feature.

--- a/features/control/simulation.ts
+++ b/features/control/simulation.ts
@@ -19,6 +19,7 @@
   type LogEntry,
   type MemberId,
 } from '../../src/control/types.js';
+import type { Member as Voter } from '../../src/generated/control.js';
 import { Disk } from './disk.js';
 import { History } from './history.js';
 
@@ -431,19 +432,21 @@
       });
   }
 
-  /** Whether every set of voters that any member knows survives the loss of one more disk. */
+  /** The identities whose disks hold all that they acknowledged. */
+  #findSound(victim?: Member): ReadonlySet<MemberId> {
+    const sound = this.#members
+      .filter((member) => member !== victim)
+      .filter(({ disk, consensus }) => !disk.vote.repairing && consensus?.repair === undefined);
+    return new Set(sound.map(({ id }) => id));
+  }
+
+  /** Whether every set of members that any member knows survives the loss of one more disk. */
   #canLose(victim: Member): boolean {
-    const sound = new Set(
-      this.#members
-        .filter((member) => member !== victim)
-        .filter(({ disk, consensus }) => !disk.vote.repairing && consensus?.repair === undefined)
-        .map(({ id }) => id),
-    );
+    const sound = this.#findSound(victim);
     return this.#members.every((member) => {
       const { membership } = member.consensus ?? this.#loadMembership(member);
       const voters = membership.members.filter(({ voter }) => voter);
-      const lost = voters.filter(({ id }) => !sound.has(id)).length;
-      return lost * 2 < voters.length || voters.length === 0;
+      return hasSoundMajority(voters, sound) && hasSoundMajority(membership.members, sound);
     });
   }
 
@@ -483,6 +486,8 @@
     const victim = this.#pickMember();
     const voters = leader?.consensus?.membership.members.filter(({ voter }) => voter).length ?? 0;
     if (leader === undefined || voters <= FOUNDERS) return;
+    const rest = leader.consensus?.membership.members.filter(({ id }) => id !== victim.id) ?? [];
+    if (!hasSoundMajority(rest, this.#findSound())) return;
     this.#count('member removed');
     const change = { kind: 'remove', address: toAddress(victim.id) } as const;
     this.#handle(leader, { kind: 'membershipProposed', proposal: 0, change });
@@ -518,6 +523,11 @@
   }
 }
 
+function hasSoundMajority(members: readonly Voter[], sound: ReadonlySet<MemberId>): boolean {
+  const held = members.filter(({ id }) => sound.has(id)).length;
+  return members.length === 0 || held * 2 > members.length;
+}
+
 function decodeList(bytes: Uint8Array): readonly number[] {
   return JSON.parse(Buffer.from(bytes).toString()) as readonly number[];
 }
