Restart all members at once, add and remove members over real sockets

A data folder that was just created is made durable in its parent; a member whose identity could not be saved stays aside until it is restarted instead of trying every tick; a problem kind that nothing reported is gone.

--- a/features/control/group.feature
+++ b/features/control/group.feature
@@ -32,6 +32,23 @@
     And the control group accepts 1 numbers
     Then every control member applies every accepted number
 
+  Scenario: All members restart at once from snapshot and log
+    Given a control group of 3 that compacts after 4 entries
+    When the control group accepts 14 numbers
+    And every control member stops at once and starts again
+    And the control group accepts 1 numbers
+    Then every control member applies every accepted number
+
+  Scenario: A member is added and the leader's fellow is removed
+    Given a control group of 4 of which 3 found it
+    When the control group accepts 2 numbers
+    And control member 3 is added
+    And the control group accepts 2 numbers
+    And control member 0 is removed
+    And the control group accepts 2 numbers
+    Then the control voters are members 1, 2 and 3
+    And the control voters apply every accepted number
+
   Scenario: A member that lost its disk and was not told to join does not vote
     Given a control group of 3
     When the control group accepts 1 numbers
--- a/features/control/group.steps.ts
+++ b/features/control/group.steps.ts
@@ -57,6 +57,79 @@
   },
 );
 
+Given(
+  'a control group of {int} of which {int} found it',
+  SLOW,
+  async function (this: GroupWorld, size: number, founders: number) {
+    const group = await Group.create(size, {}, founders);
+    this.group = group;
+    const first = group.addresses.slice(0, founders);
+    await Promise.all(first.map((_, at) => group.start(at)));
+  },
+);
+
+/** Asks whichever member leads to change the members until the change is committed. */
+async function applyChange(group: Group, kind: 'add' | 'remove', at: number): Promise<void> {
+  const address = group.addresses[at] ?? '';
+  const until = performance.now() + 10_000;
+  while (performance.now() < until) {
+    const leader = group.findLeader();
+    const outcome =
+      leader === undefined
+        ? undefined
+        : await group.getNode(leader).changeMembers({ kind, address });
+    if (outcome?.kind === 'committed') return;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error(`member ${at}: ${kind} was not committed`);
+}
+
+When('control member {int} is added', SLOW, async function (this: GroupWorld, at: number) {
+  const group = getGroup(this);
+  await group.start(at, true);
+  await applyChange(group, 'add', at);
+  await waitFor(`member ${at} to vote`, () => findVoters(group).length === 4);
+});
+
+When('control member {int} is removed', SLOW, async function (this: GroupWorld, at: number) {
+  await applyChange(getGroup(this), 'remove', at);
+});
+
+When(
+  'every control member stops at once and starts again',
+  SLOW,
+  async function (this: GroupWorld) {
+    const group = getGroup(this);
+    const all = [...group.running.keys()];
+    await Promise.all(all.map((at) => group.stop(at)));
+    await Promise.all(all.map((at) => group.start(at)));
+  },
+);
+
+Then(
+  'the control voters are members {int}, {int} and {int}',
+  SLOW,
+  async function (this: GroupWorld, one: number, two: number, three: number) {
+    const group = getGroup(this);
+    const addresses = [one, two, three].map((at) => group.addresses[at] ?? '').sort();
+    await waitFor('the voters', () => {
+      const found = findVoters(group).map((id) => id.slice(0, id.lastIndexOf('#')));
+      return JSON.stringify([...found].sort()) === JSON.stringify(addresses);
+    });
+  },
+);
+
+Then('the control voters apply every accepted number', SLOW, async function (this: GroupWorld) {
+  const group = getGroup(this);
+  const wanted = JSON.stringify(group.accepted);
+  await waitFor(`the voters to apply ${wanted}`, () => {
+    const voters = findVoters(group).map((id) => id.slice(0, id.lastIndexOf('#')));
+    return [...group.running]
+      .filter(([at]) => voters.includes(group.addresses[at] ?? ''))
+      .every(([, { node }]) => JSON.stringify(node.applied) === wanted);
+  });
+});
+
 When('the control leader stops gracefully', SLOW, async function (this: GroupWorld) {
   const group = getGroup(this);
   await group.stop(group.findLeader() ?? -1, true);
--- a/features/control/group.ts
+++ b/features/control/group.ts
@@ -49,17 +49,18 @@
   private constructor(
     readonly folder: string,
     readonly addresses: readonly Address[],
+    readonly founders: number,
     readonly extra: Partial<ControlOptions<Numbers>>,
   ) {}
 
-  static async create(size: number, extra: Partial<ControlOptions<Numbers>> = {}): Promise<Group> {
+  static async create(
+    size: number,
+    extra: Partial<ControlOptions<Numbers>> = {},
+    founders = size,
+  ): Promise<Group> {
     const ports = await findFreePorts(size);
     const folder = await mkdtemp(join(tmpdir(), 'chivewalk-control-'));
-    return new Group(
-      folder,
-      ports.map((port) => `127.0.0.1:${port}`),
-      extra,
-    );
+    return new Group(folder, ports.map((port) => `127.0.0.1:${port}`).sort(), founders, extra);
   }
 
   getFolder(at: number): string {
@@ -82,7 +83,7 @@
     try {
       const node = await openControl({
         address,
-        members: this.addresses,
+        members: join ? this.addresses : this.addresses.slice(0, this.founders),
         join,
         dataFolder: this.getFolder(at),
         mesh,
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -18,14 +18,7 @@
 
 /** Something that an operator should know. */
 export interface ControlProblem {
-  readonly kind:
-    | 'damaged'
-    | 'torn'
-    | 'writeFailed'
-    | 'strangeFolder'
-    | 'waitingForMembers'
-    | 'halted'
-    | 'repaired';
+  readonly kind: 'damaged' | 'torn' | 'writeFailed' | 'strangeFolder' | 'halted' | 'repaired';
   /** Names the remedy where there is one. */
   readonly message: string;
 }
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -218,7 +218,6 @@
     try {
       await this.#writer.saveIdentity({ id: this.#self, group, founders });
     } catch (error) {
-      this.#settling = false;
       this.#report({ kind: 'writeFailed', message: `${String(error)}; ${FAILED_REMEDY}` });
       return;
     }
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -5,7 +5,7 @@
 import { randomBytes } from 'node:crypto';
 import { constants } from 'node:fs';
 import type { FileHandle } from 'node:fs/promises';
-import { basename, join } from 'node:path';
+import { basename, dirname, join } from 'node:path';
 import type { Address } from '../model/index.js';
 import type { Identity, LogRecord, MemberId, Snapshot, Vote } from '../generated/control.js';
 import {
@@ -93,7 +93,8 @@
   }
 
   async #load({ address, repairable }: StorageOptions): Promise<StoredState> {
-    await this.#files.mkdir(this.#folder, { recursive: true });
+    const created = await this.#files.mkdir(this.#folder, { recursive: true });
+    if (created !== undefined) await syncFolder(this.#files, dirname(created));
     const names = await this.#files.readdir(this.#folder);
     if (!names.includes(IDENTITY_FILE)) await this.#create(address, names);
     const identity = parseIdentity(
