--- a/features/site/failure.steps.ts
+++ b/features/site/failure.steps.ts
@@ -313,8 +313,8 @@
     const entries = getCallerAddresses(getSite(this));
     const answers = await Promise.all(entries.map((entry) => sendCall(entry, service, 1)));
     assert.deepEqual(
-      answers.map((one) => one.status),
-      entries.map(() => 200),
+      answers.filter((one) => one.status !== 200),
+      [],
     );
   },
 );
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -21,7 +21,7 @@
 });
 
 function toPattern(path: string): string {
-  return path.endsWith('.feature') ? path : `${path}/**/*.feature`;
+  return path.includes('.feature') ? path : `${path}/**/*.feature`;
 }
 
 const totals = { passed: 0, failed: 0 };
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -8,7 +8,12 @@
 import type { ControlSettings, Settings } from '../generated/settings.js';
 import { buildConfig, createIntentMachine, type IntentState } from '../intent/index.js';
 import type { Membership } from '../membership/index.js';
-import { openOperators, type OperatorsListener } from '../operators/index.js';
+import {
+  createMoveSteering,
+  openOperators,
+  type MoveSteering,
+  type OperatorsListener,
+} from '../operators/index.js';
 import { createLogger, type Metrics } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import { ProcessRole, type RoleState } from './role.js';
@@ -20,6 +25,7 @@
 interface Parts {
   readonly node: ControlNode<IntentState>;
   readonly server: ConfigServer;
+  readonly steering: MoveSteering;
   readonly operators: OperatorsListener;
 }
 
@@ -65,12 +71,20 @@
     const options = this.#settings.control;
     if (options === undefined) throw new Error('settings have no section [control]: add it');
     const node = await this.#openNode(options);
+    const steering = createMoveSteering({
+      control: node,
+      listUpstreams: () => this.#membership.upstreams,
+      wallNow: Date.now,
+    });
     const server = createConfigServer({
       mesh: this.#mesh,
       control: node,
       view: buildView,
       now: getNow,
       wallNow: Date.now,
+      onEvidence: (_, rows) => {
+        steering.addEvidence(rows);
+      },
     });
     const operators = await openOperators({
       listen: options.operator_listen ?? '',
@@ -81,13 +95,14 @@
       listUpstreams: () => this.#membership.upstreams,
       wallNow: Date.now,
     });
-    this.#parts = { node, server, operators };
+    this.#parts = { node, server, steering, operators };
     this.#followRoster(node);
     this.#watch(node);
   }
 
   override async stop(): Promise<void> {
     await this.#parts?.operators.close();
+    this.#parts?.steering.close();
     this.#parts?.server.close();
     await this.#parts?.node.close();
   }
--- a/src/routing/attempts.ts
+++ b/src/routing/attempts.ts
@@ -146,6 +146,7 @@
     ...call,
     mayHaveRun: call.mayHaveRun || wasReached,
     lost: call.lost + (lost ? 1 : 0),
+    unreached: call.unreached + (wasReached ? 0 : 1),
     lastFailure: wasReached ? event.failure : call.lastFailure,
   };
   const next =
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -53,6 +53,7 @@
     sentAt: decision.now,
     mayHaveRun: false,
     lost: 0,
+    unreached: 0,
     lastFailure: 'unreachable',
     headLatency: 0,
     headFailed: false,
--- a/src/routing/retries.ts
+++ b/src/routing/retries.ts
@@ -11,6 +11,8 @@
 const VERSION_NOT_SUPPORTED = 505;
 /** Lost connections after which a call is not sent again: it may be what crashes its upstreams. */
 const MAX_LOST = 2;
+/** Attempts without a connection that are not counted as attempts: upstreams that died together. */
+const MAX_UNREACHED = 8;
 
 /** Tells whether the status says that the upstream failed. */
 export function isServerError(status: number): boolean {
@@ -43,7 +45,8 @@
 ): boolean {
   if (call.call.replayable === false) return false;
   if (call.mayHaveRun && !call.call.idempotent) return false;
-  if (call.attempt >= state.options.attempts || call.lost >= MAX_LOST) return false;
+  if (call.lost >= MAX_LOST || call.unreached > MAX_UNREACHED) return false;
+  if (call.attempt - call.unreached >= state.options.attempts) return false;
   if (now + service.latency >= call.call.deadline) return false;
   return service.retryTokens >= computeRetryCost(call, wasReached);
 }
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -95,6 +95,8 @@
   readonly mayHaveRun: boolean;
   /** Attempts whose connection was lost; each may have crashed its upstream. */
   readonly lost: number;
+  /** Attempts that made no connection. */
+  readonly unreached: number;
   readonly lastFailure: AttemptFailure;
   /** Milliseconds from sending to the head of the answer that is passed on. */
   readonly headLatency: Duration;
