Wait for the new identity before the second disk is lost

The step now reads the identity from the folder before it is removed and waits for a voter that has none of the lost ones, which is stricter. A refused number now reports the status of every member.

--- a/features/control/group.steps.ts
+++ b/features/control/group.steps.ts
@@ -29,10 +29,12 @@
 }
 
 async function joinAgain(group: Group, at: number): Promise<void> {
-  const before = findVoters(group).find((id) => id.startsWith(`${group.addresses[at] ?? ''}#`));
+  const prefix = `${group.addresses[at] ?? ''}#`;
   await group.start(at, true);
-  await waitFor(`member ${at} to vote`, () =>
-    findVoters(group).some((id) => id.startsWith(`${group.addresses[at] ?? ''}#`) && id !== before),
+  await waitFor(`member ${at} to vote under its new identity`, () =>
+    findVoters(group).some(
+      (id) => id.startsWith(prefix) && group.lostIdentities.every((lost) => !lost.includes(id)),
+    ),
   );
 }
 
--- a/features/control/group.ts
+++ b/features/control/group.ts
@@ -2,7 +2,7 @@
  * A group of control members in one process, over real sockets and folders. Its machine is a list of
  * numbers, so that a lost, doubled or reordered command shows.
  */
-import { mkdtemp, rm } from 'node:fs/promises';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import {
@@ -44,6 +44,7 @@
 export class Group {
   readonly problems: ControlProblem[] = [];
   readonly running = new Map<number, Running>();
+  readonly lostIdentities: string[] = [];
   accepted: number[] = [];
 
   private constructor(
@@ -111,6 +112,8 @@
 
   async loseDisk(at: number): Promise<void> {
     await this.stop(at);
+    const identity = await readFile(join(this.getFolder(at), 'identity.json'), 'utf8');
+    this.lostIdentities.push(identity);
     await rm(this.getFolder(at), { recursive: true });
   }
 
@@ -131,7 +134,8 @@
       }
       await new Promise((resolve) => setTimeout(resolve, 20));
     }
-    throw new Error(`number ${value} was not accepted`);
+    const statuses = [...this.running].map(([at, { node }]) => ({ at, ...node.status }));
+    throw new Error(`number ${value} was not accepted: ${JSON.stringify(statuses)}`);
   }
 
   async remove(): Promise<void> {
