Tell crashes to all entries at once

Cause: reports travelled by gossip every 250 ms, while a caller sends the crashing request again after 200 ms.

--- a/src/daemon/crash.ts
+++ b/src/daemon/crash.ts
@@ -5,12 +5,14 @@
 import { connect } from 'node:net';
 import { setTimeout as waitFor } from 'node:timers/promises';
 import type { RoutingSignal } from '../entry/index.js';
-import type { Membership } from '../membership/index.js';
+import type { CrashReport, Membership } from '../membership/index.js';
 import type { Address, Duration } from '../model/index.js';
+import type { Mesh } from '../wire/index.js';
 
 /** A request was in flight when its upstream lost the connection. */
 export type SuspectSignal = Extract<RoutingSignal, { readonly kind: 'suspect' }>;
 
+const CHANNEL = 'crash';
 const CHECKS = 2;
 /** Milliseconds between two checks: a process that ends may close its listener last. */
 const CHECK_PAUSE: Duration = 50;
@@ -45,14 +47,33 @@
 }
 
 /**
- * Reports the crash to the fleet, as certain if nothing listens at the upstream any more.
+ * Reports the crash to the fleet, as certain if nothing listens at the upstream any more. The other entries
+ * are told at once: gossip alone is slower than a caller that sends its request again.
  *
  * @example
- * await reportCrash(membership, signal);
+ * await reportCrash(mesh, peers, membership, signal);
  */
-export async function reportCrash(membership: Membership, signal: SuspectSignal): Promise<void> {
+export async function reportCrash(
+  mesh: Mesh,
+  peers: readonly Address[],
+  membership: Membership,
+  signal: SuspectSignal,
+): Promise<void> {
   const { fingerprint, upstreamId, incarnation } = signal;
   const upstream = membership.upstreams.find((known) => known.id === upstreamId);
   const ended = upstream !== undefined && (await hasEnded(upstream.address, CHECKS));
-  membership.addSuspect({ fingerprint, upstreamId, incarnation, ended });
+  const report: CrashReport = { fingerprint, upstreamId, incarnation, ended };
+  membership.addSuspect(report);
+  peers
+    .filter((peer) => peer !== mesh.address)
+    .forEach((peer) => {
+      mesh.send(peer, CHANNEL, report);
+    });
+}
+
+/** Takes the reports of other entries. */
+export function handleCrashReports(mesh: Mesh, membership: Membership): void {
+  mesh.handle(CHANNEL, (_, message) => {
+    membership.addSuspect(message as CrashReport);
+  });
 }
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -18,10 +18,11 @@
   type RoutingSignal,
 } from '../entry/index.js';
 import type { Membership } from '../membership/index.js';
+import type { Address } from '../model/index.js';
 import type { EntrySettings, Settings } from '../generated/settings.js';
 import { createLogger, type Metrics, type Tracer } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
-import { reportCrash } from './crash.js';
+import { handleCrashReports, reportCrash } from './crash.js';
 import { ProcessRole, type RoleState } from './role.js';
 import { TOKENS } from './tokens.js';
 import { handleWarmth, sendWarmth } from './warmth.js';
@@ -94,6 +95,7 @@
     this.#parts = { membership, client, claims, entry, announcements };
     this.#shareCondemned(membership, entry);
     handleWarmth(this.#mesh, entry);
+    handleCrashReports(this.#mesh, membership);
     this.#watch(this.#parts);
   }
 
@@ -216,7 +218,7 @@
   #handleSignal(signal: RoutingSignal, membership: Membership, client: ConfigClient): void {
     switch (signal.kind) {
       case 'suspect':
-        void reportCrash(membership, signal);
+        void reportCrash(this.#mesh, listPeers(client), membership, signal);
         break;
       case 'cleared':
         membership.addSuccess(signal.fingerprint);
@@ -224,11 +226,9 @@
       case 'evidence':
         client.addEvidence(signal);
         break;
-      case 'warmth': {
-        const peers = client.config.roster.members.map((member) => member.peerAddress);
-        sendWarmth(this.#mesh, peers, signal);
+      case 'warmth':
+        sendWarmth(this.#mesh, listPeers(client), signal);
         break;
-      }
     }
   }
 
@@ -276,7 +276,7 @@
         revision: config.revision,
         zonesOut: config.zonesOut,
       });
-      membership.updateSeeds(config.roster.members.map((member) => member.peerAddress));
+      membership.updateSeeds(listPeers(client));
     });
   }
 }
@@ -292,6 +292,11 @@
   });
 }
 
+/** Returns the peer addresses of the agreed roster. */
+function listPeers(client: ConfigClient): readonly Address[] {
+  return client.config.roster.members.map((member) => member.peerAddress);
+}
+
 function buildConfigPort(client: ConfigClient): ConfigPort {
   return {
     get config() {
