--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,9 @@
 /** Runs one named benchmark: `npm run bench -- NAME`. Each bench module registers itself here. */
 const benches: Readonly<Record<string, () => Promise<{ readonly run: () => Promise<void> }>>> = {
   cost: () => import('./cost.js'),
+  control: () => import('./control.js'),
+  claims: () => import('./claims.js'),
+  membership: () => import('./membership.js'),
   report: () => import('./report.js'),
   idle: () => import('./idle.js'),
   zone: () => import('./zone.js'),
--- a/src/entry/ports.ts
+++ b/src/entry/ports.ts
@@ -2,6 +2,7 @@
  * What the call path needs from other packages. Invariant: nothing here blocks; a port either answers
  * from memory or returns a promise.
  */
+import type { ClaimResult, ClaimSettlement } from '../claims/index.js';
 import type {
   Address,
   Config,
@@ -13,6 +14,8 @@
 } from '../model/index.js';
 import type { RoutingEffect, RoutingEvent } from '../routing/types.js';
 
+export type { ClaimResult, ClaimSettlement } from '../claims/index.js';
+
 /** Holder of the routing state. */
 export interface RoutingPort {
   /** Hands an event to the decisions and returns what is to be done. */
@@ -23,34 +26,7 @@
 export type HeaderList = readonly string[];
 
 /** A whole answer that is kept to be replayed. */
-export interface StoredAnswer {
-  readonly status: number;
-  readonly headers: HeaderList;
-  readonly body: Uint8Array;
-}
-
-/** What the claimants said about an idempotency key. */
-export type ClaimResult =
-  /** This entry, and no other, may send the request on if it writes the first byte before `validUntil`. */
-  | { readonly kind: 'granted'; readonly token: string; readonly validUntil: Instant }
-  /** The first request with this key has not ended. */
-  | { readonly kind: 'running' }
-  /** The first request with this key may have run, and its answer is lost. */
-  | { readonly kind: 'unknown' }
-  /** The first request with this key ended with this answer. */
-  | ({ readonly kind: 'settled' } & StoredAnswer)
-  /** The key was used for another request. */
-  | { readonly kind: 'mismatch' }
-  /** No majority of the claimants can be reached; nothing was sent on. */
-  | { readonly kind: 'unavailable'; readonly reason: string };
-
-/** How a request that was granted its claim ended. */
-export type ClaimSettlement =
-  | ({ readonly kind: 'answered' } & StoredAnswer)
-  /** It was certainly not run; the key may be claimed again. */
-  | { readonly kind: 'notRun' }
-  /** It may have run, or its answer is too large to be kept. */
-  | { readonly kind: 'unknown' };
+export type StoredAnswer = Omit<Extract<ClaimResult, { readonly kind: 'settled' }>, 'kind'>;
 
 /** Grants each idempotency key at most once in the fleet. */
 export interface ClaimPort {
