--- /dev/null
+++ b/src/catalog/index.ts
@@ -0,0 +1,21 @@
+/** The agreed state that entries route by: routes, upstreams, moves and zones. */
+export { isNews } from './instances.js';
+export { applyCommand, decodeCatalog, emptyCatalog, encodeCatalog } from './machine.js';
+export { getVersionShare, type VersionShare } from './moves.js';
+export { applyPatch, findTableProblem, type CatalogStep } from './routes.js';
+export type {
+  CallerLimits,
+  Catalog,
+  CatalogCommand,
+  CatalogOutcome,
+  EndCause,
+  Instance,
+  MoveState,
+  Route,
+  RouteKind,
+  RoutePart,
+  RoutePatch,
+  RouteTable,
+  Service,
+  TrafficMove,
+} from './types.js';
--- /dev/null
+++ b/src/catalog/instances.ts
@@ -0,0 +1,79 @@
+/**
+ * The register of upstreams. Invariant: an instance that drains or ended is never ready again under the
+ * same start time, and an address belongs to the instance that started there last.
+ */
+import type { Catalog, CatalogCommand, Instance } from './types.js';
+
+/** Ended instances that are remembered, so that their late announcements are ignored. */
+const REMEMBERED_ENDS = 512;
+
+type AnnounceCommand = Extract<CatalogCommand, { kind: 'announce' }>;
+type EndCommand = Extract<CatalogCommand, { kind: 'end' }>;
+
+function hasEnded(state: Catalog, { id, bornAt }: Instance): boolean {
+  return state.ended.some(([ended, at]) => ended === id && at >= bornAt);
+}
+
+function dropInstances(
+  instances: Readonly<Record<string, Instance>>,
+  gone: readonly Instance[],
+): Readonly<Record<string, Instance>> {
+  const ids = new Set(gone.map(({ id }) => id));
+  return Object.fromEntries(Object.entries(instances).filter(([id]) => !ids.has(id)));
+}
+
+function rememberEnds(state: Catalog, gone: readonly Instance[]): Catalog['ended'] {
+  const added = gone.map(({ id, bornAt }) => [id, bornAt] as const);
+  return [...state.ended, ...added].slice(-REMEMBERED_ENDS);
+}
+
+/** Returns whether an announcement says something that the state does not hold. */
+export function isNews(state: Catalog, instance: Instance): boolean {
+  const known = state.instances[instance.id];
+  if (hasEnded(state, instance)) return false;
+  if (known === undefined || known.bornAt < instance.bornAt) return true;
+  if (known.bornAt > instance.bornAt) return false;
+  return (
+    (instance.draining && !known.draining) ||
+    known.address !== instance.address ||
+    known.slots !== instance.slots ||
+    known.version !== instance.version ||
+    known.zone !== instance.zone ||
+    known.service !== instance.service
+  );
+}
+
+/** Takes an announcement, unless a later start at the same address or under the same id is known. */
+export function applyAnnounce(state: Catalog, { instance }: AnnounceCommand): Catalog {
+  if (!isNews(state, instance)) return state;
+  const others = Object.values(state.instances).filter(
+    ({ id, address }) => id !== instance.id && address === instance.address,
+  );
+  if (others.some(({ bornAt }) => bornAt > instance.bornAt)) return state;
+  const known = state.instances[instance.id];
+  const isSameStart = known?.bornAt === instance.bornAt;
+  const merged = { ...instance, draining: instance.draining || (isSameStart && known.draining) };
+  return {
+    ...state,
+    instances: { ...dropInstances(state.instances, others), [instance.id]: merged },
+    ended: rememberEnds(state, others),
+    versions: { [instance.service]: instance.version, ...state.versions },
+  };
+}
+
+/** Removes an instance. One that fell silent may announce itself again; one that left may not. */
+export function applyEnd(state: Catalog, { id, bornAt, cause }: EndCommand): Catalog {
+  const known = state.instances[id];
+  const isKnown = known?.bornAt === bornAt;
+  const instances = isKnown ? dropInstances(state.instances, [known]) : state.instances;
+  switch (cause) {
+    case 'silent':
+      return isKnown ? { ...state, instances } : state;
+    case 'left': {
+      const isRemembered = state.ended.some(([ended, at]) => ended === id && at >= bornAt);
+      if (!isKnown && isRemembered) return state;
+      const ended = [...state.ended, [id, bornAt] as const].slice(-REMEMBERED_ENDS);
+      return { ...state, instances, ended };
+    }
+  }
+}
--- /dev/null
+++ b/src/catalog/machine.ts
@@ -0,0 +1,62 @@
+/**
+ * The replicated state machine of the catalog. Invariant: it is deterministic; the result depends on the
+ * state and the command alone, also for a command that can't be understood.
+ */
+import { Packr } from 'msgpackr';
+import { applyAnnounce, applyEnd } from './instances.js';
+import { applyStartMove, applyStepMove } from './moves.js';
+import { applyRoutes, type CatalogStep } from './routes.js';
+import type { Catalog, CatalogCommand } from './types.js';
+
+const packr = new Packr({ useRecords: false });
+
+/** The state before the first command. */
+export const emptyCatalog: Catalog = {
+  table: undefined,
+  accepted: [],
+  instances: {},
+  ended: [],
+  moves: {},
+  versions: {},
+  zonesOut: [],
+};
+
+/**
+ * Applies a command.
+ *
+ * @example
+ * applyCommand(catalog, { kind: 'setZone', zone: 'cyberjaya', out: true });
+ */
+export function applyCommand(state: Catalog, command: CatalogCommand): CatalogStep {
+  const done = (next: Catalog): CatalogStep => ({ state: next, outcome: { kind: 'done' } });
+  switch (command.kind) {
+    case 'replaceRoutes':
+    case 'patchRoutes':
+      return applyRoutes(state, command);
+    case 'announce':
+      return done(applyAnnounce(state, command));
+    case 'end':
+      return done(applyEnd(state, command));
+    case 'chill':
+      return done(state);
+    case 'startMove':
+      return done(applyStartMove(state, command));
+    case 'stepMove':
+      return done(applyStepMove(state, command));
+    case 'setZone': {
+      const others = state.zonesOut.filter((zone) => zone !== command.zone);
+      return done({ ...state, zonesOut: command.out ? [...others, command.zone] : others });
+    }
+  }
+}
+
+/** Renders the state for a snapshot. */
+export function encodeCatalog(state: Catalog): Uint8Array {
+  return packr.pack(state);
+}
+
+/** Reads the state of a snapshot. */
+export function decodeCatalog(bytes: Uint8Array): Catalog {
+  const { table, ...rest } = packr.unpack(bytes) as Catalog;
+  return { ...emptyCatalog, ...rest, table: table ?? undefined };
+}
--- /dev/null
+++ b/src/catalog/routes.ts
@@ -0,0 +1,123 @@
+/**
+ * Changes of the routes. Invariant: only a valid table with a higher version, built on the current one,
+ * comes into force; a change that was accepted once is accepted again without effect.
+ */
+import type {
+  Catalog,
+  CatalogCommand,
+  CatalogOutcome,
+  Route,
+  RoutePatch,
+  RouteTable,
+} from './types.js';
+
+/** Accepted changes that are remembered; more than a long day of changes. */
+const REMEMBERED_CHANGES = 2048;
+
+type RouteCommand = Extract<CatalogCommand, { kind: 'replaceRoutes' | 'patchRoutes' }>;
+
+/** A state and what became of the command. */
+export interface CatalogStep {
+  readonly state: Catalog;
+  readonly outcome: CatalogOutcome;
+}
+
+function findRouteProblem(route: Route, services: ReadonlySet<string>): string | undefined {
+  const named = `route "${route.name}"`;
+  const unknown = route.parts.find(({ service }) => !services.has(service));
+  const total = route.parts.reduce((sum, { weight }) => sum + weight, 0);
+  if (route.parts.length === 0) return `${named} names no service`;
+  if (unknown !== undefined) return `${named} names the unknown service "${unknown.service}"`;
+  if (route.parts.some(({ weight }) => !(weight >= 0))) return `${named} has a weight below 0`;
+  if (!(total > 0)) return `${named} has no weight above 0`;
+  if (!(route.timeout > 0)) return `${named} has a timeout of 0`;
+  if (!(route.maxAttempts >= 1)) return `${named} allows no attempt`;
+  if (!route.prefix.startsWith('/') || !route.prefix.endsWith('/')) {
+    return `${named} has a prefix that does not begin and end with a slash`;
+  }
+  return undefined;
+}
+
+function findRepeated(values: readonly string[]): string | undefined {
+  const seen = new Set<string>();
+  return values.find((value) => {
+    const isRepeated = seen.has(value);
+    seen.add(value);
+    return isRepeated;
+  });
+}
+
+/**
+ * Returns why a table may not come into force, or nothing.
+ *
+ * @example
+ * findTableProblem(table) // 'route "r1" has a timeout of 0'
+ */
+export function findTableProblem(table: RouteTable): string | undefined {
+  const services = new Set(table.services.map(({ name }) => name));
+  const place = findRepeated(table.routes.map(({ host, prefix }) => `${host}${prefix}`));
+  const name = findRepeated(table.routes.map((route) => route.name));
+  const service = findRepeated(table.services.map((item) => item.name));
+  if (place !== undefined) return `two routes share the place ${place}`;
+  if (name !== undefined) return `two routes are named "${name}"`;
+  if (service !== undefined) return `two services are named "${service}"`;
+  return table.routes
+    .map((route) => findRouteProblem(route, services))
+    .find((problem) => problem !== undefined);
+}
+
+function mergeNamed<T extends { readonly name: string }>(
+  items: readonly T[],
+  upsert: readonly T[],
+  remove: readonly string[],
+): readonly T[] {
+  const replaced = new Map(upsert.map((item) => [item.name, item]));
+  const kept = items
+    .filter(({ name }) => !remove.includes(name))
+    .map((item) => replaced.get(item.name) ?? item);
+  const names = new Set(kept.map(({ name }) => name));
+  return [...kept, ...[...replaced.values()].filter(({ name }) => !names.has(name))];
+}
+
+/** Returns the table with the items of the patch added, replaced and removed. */
+export function applyPatch(table: RouteTable, patch: RoutePatch): RouteTable {
+  const { upsert, remove } = patch;
+  return {
+    ...table,
+    version: patch.version,
+    routes: mergeNamed(table.routes, upsert.routes, remove.routes),
+    services: mergeNamed(table.services, upsert.services, remove.services),
+    limits: upsert.limits ?? table.limits,
+  };
+}
+
+function buildTable(state: Catalog, command: RouteCommand): RouteTable | undefined {
+  switch (command.kind) {
+    case 'replaceRoutes':
+      return command.table;
+    case 'patchRoutes':
+      return state.table === undefined ? undefined : applyPatch(state.table, command.patch);
+  }
+}
+
+/** Applies a change of the routes. */
+export function applyRoutes(state: Catalog, command: RouteCommand): CatalogStep {
+  const current = state.table?.version ?? 0;
+  const reject = (reason: string): CatalogStep => ({ state, outcome: { kind: 'invalid', reason } });
+  if (state.accepted.some(([, digest]) => digest === command.digest)) {
+    return { state, outcome: { kind: 'done' } };
+  }
+  if (command.base !== current) return { state, outcome: { kind: 'stale', current } };
+  const table = buildTable(state, command);
+  if (table === undefined) return reject('there is no configuration to change yet');
+  if (!(table.version > current)) {
+    return reject(`version ${table.version} is not above the current version ${current}`);
+  }
+  const problem = findTableProblem(table);
+  if (problem !== undefined) return reject(problem);
+  const accepted = [...state.accepted, [table.version, command.digest] as const];
+  return {
+    state: { ...state, table, accepted: accepted.slice(-REMEMBERED_CHANGES) },
+    outcome: { kind: 'done' },
+  };
+}
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -37,6 +37,8 @@
   /** Entries after which the state is saved as a snapshot. */
   readonly compactAfter?: number;
   readonly onProblem?: (problem: ControlProblem) => void;
+  /** Hears of each greeting of a process that asks to be admitted to the group. */
+  readonly onJoiner?: (address: Address) => void;
   /** A monotonic clock in milliseconds. */
   readonly clock?: () => Instant;
   /** Returns numbers from 0 to 1, exclusive. */
@@ -81,12 +83,17 @@
   readonly commitIndex: number;
   readonly lastIndex: number;
   readonly members: readonly Member[];
+  /** On the leader: milliseconds since each other member last answered. */
+  readonly silences: readonly (readonly [member: Address, silence: Duration])[];
   /** Whether it votes and acknowledges, and knows a leader. */
   readonly healthy: boolean;
   /** The latest problem, if the member is not healthy. */
   readonly problem: string | undefined;
 }
 
+/** Hears of a new state; `command` is undefined after a snapshot was restored. */
+export type AppliedListener<S> = (state: S, index: number, command: unknown) => void;
+
 /** One control member. */
 export interface ControlNode<S> {
   propose(command: unknown, deadlineMs: Duration): Promise<ProposeOutcome>;
@@ -95,8 +102,10 @@
   readonly status: ControlStatus;
   /** The state applied here, which may be stale. */
   readonly applied: S;
+  /** The index of the last entry in {@link applied}. */
+  readonly appliedIndex: number;
   /** Calls the listener after each applied command, and after a snapshot was restored. */
-  onApplied(listener: (state: S, index: number) => void): void;
+  onApplied(listener: AppliedListener<S>): void;
   /** Tells whether this member led at some moment after the call; count a lease from the call. */
   confirmLeadership(): Promise<boolean>;
   changeMembers(change: MemberChange): Promise<ChangeOutcome>;
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -1,5 +1,6 @@
 /** Agreement among the control members and its durable storage. */
 export type {
+  AppliedListener,
   ChangeOutcome,
   ControlNode,
   ControlOptions,
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -13,6 +13,7 @@
 } from '../generated/control.js';
 import { createConsensus, decideConsensus, isKnownKind } from './consensus.js';
 import type {
+  AppliedListener,
   ChangeOutcome,
   ControlNode,
   ControlOptions,
@@ -38,6 +39,7 @@
   type ConsensusEffect,
   type ConsensusInput,
   type ConsensusState,
+  type LeaderRole,
   type RefusalReason,
 } from './types.js';
 import { StorageWriter } from './writer.js';
@@ -83,7 +85,7 @@
   readonly #accepted = new Map<number, { readonly term: number; readonly proposal: number }>();
   readonly #reads = new PendingCalls<'current' | 'notLeader' | 'late'>();
   readonly #joiners = new Map<Address, MemberId>();
-  readonly #listeners: ((state: S, index: number) => void)[] = [];
+  readonly #listeners: AppliedListener<S>[] = [];
   readonly #self: MemberId;
   #founding: FoundingState;
   #consensus: ConsensusState | undefined;
@@ -238,6 +240,7 @@
         return;
       case 'announceJoiner':
         this.#joiners.set(toAddress(effect.id), effect.id);
+        this.#options.onJoiner?.(toAddress(effect.id));
         this.#dispatch({ kind: 'joinRequested', id: effect.id });
         return;
       case 'reportStranger':
@@ -375,13 +378,13 @@
     const command = decodeCommand(entry.command);
     const { state, result } = this.#options.machine.apply(this.#applied, command, entry.index);
     this.#applied = state;
-    this.#notify();
+    this.#notify(command);
     return result;
   }
 
-  #notify(): void {
+  #notify(command?: unknown): void {
     this.#listeners.forEach((listener) => {
-      listener(this.#applied, this.#appliedIndex);
+      listener(this.#applied, this.#appliedIndex, command);
     });
   }
 
@@ -504,16 +507,26 @@
       commitIndex,
       lastIndex: getLastIndex(consensus.log),
       members: membership.members,
+      silences: role.kind === 'leader' ? this.#listSilences(role) : [],
       healthy: leader !== undefined && repair === undefined && !failed && !this.#halted,
       problem: this.#problem,
     };
   }
 
+  #listSilences(role: LeaderRole): ControlStatus['silences'] {
+    const now = this.#clock();
+    return [...role.progress].map(([id, { contact }]) => [toAddress(id), now - contact] as const);
+  }
+
   get applied(): S {
     return this.#applied;
   }
 
-  onApplied(listener: (state: S, index: number) => void): void {
+  get appliedIndex(): number {
+    return this.#appliedIndex;
+  }
+
+  onApplied(listener: AppliedListener<S>): void {
     this.#listeners.push(listener);
   }
 
@@ -548,6 +561,7 @@
   leader: undefined,
   commitIndex: 0,
   lastIndex: 0,
+  silences: [],
   healthy: false,
 } as const;
 
--- /dev/null
+++ b/src/feed/fleet.ts
@@ -0,0 +1,36 @@
+/**
+ * The entries that are alive, as the control members hear of them. Invariant: an entry that no member has
+ * heard for {@link ENTRY_SILENCE} is in no list.
+ */
+import type { Duration, Instant } from '../model/index.js';
+import type { EntryRecord } from './types.js';
+
+/** Milliseconds without a word after which an entry counts as gone; eight of its calls. */
+export const ENTRY_SILENCE: Duration = 2000;
+
+interface Heard {
+  readonly entry: EntryRecord;
+  readonly at: Instant;
+}
+
+/** What one control member knows of the entries. */
+export type FleetTable = ReadonlyMap<string, Heard>;
+
+/** Takes what an entry said of itself at some instant, unless something later is known. */
+export function addEntry(table: FleetTable, entry: EntryRecord, at: Instant): FleetTable {
+  const known = table.get(entry.id);
+  return known !== undefined && known.at >= at ? table : new Map(table).set(entry.id, { entry, at });
+}
+
+/** Drops the entries that fell silent. */
+export function pruneEntries(table: FleetTable, now: Instant): FleetTable {
+  const isSilent = [...table.values()].some(({ at }) => now - at > ENTRY_SILENCE);
+  return isSilent ? new Map([...table].filter(([, { at }]) => now - at <= ENTRY_SILENCE)) : table;
+}
+
+/** Returns the entries in the order of their ids. */
+export function listEntries(table: FleetTable): readonly EntryRecord[] {
+  return [...table.values()]
+    .map(({ entry }) => entry)
+    .sort((one, two) => (one.id < two.id ? -1 : 1));
+}
--- /dev/null
+++ b/src/feed/follower.ts
@@ -0,0 +1,177 @@
+/**
+ * The entry's side of the feed. Invariant: commands are applied in the order of the log, each once; after
+ * a gap nothing is applied until the whole state came.
+ */
+import {
+  applyCommand,
+  decodeCatalog,
+  emptyCatalog,
+  type Catalog,
+  type CatalogCommand,
+} from '../catalog/index.js';
+import type { Address, Duration, Instant } from '../model/index.js';
+import { hashText } from '../routing/index.js';
+import type { EvidenceRow } from '../rollout/index.js';
+import type { Mesh } from '../wire/index.js';
+import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
+
+/** Milliseconds between two calls to the control member that is followed. */
+const CALL_INTERVAL: Duration = 250;
+/** Milliseconds without an answer after which another control member is followed. */
+const ANSWER_LIMIT: Duration = 700;
+
+/** Why the entry's view changed. */
+export type FeedChange =
+  | { readonly kind: 'replaced' }
+  | { readonly kind: 'command'; readonly command: CatalogCommand }
+  | { readonly kind: 'fleet' };
+
+/** What an entry knows. */
+export interface FeedView {
+  readonly catalog: Catalog;
+  /** Index of the last command in {@link catalog}; 0 before the first state. */
+  readonly index: number;
+  readonly entries: readonly EntryRecord[];
+}
+
+/** What {@link createFollower} needs. */
+export interface FollowerOptions {
+  readonly mesh: Mesh;
+  /** Control members that may exist; others are learned from those. */
+  readonly seeds: readonly Address[];
+  readonly now: () => Instant;
+  readonly describeSelf: () => EntryRecord;
+  /** Returns the evidence since the last call. */
+  readonly collectEvidence: () => readonly EvidenceRow[];
+  readonly onChange: (view: FeedView, change: FeedChange) => void;
+  /** Called with the milliseconds that instances stay cold. */
+  readonly onCold: (cold: Readonly<Record<string, Duration>>) => void;
+  readonly onDependency: (state: 'lost' | 'regained', member: Address) => void;
+}
+
+/** An entry's side of the feed. */
+export interface Follower {
+  readonly view: FeedView;
+  /** Milliseconds since a healthy control member last answered. */
+  readonly age: Duration;
+  /** Calls the member that is followed at once, such as before stopping. */
+  callNow(): void;
+  close(): void;
+}
+
+class FeedFollower implements Follower {
+  readonly #options: FollowerOptions;
+  readonly #timer: NodeJS.Timeout;
+  #view: FeedView = { catalog: emptyCatalog, index: 0, entries: [] };
+  #fleetRevision = '';
+  #members: readonly Address[];
+  #anchor: Address;
+  #anchoredAt: Instant;
+  #heardAt: Instant;
+  #isLost = true;
+
+  constructor(options: FollowerOptions) {
+    this.#options = options;
+    this.#members = options.seeds;
+    this.#anchoredAt = options.now();
+    this.#heardAt = options.now();
+    this.#anchor = this.#orderMembers()[0] ?? '';
+    options.mesh.handle(FEED_CHANNEL, (from, message) => {
+      this.#receive(from, message as FeedMessage);
+    });
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, CALL_INTERVAL);
+    this.callNow();
+  }
+
+  get view(): FeedView {
+    return this.#view;
+  }
+
+  get age(): Duration {
+    return this.#options.now() - this.#heardAt;
+  }
+
+  callNow(): void {
+    if (this.#anchor === '') return;
+    this.#options.mesh.send(this.#anchor, FEED_CHANNEL, {
+      kind: 'follow',
+      entry: this.#options.describeSelf(),
+      index: this.#view.index,
+      fleetRevision: this.#fleetRevision,
+      evidence: this.#options.collectEvidence(),
+    } satisfies FeedMessage);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Each entry prefers the members in an order of its own, so that they share the entries. */
+  #orderMembers(): readonly Address[] {
+    const own = this.#options.describeSelf().id;
+    const all = [...new Set([...this.#members, ...this.#options.seeds])];
+    return all
+      .map((member) => [hashText(`${own} ${member}`), member] as const)
+      .sort(([one], [two]) => one - two)
+      .map(([, member]) => member);
+  }
+
+  #tick(): void {
+    const now = this.#options.now();
+    if (now - Math.max(this.#heardAt, this.#anchoredAt) > ANSWER_LIMIT) this.#leaveAnchor();
+    this.callNow();
+  }
+
+  #leaveAnchor(): void {
+    if (!this.#isLost) {
+      this.#isLost = true;
+      this.#options.onDependency('lost', this.#anchor);
+    }
+    const order = this.#orderMembers();
+    this.#anchor = order[(order.indexOf(this.#anchor) + 1) % order.length] ?? '';
+    this.#anchoredAt = this.#options.now();
+  }
+
+  #receive(from: Address, message: FeedMessage): void {
+    if (message.kind !== 'news') return;
+    this.#takeNews(message);
+    if (from !== this.#anchor) return;
+    if (!message.healthy) {
+      // A member without a leader may lag behind for as long as it is cut off.
+      if (this.#options.now() - this.#anchoredAt > ANSWER_LIMIT) this.#leaveAnchor();
+      return;
+    }
+    this.#heardAt = this.#options.now();
+    this.#members = message.members;
+    if (!this.#isLost) return;
+    this.#isLost = false;
+    this.#options.onDependency('regained', from);
+  }
+
+  #takeNews(news: Extract<FeedMessage, { kind: 'news' }>): void {
+    const { base, after, commands, cold, fleet } = news;
+    const { onChange, onCold } = this.#options;
+    if (base !== undefined && base !== null && base.index > this.#view.index) {
+      this.#view = { ...this.#view, catalog: decodeCatalog(base.state), index: base.index };
+      onChange(this.#view, { kind: 'replaced' });
+      onCold(cold);
+    }
+    const hasGap = after > this.#view.index;
+    commands.forEach(([index, command]) => {
+      if (hasGap || index <= this.#view.index) return;
+      this.#view = { ...this.#view, catalog: applyCommand(this.#view.catalog, command).state, index };
+      onChange(this.#view, { kind: 'command', command });
+    });
+    if (fleet === undefined || fleet === null || fleet.revision === this.#fleetRevision) return;
+    this.#fleetRevision = fleet.revision;
+    this.#view = { ...this.#view, entries: fleet.entries };
+    onChange(this.#view, { kind: 'fleet' });
+  }
+}
+
+/** Starts an entry's side of the feed. */
+export function createFollower(options: FollowerOptions): Follower {
+  return new FeedFollower(options);
+}
--- /dev/null
+++ b/src/gateway/book.ts
@@ -0,0 +1,207 @@
+/**
+ * What the gateway knows of each upstream. Invariant: the records are exactly those of the instances in
+ * the catalog; what was learned of an instance is kept while the same start of it is listed.
+ */
+import {
+  getVersionShare,
+  type Catalog,
+  type Instance,
+  type Service,
+  type VersionShare,
+} from '../catalog/index.js';
+import type { Duration, Instant } from '../model/index.js';
+import { computeColdPause, type ColdBounds } from './budget.js';
+import type { AttemptOutcome, LoadReport, UpstreamRecord } from './types.js';
+
+/** Milliseconds after which a counted answer has lost half of its weight. */
+const COUNT_HALF_LIFE: Duration = 2000;
+/** Milliseconds without requests after a first miss; each further one doubles it. */
+const FIRST_BLOCK: Duration = 150;
+/** Milliseconds that no such time exceeds. */
+const LONGEST_BLOCK: Duration = 2000;
+/** Misses in a row from which requests stop; one may be the request's own fault. */
+const BLOCKING_MISSES = 2;
+/** Milliseconds without requests after the upstream turned one away. */
+const TURNED_AWAY_BLOCK: Duration = 30;
+/** Milliseconds without requests to an address that answered for another instance. */
+const MISDIRECTED_BLOCK: Duration = 3000;
+
+function createRecord(instance: Instance, service: Service | undefined): UpstreamRecord {
+  return {
+    instance,
+    service,
+    inFlight: 0,
+    report: { running: 0, waiting: 0, slots: instance.slots, pace: 1 },
+    reportedAt: -Infinity,
+    ownReportAt: -Infinity,
+    sinceReport: 0,
+    coldUntil: -Infinity,
+    coldTurnAt: -Infinity,
+    misses: 0,
+    blockedUntil: -Infinity,
+    good: 0,
+    bad: 0,
+    countedAt: 0,
+    newGood: 0,
+    newBad: 0,
+    lastProbeAt: -Infinity,
+    isProbing: false,
+  };
+}
+
+function decayCounts(record: UpstreamRecord, now: Instant): void {
+  const factor = 0.5 ** ((now - record.countedAt) / COUNT_HALF_LIFE);
+  record.good *= factor;
+  record.bad *= factor;
+  record.countedAt = now;
+}
+
+/** Takes a load report, unless a later one is known. */
+export function addReport(record: UpstreamRecord, report: LoadReport, at: Instant): void {
+  if (at <= record.reportedAt) return;
+  record.report = report;
+  record.reportedAt = at;
+  record.sinceReport = 0;
+}
+
+/** Counts answers that this gateway or another one got. */
+export function addCounts(
+  record: UpstreamRecord,
+  good: number,
+  bad: number,
+  now: Instant,
+): void {
+  decayCounts(record, now);
+  record.good += good;
+  record.bad += bad;
+}
+
+/** This gateway's part in the allowances of cold upstreams. */
+export interface ColdShare {
+  /** The id of this gateway and of all. */
+  readonly self: string;
+  readonly gateways: readonly string[];
+  readonly bounds: ColdBounds;
+}
+
+/** Returns the milliseconds between two requests of this gateway to the upstream while it is cold. */
+function computePause(record: UpstreamRecord, share: ColdShare): Duration {
+  const { self, gateways, bounds } = share;
+  const rate = record.service?.coldRate ?? 0;
+  return computeColdPause(record.instance.id, self, gateways, rate, bounds) ?? Infinity;
+}
+
+/** Believes that the upstream stays cold for so long; 0 ends it. */
+export function setCold(
+  record: UpstreamRecord,
+  coldFor: Duration,
+  now: Instant,
+  share: ColdShare,
+): void {
+  const wasCold = record.coldUntil > now;
+  record.coldUntil = coldFor > 0 ? now + coldFor : -Infinity;
+  // The gateways' first turns are spread, as they hear of the cold upstream at the same time.
+  if (!wasCold) record.coldTurnAt = now + computePause(record, share) * Math.random();
+}
+
+/** Takes this gateway's turn at a cold upstream. */
+export function takeColdTurn(record: UpstreamRecord, now: Instant, share: ColdShare): void {
+  record.coldTurnAt = now + computePause(record, share);
+}
+
+function blockAfterMiss(record: UpstreamRecord, isUnreachable: boolean, now: Instant): void {
+  record.misses += 1;
+  if (!isUnreachable && record.misses < BLOCKING_MISSES) return;
+  const doublings = Math.min(record.misses - 1, 10);
+  record.blockedUntil = now + Math.min(LONGEST_BLOCK, FIRST_BLOCK * 2 ** doublings);
+}
+
+/** Learns from the end of an attempt. */
+export function addOutcome(record: UpstreamRecord, outcome: AttemptOutcome, now: Instant): void {
+  switch (outcome.kind) {
+    case 'answered': {
+      const isBad = outcome.answer.status >= 500;
+      record.misses = 0;
+      addCounts(record, isBad ? 0 : 1, isBad ? 1 : 0, now);
+      record.newGood += isBad ? 0 : 1;
+      record.newBad += isBad ? 1 : 0;
+      return;
+    }
+    case 'notRun':
+      record.blockedUntil =
+        now + (outcome.isMisdirected ? MISDIRECTED_BLOCK : TURNED_AWAY_BLOCK);
+      return;
+    case 'unreachable':
+    case 'lost':
+      addCounts(record, 0, 1, now);
+      record.newBad += 1;
+      blockAfterMiss(record, outcome.kind === 'unreachable', now);
+      return;
+  }
+}
+
+/** The upstreams of one gateway. */
+export class UpstreamBook {
+  #records: ReadonlyMap<string, UpstreamRecord> = new Map();
+  #usable = new Map<string, readonly UpstreamRecord[]>();
+  #versions = new Map<string, VersionShare>();
+
+  get records(): readonly UpstreamRecord[] {
+    return [...this.#records.values()];
+  }
+
+  getRecord(id: string): UpstreamRecord | undefined {
+    return this.#records.get(id);
+  }
+
+  /** Takes a new catalog and returns the addresses that lost their instance. */
+  update(catalog: Catalog): readonly string[] {
+    const services = new Map(catalog.table?.services.map((service) => [service.name, service]));
+    const before = this.#records;
+    this.#records = new Map(
+      Object.values(catalog.instances).map((instance) => {
+        const known = before.get(instance.id);
+        const service = services.get(instance.service);
+        const record =
+          known?.instance.bornAt === instance.bornAt && known.instance.address === instance.address
+            ? Object.assign(known, { instance, service })
+            : createRecord(instance, service);
+        return [instance.id, record];
+      }),
+    );
+    this.#versions = new Map(
+      [...new Set([...services.keys()])].map((name) => [name, getVersionShare(catalog, name)]),
+    );
+    const usable = [...this.#records.values()].filter(
+      ({ instance }) => !instance.draining && !catalog.zonesOut.includes(instance.zone),
+    );
+    this.#usable = new Map(
+      [...services.keys()].map((name) => [
+        name,
+        usable.filter(({ instance }) => instance.service === name),
+      ]),
+    );
+    const held = new Set([...this.#records.values()].map(({ instance }) => instance.address));
+    return [...before.values()]
+      .map(({ instance }) => instance.address)
+      .filter((address) => !held.has(address));
+  }
+
+  getVersionShare(service: string): VersionShare {
+    return this.#versions.get(service) ?? { stable: undefined, next: undefined, share: 0 };
+  }
+
+  /** Returns the upstreams of a service that may get requests, of one version if it is given. */
+  listUsable(service: string, version: string | undefined): readonly UpstreamRecord[] {
+    const all = this.#usable.get(service) ?? [];
+    return version === undefined ? all : all.filter(({ instance }) => instance.version === version);
+  }
+
+  /** Believes every upstream of a zone to be cold, as after the zone was out. */
+  chillZone(zone: string, now: Instant, share: ColdShare): void {
+    this.#records.forEach((record) => {
+      if (record.instance.zone !== zone) return;
+      setCold(record, record.service?.coldTime ?? 0, now, share);
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/choose.ts
@@ -0,0 +1,139 @@
+/**
+ * Chooses the upstream of one attempt. Invariant: the choice depends on the arguments alone; an upstream
+ * that is expected to answer after the deadline is never chosen.
+ */
+import type { Duration, Instant, ZoneId } from '../model/index.js';
+import type { UpstreamRecord } from './types.js';
+
+/** Milliseconds after which a report of the pace has lost half of its weight; VMs change in about 500. */
+const PACE_HALF_LIFE: Duration = 250;
+/** Pace that is assumed of an upstream without a fresh report. */
+const UNKNOWN_PACE = 1.5;
+/** Milliseconds that an upstream in another availability zone counts as slower. */
+const ZONE_PENALTY: Duration = 3;
+/** The same for large answers, whose bytes between zones are dear. */
+const DOWNLOAD_ZONE_PENALTY: Duration = 25;
+/** Expected time, as a multiple of the best one, up to which upstreams are as good as the best. */
+const EQUAL_RATIO = 1.15;
+/** Milliseconds on top of that. */
+const EQUAL_SLACK: Duration = 2;
+/** Requests that may wait in an upstream for each of its slots; many hang where their queue is full. */
+const WAITING_PER_SLOT = 2;
+/** Share of bad answers from which an upstream counts as failing. */
+const FAILING_SHARE = 0.2;
+/** Answers that the share needs to mean anything. */
+const FAILING_COUNT = 4;
+/** Times by which a failing upstream counts as slower, for each share of bad answers. */
+const FAILING_PENALTY = 8;
+
+/** What the choice rests on, besides the upstreams. */
+export interface ChoiceContext {
+  readonly now: Instant;
+  /** Milliseconds of work at the usual pace. */
+  readonly work: Duration;
+  /** Milliseconds that are left. */
+  readonly left: Duration;
+  readonly zone: ZoneId;
+  readonly isLarge: boolean;
+  /** Share of the time left that the expected time may take. */
+  readonly patience: number;
+  /** From 0 to 1, exclusive. */
+  readonly random: number;
+}
+
+/** What became of a choice. */
+export type Choice =
+  | { readonly kind: 'chosen'; readonly record: UpstreamRecord; readonly expected: Duration }
+  /** Upstreams exist; the soonest of them has room in `wait` milliseconds. */
+  | { readonly kind: 'noRoom'; readonly wait: Duration }
+  | { readonly kind: 'noUpstream' };
+
+/** Returns how slow the upstream is believed to be at present. */
+export function estimatePace(record: UpstreamRecord, now: Instant): number {
+  const age = now - record.reportedAt;
+  if (!Number.isFinite(age)) return UNKNOWN_PACE;
+  const trust = 0.5 ** (age / PACE_HALF_LIFE);
+  return record.report.pace * trust + UNKNOWN_PACE * (1 - trust);
+}
+
+/** Returns how many requests are believed to be in the upstream. */
+export function estimateOccupancy(record: UpstreamRecord): number {
+  const { running, waiting } = record.report;
+  return Math.max(record.inFlight, running + waiting + record.sinceReport);
+}
+
+/** Returns the share of bad answers, 0 while too few are known. */
+export function computeBadShare({ good, bad }: UpstreamRecord): number {
+  return bad < 1 || good + bad < FAILING_COUNT ? 0 : bad / (good + bad);
+}
+
+/** Returns the milliseconds until an answer is expected. */
+export function estimateTime(record: UpstreamRecord, work: Duration, now: Instant): Duration {
+  const { slots } = record.instance;
+  const ahead = Math.max(0, estimateOccupancy(record) + 1 - slots);
+  return work * estimatePace(record, now) * (1 + ahead / slots);
+}
+
+function isOpen(record: UpstreamRecord, now: Instant): boolean {
+  if (record.blockedUntil > now) return false;
+  return record.coldUntil <= now || record.coldTurnAt <= now;
+}
+
+interface Rated {
+  readonly record: UpstreamRecord;
+  readonly expected: Duration;
+  readonly cost: Duration;
+}
+
+function rateUpstream(record: UpstreamRecord, context: ChoiceContext): Rated {
+  const { now, work, zone, isLarge } = context;
+  const expected = estimateTime(record, work, now);
+  const penalty = isLarge ? DOWNLOAD_ZONE_PENALTY : ZONE_PENALTY;
+  const badShare = computeBadShare(record);
+  const failing = badShare > FAILING_SHARE ? 1 + badShare * FAILING_PENALTY : 1;
+  return {
+    record,
+    expected,
+    cost: expected * failing + (record.instance.zone === zone ? 0 : penalty),
+  };
+}
+
+function hasRoom({ record, expected }: Rated, context: ChoiceContext): boolean {
+  const { slots } = record.instance;
+  const isFull = estimateOccupancy(record) >= slots * (1 + WAITING_PER_SLOT);
+  return !isFull && expected <= context.left * context.patience;
+}
+
+/** Returns one of those that are about as good as the best, those with more free slots more often. */
+function pickAmongBest(rated: readonly Rated[], random: number): Rated | undefined {
+  const least = Math.min(...rated.map(({ cost }) => cost));
+  const best = rated.filter(({ cost }) => cost <= least * EQUAL_RATIO + EQUAL_SLACK);
+  const weights = best.map(({ record }) =>
+    Math.max(0.5, record.instance.slots - estimateOccupancy(record)),
+  );
+  const target = random * weights.reduce((sum, weight) => sum + weight, 0);
+  const sums = weights.map((_, at) => weights.slice(0, at + 1).reduce((sum, next) => sum + next, 0));
+  return best[sums.findIndex((sum) => sum > target)] ?? best.at(-1);
+}
+
+/**
+ * Returns the upstream for the next attempt.
+ *
+ * @example
+ * chooseUpstream(records, { now, work: 60, left: 480, zone: 'cyberjaya', isLarge: false, patience: 0.8, random })
+ */
+export function chooseUpstream(
+  records: readonly UpstreamRecord[],
+  context: ChoiceContext,
+): Choice {
+  const open = records.filter((record) => isOpen(record, context.now));
+  if (open.length === 0) return { kind: 'noUpstream' };
+  const rated = open.map((record) => rateUpstream(record, context));
+  const able = rated.filter((one) => hasRoom(one, context));
+  const chosen = pickAmongBest(able, context.random);
+  if (chosen !== undefined) {
+    return { kind: 'chosen', record: chosen.record, expected: chosen.expected };
+  }
+  const soonest = Math.min(...rated.map(({ expected }) => expected));
+  return { kind: 'noRoom', wait: Math.max(context.work, soonest - context.left * context.patience) };
+}
--- /dev/null
+++ b/src/gateway/pool.ts
@@ -0,0 +1,308 @@
+/**
+ * Connections to upstreams. Invariant: a connection carries one request at a time, and goes back to its
+ * pool only after a whole response with nothing behind it.
+ */
+import { connect, type Socket } from 'node:net';
+import {
+  createResponseGrammar,
+  getHeader,
+  MessageReader,
+  renderHead,
+  type HeaderList,
+  type MessageLimits,
+  type ReaderEvent,
+  type ResponseHead,
+} from '../http1/index.js';
+import type { Address, Duration } from '../model/index.js';
+import type { AttemptOutcome, HeaderDialect } from './types.js';
+
+/** Milliseconds until a connection must be open; a lost first packet is sent again after a second only. */
+const CONNECT_LIMIT: Duration = 300;
+/** Idle time of a connection whose upstream states none. */
+const DEFAULT_IDLE: Duration = 4000;
+/** Part of the stated idle time for which a connection is used again; the upstream's timer runs earlier. */
+const IDLE_USE = 0.7;
+/** Milliseconds between two looks for idle connections. */
+const SWEEP_INTERVAL: Duration = 1000;
+/** Limits on responses: a head that no upstream sends, and bodies that fit into memory. */
+const RESPONSE_LIMITS: MessageLimits = { headBytes: 64 * 1024, bodyBytes: 64 * 1024 * 1024 };
+
+/** One request as it goes to an upstream. */
+export interface UpstreamRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: HeaderList;
+  readonly body: Buffer;
+}
+
+/** An attempt under way. */
+export interface Attempt {
+  /** Ends the attempt and its connection; `onEnd` is not called. */
+  cancel(): void;
+}
+
+interface Idle {
+  readonly socket: Socket;
+  readonly until: number;
+}
+
+/** What an attempt tells. */
+export interface AttemptListener {
+  readonly onEnd: (outcome: AttemptOutcome) => void;
+  /** The head of a response arrived, with what it says of the load. */
+  readonly onHead: (headers: HeaderList) => void;
+}
+
+function parseIdleTime(headers: HeaderList): Duration {
+  const match = /timeout=(\d+)/.exec(getHeader(headers, 'keep-alive') ?? '');
+  return match === null ? DEFAULT_IDLE : Number(match[1]) * 1000 * IDLE_USE;
+}
+
+function splitAddress(address: Address): { readonly host: string; readonly port: number } {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+/** What is sent, and on what kind of connection. */
+interface ExchangePlan {
+  readonly request: UpstreamRequest;
+  /** Whether the connection is open already. */
+  readonly isOpen: boolean;
+  readonly isProbe: boolean;
+}
+
+/** One attempt on one connection. */
+class Exchange implements Attempt {
+  readonly #request: UpstreamRequest;
+  readonly #isProbe: boolean;
+  readonly #dialect: HeaderDialect;
+  readonly #listener: AttemptListener;
+  readonly #release: (socket: Socket, idleTime: Duration) => void;
+  readonly #reader: MessageReader<ResponseHead>;
+  readonly #socket: Socket;
+  #isSent = false;
+  #isOver = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    socket: Socket,
+    { request, isOpen, isProbe }: ExchangePlan,
+    dialect: HeaderDialect,
+    listener: AttemptListener,
+    release: (socket: Socket, idleTime: Duration) => void,
+  ) {
+    this.#socket = socket;
+    this.#request = request;
+    this.#isProbe = isProbe;
+    this.#dialect = dialect;
+    this.#listener = listener;
+    this.#release = release;
+    this.#reader = new MessageReader(createResponseGrammar(request.method), RESPONSE_LIMITS);
+    socket.removeAllListeners();
+    socket.on('data', (chunk: Buffer) => {
+      this.#handleEvents(this.#reader.addChunk(chunk));
+    });
+    socket.on('end', () => {
+      this.#handleEvents(this.#reader.finish());
+      this.#fail('the upstream closed the connection');
+    });
+    socket.on('error', (error) => {
+      this.#fail(error.message);
+    });
+    socket.on('close', () => {
+      this.#fail('the connection was closed');
+    });
+    if (isOpen) {
+      this.#send();
+      return;
+    }
+    this.#timer = setTimeout(() => {
+      this.#fail(`no connection within ${CONNECT_LIMIT} ms`);
+    }, CONNECT_LIMIT);
+    socket.once('connect', () => {
+      clearTimeout(this.#timer);
+      this.#send();
+    });
+  }
+
+  cancel(): void {
+    this.#isOver = true;
+    clearTimeout(this.#timer);
+    this.#socket.destroy();
+  }
+
+  #send(): void {
+    if (this.#isOver) return;
+    this.#isSent = true;
+    const { method, target, headers, body } = this.#request;
+    const head = renderHead(`${method} ${target} HTTP/1.1`, headers);
+    if (body.length === 0) {
+      this.#socket.write(head, 'latin1');
+      return;
+    }
+    this.#socket.cork();
+    this.#socket.write(head, 'latin1');
+    this.#socket.write(body);
+    this.#socket.uncork();
+  }
+
+  #settle(outcome: AttemptOutcome): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    clearTimeout(this.#timer);
+    this.#listener.onEnd(outcome);
+  }
+
+  #fail(reason: string): void {
+    if (this.#isOver) return;
+    this.#socket.destroy();
+    this.#settle(this.#isSent ? { kind: 'lost', reason } : { kind: 'unreachable', reason });
+  }
+
+  #handleEvents(events: readonly ReaderEvent<ResponseHead>[]): void {
+    events.forEach((event) => {
+      if (this.#isOver) return;
+      switch (event.kind) {
+        case 'head':
+          if (this.#isOurs(event.head)) this.#listener.onHead(event.head.headers);
+          return;
+        case 'message':
+          this.#handleMessage(event);
+          return;
+        case 'protocolError':
+          this.#fail(`the upstream sent no response: ${event.reason}`);
+          return;
+      }
+    });
+  }
+
+  /** An upstream may answer a request twice; the second answer arrives before that of the next request. */
+  #isOurs(head: ResponseHead): boolean {
+    const id = getHeader(head.headers, this.#dialect.requestId);
+    if (id === undefined && this.#isProbe) return true;
+    const isRefusal = getHeader(head.headers, this.#dialect.notRun) !== undefined;
+    return id === this.#request.id || (id === undefined && (isRefusal || head.status === 421));
+  }
+
+  #handleMessage({ head, body, framing }: Extract<ReaderEvent<ResponseHead>, { kind: 'message' }>): void {
+    if (!this.#isOurs(head)) {
+      if (getHeader(head.headers, this.#dialect.requestId) === undefined) {
+        this.#fail('the upstream sent a response that names no request');
+      }
+      return;
+    }
+    const { status, reason, headers } = head;
+    const closes = (getHeader(headers, 'connection') ?? '').toLowerCase().includes('close');
+    const keeps = head.minorVersion >= 1 && !closes && framing.kind !== 'untilClose';
+    if (keeps && !this.#reader.isMidway) this.#release(this.#socket, parseIdleTime(headers));
+    else this.#socket.destroy();
+    const isRefusal = getHeader(headers, this.#dialect.notRun) !== undefined;
+    if (isRefusal || status === 421) {
+      this.#settle({ kind: 'notRun', isMisdirected: status === 421 });
+      return;
+    }
+    this.#settle({ kind: 'answered', answer: { status, reason, headers, body } });
+  }
+}
+
+/** The connections of one gateway to all upstreams. */
+export class ConnectionPool {
+  readonly #dialect: HeaderDialect;
+  readonly #idle = new Map<Address, readonly Idle[]>();
+  readonly #timer: NodeJS.Timeout;
+  /** Connections opened so far. */
+  opened = 0;
+
+  constructor(dialect: HeaderDialect) {
+    this.#dialect = dialect;
+    this.#timer = setInterval(() => {
+      this.#sweep();
+    }, SWEEP_INTERVAL);
+  }
+
+  /**
+   * Sends a request to the address, on a connection that is idle or on a new one.
+   *
+   * @example
+   * const attempt = pool.send('10.0.4.7:8080', request, { onEnd, onHead });
+   * attempt.cancel();
+   */
+  send(address: Address, request: UpstreamRequest, listener: AttemptListener): Attempt {
+    return this.#start(address, request, listener, false);
+  }
+
+  /** Sends a request to a path of the upstream itself, whose answer need not name the request. */
+  sendProbe(address: Address, request: UpstreamRequest, listener: AttemptListener): Attempt {
+    return this.#start(address, request, listener, true);
+  }
+
+  #start(
+    address: Address,
+    request: UpstreamRequest,
+    listener: AttemptListener,
+    isProbe: boolean,
+  ): Attempt {
+    const idle = this.#takeIdle(address);
+    if (idle === undefined) this.opened += 1;
+    const socket = idle ?? connect({ ...splitAddress(address), noDelay: true });
+    return new Exchange(
+      socket,
+      { request, isOpen: idle !== undefined, isProbe },
+      this.#dialect,
+      listener,
+      (released, idleTime) => {
+        this.#addIdle(address, released, idleTime);
+      },
+    );
+  }
+
+  /** Closes the idle connections to an address that no instance answers at any more. */
+  dropAddress(address: Address): void {
+    this.#idle.get(address)?.forEach(({ socket }) => socket.destroy());
+    this.#idle.delete(address);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    [...this.#idle.keys()].forEach((address) => {
+      this.dropAddress(address);
+    });
+  }
+
+  /** Takes the connection that was used last: the others may reach their idle time. */
+  #takeIdle(address: Address): Socket | undefined {
+    const all = this.#idle.get(address);
+    const last = all?.at(-1);
+    if (all === undefined || last === undefined) return undefined;
+    this.#idle.set(address, all.slice(0, -1));
+    if (last.until > performance.now() && last.socket.writable) return last.socket;
+    last.socket.destroy();
+    return this.#takeIdle(address);
+  }
+
+  #addIdle(address: Address, socket: Socket, idleTime: Duration): void {
+    socket.removeAllListeners();
+    const drop = (): void => {
+      socket.destroy();
+      const kept = this.#idle.get(address)?.filter((idle) => idle.socket !== socket);
+      if (kept !== undefined) this.#idle.set(address, kept);
+    };
+    // Whatever an idle connection delivers belongs to no request.
+    socket.on('data', drop);
+    socket.on('end', drop);
+    socket.on('error', drop);
+    socket.on('close', drop);
+    const idle: Idle = { socket, until: performance.now() + idleTime };
+    this.#idle.set(address, [...(this.#idle.get(address) ?? []), idle]);
+  }
+
+  #sweep(): void {
+    const now = performance.now();
+    this.#idle.forEach((all, address) => {
+      const due = all.filter(({ until }) => until <= now);
+      if (due.length > 0) this.#idle.set(address, all.filter(({ until }) => until > now));
+      due.forEach(({ socket }) => socket.destroy());
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/repeat.ts
@@ -0,0 +1,114 @@
+/**
+ * Decides what follows when an attempt ends. Invariant: a request that isn't idempotent is sent again only
+ * if no attempt of it can have run, and `refused` is answered only in that case, whatever the request.
+ */
+import type { AttemptOutcome, FinalAnswer, UpstreamAnswer } from './types.js';
+
+/** Attempts without a connection after which no further one is made. */
+const MAX_UNREACHED = 4;
+/** Milliseconds after which a caller may come back when upstreams turned its request away. */
+const TURNED_AWAY_DELAY = 60;
+/** The same when upstreams could not be reached. */
+const UNREACHABLE_DELAY = 100;
+
+/** What is known of a request's attempts. */
+export interface RepeatState {
+  readonly isIdempotent: boolean;
+  /** Upstreams that may run the request. */
+  readonly maxAttempts: number;
+  /** Attempts that may have run. */
+  readonly mayHaveRun: number;
+  readonly turnedAway: number;
+  readonly unreached: number;
+  /** Attempts under way. */
+  readonly pending: number;
+  /** An upstream's failure that is delivered if nothing better comes. */
+  readonly fallback: UpstreamAnswer | undefined;
+}
+
+/** What follows. */
+export type RepeatDecision =
+  | { readonly kind: 'answer'; readonly answer: FinalAnswer }
+  /** Send again; `isCharged` if the repeat counts against the fleet's bound. */
+  | { readonly kind: 'repeat'; readonly isCharged: boolean }
+  | { readonly kind: 'wait' };
+
+/** The state of a request that was not sent yet. */
+export function createRepeatState(isIdempotent: boolean, maxAttempts: number): RepeatState {
+  return {
+    isIdempotent,
+    maxAttempts,
+    mayHaveRun: 0,
+    turnedAway: 0,
+    unreached: 0,
+    pending: 0,
+    fallback: undefined,
+  };
+}
+
+/** Returns the state after an attempt ended. */
+export function addAttemptEnd(state: RepeatState, outcome: AttemptOutcome): RepeatState {
+  const ended = { ...state, pending: state.pending - 1 };
+  switch (outcome.kind) {
+    case 'answered':
+      return {
+        ...ended,
+        mayHaveRun: state.mayHaveRun + 1,
+        fallback: state.fallback ?? outcome.answer,
+      };
+    case 'lost':
+      return { ...ended, mayHaveRun: state.mayHaveRun + 1 };
+    case 'notRun':
+      return { ...ended, turnedAway: state.turnedAway + 1 };
+    case 'unreachable':
+      return { ...ended, unreached: state.unreached + 1 };
+  }
+}
+
+/** Returns the final answer if nothing more is sent. */
+export function finishRequest(state: RepeatState): FinalAnswer {
+  const { fallback, mayHaveRun, pending, turnedAway } = state;
+  if (fallback !== undefined) return { kind: 'upstream', answer: fallback };
+  if (mayHaveRun + pending > 0) return { kind: 'failed', cause: 'lost' };
+  return turnedAway > 0
+    ? { kind: 'refused', cause: 'turnedAway', retryAfter: TURNED_AWAY_DELAY }
+    : { kind: 'refused', cause: 'unreachable', retryAfter: UNREACHABLE_DELAY };
+}
+
+function canRunAgain({ isIdempotent, mayHaveRun, pending, maxAttempts }: RepeatState): boolean {
+  return mayHaveRun + pending === 0 || (isIdempotent && mayHaveRun + pending < maxAttempts);
+}
+
+/**
+ * Returns what follows from the end of an attempt; `state` counts it already.
+ *
+ * @example
+ * decideAfter(addAttemptEnd(state, outcome), outcome) // { kind: 'repeat', isCharged: true }
+ */
+export function decideAfter(state: RepeatState, outcome: AttemptOutcome): RepeatDecision {
+  if (outcome.kind === 'answered' && outcome.answer.status < 500) {
+    return { kind: 'answer', answer: { kind: 'upstream', answer: outcome.answer } };
+  }
+  const settled: RepeatDecision =
+    state.pending > 0 ? { kind: 'wait' } : { kind: 'answer', answer: finishRequest(state) };
+  switch (outcome.kind) {
+    case 'unreachable': {
+      const isHopeless = state.unreached >= MAX_UNREACHED || state.pending > 0;
+      return isHopeless || !canRunAgain(state) ? settled : { kind: 'repeat', isCharged: false };
+    }
+    case 'notRun':
+      return state.turnedAway > state.maxAttempts || !canRunAgain(state)
+        ? settled
+        : { kind: 'repeat', isCharged: true };
+    case 'answered':
+    case 'lost':
+      return state.isIdempotent && canRunAgain(state)
+        ? { kind: 'repeat', isCharged: true }
+        : settled;
+  }
+}
+
+/** Tells whether a second upstream may be sent the request while the first one still has it. */
+export function canHedge(state: RepeatState): boolean {
+  return state.isIdempotent && state.pending === 1 && canRunAgain(state);
+}
--- /dev/null
+++ b/src/gateway/router.ts
@@ -0,0 +1,66 @@
+/**
+ * Finds the route of a request. Invariant: of the routes of a host the one with the longest prefix of the
+ * path wins, whatever their order in the table.
+ */
+import type { Route, RoutePart, RouteTable } from '../catalog/index.js';
+
+/** The routes by host, longest prefix first. */
+export type RouteIndex = ReadonlyMap<string, readonly Route[]>;
+
+/** Builds the index of a table. */
+export function buildRouteIndex(table: RouteTable | undefined): RouteIndex {
+  const byHost = new Map<string, Route[]>();
+  (table?.routes ?? []).forEach((route) => {
+    const host = route.host.toLowerCase();
+    byHost.set(host, [...(byHost.get(host) ?? []), route]);
+  });
+  return new Map(
+    [...byHost].map(([host, routes]) => [
+      host,
+      routes.sort((one, two) => two.prefix.length - one.prefix.length),
+    ]),
+  );
+}
+
+/** Returns the host without the port, in lower case. */
+function toHostName(host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase();
+}
+
+/**
+ * Returns the route of a request, or nothing.
+ *
+ * @example
+ * matchRoute(index, 'records.example', '/seams/17?full=1')
+ */
+export function matchRoute(index: RouteIndex, host: string, target: string): Route | undefined {
+  const [path = ''] = target.split('?', 1);
+  return index.get(toHostName(host))?.find(({ prefix }) => path.startsWith(prefix));
+}
+
+/**
+ * Deals requests out in proportion to weights. Invariant: after any number of requests each part has had
+ * its share to within one request, so that few requests are enough to see the weights.
+ */
+export class WeightedDealer {
+  readonly #credits = new Map<string, number>();
+
+  /** Returns the part whose turn it is. */
+  pickPart(parts: readonly RoutePart[]): RoutePart | undefined {
+    const [only] = parts;
+    if (parts.length <= 1) return only;
+    const total = parts.reduce((sum, { weight }) => sum + weight, 0);
+    parts.forEach(({ service, weight }) => {
+      this.#credits.set(service, (this.#credits.get(service) ?? Math.random() * weight) + weight);
+    });
+    const chosen = parts
+      .filter(({ weight }) => weight > 0)
+      .reduce<RoutePart | undefined>((best, part) => {
+        const credit = this.#credits.get(part.service) ?? 0;
+        return best === undefined || credit > (this.#credits.get(best.service) ?? 0) ? part : best;
+      }, undefined);
+    if (chosen === undefined) return undefined;
+    this.#credits.set(chosen.service, (this.#credits.get(chosen.service) ?? 0) - total);
+    return chosen;
+  }
+}
--- /dev/null
+++ b/src/gateway/run.ts
@@ -0,0 +1,190 @@
+/**
+ * Carries one request through its attempts to its final answer. Invariant: the answer is given exactly
+ * once, at the deadline at the latest, and no attempt goes on after it.
+ */
+import type { Duration, Instant } from '../model/index.js';
+import type { Choice } from './choose.js';
+import type { Attempt } from './pool.js';
+import {
+  addAttemptEnd,
+  canHedge,
+  createRepeatState,
+  decideAfter,
+  finishRequest,
+  type RepeatState,
+} from './repeat.js';
+import type { AttemptOutcome, FinalAnswer, GatewayRequest, UpstreamRecord } from './types.js';
+
+/** Multiple of the expected time after which a second upstream is asked; one answer in 25 takes longer. */
+const HEDGE_RATIO = 1.7;
+/** Milliseconds on top of that. */
+const HEDGE_SLACK: Duration = 8;
+/** Milliseconds after which a caller may come back when no upstream may be used. */
+const NO_UPSTREAM_DELAY: Duration = 200;
+
+/** What a run needs of the gateway. */
+export interface RunHost {
+  readonly now: () => Instant;
+  /** Chooses an upstream that is not among `tried`. */
+  choose(request: GatewayRequest, tried: readonly UpstreamRecord[]): Choice;
+  send(
+    request: GatewayRequest,
+    record: UpstreamRecord,
+    onEnd: (outcome: AttemptOutcome) => void,
+  ): Attempt;
+  /** Takes a repeat of the service's allowance. */
+  takeRepeat(service: string): boolean;
+  /** Tells that an attempt ended, or was given up (`undefined`). */
+  recordAttempt(
+    request: GatewayRequest,
+    record: UpstreamRecord,
+    sentAt: Instant,
+    outcome: AttemptOutcome | undefined,
+  ): void;
+  /** Logs a decision beyond the plain good case. */
+  recordDecision(request: GatewayRequest, decision: string, record: UpstreamRecord | undefined, reason: string): void;
+}
+
+interface PendingAttempt {
+  readonly attempt: Attempt;
+  readonly record: UpstreamRecord;
+  readonly sentAt: Instant;
+}
+
+/** One request on its way. */
+export class RequestRun {
+  readonly #host: RunHost;
+  readonly #request: GatewayRequest;
+  readonly #onAnswer: (answer: FinalAnswer) => void;
+  readonly #pending = new Set<PendingAttempt>();
+  readonly #deadline: NodeJS.Timeout;
+  #hedge: NodeJS.Timeout | undefined;
+  #state: RepeatState;
+  #tried: readonly UpstreamRecord[] = [];
+  #isOver = false;
+
+  constructor(host: RunHost, request: GatewayRequest, onAnswer: (answer: FinalAnswer) => void) {
+    this.#host = host;
+    this.#request = request;
+    this.#onAnswer = onAnswer;
+    const { kind, maxAttempts } = request.route;
+    this.#state = createRepeatState(kind !== 'unsafe', maxAttempts);
+    this.#deadline = setTimeout(
+      () => {
+        this.#handleDeadline();
+      },
+      Math.max(0, request.deadline - host.now()),
+    );
+    this.#sendFirst();
+  }
+
+  /** Ends the request because its caller left; no answer is given. */
+  cancel(): void {
+    if (this.#isOver) return;
+    this.#host.recordDecision(this.#request, 'callerLeft', undefined, 'the caller closed its connection');
+    this.#end();
+  }
+
+  #sendFirst(): void {
+    const choice = this.#host.choose(this.#request, []);
+    switch (choice.kind) {
+      case 'chosen':
+        this.#send(choice);
+        return;
+      case 'noRoom':
+        this.#answer({ kind: 'refused', cause: 'overloaded', retryAfter: choice.wait });
+        return;
+      case 'noUpstream':
+        this.#answer({ kind: 'refused', cause: 'noUpstream', retryAfter: NO_UPSTREAM_DELAY });
+        return;
+    }
+  }
+
+  #send({ record, expected }: Extract<Choice, { kind: 'chosen' }>): void {
+    const sentAt = this.#host.now();
+    this.#tried = [...this.#tried, record];
+    this.#state = { ...this.#state, pending: this.#state.pending + 1 };
+    const pending: PendingAttempt = {
+      record,
+      sentAt,
+      attempt: this.#host.send(this.#request, record, (outcome) => {
+        this.#handleEnd(pending, outcome);
+      }),
+    };
+    this.#pending.add(pending);
+    if (!canHedge(this.#state)) return;
+    clearTimeout(this.#hedge);
+    this.#hedge = setTimeout(
+      () => {
+        this.#sendHedge();
+      },
+      expected * HEDGE_RATIO + HEDGE_SLACK,
+    );
+  }
+
+  /** Asks a second upstream, as the first one takes longer than work does there. */
+  #sendHedge(): void {
+    if (this.#isOver || !canHedge(this.#state)) return;
+    const choice = this.#host.choose(this.#request, this.#tried);
+    if (choice.kind !== 'chosen' || !this.#host.takeRepeat(this.#request.service)) return;
+    this.#host.recordDecision(this.#request, 'hedge', choice.record, 'the first upstream is late');
+    this.#send(choice);
+  }
+
+  #handleEnd(pending: PendingAttempt, outcome: AttemptOutcome): void {
+    if (this.#isOver) return;
+    this.#pending.delete(pending);
+    const { record, sentAt } = pending;
+    this.#host.recordAttempt(this.#request, record, sentAt, outcome);
+    this.#state = addAttemptEnd(this.#state, outcome);
+    const decision = decideAfter(this.#state, outcome);
+    switch (decision.kind) {
+      case 'answer':
+        this.#answer(decision.answer);
+        return;
+      case 'wait':
+        return;
+      case 'repeat':
+        this.#sendAgain(outcome, decision.isCharged);
+        return;
+    }
+  }
+
+  #sendAgain(outcome: AttemptOutcome, isCharged: boolean): void {
+    const choice = this.#host.choose(this.#request, this.#tried);
+    const isAllowed =
+      choice.kind === 'chosen' && (!isCharged || this.#host.takeRepeat(this.#request.service));
+    if (isAllowed) {
+      const reason = outcome.kind === 'answered' ? `status ${outcome.answer.status}` : outcome.kind;
+      this.#host.recordDecision(this.#request, 'sendAgain', choice.record, reason);
+      this.#send(choice);
+    } else if (this.#state.pending === 0) this.#answer(finishRequest(this.#state));
+  }
+
+  #handleDeadline(): void {
+    const { mayHaveRun, pending, fallback } = this.#state;
+    const isUnsent = mayHaveRun + pending === 0;
+    this.#answer(
+      isUnsent || fallback !== undefined
+        ? finishRequest(this.#state)
+        : { kind: 'failed', cause: 'timedOut' },
+    );
+  }
+
+  #end(): void {
+    this.#isOver = true;
+    clearTimeout(this.#deadline);
+    clearTimeout(this.#hedge);
+    this.#pending.forEach(({ attempt, record, sentAt }) => {
+      attempt.cancel();
+      this.#host.recordAttempt(this.#request, record, sentAt, undefined);
+    });
+    this.#pending.clear();
+  }
+
+  #answer(answer: FinalAnswer): void {
+    if (this.#isOver) return;
+    this.#end();
+    this.#onAnswer(answer);
+  }
+}
--- /dev/null
+++ b/src/http1/head.ts
@@ -0,0 +1,122 @@
+/**
+ * Parses and renders message heads. Invariant: a head that two parsers could read differently (two lengths,
+ * a length beside a transfer coding, folded lines, odd characters in names) is refused.
+ */
+import type { Framing, HeaderList, ProtocolError, RequestHead, ResponseHead } from './types.js';
+
+const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+const REQUEST_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([^\s]+) HTTP\/(\d)\.(\d)$/;
+const STATUS_LINE = /^HTTP\/1\.(\d) (\d{3})(?: (.*))?$/;
+const LENGTH = /^\d{1,15}$/;
+// eslint-disable-next-line no-control-regex -- the characters that a field value must not hold
+const BAD_VALUE = /[\0-\x08\n-\x1f\x7f]/;
+
+/** Header fields that concern one connection only; RFC 9110, section 7.6.1. */
+const hopByHop: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+function toError(status: ProtocolError['status'], reason: string): ProtocolError {
+  return { kind: 'protocolError', status, reason };
+}
+
+function parseFields(lines: readonly string[]): HeaderList | ProtocolError {
+  const fields = lines.map((line): readonly [string, string] | undefined => {
+    const colon = line.indexOf(':');
+    const name = line.slice(0, Math.max(colon, 0));
+    const value = line.slice(colon + 1).trim();
+    return TOKEN.test(name) && !BAD_VALUE.test(value) ? [name, value] : undefined;
+  });
+  const sound = fields.filter((field) => field !== undefined);
+  return sound.length === fields.length ? sound : toError(400, 'a header line is malformed');
+}
+
+/**
+ * Returns the value of a header field, or nothing; several fields of one name are joined with commas.
+ *
+ * @example
+ * getHeader(head.headers, 'host') // "records.example"
+ */
+export function getHeader(headers: HeaderList, name: string): string | undefined {
+  const values = headers.filter(([found]) => found.toLowerCase() === name).map(([, value]) => value);
+  return values.length === 0 ? undefined : values.join(', ');
+}
+
+/** Parses the lines of a request's head. */
+export function parseRequestHead(text: string): RequestHead | ProtocolError {
+  const [first = '', ...lines] = text.split('\r\n');
+  const match = REQUEST_LINE.exec(first);
+  if (match === null) return toError(400, 'the request line is malformed');
+  const [, method = '', target = '', major, minor] = match;
+  if (major !== '1') return toError(505, 'only HTTP/1.x is spoken here');
+  const headers = parseFields(lines);
+  if ('kind' in headers) return headers;
+  return { method, target, minorVersion: Number(minor), headers };
+}
+
+/** Parses the lines of a response's head. */
+export function parseResponseHead(text: string): ResponseHead | ProtocolError {
+  const [first = '', ...lines] = text.split('\r\n');
+  const match = STATUS_LINE.exec(first);
+  if (match === null) return toError(400, 'the status line is malformed');
+  const [, minor, status, reason = ''] = match;
+  const headers = parseFields(lines);
+  if ('kind' in headers) return headers;
+  return { status: Number(status), reason, minorVersion: Number(minor), headers };
+}
+
+function findLength(headers: HeaderList): Framing | ProtocolError | undefined {
+  const coding = getHeader(headers, 'transfer-encoding');
+  const length = getHeader(headers, 'content-length');
+  if (coding !== undefined) {
+    if (length !== undefined) return toError(400, 'both a length and a transfer coding are given');
+    if (coding.toLowerCase() !== 'chunked') return toError(501, `transfer coding ${coding} is unknown`);
+    return { kind: 'chunked' };
+  }
+  if (length === undefined) return undefined;
+  if (!LENGTH.test(length)) return toError(400, 'the content length is no single number');
+  return { kind: 'length', bytes: Number(length) };
+}
+
+/** Finds how the body of a request ends. */
+export function findRequestFraming(head: RequestHead): Framing | ProtocolError {
+  return findLength(head.headers) ?? { kind: 'none' };
+}
+
+/** Finds how the body of the response to a request of this method ends. */
+export function findResponseFraming(head: ResponseHead, method: string): Framing | ProtocolError {
+  const { status } = head;
+  if (method === 'HEAD' || status < 200 || status === 204 || status === 304) return { kind: 'none' };
+  return findLength(head.headers) ?? { kind: 'untilClose' };
+}
+
+/**
+ * Returns the fields that are forwarded: without those that concern one connection and without `dropped`,
+ * whose names are in lower case.
+ */
+export function listForwardable(
+  headers: HeaderList,
+  dropped: ReadonlySet<string>,
+): HeaderList {
+  const named = new Set(
+    (getHeader(headers, 'connection') ?? '').split(',').map((token) => token.trim().toLowerCase()),
+  );
+  return headers.filter(([name]) => {
+    const lower = name.toLowerCase();
+    return !hopByHop.has(lower) && !dropped.has(lower) && !named.has(lower);
+  });
+}
+
+/** Renders a head, the empty line after it included. */
+export function renderHead(firstLine: string, headers: HeaderList): string {
+  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+  return `${firstLine}\r\n${lines.join('')}\r\n`;
+}
--- /dev/null
+++ b/src/http1/index.ts
@@ -0,0 +1,19 @@
+/** HTTP/1.1 messages on byte streams. */
+export {
+  findResponseFraming,
+  getHeader,
+  listForwardable,
+  parseRequestHead,
+  parseResponseHead,
+  renderHead,
+} from './head.js';
+export { createResponseGrammar, MessageReader, requestGrammar } from './reader.js';
+export type {
+  Framing,
+  HeaderList,
+  MessageLimits,
+  ProtocolError,
+  ReaderEvent,
+  RequestHead,
+  ResponseHead,
+} from './types.js';
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,6 +1,7 @@
 /** Routing decisions: which upstream gets a call, when it waits, is refused, sent again or probed. */
 export { decideRouting } from './decide.js';
 export { getConnectionBudget } from './fleet.js';
+export { computeRank, hashText } from './hash.js';
 export { defaultOptions, type RoutingOptions } from './options.js';
 export { createRoutingState, type RoutingState } from './state.js';
 export type { AttemptFailure, Call, RefusalReason, RoutingEffect, RoutingEvent } from './types.js';
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -11,6 +11,10 @@
   readonly properties?: Readonly<Record<string, PropertySchema>>;
 }
 
+/** A time with its unit, which stands for milliseconds in a setting. */
+const TIME = /^\s*(\d+(?:\.\d+)?)(ms|s)\s*$/;
+const MS_PER_SECOND = 1000;
+
 const ajv = new Ajv({ allErrors: true, useDefaults: true, verbose: true });
 const validateSettings = ajv.compile<Settings>(settingsSchema);
 
@@ -31,8 +35,11 @@
         .map((item) => item.trim())
         .filter((item) => item !== '');
     case 'integer':
-    case 'number':
+    case 'number': {
+      const time = TIME.exec(value);
+      if (time !== null) return Number(time[1]) * (time[2] === 's' ? MS_PER_SECOND : 1);
       return value.trim() !== '' && Number.isFinite(Number(value)) ? Number(value) : value;
+    }
     case 'boolean':
       return value === 'true' ? true : value === 'false' ? false : value;
     default:
@@ -42,7 +49,10 @@
 
 /** Finds contradictions that the schema can't express. */
 function checkConsistency(file: string, settings: Settings): readonly SettingsProblem[] {
-  const { control, entry } = settings;
+  const { control, entry, gateway, steward } = settings;
+  const { roles } = settings.process;
+  const isGateway = roles.includes('gateway');
+  const isSteward = roles.includes('steward');
   const isControl = settings.process.roles.includes('control');
   const isEntry = settings.process.roles.includes('entry');
   const problem = (key: string, allowed: string, remedy: string): SettingsProblem => ({
@@ -54,7 +64,16 @@
     remedy,
   });
   return [
-    ...(control === undefined
+    ...((isGateway || isSteward) && roles.length > 1
+      ? [problem('process.roles', 'gateway or steward alone', 'run the roles as processes of their own')]
+      : []),
+    ...(isGateway && gateway === undefined
+      ? [problem('gateway', 'a section', 'add [gateway] with caller_listen and seeds')]
+      : []),
+    ...(isSteward && steward === undefined
+      ? [problem('steward', 'a section', 'add [steward] with order_listen, seeds and data_folder')]
+      : []),
+    ...((isControl || isEntry) && control === undefined
       ? [problem('control', 'a section with members', 'add [control] members = IP:PORT, ...')]
       : []),
     ...(isControl && control !== undefined && control.data_folder === undefined
--- /dev/null
+++ b/src/steward/members.ts
@@ -0,0 +1,47 @@
+/**
+ * Decides which members the control group gains and loses without an operator. Invariant: at most one
+ * change is proposed at a time, a member that answers is never removed, and three voters remain.
+ */
+import type { ControlStatus, MemberChange } from '../control/index.js';
+import type { Address, Duration } from '../model/index.js';
+
+/** Milliseconds of silence after which a member may be the one that a new member replaces. */
+const REPLACEABLE_SILENCE: Duration = 2500;
+/** Milliseconds of silence after which a member counts as gone although no other one came. */
+const GONE_SILENCE: Duration = 15_000;
+/** Voters that are never gone below: two of them agree without the third. */
+const MIN_VOTERS = 3;
+
+/** What the leader remembers of processes that ask to be admitted. */
+export interface JoinRequests {
+  readonly waiting: readonly Address[];
+  /** Admissions that no removal has followed yet. */
+  readonly admitted: number;
+}
+
+function getAddress(id: string): Address {
+  return id.slice(0, id.lastIndexOf('#'));
+}
+
+/**
+ * Returns the next change of the group, or nothing.
+ *
+ * @example
+ * planMembers(status, { waiting: ['10.0.3.4:7200'], admitted: 0 }) // { kind: 'add', ... }
+ */
+export function planMembers(
+  status: ControlStatus,
+  requests: JoinRequests,
+): MemberChange | undefined {
+  if (status.role !== 'leader') return undefined;
+  const addresses = status.members.map(({ id }) => getAddress(id));
+  const joiner = requests.waiting.find((address) => !addresses.includes(address));
+  if (joiner !== undefined) return { kind: 'add', address: joiner };
+  const voters = status.members.filter(({ voter }) => voter);
+  if (voters.length !== status.members.length || voters.length <= MIN_VOTERS) return undefined;
+  const [longest] = [...status.silences].sort(([, one], [, two]) => two - one);
+  if (longest === undefined) return undefined;
+  const [address, silence] = longest;
+  const limit = requests.admitted > 0 ? REPLACEABLE_SILENCE : GONE_SILENCE;
+  return silence > limit ? { kind: 'remove', address } : undefined;
+}
--- /dev/null
+++ b/src/telemetry/exposition.ts
@@ -0,0 +1,40 @@
+/**
+ * Serves the metrics of a process that loads no web framework. Invariant: it answers one path and changes
+ * nothing.
+ */
+import { createServer } from 'node:http';
+import type { Address } from '../model/index.js';
+import type { Metrics } from './metrics.js';
+
+/** The listener. */
+export interface Exposition {
+  close(): void;
+}
+
+/**
+ * Opens the listener.
+ *
+ * @example
+ * await createExposition('10.0.1.4:9464', metrics); // GET /metrics
+ */
+export async function createExposition(listen: Address, metrics: Metrics): Promise<Exposition> {
+  const server = createServer((request, response) => {
+    if (request.url !== '/metrics') {
+      response.writeHead(404).end();
+      return;
+    }
+    void metrics.renderText().then((text) => {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
+    });
+  });
+  const at = listen.lastIndexOf(':');
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(listen.slice(at + 1)), listen.slice(0, at), resolve);
+  });
+  return {
+    close: () => {
+      server.close();
+    },
+  };
+}
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -9,3 +9,5 @@
   type TraceContext,
 } from './trace.js';
 export { createPlatformServer, type PlatformServer, type PlatformState } from './platform.js';
+export { createExposition, type Exposition } from './exposition.js';
+export { standardOutput } from './sink.js';
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -1,8 +1,9 @@
 /**
- * Structured logs over loglevel. Invariant: each record is one JSON object on one line of standard error,
+ * Structured logs over loglevel. Invariant: each record is one JSON object on one line of standard output,
  * with the keys `time`, `level`, `module` and `message` first.
  */
 import loglevel from 'loglevel';
+import { standardOutput } from './sink.js';
 
 /** Values that a record carries besides its message. */
 export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[]>>;
@@ -26,7 +27,7 @@
     message,
     ...(typeof fields === 'object' ? fields : {}),
   };
-  process.stderr.write(`${JSON.stringify(record)}\n`);
+  standardOutput.addLine(JSON.stringify(record));
 };
 
 /**
--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -51,10 +51,27 @@
 /** Bytes that may wait on one connection before messages to it are dropped. */
 const MAX_WAITING_BYTES = 8 * 1024 * 1024;
 
+/** Milliseconds between two looks at the connections. */
+const CHECK_INTERVAL = 250;
+/**
+ * Milliseconds for which a peer may leave frames unconfirmed, or a connection unopened. A connection can
+ * fall silent without a reset; only this shows it.
+ */
+const SILENCE_LIMIT = 1000;
+/** An empty frame: it asks the peer for another one as a sign of life. */
+const SIGN_OF_LIFE = encodeFrame(Buffer.alloc(0));
+
 interface Link {
   readonly socket: Socket;
   readonly waiting: Buffer[];
   ready: boolean;
+  /** Whether frames were sent since the peer last gave a sign of life. */
+  isOwed: boolean;
+  /** Whether a sign of life was asked for and has not come. */
+  isAsked: boolean;
+  /** When the peer last gave a sign of life, or was dialled. */
+  heardAt: number;
+  askedAt: number;
 }
 
 function computeProof(secret: string, nonce: Buffer, from: Address): Buffer {
@@ -68,6 +85,7 @@
   readonly #blockedUntil = new Map<Address, number>();
   readonly #accepted = new Set<Socket>();
   readonly #server: Server;
+  readonly #timer: NodeJS.Timeout;
   #closed = false;
   #traffic: MeshTraffic = {
     messagesSent: 0,
@@ -81,6 +99,9 @@
     this.#server = createServer((socket) => {
       this.#accept(socket);
     });
+    this.#timer = setInterval(() => {
+      this.#checkLinks();
+    }, CHECK_INTERVAL);
   }
 
   static async create(options: MeshOptions): Promise<TcpMesh> {
@@ -122,12 +143,32 @@
       messagesSent: this.#traffic.messagesSent + 1,
       bytesSent: this.#traffic.bytesSent + frame.length,
     };
+    link.isOwed = true;
     if (link.ready) link.socket.write(frame);
     else link.waiting.push(frame);
   }
 
+  /** Asks peers that were sent frames for a sign of life, and drops connections that fell silent. */
+  #checkLinks(): void {
+    const now = performance.now();
+    this.#links.forEach((link, peer) => {
+      if (link.ready && !link.isAsked && link.isOwed) {
+        link.isAsked = true;
+        link.isOwed = false;
+        link.askedAt = now;
+        link.socket.write(SIGN_OF_LIFE);
+      }
+      const since = link.ready ? link.askedAt : link.heardAt;
+      if ((link.isAsked || !link.ready) && now - since > SILENCE_LIMIT) {
+        this.#options.onProblem?.(peer, `no sign of life for ${SILENCE_LIMIT} ms`);
+        link.socket.destroy();
+      }
+    });
+  }
+
   async close(): Promise<void> {
     this.#closed = true;
+    clearInterval(this.#timer);
     this.#links.forEach((link) => link.socket.destroy());
     this.#accepted.forEach((socket) => socket.destroy());
     await new Promise<void>((resolve) => {
@@ -142,11 +183,22 @@
     if ((this.#blockedUntil.get(to) ?? 0) > now) return undefined;
     const [host, port] = toEndpoint(to);
     const socket = connect({ host, port, noDelay: true });
-    const link: Link = { socket, waiting: [], ready: false };
+    const link: Link = {
+      socket,
+      waiting: [],
+      ready: false,
+      isOwed: false,
+      isAsked: false,
+      heardAt: now,
+      askedAt: now,
+    };
     this.#links.set(to, link);
     const reader = new FrameReader();
     socket.on('data', (chunk) => {
       reader.addChunk(chunk).forEach((nonce) => {
+        link.heardAt = performance.now();
+        link.isAsked = false;
+        if (link.ready) return;
         const proof = computeProof(this.#options.secret, nonce, this.#options.address);
         socket.write(encodeFrame(packr.pack([this.#options.address, proof])));
         link.waiting.splice(0).forEach((frame) => socket.write(frame));
@@ -157,7 +209,7 @@
       this.#options.onProblem?.(to, error.message);
     });
     socket.on('close', () => {
-      this.#links.delete(to);
+      if (this.#links.get(to) === link) this.#links.delete(to);
       this.#blockedUntil.set(to, performance.now() + REDIAL_DELAY);
     });
     return link;
@@ -174,6 +226,7 @@
       try {
         reader.addChunk(chunk).forEach((frame) => {
           if (peer === undefined) peer = this.#verifyPeer(nonce, frame);
+          else if (frame.length === 0) socket.write(SIGN_OF_LIFE);
           else this.#deliver(peer, frame);
         });
       } catch (error) {
