--- /dev/null
+++ b/features/http1/reader.steps.ts
@@ -0,0 +1,79 @@
+import { Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {
+  createResponseGrammar,
+  MessageReader,
+  requestGrammar,
+  type ReaderEvent,
+  type RequestHead,
+  type ResponseHead,
+} from '../../src/http1/index.js';
+
+interface ReaderWorld {
+  bytes: Buffer;
+  endsInOrder: boolean;
+}
+
+const LIMITS = { headBytes: 1000, bodyBytes: 1000 };
+
+function unescapeBytes(text: string): Buffer {
+  return Buffer.from(text.replaceAll('\\r', '\r').replaceAll('\\n', '\n'), 'latin1');
+}
+
+function describeEvents<Head>(
+  events: readonly ReaderEvent<Head>[],
+  describe: (head: Head) => string,
+): string {
+  return events
+    .flatMap((event) => {
+      switch (event.kind) {
+        case 'head':
+          return [];
+        case 'message':
+          return [`${describe(event.head)} [${event.body.toString('latin1')}]`];
+        case 'protocolError':
+          return [String(event.status)];
+      }
+    })
+    .join('; ');
+}
+
+Given('the request bytes {string}', function (this: ReaderWorld, text: string) {
+  this.bytes = unescapeBytes(text);
+});
+
+Given('the response bytes {string}', function (this: ReaderWorld, text: string) {
+  this.bytes = unescapeBytes(text);
+});
+
+When('the connection ends in {string}', function (this: ReaderWorld, end: string) {
+  this.endsInOrder = end === 'order';
+});
+
+Then(
+  'the request reader finds {string} however the bytes are cut',
+  function (this: ReaderWorld, wanted: string) {
+    const { bytes } = this;
+    Array.from({ length: bytes.length }, (_, at) => at).forEach((at) => {
+      const reader = new MessageReader<RequestHead>(requestGrammar, LIMITS);
+      const events = [
+        ...reader.addChunk(bytes.subarray(0, at)),
+        ...reader.addChunk(bytes.subarray(at)),
+      ];
+      assert.equal(
+        describeEvents(events, ({ method, target }) => `${method} ${target}`),
+        wanted,
+        `cut at ${at}`,
+      );
+    });
+  },
+);
+
+Then('the response reader finds {string}', function (this: ReaderWorld, wanted: string) {
+  const reader = new MessageReader<ResponseHead>(createResponseGrammar('GET'), LIMITS);
+  const events = [...reader.addChunk(this.bytes), ...(this.endsInOrder ? reader.finish() : [])];
+  assert.equal(
+    describeEvents(events, ({ status }) => String(status)),
+    wanted,
+  );
+});
--- /dev/null
+++ b/features/platform/path.steps.ts
@@ -0,0 +1,384 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { newId, Site, waitUntil, type Answer, type Behaviour, type Upstream } from './site.js';
+
+interface PlatformWorld {
+  site: Site;
+  sent: readonly Readonly<Record<string, unknown>>[];
+  drained: Upstream;
+  acknowledgedAt: number;
+  outZone: string;
+  answers: Answer[];
+  failures: string[];
+}
+
+const safeRoute = {
+  name: 'r-safe',
+  path_prefix: '/records/',
+  kind: 'safe',
+  timeout: '800ms',
+  target_latency: '200ms',
+  priority: 2,
+  service: 'records',
+  max_attempts: 2,
+};
+const unsafeRoute = {
+  ...safeRoute,
+  name: 'r-unsafe',
+  path_prefix: '/orders/',
+  kind: 'unsafe',
+  priority: 1,
+  service: 'orders',
+};
+
+After({ tags: 'not @no-site' }, async function (this: Partial<PlatformWorld>) {
+  await this.site?.stop();
+});
+
+Given(
+  "the platform's site serves two services",
+  { timeout: 60_000 },
+  async function (this: PlatformWorld) {
+    this.site = await Site.start();
+    const places = this.site.zones.flatMap((_, at) => [
+      ['records', at, 1] as const,
+      ['orders', at, 2] as const,
+    ]);
+    await Promise.all(
+      places.map(([service, at, number]) => this.site.addUpstream(service, at, number)),
+    );
+    this.sent = [safeRoute, unsafeRoute];
+    const answer = await this.site.putRoutes(this.sent);
+    assert.equal(answer.status, 200, answer.body);
+    await waitUntil('all upstreams are acknowledged', () =>
+      this.site.upstreams.every(({ acknowledged }) => acknowledged > 0),
+    );
+    await waitUntil('all gateways are ready', async () => {
+      const ready = await Promise.all(this.site.ips.map((ip) => this.site.isReady(ip)));
+      return ready.every(Boolean);
+    });
+    await waitUntil('the directory names all gateways', async () => {
+      const known = await Promise.all(this.site.ips.map(() => this.site.resolve('nowhere')));
+      return known.every((addresses) => addresses.length === this.site.ips.length);
+    });
+    await waitUntil('each gateway serves both routes', async () => {
+      const answers = await Promise.all(
+        this.site.ips.flatMap((ip) => [
+          this.site.call(ip, '/records/0'),
+          this.site.call(ip, '/orders/0', { method: 'POST', body: 'x' }),
+        ]),
+      );
+      return answers.every(({ status }) => status === 200);
+    });
+  },
+);
+
+Then(
+  'callers of every zone get whole answers with the seal of an upstream',
+  async function (this: PlatformWorld) {
+    const { site } = this;
+    await Promise.all(
+      site.zones.map(async (zone) => {
+        const [address = ''] = await site.resolve(zone);
+        const [ip = ''] = address.split(':');
+        const id = newId();
+        const answer = await site.call(ip, '/records/17?full=1', {}, id);
+        assert.equal(answer.status, 200);
+        assert.equal(answer.headers['x-server-seal'], `seal-${id}`);
+        assert.match(answer.body, /^served by records-/);
+        const [arrival] = site.upstreams.flatMap(({ arrivals }) =>
+          arrivals.filter((found) => found.id === id),
+        );
+        assert.equal(arrival?.target, '/records/17?full=1');
+        assert.ok(arrival.deadline > 0 && arrival.deadline <= 800, `${arrival.deadline} ms`);
+      }),
+    );
+  },
+);
+
+Then('a request without a route gets {int}', async function (this: PlatformWorld, status: number) {
+  const answers = await Promise.all(this.site.ips.map((ip) => this.site.call(ip, '/none/')));
+  assert.deepEqual(
+    answers.map((answer) => answer.status),
+    answers.map(() => status),
+  );
+});
+
+Then('the configuration reads back as it was sent', async function (this: PlatformWorld) {
+  const answer = await this.site.order({ path: '/-/Config.Get' });
+  const read = JSON.parse(answer.body) as { version: number; hosts: unknown };
+  assert.equal(read.version, this.site.version);
+  assert.deepEqual(read.hosts, [{ host: 'site.example', paths: this.sent }]);
+});
+
+When('a route moves to the other service', async function (this: PlatformWorld) {
+  this.sent = [{ ...safeRoute, service: 'orders' }, unsafeRoute];
+  const answer = await this.site.putRoutes(this.sent);
+  assert.equal(answer.status, 200);
+  this.acknowledgedAt = performance.now();
+});
+
+Then(
+  'within {int} ms every gateway sends its requests there',
+  async function (this: PlatformWorld, limit: number) {
+    await waitUntil(
+      'the change is in force',
+      async () => {
+        const answers = await Promise.all(
+          this.site.ips.map((ip) => this.site.call(ip, '/records/1')),
+        );
+        return answers.every(({ body }) => body.includes('orders-'));
+      },
+      limit,
+    );
+  },
+);
+
+Then(
+  'the same change sent again is acknowledged again, and one on an old version is not',
+  async function (this: PlatformWorld) {
+    const { site } = this;
+    const { version } = site;
+    site.version = version - 3;
+    const again = await site.putRoutes(this.sent);
+    assert.equal(again.status, 200);
+    site.version = version - 3;
+    const other = await site.putRoutes([unsafeRoute]);
+    assert.equal(other.status, 412);
+    site.version = version;
+  },
+);
+
+function setBehaviour({ site }: PlatformWorld, behaviour: Behaviour): void {
+  site.upstreams.forEach((upstream) => {
+    upstream.behaviour = behaviour;
+  });
+}
+
+async function playRequest(
+  world: PlatformWorld,
+  kind: string,
+  behaviour: string,
+  status: number,
+): Promise<number> {
+  const { site } = world;
+  setBehaviour(world, behaviour as Behaviour);
+  const id = newId();
+  const [ip = ''] = site.ips;
+  const more = kind === 'safe' ? {} : { method: 'POST', body: 'an order' };
+  const answer = await site.call(ip, kind === 'safe' ? '/records/1' : '/orders/1', more, id);
+  setBehaviour(world, 'serve');
+  assert.equal(answer.status, status, `${kind} over ${behaviour}: ${answer.body}`);
+  await waitUntil('the upstreams are used again', async () => {
+    const after = await site.call(ip, kind === 'safe' ? '/records/2' : '/orders/2', more);
+    return after.status === 200;
+  });
+  const arrivals = site.upstreams.flatMap((upstream) => upstream.arrivals);
+  return arrivals.filter((arrival) => arrival.id === id).length;
+}
+
+Then(
+  /^an? (safe|unsafe) request over upstreams that "(\w+)" gets (\d+), and ran (at most twice|once|never)$/,
+  { timeout: 20_000 },
+  async function (
+    this: PlatformWorld,
+    kind: string,
+    behaviour: string,
+    status: string,
+    count: string,
+  ) {
+    const ran = await playRequest(this, kind, behaviour, Number(status));
+    if (count === 'at most twice') assert.ok(ran >= 1 && ran <= 2, `ran ${ran} times`);
+    else assert.equal(ran, count === 'once' ? 1 : 0);
+  },
+);
+
+Then(
+  'requests over upstreams that answer twice each get their own answer',
+  { timeout: 20_000 },
+  async function (this: PlatformWorld) {
+    const { site } = this;
+    setBehaviour(this, 'stray');
+    const ids = Array.from({ length: 60 }, newId);
+    const answers = await ids.reduce<Promise<readonly Answer[]>>(async (before, id, at) => {
+      const done = await before;
+      const ip = site.ips[at % site.ips.length] ?? '';
+      return [...done, await site.call(ip, '/records/1', {}, id)];
+    }, Promise.resolve([]));
+    answers.forEach(({ status, headers, body }, at) => {
+      assert.equal(status, 200);
+      assert.equal(headers['x-server-seal'], `seal-${ids[at]}`);
+      assert.match(body, /^served by/);
+    });
+  },
+);
+
+async function countArrivals(
+  { site }: PlatformWorld,
+  upstreams: readonly Upstream[],
+): Promise<number> {
+  const since = performance.now();
+  await Promise.all(
+    Array.from({ length: 60 }, (_, at) =>
+      site.call(site.ips[at % site.ips.length] ?? '', `/records/${at}`),
+    ),
+  );
+  return upstreams.flatMap(({ arrivals }) => arrivals).filter(({ at }) => at >= since).length;
+}
+
+When('an upstream says that it drains', async function (this: PlatformWorld) {
+  const found = this.site.upstreams.find(({ service }) => service === 'records');
+  assert.ok(found);
+  this.drained = found;
+  found.state = 'draining';
+  await waitUntil('the drain is acknowledged', () => found.beat(this.site.shuffleIps()));
+  this.acknowledgedAt = performance.now();
+});
+
+Then(
+  'from {int} ms after the acknowledgement it gets no request',
+  async function (this: PlatformWorld, time: number) {
+    await sleep(time - (performance.now() - this.acknowledgedAt));
+    assert.equal(await countArrivals(this, [this.drained]), 0);
+  },
+);
+
+function listZone({ site, outZone }: PlatformWorld): readonly Upstream[] {
+  return site.upstreams.filter(({ zone }) => zone === outZone);
+}
+
+When('zone {string} is emptied', async function (this: PlatformWorld, zone: string) {
+  const answer = await this.site.order({ method: 'POST', path: `/-/Evacuation.Start/${zone}` });
+  assert.equal(answer.status, 200);
+  this.acknowledgedAt = performance.now();
+  this.outZone = zone;
+});
+
+Then(
+  'from {int} ms after the acknowledgement its upstreams get no request',
+  async function (this: PlatformWorld, time: number) {
+    await sleep(time - (performance.now() - this.acknowledgedAt));
+    assert.equal(await countArrivals(this, listZone(this)), 0);
+  },
+);
+
+When('zone {string} is taken back', async function (this: PlatformWorld, zone: string) {
+  const answer = await this.site.order({ method: 'POST', path: `/-/Evacuation.End/${zone}` });
+  assert.equal(answer.status, 200);
+});
+
+Then('its upstreams get requests again', { timeout: 20_000 }, async function (this: PlatformWorld) {
+  await waitUntil(
+    'requests reach the zone',
+    async () => (await countArrivals(this, listZone(this))) > 0,
+  );
+});
+
+When(
+  'callers go on while every gateway is restarted in turn',
+  { timeout: 90_000 },
+  async function (this: PlatformWorld) {
+    const { site } = this;
+    this.answers = [];
+    this.failures = [];
+    let isOver = false;
+    const call = async (zone: string): Promise<void> => {
+      while (!isOver) {
+        const addresses = await site.resolve(zone);
+        const chosen = addresses[Math.floor(Math.random() * addresses.length)];
+        if (chosen === undefined) {
+          await sleep(20);
+          continue;
+        }
+        const [ip = ''] = chosen.split(':');
+        await site.call(ip, '/records/5').then(
+          (answer) => this.answers.push(answer),
+          (error: unknown) => this.failures.push(String(error)),
+        );
+        await sleep(10);
+      }
+    };
+    const callers = site.zones.map(call);
+    await site.ips.reduce(async (before, ip, at) => {
+      await before;
+      await site.endProcess(`gateway-${at + 1}`, 'SIGTERM');
+      await site.restartProcess(`gateway-${at + 1}`, false);
+      await waitUntil('the gateway is ready again', () => site.isReady(ip));
+      await sleep(500);
+    }, Promise.resolve());
+    isOver = true;
+    await Promise.all(callers);
+  },
+);
+
+Then('every request of those callers got a whole answer', function (this: PlatformWorld) {
+  assert.deepEqual(this.failures, []);
+  assert.ok(this.answers.length > 300, `${this.answers.length} answers`);
+  const bad = this.answers.filter(({ status }) => status !== 200);
+  assert.deepEqual(bad, []);
+});
+
+async function findLeader({ site }: PlatformWorld): Promise<string> {
+  let leader: string | undefined;
+  await waitUntil('a steward leads', async () => {
+    const answers = await Promise.all(
+      site.ips.map((ip) =>
+        site.order({ path: '/-/Config.Get' }).then((answer) => [ip, answer] as const),
+      ),
+    );
+    const lines = [...site.processes].flatMap(([name, { role, output }]) =>
+      role === 'steward'
+        ? [[name, output.split('\n').findLast((line) => line.includes('"role":"leader"'))] as const]
+        : [],
+    );
+    const latest = lines
+      .filter(([, line]) => line !== undefined)
+      .sort(([, one = ''], [, two = '']) => (one < two ? -1 : 1))
+      .at(-1);
+    leader = latest?.[0];
+    return answers.length > 0 && leader !== undefined;
+  });
+  return leader ?? '';
+}
+
+When(
+  'the leading steward is killed and loses its disk',
+  { timeout: 30_000 },
+  async function (this: PlatformWorld & { killed: string }) {
+    this.killed = await findLeader(this);
+    await this.site.endProcess(this.killed, 'SIGKILL');
+  },
+);
+
+When('it is started again', async function (this: PlatformWorld & { killed: string }) {
+  await this.site.restartProcess(this.killed, true);
+});
+
+Then(
+  'the group has {int} voters again',
+  { timeout: 40_000 },
+  async function (this: PlatformWorld & { killed: string }, voters: number) {
+    await waitUntil(
+      'the steward votes again',
+      () => {
+        const { output } = this.site.processes.get(this.killed) ?? { output: '' };
+        const line = output.split('\n').findLast((found) => found.includes('control role changed'));
+        if (line === undefined) return false;
+        const { members, role } = JSON.parse(line) as { members: readonly string[]; role: string };
+        return role === 'follower' && members.length === voters;
+      },
+      20_000,
+    );
+  },
+);
+
+When(
+  'all stewards are killed at once and started again',
+  { timeout: 40_000 },
+  async function (this: PlatformWorld) {
+    const names = [1, 2, 3].map((number) => `steward-${number}`);
+    await Promise.all(names.map((name) => this.site.endProcess(name, 'SIGKILL')));
+    await Promise.all(names.map((name) => this.site.restartProcess(name, false)));
+  },
+);
--- /dev/null
+++ b/features/platform/site.ts
@@ -0,0 +1,441 @@
+/**
+ * A small stand-in of the platform: runs the real programs as processes on loopback, one address a VM, and
+ * plays operators, upstreams and callers as PROTOCOL describes them.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { randomBytes } from 'node:crypto';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { createServer, request as sendRequest, type Server } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+const PORTS = {
+  front: 8381,
+  ready: 8388,
+  directory: 8383,
+  control: 8382,
+  peer: 7200,
+  gateway: 7215,
+};
+const PROGRAM = 'dist/platform/main.js';
+const GRACE_MS = 3000;
+
+/** An answer with its whole body. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+}
+
+/** What to send. */
+export interface Question {
+  readonly method?: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly timeout?: number;
+}
+
+/** Sends one request on a connection of its own. */
+export function ask(ip: string, port: number, question: Question): Promise<Answer> {
+  const { method = 'GET', path, headers = {}, body, timeout = 2000 } = question;
+  return new Promise((resolve, reject) => {
+    const sent = sendRequest(
+      { host: ip, port, method, path, headers, agent: false, timeout },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', reject);
+        response.on('end', () => {
+          const text = Buffer.concat(chunks).toString();
+          resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text });
+        });
+      },
+    );
+    sent.on('timeout', () => sent.destroy(new Error('no answer in time')));
+    sent.on('error', reject);
+    sent.end(body);
+  });
+}
+
+/** A request that an upstream got. */
+export interface Arrival {
+  readonly id: string;
+  readonly target: string;
+  readonly method: string;
+  readonly body: string;
+  readonly deadline: number;
+  readonly at: number;
+}
+
+/** What an upstream does with requests. */
+export type Behaviour = 'serve' | 'reset' | 'refuse' | 'fail' | 'cut' | 'stray';
+
+/** A stand-in upstream. */
+export class Upstream {
+  readonly arrivals: Arrival[] = [];
+  behaviour: Behaviour = 'serve';
+  state: 'ready' | 'draining' = 'ready';
+  beating = true;
+  acknowledged = 0;
+  readonly born = Date.now();
+  #sequence = 0;
+  #server: Server;
+
+  constructor(
+    readonly id: string,
+    readonly address: string,
+    readonly service: string,
+    readonly zone: string,
+    readonly version = 'v1',
+  ) {
+    this.#server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => {
+        const load = { 'X-Server-Load': '1,0,6,100', 'X-Instance-Id': id };
+        const attempt = String(request.headers['x-attempt-id'] ?? '');
+        if (request.url === '/health') {
+          response.writeHead(200, load);
+          response.end();
+          return;
+        }
+        if ((request.headers['x-expect-instance'] ?? id) !== id) {
+          response.writeHead(421, { 'X-Attempt-Id': attempt });
+          response.end();
+          return;
+        }
+        if (this.behaviour === 'refuse') {
+          response.writeHead(503, { 'X-Not-Executed': '1', 'X-Attempt-Id': attempt });
+          response.end();
+          return;
+        }
+        this.arrivals.push({
+          id: attempt,
+          target: request.url ?? '',
+          method: request.method ?? '',
+          body: Buffer.concat(chunks).toString(),
+          deadline: Number(request.headers['x-deadline-ms']),
+          at: performance.now(),
+        });
+        const seal = { ...load, 'X-Attempt-Id': attempt, 'X-Server-Seal': `seal-${attempt}` };
+        const socket = request.socket;
+        switch (this.behaviour) {
+          case 'serve':
+            response.writeHead(200, seal);
+            response.end(`served by ${id}`);
+            return;
+          case 'fail':
+            response.writeHead(500, seal);
+            response.end('failed');
+            return;
+          case 'reset':
+            socket.resetAndDestroy();
+            return;
+          case 'cut':
+            response.writeHead(200, { ...seal, 'Content-Length': '100' });
+            response.write('half');
+            setTimeout(() => socket.destroy(), 10);
+            return;
+          case 'stray':
+            response.writeHead(200, seal);
+            response.end(`served by ${id}`);
+            socket.write(
+              `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\nContent-Length: 5\r\n\r\nstray`,
+            );
+            return;
+        }
+      });
+    });
+  }
+
+  async start(): Promise<void> {
+    const [host = '', port = ''] = this.address.split(':');
+    await new Promise<void>((resolve) => this.#server.listen(Number(port), host, resolve));
+  }
+
+  stop(): void {
+    this.beating = false;
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Says what it is to a control address; follows redirections. */
+  async beat(ips: readonly string[], hops = 3): Promise<boolean> {
+    this.#sequence += 1;
+    const { service, zone, version } = this;
+    const body = JSON.stringify({
+      address: this.address,
+      born: this.born,
+      info: { service, version, zone, slots: 6 },
+      status: { state: this.state, seq: this.#sequence, cold_left: '0ms' },
+    });
+    const question = {
+      method: 'POST',
+      path: `/-/Instances.Heartbeat/${this.id}`,
+      body,
+      timeout: 1000,
+    };
+    const isTaken = await post(ips, question, hops);
+    if (isTaken) this.acknowledged += 1;
+    return isTaken;
+  }
+}
+
+async function post(ips: readonly string[], question: Question, hops: number): Promise<boolean> {
+  const answer = await ask(ips[0] ?? '', PORTS.control, question).catch(() => undefined);
+  if (answer?.status === 200) return true;
+  if (answer?.status === 307 && hops > 0) {
+    return post([new URL(String(answer.headers.location)).hostname], question, hops - 1);
+  }
+  return false;
+}
+
+interface Running {
+  readonly role: 'gateway' | 'steward';
+  readonly ip: string;
+  readonly zone: string;
+  child: ChildProcess;
+  output: string;
+}
+
+/** The site: three VMs in three zones, each with a steward and a gateway. */
+export class Site {
+  readonly processes = new Map<string, Running>();
+  readonly upstreams: Upstream[] = [];
+  readonly ips: readonly string[];
+  readonly zones = ['cyberjaya', 'putrajaya', 'shah-alam'] as const;
+  version = 0;
+  #beats: NodeJS.Timeout | undefined;
+
+  private constructor(
+    readonly folder: string,
+    readonly net: number,
+  ) {
+    this.ips = this.zones.map((_, at) => `127.${net}.${at + 1}.1`);
+  }
+
+  static async start(): Promise<Site> {
+    const folder = await mkdtemp(join(tmpdir(), 'chivewalk-platform-'));
+    const site = new Site(folder, 20 + Math.floor(Math.random() * 200));
+    await Promise.all(
+      site.ips.flatMap((ip, at) => [
+        site.startProcess('steward', ip, at, true),
+        site.startProcess('gateway', ip, at, true),
+      ]),
+    );
+    site.#beats = setInterval(() => {
+      site.upstreams
+        .filter(({ beating }) => beating)
+        .forEach((upstream) => {
+          void upstream.beat(site.shuffleIps());
+        });
+    }, 400);
+    return site;
+  }
+
+  shuffleIps(): readonly string[] {
+    const start = Math.floor(Math.random() * this.ips.length);
+    return [...this.ips.slice(start), ...this.ips.slice(0, start)];
+  }
+
+  /** Renders the settings as the platform does from the template. */
+  async #renderSettings(role: string, ip: string, at: number, first: boolean): Promise<string> {
+    const template = await readFile('deploy/settings.ini', 'utf8');
+    const listen: Readonly<Record<string, string>> =
+      role === 'gateway'
+        ? {
+            front: `${ip}:${PORTS.front}`,
+            ready: `${ip}:${PORTS.ready}`,
+            directory: `${ip}:${PORTS.directory}`,
+          }
+        : { control: `${ip}:${PORTS.control}` };
+    const values: Readonly<Record<string, string>> = {
+      ...Object.fromEntries(Object.entries(listen).map(([key, value]) => [`listen.${key}`, value])),
+      node: `vm-${at + 1}`,
+      zone: this.zones[at] ?? '',
+      region: 'klang-valley',
+      role,
+      ip,
+      'internal_port_range.0': String(PORTS.peer),
+      'internal_port_range.1': String(PORTS.gateway),
+      seeds: this.ips.map((seed) => `${seed}:${PORTS.control}`).join(','),
+      data_dir: join(this.folder, `vm-${at + 1}`),
+      bootstrap: String(first),
+      heartbeat: '400ms',
+      'bounds.grace': `${GRACE_MS}ms`,
+      'bounds.retry_budget_ratio': '0.2',
+      'bounds.retry_slack': '64',
+      'bounds.cold_factor': '1.5',
+      'bounds.cold_slack': '5',
+    };
+    return template
+      .replace(/\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, key: string, inner: string) =>
+        key in values ? inner : '',
+      )
+      .replace(/\{\{\^([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, key: string, inner: string) =>
+        key in values ? '' : inner,
+      )
+      .replace(/\{\{([\w.]+)\}\}/g, (_, key: string) => values[key] ?? '');
+  }
+
+  async startProcess(
+    role: 'gateway' | 'steward',
+    ip: string,
+    at: number,
+    first: boolean,
+  ): Promise<void> {
+    const file = join(this.folder, `${role}-${at + 1}.ini`);
+    await writeFile(file, await this.#renderSettings(role, ip, at, first));
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: { ...process.env, NODE_OPTIONS: '', CHIVEWALK_BOOT: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const running: Running = { role, ip, zone: this.zones[at] ?? '', child, output: '' };
+    const keep = (chunk: Buffer): void => {
+      running.output = (running.output + chunk.toString()).slice(-200_000);
+    };
+    child.stdout.on('data', keep);
+    child.stderr.on('data', keep);
+    this.processes.set(`${role}-${at + 1}`, running);
+  }
+
+  /** Ends a process with a signal and waits until it is gone. */
+  async endProcess(name: string, signal: NodeJS.Signals): Promise<void> {
+    const child = this.processes.get(name)?.child;
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return;
+    const gone = new Promise((resolve) => child.once('exit', resolve));
+    child.kill(signal);
+    await gone;
+  }
+
+  async restartProcess(name: string, losesDisk: boolean): Promise<void> {
+    const running = this.processes.get(name);
+    if (running === undefined) return;
+    const at = this.ips.indexOf(running.ip);
+    if (losesDisk) await rm(join(this.folder, `vm-${at + 1}`), { recursive: true, force: true });
+    await this.startProcess(running.role, running.ip, at, false);
+  }
+
+  async addUpstream(
+    service: string,
+    at: number,
+    number: number,
+    version = 'v1',
+  ): Promise<Upstream> {
+    const zone = this.zones[at] ?? '';
+    const id = `${service}-${zone}-${number}`;
+    const address = `127.${this.net}.${at + 1}.${100 + number}:8080`;
+    const upstream = new Upstream(id, address, service, zone, version);
+    await upstream.start();
+    this.upstreams.push(upstream);
+    return upstream;
+  }
+
+  /** Sends an order until some control address takes it. */
+  async order(question: Question): Promise<Answer> {
+    const until = performance.now() + 15_000;
+    while (performance.now() < until) {
+      const [ip = ''] = this.shuffleIps();
+      const answer = await this.#askFollowing(ip, question, 2).catch(() => undefined);
+      if (answer !== undefined && answer.status < 500 && answer.status !== 307) return answer;
+      await sleep(50);
+    }
+    throw new Error(`no control address took ${question.path}`);
+  }
+
+  async #askFollowing(ip: string, question: Question, hops: number): Promise<Answer> {
+    const answer = await ask(ip, PORTS.control, { timeout: 1000, ...question });
+    if (answer.status !== 307 || hops === 0) return answer;
+    return this.#askFollowing(
+      new URL(String(answer.headers.location)).hostname,
+      question,
+      hops - 1,
+    );
+  }
+
+  /** Puts a configuration with one route for each service. */
+  async putRoutes(routes: readonly Readonly<Record<string, unknown>>[]): Promise<Answer> {
+    const base = this.version;
+    const version = base + 3;
+    const services = ['records', 'orders'].map((name) => ({
+      name,
+      health_path: '/health',
+      max_conns: 200,
+      protocol: 'h1',
+      tls: false,
+      cold_start: '1s',
+      cold_per_s: 20,
+    }));
+    const body = JSON.stringify({
+      version,
+      services,
+      limits: {
+        max_header_bytes: 16384,
+        max_body_bytes: 1048576,
+        header_timeout: '3000ms',
+        idle_timeout: '15000ms',
+      },
+      hosts: [{ host: 'site.example', paths: routes }],
+    });
+    const headers = { 'X-Base-Version': String(base), 'Content-Type': 'application/json' };
+    const answer = await this.order({ method: 'POST', path: '/-/Config.Put', headers, body });
+    if (answer.status === 200) this.version = version;
+    return answer;
+  }
+
+  /** Asks where to connect, as callers do. */
+  async resolve(zone: string): Promise<readonly string[]> {
+    const [ip = ''] = this.shuffleIps();
+    const path = `/-/resolve?name=site.example&region=klang-valley&zone=${zone}`;
+    const answer = await ask(ip, PORTS.directory, { path, timeout: 1000 }).catch(() => undefined);
+    if (answer?.status !== 200) return [];
+    return (JSON.parse(answer.body) as { addresses: readonly string[] }).addresses;
+  }
+
+  /** Sends one request of a caller to a gateway. */
+  call(ip: string, path: string, more: Partial<Question> = {}, id = newId()): Promise<Answer> {
+    return ask(ip, PORTS.front, {
+      ...more,
+      path,
+      headers: {
+        Host: 'site.example',
+        'X-Attempt-Id': id,
+        'X-Deadline-Ms': '1000',
+        ...more.headers,
+      },
+    });
+  }
+
+  async isReady(ip: string): Promise<boolean> {
+    const answer = await ask(ip, PORTS.ready, { path: '/-/readiness' }).catch(() => undefined);
+    return answer?.status === 200;
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#beats);
+    this.upstreams.forEach((upstream) => {
+      upstream.stop();
+    });
+    await Promise.all([...this.processes.keys()].map((name) => this.endProcess(name, 'SIGKILL')));
+    await rm(this.folder, { recursive: true, force: true });
+  }
+}
+
+export function newId(): string {
+  return randomBytes(8).toString('hex');
+}
+
+/** Polls until the condition holds. */
+export async function waitUntil(
+  what: string,
+  condition: () => Promise<boolean> | boolean,
+  limit = 15_000,
+): Promise<void> {
+  const until = performance.now() + limit;
+  while (!(await condition())) {
+    if (performance.now() > until) throw new Error(`waited in vain until ${what}`);
+    await sleep(25);
+  }
+}
--- a/src/catalog/instances.ts
+++ b/src/catalog/instances.ts
@@ -22,7 +22,7 @@
   return Object.fromEntries(Object.entries(instances).filter(([id]) => !ids.has(id)));
 }
 
-function rememberEnds(state: Catalog, gone: readonly Instance[]): Catalog['ended'] {
+function addEnds(state: Catalog, gone: readonly Instance[]): Catalog['ended'] {
   const added = gone.map(({ id, bornAt }) => [id, bornAt] as const);
   return [...state.ended, ...added].slice(-REMEMBERED_ENDS);
 }
@@ -56,7 +56,7 @@
   return {
     ...state,
     instances: { ...dropInstances(state.instances, others), [instance.id]: merged },
-    ended: rememberEnds(state, others),
+    ended: addEnds(state, others),
     versions: { [instance.service]: instance.version, ...state.versions },
   };
 }
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -37,8 +37,6 @@
   /** Entries after which the state is saved as a snapshot. */
   readonly compactAfter?: number;
   readonly onProblem?: (problem: ControlProblem) => void;
-  /** Hears of each greeting of a process that asks to be admitted to the group. */
-  readonly onJoiner?: (address: Address) => void;
   /** A monotonic clock in milliseconds. */
   readonly clock?: () => Instant;
   /** Returns numbers from 0 to 1, exclusive. */
@@ -106,6 +104,8 @@
   readonly appliedIndex: number;
   /** Calls the listener after each applied command, and after a snapshot was restored. */
   onApplied(listener: AppliedListener<S>): void;
+  /** Calls the listener at each greeting of a process that asks to be admitted to the group. */
+  onJoiner(listener: (address: Address) => void): void;
   /** Tells whether this member led at some moment after the call; count a lease from the call. */
   confirmLeadership(): Promise<boolean>;
   changeMembers(change: MemberChange): Promise<ChangeOutcome>;
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -86,6 +86,7 @@
   readonly #reads = new PendingCalls<'current' | 'notLeader' | 'late'>();
   readonly #joiners = new Map<Address, MemberId>();
   readonly #listeners: AppliedListener<S>[] = [];
+  readonly #joinerListeners: ((address: Address) => void)[] = [];
   readonly #self: MemberId;
   #founding: FoundingState;
   #consensus: ConsensusState | undefined;
@@ -240,7 +241,9 @@
         return;
       case 'announceJoiner':
         this.#joiners.set(toAddress(effect.id), effect.id);
-        this.#options.onJoiner?.(toAddress(effect.id));
+        this.#joinerListeners.forEach((listener) => {
+          listener(toAddress(effect.id));
+        });
         this.#dispatch({ kind: 'joinRequested', id: effect.id });
         return;
       case 'reportStranger':
@@ -526,6 +529,10 @@
     return this.#appliedIndex;
   }
 
+  onJoiner(listener: (address: Address) => void): void {
+    this.#joinerListeners.push(listener);
+  }
+
   onApplied(listener: AppliedListener<S>): void {
     this.#listeners.push(listener);
   }
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -4,6 +4,7 @@
  */
 import { existsSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   applyCommand,
   decodeCatalog,
@@ -20,7 +21,7 @@
 } from '../control/index.js';
 import { createPublisher, FEED_CHANNEL, type FeedMessage } from '../feed/index.js';
 import { openGateway, type Gateway, type HeaderDialect } from '../gateway/index.js';
-import type { Address, Duration } from '../model/index.js';
+import { parseAddress, type Address, type Duration } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
 import { createSteward, type Steward } from '../steward/index.js';
 import {
@@ -79,11 +80,7 @@
 };
 
 function listSeeds(seeds: readonly Address[], port: number): readonly Address[] {
-  return seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(':'))}:${port}`);
-}
-
-function sleep(time: Duration): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, time));
+  return seeds.map((seed) => `${parseAddress(seed).host}:${port}`);
 }
 
 /** Asks the seeds for the members of the group until one answers. */
@@ -107,7 +104,6 @@
 async function openNode(
   settings: NonNullable<Settings['steward']>,
   mesh: Mesh,
-  onJoiner: (address: Address) => void,
 ): Promise<ControlNode<Catalog>> {
   const seeds = listSeeds(settings.seeds, settings.steward_port);
   const isFounder = settings.first_start === true && seeds.includes(mesh.address);
@@ -122,7 +118,6 @@
       mesh,
       machine: catalogMachine,
       timings: STEWARD_TIMINGS,
-      onJoiner,
       onProblem: ({ kind, message }) => {
         log.warn(message, { kind });
         if (kind === 'writeFailed') setTimeout(() => process.exit(1), FAILED_DISK_DELAY);
@@ -133,7 +128,7 @@
       reason: String(error),
     });
     await sleep(OPEN_RETRY);
-    return openNode(settings, mesh, onJoiner);
+    return openNode(settings, mesh);
   }
 }
 
@@ -146,25 +141,23 @@
   const own = settings.steward;
   if (own === undefined) throw new Error('settings have no section [steward]: add it');
   const now = (): number => performance.now();
-  let steward: Steward | undefined;
-  const node = await openNode(own, mesh, (address) => steward?.requestJoin(address));
-  steward = createSteward({
+  const node = await openNode(own, mesh);
+  const steward = createSteward({
     control: node,
     announceInterval: own.announce_interval_ms ?? 0,
     now,
     wallNow: Date.now,
   });
-  const running = steward;
   const publisher = createPublisher({
     mesh,
     control: node,
     now,
-    listCold: () => running.listCold(),
+    listCold: () => steward.listCold(),
     onEvidence: (rows) => {
-      running.addEvidence(rows);
+      steward.addEvidence(rows);
     },
   });
-  const listeners = await adapter.openStewardListeners(running, settings);
+  const listeners = await adapter.openStewardListeners(steward, settings);
   const gauges: readonly (readonly [string, string, () => number])[] = [
     [
       'chivewalk_steward_leader',
@@ -188,7 +181,7 @@
   return {
     stop: async () => {
       listeners.close();
-      running.close();
+      steward.close();
       await node.close();
       publisher.close();
     },
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -153,7 +153,7 @@
   #takeNews(news: Extract<FeedMessage, { kind: 'news' }>): void {
     const { base, after, commands, cold, fleet } = news;
     const { onChange, onCold } = this.#options;
-    if (base !== undefined && base !== null && base.index > this.#view.index) {
+    if (base !== undefined && base.index > this.#view.index) {
       this.#view = { ...this.#view, catalog: decodeCatalog(base.state), index: base.index };
       onChange(this.#view, { kind: 'replaced' });
       onCold(cold);
@@ -168,7 +168,7 @@
       };
       onChange(this.#view, { kind: 'command', command });
     });
-    if (fleet === undefined || fleet === null || fleet.revision === this.#fleetRevision) return;
+    if (fleet === undefined || fleet.revision === this.#fleetRevision) return;
     this.#fleetRevision = fleet.revision;
     this.#view = { ...this.#view, entries: fleet.entries };
     onChange(this.#view, { kind: 'fleet' });
--- a/src/gateway/book.ts
+++ b/src/gateway/book.ts
@@ -49,7 +49,7 @@
   };
 }
 
-function decayCounts(record: UpstreamRecord, now: Instant): void {
+function expireCounts(record: UpstreamRecord, now: Instant): void {
   const factor = 0.5 ** ((now - record.countedAt) / COUNT_HALF_LIFE);
   record.good *= factor;
   record.bad *= factor;
@@ -66,7 +66,7 @@
 
 /** Counts answers that this gateway or another one got. */
 export function addCounts(record: UpstreamRecord, good: number, bad: number, now: Instant): void {
-  decayCounts(record, now);
+  expireCounts(record, now);
   record.good += good;
   record.bad += bad;
 }
@@ -87,7 +87,7 @@
 }
 
 /** Believes that the upstream stays cold for so long; 0 ends it. */
-export function setCold(
+export function markCold(
   record: UpstreamRecord,
   coldFor: Duration,
   now: Instant,
@@ -100,11 +100,11 @@
 }
 
 /** Takes this gateway's turn at a cold upstream. */
-export function takeColdTurn(record: UpstreamRecord, now: Instant, share: ColdShare): void {
+export function claimColdTurn(record: UpstreamRecord, now: Instant, share: ColdShare): void {
   record.coldTurnAt = now + computePause(record, share);
 }
 
-function blockAfterMiss(record: UpstreamRecord, isUnreachable: boolean, now: Instant): void {
+function recordMiss(record: UpstreamRecord, isUnreachable: boolean, now: Instant): void {
   record.misses += 1;
   if (!isUnreachable && record.misses < BLOCKING_MISSES) return;
   const doublings = Math.min(record.misses - 1, 10);
@@ -129,7 +129,7 @@
     case 'lost':
       addCounts(record, 0, 1, now);
       record.newBad += 1;
-      blockAfterMiss(record, outcome.kind === 'unreachable', now);
+      recordMiss(record, outcome.kind === 'unreachable', now);
       return;
   }
 }
@@ -195,7 +195,7 @@
   chillZone(zone: string, now: Instant, share: ColdShare): void {
     this.#records.forEach((record) => {
       if (record.instance.zone !== zone) return;
-      setCold(record, record.service?.coldTime ?? 0, now, share);
+      markCold(record, record.service?.coldTime ?? 0, now, share);
     });
   }
 }
--- a/src/gateway/budget.ts
+++ b/src/gateway/budget.ts
@@ -20,10 +20,10 @@
 /** Gateways that the slack is divided by at least, while the list of them is incomplete. */
 const MIN_GATEWAYS = 8;
 
-/** Repeats that this gateway may send to one service. */
+/** Repeats that this gateway may send to one service; a gateway that has just started has none saved up. */
 export class RetryBudget {
   readonly #bounds: RetryBounds;
-  #tokens = 1;
+  #tokens = 0;
 
   constructor(bounds: RetryBounds) {
     this.#bounds = bounds;
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -27,6 +27,8 @@
   readonly reason: string;
   readonly headers: HeaderList;
   readonly body: Buffer;
+  /** Whether the end of the connection is to end the body, as it did where the answer came from. */
+  readonly isUnframed: boolean;
 }
 
 /** A request that was read whole. */
@@ -69,7 +71,7 @@
   answer: CallerAnswer | undefined;
 }
 
-function wantsClose(head: RequestHead): boolean {
+function hasClose(head: RequestHead): boolean {
   const tokens = (getHeader(head.headers, 'connection') ?? '').toLowerCase();
   return tokens.includes('close') || (head.minorVersion === 0 && !tokens.includes('keep-alive'));
 }
@@ -170,7 +172,7 @@
   }
 
   #addRequest(request: CallerRequest): void {
-    const isLast = wantsClose(request.head);
+    const isLast = hasClose(request.head);
     if (isLast) this.#isReading = false;
     this.#addSlot({
       request,
@@ -219,12 +221,12 @@
   }
 
   #write(slot: Slot, answer: CallerAnswer): void {
-    const closes = slot.isLast || this.#host.isStopping();
-    const { status, reason, headers, body } = answer;
-    const isBodyless = status === 204 || status === 304;
+    const { status, reason, headers, body, isUnframed } = answer;
+    const closes = slot.isLast || isUnframed || this.#host.isStopping();
+    const hasLength = !isUnframed && status !== 204 && status !== 304;
     const head = renderHead(`HTTP/1.1 ${status} ${reason}`, [
       ...headers,
-      ...(isBodyless ? [] : [['Content-Length', String(body.length)] as const]),
+      ...(hasLength ? [['Content-Length', String(body.length)] as const] : []),
       ...(closes ? [['Connection', 'close'] as const] : []),
     ]);
     this.#socket.cork();
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -17,6 +17,8 @@
 const EQUAL_RATIO = 1.15;
 /** Milliseconds on top of that. */
 const EQUAL_SLACK: Duration = 2;
+/** Part of the work by which an upstream without a free slot counts as slower than its queue suggests. */
+const QUEUE_PENALTY = 0.3;
 /** Requests that may wait in an upstream for each of its slots; many hang where their queue is full. */
 const WAITING_PER_SLOT = 2;
 /** Share of bad answers from which an upstream counts as failing. */
@@ -49,7 +51,7 @@
   | { readonly kind: 'noUpstream' };
 
 /** Returns how slow the upstream is believed to be at present. */
-export function estimatePace(record: UpstreamRecord, now: Instant): number {
+export function computePace(record: UpstreamRecord, now: Instant): number {
   const age = now - record.reportedAt;
   if (!Number.isFinite(age)) return UNKNOWN_PACE;
   const trust = 0.5 ** (age / PACE_HALF_LIFE);
@@ -57,7 +59,7 @@
 }
 
 /** Returns how many requests are believed to be in the upstream. */
-export function estimateOccupancy(record: UpstreamRecord): number {
+export function computeOccupancy(record: UpstreamRecord): number {
   const { running, waiting } = record.report;
   return Math.max(record.inFlight, running + waiting + record.sinceReport);
 }
@@ -68,10 +70,11 @@
 }
 
 /** Returns the milliseconds until an answer is expected. */
-export function estimateTime(record: UpstreamRecord, work: Duration, now: Instant): Duration {
+export function computeTime(record: UpstreamRecord, work: Duration, now: Instant): Duration {
   const { slots } = record.instance;
-  const ahead = Math.max(0, estimateOccupancy(record) + 1 - slots);
-  return work * estimatePace(record, now) * (1 + ahead / slots);
+  const ahead = Math.max(0, computeOccupancy(record) + 1 - slots);
+  const queue = ahead > 0 ? QUEUE_PENALTY + ahead / slots : 0;
+  return work * computePace(record, now) * (1 + queue);
 }
 
 function isOpen(record: UpstreamRecord, now: Instant): boolean {
@@ -85,9 +88,9 @@
   readonly cost: Duration;
 }
 
-function rateUpstream(record: UpstreamRecord, context: ChoiceContext): Rated {
+function measureUpstream(record: UpstreamRecord, context: ChoiceContext): Rated {
   const { now, work, zone, isLarge } = context;
-  const expected = estimateTime(record, work, now);
+  const expected = computeTime(record, work, now);
   const penalty = isLarge ? DOWNLOAD_ZONE_PENALTY : ZONE_PENALTY;
   const badShare = computeBadShare(record);
   const failing = badShare > FAILING_SHARE ? 1 + badShare * FAILING_PENALTY : 1;
@@ -100,7 +103,7 @@
 
 function hasRoom({ record, expected }: Rated, context: ChoiceContext): boolean {
   const { slots } = record.instance;
-  const isFull = estimateOccupancy(record) >= slots * (1 + WAITING_PER_SLOT);
+  const isFull = computeOccupancy(record) >= slots * (1 + WAITING_PER_SLOT);
   return !isFull && expected <= context.left * context.patience;
 }
 
@@ -109,7 +112,7 @@
   const least = Math.min(...rated.map(({ cost }) => cost));
   const best = rated.filter(({ cost }) => cost <= least * EQUAL_RATIO + EQUAL_SLACK);
   const weights = best.map(({ record }) =>
-    Math.max(0.5, record.instance.slots - estimateOccupancy(record)),
+    Math.max(0.5, record.instance.slots - computeOccupancy(record)),
   );
   const target = random * weights.reduce((sum, weight) => sum + weight, 0);
   const sums = weights.map((_, at) =>
@@ -127,7 +130,7 @@
 export function chooseUpstream(records: readonly UpstreamRecord[], context: ChoiceContext): Choice {
   const open = records.filter((record) => isOpen(record, context.now));
   if (open.length === 0) return { kind: 'noUpstream' };
-  const rated = open.map((record) => rateUpstream(record, context));
+  const rated = open.map((record) => measureUpstream(record, context));
   const able = rated.filter((one) => hasRoom(one, context));
   const chosen = pickAmongBest(able, context.random);
   if (chosen !== undefined) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  * here allows, within the allowances of the fleet, and its caller gets one final answer.
  */
 import { createServer, type Server, type Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 import type { Catalog, Route } from '../catalog/index.js';
 import {
   createFollower,
@@ -18,15 +19,21 @@
   type ProtocolError,
   type RequestHead,
 } from '../http1/index.js';
-import type { Address, Duration, Instant, ZoneId } from '../model/index.js';
+import {
+  parseAddress,
+  type Address,
+  type Duration,
+  type Instant,
+  type ZoneId,
+} from '../model/index.js';
 import { createLogger } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import {
   addCounts,
   addOutcome,
   addReport,
-  setCold,
-  takeColdTurn,
+  markCold,
+  claimColdTurn,
   UpstreamBook,
   type ColdShare,
 } from './book.js';
@@ -38,10 +45,10 @@
   type CallerRequest,
   type ServedRequest,
 } from './caller.js';
-import { chooseUpstream, estimatePace, type Choice } from './choose.js';
+import { chooseUpstream, computePace, type Choice } from './choose.js';
 import { EvidenceCollector } from './evidence.js';
 import { ConnectionPool, type Attempt } from './pool.js';
-import { createProber, takeLoad, type Prober } from './prober.js';
+import { createProber, recordLoad, type Prober } from './prober.js';
 import { createPulse, type HeardReport, type Pulse } from './pulse.js';
 import { buildRouteIndex, matchRoute, WeightedDealer, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost } from './run.js';
@@ -134,6 +141,7 @@
     reason: reasonPhrases[status] ?? 'Error',
     headers: [...headers, ['Content-Type', 'application/json']],
     body: Buffer.from(JSON.stringify({ error })),
+    isUnframed: false,
   };
 }
 
@@ -213,7 +221,7 @@
       listGateways: () => this.#gateways,
       listRecords: () => this.#book.records,
       onCold: (record, coldFor) => {
-        setCold(record, coldFor, this.now(), this.#coldShare);
+        markCold(record, coldFor, this.now(), this.#coldShare);
       },
       onEnd: (record, outcome) => {
         this.#takeProbe(record, outcome);
@@ -230,17 +238,9 @@
 
   static async open(options: GatewayOptions): Promise<RunningGateway> {
     const server = createServer();
-    const at = options.callerListen.lastIndexOf(':');
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(
-        {
-          host: options.callerListen.slice(0, at),
-          port: Number(options.callerListen.slice(at + 1)),
-          backlog: LISTEN_BACKLOG,
-        },
-        resolve,
-      );
+      server.listen({ ...parseAddress(options.callerListen), backlog: LISTEN_BACKLOG }, resolve);
     });
     const gateway = new RunningGateway(options, server);
     server.on('connection', (socket: Socket) => {
@@ -344,7 +344,7 @@
     Object.entries(cold).forEach(([id, coldFor]) => {
       const record = this.#book.getRecord(id);
       if (record !== undefined && coldFor > 0) {
-        setCold(record, coldFor, this.now(), this.#coldShare);
+        markCold(record, coldFor, this.now(), this.#coldShare);
       }
     });
   }
@@ -355,7 +355,7 @@
     const now = this.now();
     addReport(record, report, at);
     if (good + bad > 0) addCounts(record, good, bad, now);
-    if (coldFor > 0 && record.coldUntil <= now) setCold(record, coldFor, now, this.#coldShare);
+    if (coldFor > 0 && record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
   }
 
   #takeProbe(record: UpstreamRecord, outcome: AttemptOutcome): void {
@@ -497,7 +497,7 @@
       [this.#dialect.expectInstance, id],
       ...(request.hasBody ? [['Content-Length', String(request.body.length)] as const] : []),
     ];
-    if (record.coldUntil > now) takeColdTurn(record, now, this.#coldShare);
+    if (record.coldUntil > now) claimColdTurn(record, now, this.#coldShare);
     record.inFlight += 1;
     record.sinceReport += 1;
     const { method, target, body } = request;
@@ -507,7 +507,7 @@
       {
         onEnd,
         onHead: (found) => {
-          takeLoad(record, found, this.#dialect, this.now());
+          recordLoad(record, found, this.#dialect, this.now());
         },
       },
     );
@@ -522,7 +522,7 @@
     const now = this.now();
     record.inFlight -= 1;
     record.sinceReport -= 1;
-    const pace = estimatePace(record, now);
+    const pace = computePace(record, now);
     const latency = (now - sentAt) / pace;
     if (outcome !== undefined) addOutcome(record, outcome, now);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
@@ -570,8 +570,8 @@
   #renderAnswer(answer: FinalAnswer, own: HeaderList): CallerAnswer {
     switch (answer.kind) {
       case 'upstream': {
-        const { status, reason, headers, body } = answer.answer;
-        return { status, reason, headers: listForwardable(headers, DROPPED_FROM_ANSWERS), body };
+        const { headers, ...rest } = answer.answer;
+        return { ...rest, headers: listForwardable(headers, DROPPED_FROM_ANSWERS) };
       }
       case 'refused':
         return buildOwnAnswer(503, `not run: ${answer.cause}`, [
@@ -621,10 +621,6 @@
 const STOP_POLL: Duration = 50;
 const DROPPED_FROM_ANSWERS: ReadonlySet<string> = new Set(['content-length']);
 
-function wait(time: Duration): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, time));
-}
-
 /**
  * Opens the listener for callers and begins to follow the control members.
  *
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -13,7 +13,7 @@
   type ReaderEvent,
   type ResponseHead,
 } from '../http1/index.js';
-import type { Address, Duration } from '../model/index.js';
+import { parseAddress, type Address, type Duration } from '../model/index.js';
 import type { AttemptOutcome, HeaderDialect } from './types.js';
 
 /** Milliseconds until a connection must be open; a lost first packet is sent again after a second only. */
@@ -59,11 +59,6 @@
   return match === null ? DEFAULT_IDLE : Number(match[1]) * 1000 * IDLE_USE;
 }
 
-function splitAddress(address: Address): { readonly host: string; readonly port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
 /** What is sent, and on what kind of connection. */
 interface ExchangePlan {
   readonly request: UpstreamRequest;
@@ -206,7 +201,8 @@
       this.#settle({ kind: 'notRun', isMisdirected: status === 421 });
       return;
     }
-    this.#settle({ kind: 'answered', answer: { status, reason, headers, body } });
+    const isUnframed = framing.kind === 'untilClose';
+    this.#settle({ kind: 'answered', answer: { status, reason, headers, body, isUnframed } });
   }
 }
 
@@ -249,7 +245,7 @@
   ): Attempt {
     const idle = this.#takeIdle(address);
     if (idle === undefined) this.opened += 1;
-    const socket = idle ?? connect({ ...splitAddress(address), noDelay: true });
+    const socket = idle ?? connect({ ...parseAddress(address), noDelay: true });
     return new Exchange(
       socket,
       { request, isOpen: idle !== undefined, isProbe },
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -38,7 +38,7 @@
 }
 
 /** Takes the load that a response tells. */
-export function takeLoad(
+export function recordLoad(
   record: UpstreamRecord,
   headers: HeaderList,
   dialect: HeaderDialect,
@@ -139,7 +139,7 @@
             record.instance.service,
             getHeader(found, dialect.load) !== undefined,
           );
-          takeLoad(record, found, dialect, now());
+          recordLoad(record, found, dialect, now());
           const coldFor = Number(getHeader(found, dialect.coldFor) ?? 0);
           if (coldFor > 0) onCold(record, coldFor);
         },
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -5,7 +5,7 @@
  */
 import { createSocket, type Socket } from 'node:dgram';
 import { Packr } from 'msgpackr';
-import type { Address, Duration, Instant } from '../model/index.js';
+import { parseAddress, type Address, type Duration, type Instant } from '../model/index.js';
 import type { UpstreamRecord } from './types.js';
 
 const packr = new Packr({ useRecords: false });
@@ -61,11 +61,6 @@
   close(): void;
 }
 
-function splitAddress(address: Address): readonly [host: string, port: number] {
-  const at = address.lastIndexOf(':');
-  return [address.slice(0, at), Number(address.slice(at + 1))];
-}
-
 class DatagramPulse implements Pulse {
   readonly #options: PulseOptions;
   readonly #socket: Socket;
@@ -81,7 +76,7 @@
     this.#socket.on('error', (error) => {
       options.onProblem(error.message);
     });
-    const [host, port] = splitAddress(options.listen);
+    const { host, port } = parseAddress(options.listen);
     this.#socket.bind(port, host);
     this.#schedule();
   }
@@ -136,7 +131,7 @@
         ? [whole]
         : [packr.pack(rows.slice(0, half)), packr.pack(rows.slice(half))];
     peers.forEach((peer) => {
-      const [host, port] = splitAddress(peer);
+      const { host, port } = parseAddress(peer);
       datagrams.forEach((datagram) => {
         this.#socket.send(datagram, port, host);
       });
--- a/src/gateway/repeat.ts
+++ b/src/gateway/repeat.ts
@@ -75,7 +75,7 @@
     : { kind: 'refused', cause: 'unreachable', retryAfter: UNREACHABLE_DELAY };
 }
 
-function canRunAgain({ isIdempotent, mayHaveRun, pending, maxAttempts }: RepeatState): boolean {
+function hasRunLeft({ isIdempotent, mayHaveRun, pending, maxAttempts }: RepeatState): boolean {
   return mayHaveRun + pending === 0 || (isIdempotent && mayHaveRun + pending < maxAttempts);
 }
 
@@ -94,21 +94,21 @@
   switch (outcome.kind) {
     case 'unreachable': {
       const isHopeless = state.unreached >= MAX_UNREACHED || state.pending > 0;
-      return isHopeless || !canRunAgain(state) ? settled : { kind: 'repeat', isCharged: false };
+      return isHopeless || !hasRunLeft(state) ? settled : { kind: 'repeat', isCharged: false };
     }
     case 'notRun':
-      return state.turnedAway > state.maxAttempts || !canRunAgain(state)
+      return state.turnedAway > state.maxAttempts || !hasRunLeft(state)
         ? settled
         : { kind: 'repeat', isCharged: true };
     case 'answered':
     case 'lost':
-      return state.isIdempotent && canRunAgain(state)
+      return state.isIdempotent && hasRunLeft(state)
         ? { kind: 'repeat', isCharged: true }
         : settled;
   }
 }
 
 /** Tells whether a second upstream may be sent the request while the first one still has it. */
-export function canHedge(state: RepeatState): boolean {
-  return state.isIdempotent && state.pending === 1 && canRunAgain(state);
+export function isHedgeable(state: RepeatState): boolean {
+  return state.isIdempotent && state.pending === 1 && hasRunLeft(state);
 }
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -7,7 +7,7 @@
 import type { Attempt } from './pool.js';
 import {
   addAttemptEnd,
-  canHedge,
+  isHedgeable,
   createRepeatState,
   decideAfter,
   finishRequest,
@@ -122,7 +122,7 @@
       }),
     };
     this.#pending.add(pending);
-    if (!canHedge(this.#state)) return;
+    if (!isHedgeable(this.#state)) return;
     clearTimeout(this.#hedge);
     this.#hedge = setTimeout(
       () => {
@@ -134,7 +134,7 @@
 
   /** Asks a second upstream, as the first one takes longer than work does there. */
   #sendHedge(): void {
-    if (this.#isOver || !canHedge(this.#state)) return;
+    if (this.#isOver || !isHedgeable(this.#state)) return;
     const choice = this.#host.choose(this.#request, this.#tried);
     if (choice.kind !== 'chosen' || !this.#host.takeRepeat(this.#request.service)) return;
     this.#host.recordDecision(this.#request, 'hedge', choice.record, 'the first upstream is late');
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -46,6 +46,8 @@
   readonly reason: string;
   readonly headers: readonly (readonly [string, string])[];
   readonly body: Buffer;
+  /** Whether only the end of the connection showed the end of the body; a crash looks the same. */
+  readonly isUnframed: boolean;
 }
 
 /** Why the gateway answers for itself. */
--- a/src/http1/reader.ts
+++ b/src/http1/reader.ts
@@ -135,7 +135,7 @@
     if (end < 0) return false;
     const head = this.#grammar.parseHead(this.#pending.toString('latin1', 0, end));
     this.#pending = this.#pending.subarray(end + HEAD_END.length);
-    if ('kind' in head) return this.#fail(events, head as unknown as ProtocolError);
+    if ('kind' in head) return this.#fail(events, head);
     if (this.#grammar.isInterim(head)) return true;
     const framing = this.#grammar.findFraming(head);
     if (framing.kind === 'protocolError') return this.#fail(events, framing);
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -137,3 +137,14 @@
 export function checkInvariant(condition: boolean, message: string): asserts condition {
   if (!condition) throw new InvariantError(message);
 }
+
+/**
+ * Splits `ip:port`.
+ *
+ * @example
+ * parseAddress('10.0.1.4:8080') // { host: '10.0.1.4', port: 8080 }
+ */
+export function parseAddress(address: Address): { readonly host: string; readonly port: number } {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -74,7 +74,6 @@
   end(id: string, bornAt: number | undefined, cause: EndCause): Promise<OrderOutcome>;
   readCurrent(): Promise<ReadAnswer>;
   addEvidence(rows: readonly EvidenceRow[]): void;
-  requestJoin(address: Address): void;
   listCold(): Readonly<Record<string, Duration>>;
   close(): void;
 }
@@ -106,6 +105,9 @@
     this.#timer = setInterval(() => {
       this.#look();
     }, LOOK_INTERVAL);
+    options.control.onJoiner((address) => {
+      this.#requestJoin(address);
+    });
     options.control.onApplied((_, __, command) => {
       this.#noteCold(command as CatalogCommand | undefined);
     });
@@ -182,7 +184,7 @@
     this.#evidence = mergeEvidence(this.#evidence, rows);
   }
 
-  requestJoin(address: Address): void {
+  #requestJoin(address: Address): void {
     const others = this.#joins.waiting.filter((waiting) => waiting !== address);
     this.#joins = { ...this.#joins, waiting: [...others, address] };
   }
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -3,7 +3,7 @@
  * nothing.
  */
 import { createServer } from 'node:http';
-import type { Address } from '../model/index.js';
+import { parseAddress, type Address } from '../model/index.js';
 import type { Metrics } from './metrics.js';
 
 /** The listener. */
@@ -27,10 +27,9 @@
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
     });
   });
-  const at = listen.lastIndexOf(':');
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(listen.slice(at + 1)), listen.slice(0, at), resolve);
+    server.listen(parseAddress(listen), resolve);
   });
   return {
     close: () => {
--- a/src/telemetry/sink.ts
+++ b/src/telemetry/sink.ts
@@ -73,7 +73,10 @@
     const bytes = Buffer.from(`${line}\n`);
     this.#waiting.push(bytes);
     this.#bytes += bytes.length;
-    if (!this.#isWriting) this.#timer ??= setTimeout(() => this.flush(), FLUSH_DELAY).unref();
+    if (!this.#isWriting)
+      this.#timer ??= setTimeout(() => {
+        this.flush();
+      }, FLUSH_DELAY).unref();
   }
 
   /** Hands what waits to the reader. */
@@ -90,7 +93,9 @@
       this.#bytes -= bytes.length - rest.length;
       if (rest.length > 0) {
         this.#waiting.unshift(rest);
-        this.#timer ??= setTimeout(() => this.flush(), RETRY_DELAY).unref();
+        this.#timer ??= setTimeout(() => {
+          this.flush();
+        }, RETRY_DELAY).unref();
       } else if (this.#waiting.length > 0) this.flush();
     });
   }
--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -6,7 +6,7 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Packr } from 'msgpackr';
-import type { Address } from '../model/index.js';
+import { parseAddress, type Address } from '../model/index.js';
 import { encodeFrame, FrameReader } from './frame.js';
 
 /** What {@link createMesh} needs to know. */
@@ -106,10 +106,10 @@
 
   static async create(options: MeshOptions): Promise<TcpMesh> {
     const mesh = new TcpMesh(options);
-    const [ip, port] = toEndpoint(options.address);
+    const { host, port } = parseAddress(options.address);
     await new Promise<void>((resolve, reject) => {
       mesh.#server.once('error', reject);
-      mesh.#server.listen({ host: ip, port }, resolve);
+      mesh.#server.listen({ host, port }, resolve);
     });
     return mesh;
   }
@@ -181,8 +181,7 @@
   #dial(to: Address): Link | undefined {
     const now = performance.now();
     if ((this.#blockedUntil.get(to) ?? 0) > now) return undefined;
-    const [host, port] = toEndpoint(to);
-    const socket = connect({ host, port, noDelay: true });
+    const socket = connect({ ...parseAddress(to), noDelay: true });
     const link: Link = {
       socket,
       waiting: [],
@@ -261,12 +260,6 @@
   }
 }
 
-/** Splits `ip:port`. */
-function toEndpoint(address: Address): readonly [string, number] {
-  const at = address.lastIndexOf(':');
-  return [address.slice(0, at), Number(address.slice(at + 1))];
-}
-
 /**
  * Opens the listener and returns the mesh.
  *
