--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -93,13 +93,19 @@
     case 'unreachable':
       return { kind: 'unreachable', reason: 'refused' };
     default: {
-      const answer = { status: Number(word), reason: '', headers: [], body: Buffer.alloc(0), isUnframed: false };
+      const answer = {
+        status: Number(word),
+        reason: '',
+        headers: [],
+        body: Buffer.alloc(0),
+        isUnframed: false,
+      };
       return { kind: 'answered', answer };
     }
   }
 }
 
-function endAttempts(state: RepeatState, words: readonly string[], others: number): DecisionWorld {
+function applyEnds(state: RepeatState, words: readonly string[], others: number): DecisionWorld {
   return words.reduce(
     (world, word) => {
       const sent = { ...world.state, pending: others + 1 };
@@ -119,13 +125,13 @@
 );
 
 When('its attempts end with {string}', function (this: DecisionWorld, ends: string) {
-  this.decision = endAttempts(this.state, ends.split(' '), 0).decision;
+  this.decision = applyEnds(this.state, ends.split(' '), 0).decision;
 });
 
 When(
   'its attempts end with {string} while another is under way',
   function (this: DecisionWorld, ends: string) {
-    this.decision = endAttempts(this.state, ends.split(' '), 1).decision;
+    this.decision = applyEnds(this.state, ends.split(' '), 1).decision;
   },
 );
 
--- a/features/http1/reader.steps.ts
+++ b/features/http1/reader.steps.ts
@@ -16,7 +16,7 @@
 
 const LIMITS = { headBytes: 1000, bodyBytes: 1000 };
 
-function unescapeBytes(text: string): Buffer {
+function parseBytes(text: string): Buffer {
   return Buffer.from(text.replaceAll('\\r', '\r').replaceAll('\\n', '\n'), 'latin1');
 }
 
@@ -39,11 +39,11 @@
 }
 
 Given('the request bytes {string}', function (this: ReaderWorld, text: string) {
-  this.bytes = unescapeBytes(text);
+  this.bytes = parseBytes(text);
 });
 
 Given('the response bytes {string}', function (this: ReaderWorld, text: string) {
-  this.bytes = unescapeBytes(text);
+  this.bytes = parseBytes(text);
 });
 
 When('the connection ends in {string}', function (this: ReaderWorld, end: string) {
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { newId, Site, waitUntil, type Answer, type Behaviour, type Upstream } from './site.js';
+import { createId, Site, waitUntil, type Answer, type Behaviour, type Upstream } from './site.js';
 
 interface PlatformWorld {
   site: Site;
@@ -82,7 +82,7 @@
       site.zones.map(async (zone) => {
         const [address = ''] = await site.resolve(zone);
         const [ip = ''] = address.split(':');
-        const id = newId();
+        const id = createId();
         const answer = await site.call(ip, '/records/17?full=1', {}, id);
         assert.equal(answer.status, 200);
         assert.equal(answer.headers['x-server-seal'], `seal-${id}`);
@@ -150,25 +150,25 @@
   },
 );
 
-function setBehaviour({ site }: PlatformWorld, behaviour: Behaviour): void {
+function applyBehaviour({ site }: PlatformWorld, behaviour: Behaviour): void {
   site.upstreams.forEach((upstream) => {
     upstream.behaviour = behaviour;
   });
 }
 
-async function playRequest(
+async function runRequest(
   world: PlatformWorld,
   kind: string,
   behaviour: string,
   status: number,
 ): Promise<number> {
   const { site } = world;
-  setBehaviour(world, behaviour as Behaviour);
-  const id = newId();
+  applyBehaviour(world, behaviour as Behaviour);
+  const id = createId();
   const [ip = ''] = site.ips;
   const more = kind === 'safe' ? {} : { method: 'POST', body: 'an order' };
   const answer = await site.call(ip, kind === 'safe' ? '/records/1' : '/orders/1', more, id);
-  setBehaviour(world, 'serve');
+  applyBehaviour(world, 'serve');
   assert.equal(answer.status, status, `${kind} over ${behaviour}: ${answer.body}`);
   await waitUntil('the upstreams are used again', async () => {
     const after = await site.call(ip, kind === 'safe' ? '/records/2' : '/orders/2', more);
@@ -188,7 +188,7 @@
     status: string,
     count: string,
   ) {
-    const ran = await playRequest(this, kind, behaviour, Number(status));
+    const ran = await runRequest(this, kind, behaviour, Number(status));
     if (count === 'at most twice') assert.ok(ran >= 1 && ran <= 2, `ran ${ran} times`);
     else assert.equal(ran, count === 'once' ? 1 : 0);
   },
@@ -199,8 +199,8 @@
   { timeout: 20_000 },
   async function (this: PlatformWorld) {
     const { site } = this;
-    setBehaviour(this, 'stray');
-    const ids = Array.from({ length: 60 }, newId);
+    applyBehaviour(this, 'stray');
+    const ids = Array.from({ length: 60 }, createId);
     const answers = await ids.reduce<Promise<readonly Answer[]>>(async (before, id, at) => {
       const done = await before;
       const ip = site.ips[at % site.ips.length] ?? '';
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -38,7 +38,7 @@
 }
 
 /** Sends one request on a connection of its own. */
-export function ask(ip: string, port: number, question: Question): Promise<Answer> {
+export function sendQuestion(ip: string, port: number, question: Question): Promise<Answer> {
   const { method = 'GET', path, headers = {}, body, timeout = 2000 } = question;
   return new Promise((resolve, reject) => {
     const sent = sendRequest(
@@ -177,17 +177,21 @@
       body,
       timeout: 1000,
     };
-    const isTaken = await post(ips, question, hops);
+    const isTaken = await sendBeat(ips, question, hops);
     if (isTaken) this.acknowledged += 1;
     return isTaken;
   }
 }
 
-async function post(ips: readonly string[], question: Question, hops: number): Promise<boolean> {
-  const answer = await ask(ips[0] ?? '', PORTS.control, question).catch(() => undefined);
+async function sendBeat(
+  ips: readonly string[],
+  question: Question,
+  hops: number,
+): Promise<boolean> {
+  const answer = await sendQuestion(ips[0] ?? '', PORTS.control, question).catch(() => undefined);
   if (answer?.status === 200) return true;
   if (answer?.status === 307 && hops > 0) {
-    return post([new URL(String(answer.headers.location)).hostname], question, hops - 1);
+    return sendBeat([new URL(String(answer.headers.location)).hostname], question, hops - 1);
   }
   return false;
 }
@@ -304,7 +308,7 @@
   /** Ends a process with a signal and waits until it is gone. */
   async endProcess(name: string, signal: NodeJS.Signals): Promise<void> {
     const child = this.processes.get(name)?.child;
-    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return;
+    if (child?.exitCode !== null || child.signalCode !== null) return;
     const gone = new Promise((resolve) => child.once('exit', resolve));
     child.kill(signal);
     await gone;
@@ -346,7 +350,7 @@
   }
 
   async #askFollowing(ip: string, question: Question, hops: number): Promise<Answer> {
-    const answer = await ask(ip, PORTS.control, { timeout: 1000, ...question });
+    const answer = await sendQuestion(ip, PORTS.control, { timeout: 1000, ...question });
     if (answer.status !== 307 || hops === 0) return answer;
     return this.#askFollowing(
       new URL(String(answer.headers.location)).hostname,
@@ -389,14 +393,16 @@
   async resolve(zone: string): Promise<readonly string[]> {
     const [ip = ''] = this.shuffleIps();
     const path = `/-/resolve?name=site.example&region=klang-valley&zone=${zone}`;
-    const answer = await ask(ip, PORTS.directory, { path, timeout: 1000 }).catch(() => undefined);
+    const answer = await sendQuestion(ip, PORTS.directory, { path, timeout: 1000 }).catch(
+      () => undefined,
+    );
     if (answer?.status !== 200) return [];
     return (JSON.parse(answer.body) as { addresses: readonly string[] }).addresses;
   }
 
   /** Sends one request of a caller to a gateway. */
-  call(ip: string, path: string, more: Partial<Question> = {}, id = newId()): Promise<Answer> {
-    return ask(ip, PORTS.front, {
+  call(ip: string, path: string, more: Partial<Question> = {}, id = createId()): Promise<Answer> {
+    return sendQuestion(ip, PORTS.front, {
       ...more,
       path,
       headers: {
@@ -409,7 +415,9 @@
   }
 
   async isReady(ip: string): Promise<boolean> {
-    const answer = await ask(ip, PORTS.ready, { path: '/-/readiness' }).catch(() => undefined);
+    const answer = await sendQuestion(ip, PORTS.ready, { path: '/-/readiness' }).catch(
+      () => undefined,
+    );
     return answer?.status === 200;
   }
 
@@ -423,7 +431,7 @@
   }
 }
 
-export function newId(): string {
+export function createId(): string {
   return randomBytes(8).toString('hex');
 }
 
--- /dev/null
+++ b/features/steward/decisions.feature
@@ -0,0 +1,58 @@
+Feature: The leading steward leads moves along and replaces members
+
+  Scenario Outline: A good version gets all traffic within its time
+    Given a move that lasts 14000 ms, at share <share>
+    When <elapsed> ms have passed and the new version does as well as the old one
+    Then the steward decides "<step>"
+
+    Examples:
+      | share | elapsed | step           |
+      | 0     | 100     | running 0.05   |
+      | 0.05  | 5000    | nothing        |
+      | 0.05  | 8500    | running 0.25   |
+      | 0.25  | 9600    | running 0.5    |
+      | 0.5   | 10700   | running 1      |
+      | 1     | 12000   | nothing        |
+      | 1     | 12700   | completed 1    |
+      | 0.5   | 14100   | rolledBack 0   |
+
+  Scenario Outline: A bad version is taken back on few requests, and a fault of the whole service is not held against it
+    Given a move that lasts 14000 ms, at share 0.05
+    When of <new> requests on the new version <bad> are "<how>", and of 500 on the old one <oldBad>
+    Then the steward decides "<step>"
+
+    Examples:
+      | new | bad | how    | oldBad | step         |
+      | 20  | 8   | failed | 2      | rolledBack 0 |
+      | 50  | 25  | failed | 2      | rolledBack 0 |
+      | 60  | 30  | slow   | 10     | rolledBack 0 |
+      | 50  | 15  | failed | 150    | nothing      |
+      | 50  | 1   | failed | 2      | nothing      |
+
+  Scenario Outline: The share stays within what the upstreams of the new version bear
+    Given a move beside <old> slots of the old version and <own> of the new one
+    Then the steward finds that they bear <share> of the traffic
+
+    Examples:
+      | old | own | share |
+      | 60  | 0   | 0     |
+      | 60  | 18  | 0.5   |
+      | 60  | 60  | 1     |
+      | 0   | 6   | 1     |
+
+  Scenario Outline: Members of the group
+    Given stewards "<members>" with silences "<silences>"
+    When "<waiting>" ask to join after <admitted> admissions
+    Then the steward changes "<change>"
+
+    Examples:
+      | members     | silences         | waiting | admitted | change   |
+      | a b c       | b 100, c 100     | d       | 0        | add d    |
+      | a b c       | b 100, c 100     |         | 0        |          |
+      | a b c       | b 100, c 99999   |         | 0        |          |
+      | a b c d     | b 100, c 3000, d 100 |     | 1        | remove c |
+      | a b c d     | b 100, c 3000, d 100 |     | 0        |          |
+      | a b c d     | b 100, c 16000, d 100 |    | 0        | remove c |
+      | a b c d     | b 2600, c 3000, d 100 |    | 1        | remove c |
+      | a b c d?    | b 100, c 16000, d 100 |    | 1        |          |
+      | a b c       | b 100, c 100     | c       | 0        |          |
--- /dev/null
+++ b/features/steward/decisions.steps.ts
@@ -0,0 +1,136 @@
+import { Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { emptyCatalog, type Instance, type TrafficMove } from '../../src/catalog/index.js';
+import type { ControlStatus, MemberChange } from '../../src/control/index.js';
+import { addEvidenceBlock, createJudgement, type EvidenceRow } from '../../src/rollout/index.js';
+import {
+  computeBearableShare,
+  planMembers,
+  planStep,
+  type MoveStep,
+} from '../../src/steward/index.js';
+
+interface StewardWorld {
+  move: TrafficMove;
+  step: MoveStep | undefined;
+  status: ControlStatus;
+  change: MemberChange | undefined;
+  bearable: number;
+}
+
+const GOOD_LATENCY_BUCKET = 35;
+const SLOW_LATENCY_BUCKET = 50;
+
+function buildMove(duration: number, share: number): TrafficMove {
+  return { service: 'records', version: 'v2', orderedAt: 0, duration, state: 'running', share };
+}
+
+Given(
+  'a move that lasts {int} ms, at share {float}',
+  function (this: StewardWorld, duration: number, share: number) {
+    this.move = buildMove(duration, share);
+  },
+);
+
+When(
+  '{int} ms have passed and the new version does as well as the old one',
+  function (this: StewardWorld, elapsed: number) {
+    this.step = planStep(this.move, createJudgement('v2'), 1, elapsed);
+  },
+);
+
+function buildRow(version: string, total: number, bad: number, how: string): EvidenceRow {
+  const failed = how === 'failed' ? bad : 0;
+  const slow = how === 'slow' ? bad : 0;
+  const latencies = [GOOD_LATENCY_BUCKET, total - failed - slow, SLOW_LATENCY_BUCKET, slow];
+  return { service: 'records', version, route: 'r1', ok: total - failed, failed, latencies };
+}
+
+When(
+  'of {int} requests on the new version {int} are {string}, and of {int} on the old one {int}',
+  function (
+    this: StewardWorld,
+    total: number,
+    bad: number,
+    how: string,
+    oldTotal: number,
+    oldBad: number,
+  ) {
+    // Evidence comes in blocks; the first holds the old version alone, as before a trial.
+    const blocks = [
+      [buildRow('v1', oldTotal, oldBad, how)],
+      ...[1, 2, 3, 4, 5].map(() => [
+        buildRow('v2', total / 5, bad / 5, how),
+        buildRow('v1', oldTotal / 5, oldBad / 5, how),
+      ]),
+    ];
+    const judgement = blocks.reduce(addEvidenceBlock, createJudgement('v2'));
+    this.step = planStep(this.move, judgement, 1, 3000);
+  },
+);
+
+Then('the steward decides {string}', function (this: StewardWorld, wanted: string) {
+  const { step } = this;
+  assert.equal(step === undefined ? 'nothing' : `${step.state} ${step.share}`, wanted);
+});
+
+function buildInstance(version: string, slots: number): readonly (readonly [string, Instance])[] {
+  if (slots === 0) return [];
+  const id = `up-${version}`;
+  const place = { address: '10.0.0.1:1', zone: 'cyberjaya', bornAt: 0, draining: false };
+  return [[id, { id, service: 'records', version, slots, ...place }]];
+}
+
+Given(
+  'a move beside {int} slots of the old version and {int} of the new one',
+  function (this: StewardWorld, old: number, own: number) {
+    const instances = Object.fromEntries([
+      ...buildInstance('v1', old),
+      ...buildInstance('v2', own),
+    ]);
+    this.bearable = computeBearableShare({ ...emptyCatalog, instances }, buildMove(14_000, 0.05));
+  },
+);
+
+Then(
+  'the steward finds that they bear {float} of the traffic',
+  function (this: StewardWorld, share: number) {
+    assert.equal(this.bearable, share);
+  },
+);
+
+Given(
+  'stewards {string} with silences {string}',
+  function (this: StewardWorld, members: string, silences: string) {
+    this.status = {
+      role: 'leader',
+      term: 1,
+      leader: 'a',
+      commitIndex: 1,
+      lastIndex: 1,
+      members: members.split(' ').map((name) => ({
+        id: `${name.replace('?', '')}#1`,
+        voter: !name.endsWith('?'),
+      })),
+      silences: silences.split(',').map((item) => {
+        const [name = '', silence = ''] = item.trim().split(' ');
+        return [name, Number(silence)] as const;
+      }),
+      healthy: true,
+      problem: undefined,
+    };
+  },
+);
+
+When(
+  '{string} ask to join after {int} admissions',
+  function (this: StewardWorld, waiting: string, admitted: number) {
+    const joiners = waiting === '' ? [] : waiting.split(' ');
+    this.change = planMembers(this.status, { waiting: joiners, admitted });
+  },
+);
+
+Then('the steward changes {string}', function (this: StewardWorld, wanted: string) {
+  const { change } = this;
+  assert.equal(change === undefined ? '' : `${change.kind} ${change.address}`, wanted);
+});
--- /dev/null
+++ b/features/telemetry/sink.steps.ts
@@ -0,0 +1,88 @@
+import { Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { LineSink } from '../../src/telemetry/sink.js';
+
+interface SinkWorld {
+  now: number;
+  written: string;
+  takes: number;
+  logged: readonly string[];
+  sink: LineSink;
+}
+
+Given('a log sink of {int} lines a second', function (this: SinkWorld, rate: number) {
+  this.now = 0;
+  this.written = '';
+  this.takes = Infinity;
+  this.sink = new LineSink({
+    now: () => this.now,
+    write: (bytes, done) => {
+      const taken = Math.min(bytes.length, this.takes);
+      this.written += bytes.toString('utf8', 0, taken);
+      if (taken > 0) done(null, taken);
+    },
+  });
+  this.sink.setRate(rate);
+  this.sink.flush();
+});
+
+function logLines(world: SinkWorld, count: number, size: number): void {
+  world.logged = Array.from({ length: count }, (_, at) => `line ${at} `.padEnd(size, '.'));
+  world.logged.forEach((line) => {
+    world.sink.addLine(line);
+  });
+}
+
+When(
+  '{int} lines are logged at once, and one more a second later',
+  function (this: SinkWorld, count: number) {
+    logLines(this, count, 10);
+    this.now += 1000;
+    this.sink.addLine('the last');
+    this.sink.flush();
+  },
+);
+
+Then(
+  'the log holds {int} lines, and one says that {int} were dropped',
+  function (this: SinkWorld, lines: number, dropped: number) {
+    const found = this.written.trim().split('\n');
+    assert.equal(found.length, lines);
+    assert.ok(
+      found.some((line) => line.includes(`"count":${dropped}`)),
+      this.written,
+    );
+  },
+);
+
+When(
+  'its reader takes nothing while {int} lines of {int} bytes are logged',
+  function (this: SinkWorld, count: number, size: number) {
+    this.takes = 0;
+    logLines(this, count, size);
+    this.sink.flush();
+  },
+);
+
+Then('at most {int} bytes wait and the rest is counted', function (this: SinkWorld, limit: number) {
+  const [line = ''] = this.logged;
+  const kept = this.logged.length - this.sink.dropped;
+  assert.ok(kept * (line.length + 1) <= limit, `${kept} lines wait`);
+  assert.ok(this.sink.dropped > 0);
+});
+
+When(
+  'its reader takes {int} bytes at a time while {int} lines are logged',
+  async function (this: SinkWorld, bytes: number, count: number) {
+    this.takes = bytes;
+    logLines(this, count, 12);
+    while (!this.written.includes(this.logged.at(-1) ?? '')) {
+      this.sink.flush();
+      await new Promise((resolve) => setTimeout(resolve, 0));
+    }
+  },
+);
+
+Then('the reader has every line whole and in order', function (this: SinkWorld) {
+  assert.deepEqual(this.written.trimEnd().split('\n'), this.logged);
+});
--- a/src/gateway/book.ts
+++ b/src/gateway/book.ts
@@ -185,10 +185,17 @@
     return this.#versions.get(service) ?? { stable: undefined, next: undefined, share: 0 };
   }
 
-  /** Returns the upstreams of a service that may get requests, of one version if it is given. */
+  /**
+   * Returns the upstreams of a service that may get requests, of one version if it is given. While the
+   * version that traffic moves to has no upstreams, the stable one serves its requests.
+   */
   listUsable(service: string, version: string | undefined): readonly UpstreamRecord[] {
     const all = this.#usable.get(service) ?? [];
-    return version === undefined ? all : all.filter(({ instance }) => instance.version === version);
+    if (version === undefined) return all;
+    const wanted = all.filter(({ instance }) => instance.version === version);
+    const { stable, next } = this.getVersionShare(service);
+    if (wanted.length > 0 || version !== next) return wanted;
+    return all.filter(({ instance }) => instance.version === stable);
   }
 
   /** Believes every upstream of a zone to be cold, as after the zone was out. */
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -11,7 +11,7 @@
 const packr = new Packr({ useRecords: false });
 
 /** Milliseconds between two pulses of a small fleet; VMs change their pace in about 500. */
-const PULSE_INTERVAL: Duration = 60;
+const PULSE_INTERVAL: Duration = 100;
 /** Datagrams a second that one gateway sends at most. */
 const PULSE_RATE = 250;
 /** Bytes of rows in one datagram, below the usual packet size. */
