--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import {
   addCounts,
   addOutcome,
+  addRatios,
   addReport,
   markCold,
   claimColdTurn,
@@ -86,6 +87,10 @@
 const MAX_ADDRESSES = 64;
 /** Gateways of a zone from which its callers are sent to them alone. */
 const MIN_ZONE_GATEWAYS = 2;
+/** Milliseconds up to which a report shows that its upstream is within reach of the one who saw it. */
+const FRESH_REPORT: Duration = 250;
+/** Multiple of the expected time from which an attempt that was given up counts against its upstream. */
+const OVERDUE_RATIO = 3;
 /** Part of the time for stopping in which callers are still taken: their address lists are that old. */
 const LAME_DUCK_PART = 0.6;
 /** Part of the time for stopping after which what is unfinished is given up. */
@@ -204,6 +209,7 @@
       listen: options.mesh.address,
       now: this.now,
       listRecords: () => this.#book.records,
+      isProber: (record) => this.#prober.isProber(record),
       listPeers: () => this.#peers,
       onReport: (report) => {
         this.#takeReport(report);
@@ -349,10 +355,14 @@
     });
   }
 
-  #takeReport({ id, at, good, bad, coldFor, ...report }: HeardReport): void {
+  #takeReport(heard: HeardReport): void {
+    const { id, at, good, bad, coldFor, ratios, ratioCount, outOfReachFor, ...report } = heard;
     const record = this.#book.getRecord(id);
     if (record === undefined) return;
     const now = this.now();
+    addRatios(record, ratios, ratioCount, now);
+    if (outOfReachFor > 0) record.outOfReachUntil = now + outOfReachFor;
+    else if (now - at < FRESH_REPORT) record.outOfReachUntil = -Infinity;
     addReport(record, report, at);
     if (good + bad > 0) addCounts(record, good, bad, now);
     if (coldFor > 0 && record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
@@ -524,7 +534,7 @@
     record.sinceReport -= 1;
     const pace = computePace(record, now);
     const latency = (now - sentAt) / pace;
-    if (outcome !== undefined) addOutcome(record, outcome, now);
+    this.#learnSlowness(request, record, now - sentAt, outcome);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
     if (isGood) this.#getWork(request).addSample(latency);
     const isMoving = this.#book.getVersionShare(request.service).next !== undefined;
@@ -535,6 +545,26 @@
     }
   }
 
+  /** Compares the time that an attempt took with the time that its upstream's reports explain. */
+  #learnSlowness(
+    request: GatewayRequest,
+    record: UpstreamRecord,
+    elapsed: Duration,
+    outcome: AttemptOutcome | undefined,
+  ): void {
+    const now = this.now();
+    const expected = this.#getWork(request).value * computePace(record, now);
+    const ratio = elapsed / Math.max(expected, 1);
+    const isOverdue = outcome === undefined && ratio > OVERDUE_RATIO;
+    const isTimed = outcome?.kind === 'answered' && outcome.answer.status < 500;
+    if (isOverdue) addOutcome(record, { kind: 'lost', reason: 'no answer in time' }, now);
+    else if (outcome !== undefined) addOutcome(record, outcome, now);
+    if (!isOverdue && !isTimed) return;
+    addRatios(record, ratio, 1, now);
+    record.newRatios += ratio;
+    record.newRatioCount += 1;
+  }
+
   recordDecision(
     request: GatewayRequest,
     decision: string,
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -15,6 +15,8 @@
 const PROBE_LIMIT: Duration = 500;
 /** Milliseconds between two probes of a cold upstream, which bears few requests. */
 const COLD_INTERVAL: Duration = 400;
+/** Milliseconds for which a missed probe keeps requests away; the next probes come within this time. */
+const OUT_OF_REACH_TIME: Duration = 900;
 /** Milliseconds between two probes of an upstream that tells no load. */
 const SILENT_INTERVAL: Duration = 1000;
 
@@ -34,6 +36,8 @@
 
 /** Probes upstreams until it is closed. */
 export interface Prober {
+  /** Whether this gateway is the one that probes the upstream. */
+  isProber(record: UpstreamRecord): boolean;
   close(): void;
 }
 
@@ -70,6 +74,24 @@
     clearInterval(this.#timer);
   }
 
+  isProber(record: UpstreamRecord): boolean {
+    return this.#own.has(record.instance.id);
+  }
+
+  /**
+   * Believes an upstream to be out of reach, unless most probes fail: then this gateway itself is cut off.
+   */
+  #markReach(record: UpstreamRecord, isReached: boolean): void {
+    const now = this.#options.now();
+    record.outOfReachUntil = isReached ? -Infinity : now + OUT_OF_REACH_TIME;
+    const own = this.#options.listRecords().filter((one) => this.#own.has(one.instance.id));
+    const missed = own.filter((one) => one.outOfReachUntil > now);
+    if (missed.length <= 1 || missed.length * 2 <= own.length) return;
+    missed.forEach((one) => {
+      one.outOfReachUntil = -Infinity;
+    });
+  }
+
   /** Returns the upstreams that this gateway probes: it has the first rank of the list for them. */
   #listOwn(records: readonly UpstreamRecord[]): ReadonlySet<string> {
     const gateways = this.#options.listGateways();
@@ -100,7 +122,7 @@
     if (record.isProbing || record.service === undefined || record.instance.draining) return false;
     const tellsLoad = this.#tellsLoad.get(record.instance.service) ?? true;
     const warm = tellsLoad ? this.#options.interval : SILENT_INTERVAL;
-    const isUnwell = record.blockedUntil > now || record.coldUntil > now;
+    const isUnwell = record.outOfReachUntil > now || record.coldUntil > now;
     const interval = isUnwell ? Math.max(warm, COLD_INTERVAL) : warm;
     const freshest = tellsLoad
       ? Math.max(record.lastProbeAt, record.reportedAt)
@@ -122,6 +144,7 @@
     const end = (outcome: AttemptOutcome): void => {
       clearTimeout(timer);
       record.isProbing = false;
+      this.#markReach(record, outcome.kind === 'answered' || outcome.kind === 'notRun');
       onEnd(record, outcome);
     };
     const attempt = pool.sendProbe(
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -30,6 +30,11 @@
   bad: number,
   /** Milliseconds that the upstream stays cold. */
   coldFor: Duration,
+  /** Hundredths of the sum of ratios of time taken to time expected, and their number. */
+  ratios: number,
+  ratioCount: number,
+  /** Milliseconds for which the upstream counts as out of reach; only its prober says so. */
+  outOfReachFor: Duration,
 ];
 
 /** What was heard of one upstream. */
@@ -43,6 +48,9 @@
   readonly good: number;
   readonly bad: number;
   readonly coldFor: Duration;
+  readonly ratios: number;
+  readonly ratioCount: number;
+  readonly outOfReachFor: Duration;
 }
 
 /** What {@link createPulse} needs. */
@@ -50,6 +58,8 @@
   readonly listen: Address;
   readonly now: () => Instant;
   readonly listRecords: () => readonly UpstreamRecord[];
+  /** Whether this gateway is the one that probes the upstream. */
+  readonly isProber: (record: UpstreamRecord) => boolean;
   /** Addresses of the other gateways. */
   readonly listPeers: () => readonly Address[];
   readonly onReport: (report: HeardReport) => void;
@@ -71,7 +81,11 @@
     this.#options = options;
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (message) => {
-      this.#receive(message);
+      try {
+        this.#receive(message);
+      } catch (error) {
+        options.onProblem(String(error));
+      }
     });
     this.#socket.on('error', (error) => {
       options.onProblem(error.message);
@@ -96,17 +110,23 @@
   }
 
   #listRows(): readonly PulseRow[] {
-    const now = this.#options.now();
+    const { now: clock, isProber } = this.#options;
+    const now = clock();
     const since = this.#toldAt;
     this.#toldAt = now;
     return this.#options
       .listRecords()
-      .filter((record) => record.ownReportAt > since || record.newGood + record.newBad > 0)
+      .filter((record) => {
+        const { ownReportAt, newGood, newBad, newRatioCount, outOfReachUntil } = record;
+        return ownReportAt > since || newGood + newBad + newRatioCount > 0 || outOfReachUntil > now;
+      })
       .map((record) => {
-        const { report, newGood, newBad } = record;
+        const { report, newGood, newBad, newRatios, newRatioCount } = record;
         const { running, waiting, slots, pace } = report;
         record.newGood = 0;
         record.newBad = 0;
+        record.newRatios = 0;
+        record.newRatioCount = 0;
         return [
           record.instance.id,
           running,
@@ -117,6 +137,9 @@
           newGood,
           newBad,
           Math.round(Math.max(0, Math.min(record.coldUntil - now, 60_000))),
+          Math.round(newRatios * 100),
+          newRatioCount,
+          isProber(record) ? Math.round(Math.max(0, record.outOfReachUntil - now)) : 0,
         ] as const;
       });
   }
@@ -141,10 +164,22 @@
   #receive(message: Buffer): void {
     const now = this.#options.now();
     const rows = packr.unpack(message) as readonly PulseRow[];
-    rows.forEach(([id, running, waiting, slots, pace, age, good, bad, coldFor]) => {
-      const at = now - age;
-      const report = { id, running, waiting, slots, pace: pace / 100, at, good, bad, coldFor };
-      this.#options.onReport(report);
+    rows.forEach((row) => {
+      const [id, running, waiting, slots, pace, age, good, bad, coldFor, ratios, ratioCount] = row;
+      this.#options.onReport({
+        id,
+        running,
+        waiting,
+        slots,
+        pace: pace / 100,
+        at: now - age,
+        good,
+        bad,
+        coldFor,
+        ratios: ratios / 100,
+        ratioCount,
+        outOfReachFor: row[11],
+      });
     });
   }
 }
