--- a/scripts/generate.ts
+++ b/scripts/generate.ts
@@ -2,6 +2,8 @@
  * Generates TypeScript types and embedded schemas from `schema/*.schema.json` into `src/generated/`.
  * With `--check` nothing is written and the exit code is 1 when a committed file is stale.
  */
+import { Ajv, type Options } from 'ajv';
+import standaloneModule from 'ajv/dist/standalone/index.js';
 import { readFileSync, readdirSync, writeFileSync, existsSync } from 'node:fs';
 import { compile, type JSONSchema } from 'json-schema-to-typescript';
 
@@ -28,6 +30,79 @@
   return `${readOnly}\n/** The JSON schema that the types above were generated from. */\nexport const ${constant}Schema = ${JSON.stringify(schema, null, 2)} as const;\n`;
 }
 
+/** A module of validators that need no compiling at start-up. */
+interface ValidatorModule {
+  readonly target: string;
+  readonly schema: string;
+  readonly options: Options;
+  /** Types and their definitions in the schema; an empty definition stands for the whole schema. */
+  readonly types: Readonly<Record<string, string>>;
+}
+
+const validatorModules: readonly ValidatorModule[] = [
+  {
+    target: 'settings',
+    schema: 'settings',
+    options: { allErrors: true, useDefaults: true, verbose: true },
+    types: { Settings: '' },
+  },
+  {
+    target: 'control',
+    schema: 'control',
+    options: { strict: false },
+    types: {
+      Identity: 'identity',
+      Vote: 'vote',
+      LogRecord: 'logRecord',
+      Snapshot: 'snapshot',
+    },
+  },
+];
+
+/** Renders validators as code; runtime helpers of ajv become imports. */
+function renderValidators({ target, schema, options, types }: ValidatorModule): string {
+  const ajv = new Ajv({ ...options, code: { source: true, esm: true } });
+  const content = JSON.parse(readFileSync(`schema/${schema}.schema.json`, 'utf8')) as object;
+  ajv.addSchema({ ...content, $id: target });
+  const names = Object.keys(types);
+  const refs = Object.fromEntries(
+    names.map((name) => {
+      const definition = types[name] ?? '';
+      const id = `${name}Validator`;
+      const $ref = definition === '' ? target : `${target}#/definitions/${definition}`;
+      ajv.addSchema({ $id: id, $ref });
+      return [`validate${name}`, id];
+    }),
+  );
+  const standalone = standaloneModule as unknown as (ajv: Ajv, refs: unknown) => string;
+  const imports = new Map<string, string>();
+  const code = standalone(ajv, refs).replace(
+    /require\("(ajv\/dist\/runtime\/(\w+))"\)\.default/g,
+    (_, path: string, name: string) => {
+      imports.set(name, path);
+      return `${name}Helper.default`;
+    },
+  );
+  const helpers = [...imports].map(([name, path]) => `import ${name}Helper from '${path}.js';\n`);
+  return `// @ts-nocheck -- generated from schema/${schema}.schema.json by scripts/generate.ts\n${helpers.join('')}${code}\n`;
+}
+
+function renderValidatorTypes({ target, schema, types }: ValidatorModule): string {
+  const names = Object.keys(types);
+  return `/** Generated from schema/${schema}.schema.json by scripts/generate.ts; edit the schema instead. */
+import type { ValidateFunction } from 'ajv';
+import type { ${names.join(', ')} } from './${schema}.js';
+import * as validators from './${target}.validators.js';
+
+${names
+  .map(
+    (name) =>
+      `export const validate${name} = validators.validate${name} as unknown as ValidateFunction<${name}>;`,
+  )
+  .join('\n')}
+`;
+}
+
 const files = readdirSync('schema').filter((name) => name.endsWith('.schema.json'));
 const stale = await Promise.all(
   files.map(async (file) => {
@@ -39,7 +114,17 @@
     return [target];
   }),
 );
-const changed = stale.flat();
+const validatorFiles = validatorModules.flatMap((module) => [
+  [`src/generated/${module.target}.validators.ts`, renderValidators(module)] as const,
+  [`src/generated/${module.target}.validate.ts`, renderValidatorTypes(module)] as const,
+]);
+const staleValidators = validatorFiles.flatMap(([target, wanted]) => {
+  const found = existsSync(target) ? readFileSync(target, 'utf8') : '';
+  if (found === wanted) return [];
+  if (!checkOnly) writeFileSync(target, wanted);
+  return [target];
+});
+const changed = [...stale.flat(), ...staleValidators];
 changed.forEach((target) => {
   console.log(checkOnly ? `${target} is stale: run npm run generate` : `wrote ${target}`);
 });
--- a/src/control/formats.ts
+++ b/src/control/formats.ts
@@ -2,27 +2,18 @@
  * Encodes and validates what is kept on disk. Invariant: nothing read from a file is used before it passed
  * its checksum and its schema.
  */
-import { Ajv } from 'ajv';
 import { Packr } from 'msgpackr';
+import type { Identity, LogRecord, Snapshot, Vote } from '../generated/control.js';
 import {
-  controlSchema,
-  type Identity,
-  type LogRecord,
-  type Snapshot,
-  type Vote,
-} from '../generated/control.js';
+  validateIdentity,
+  validateLogRecord,
+  validateSnapshot,
+  validateVote,
+} from '../generated/control.validate.js';
 import { StorageError } from './files.js';
 import { computeChecksum, readRecord } from './records.js';
 
 const packr = new Packr({ useRecords: false });
-const ajv = new Ajv({ strict: false });
-ajv.addSchema({ ...controlSchema, $id: 'control' });
-
-const isIdentity = ajv.compile<Identity>({ $ref: 'control#/definitions/identity' });
-const isVote = ajv.compile<Vote>({ $ref: 'control#/definitions/vote' });
-const isLogRecord = ajv.compile<LogRecord>({ $ref: 'control#/definitions/logRecord' });
-const isSnapshot = ajv.compile<Snapshot>({ $ref: 'control#/definitions/snapshot' });
-
 /** Packs a record or a snapshot. */
 export function encodePayload(record: LogRecord | Snapshot): Uint8Array {
   return packr.pack(record);
@@ -31,14 +22,14 @@
 /** Returns the log record, or undefined if it is not one. */
 export function parseLogRecord(payload: Uint8Array): LogRecord | undefined {
   const value: unknown = packr.unpack(payload);
-  return isLogRecord(value) ? value : undefined;
+  return validateLogRecord(value) ? value : undefined;
 }
 
 /** Returns the snapshot in a file, or undefined if it is damaged. */
 export function parseSnapshot(bytes: Buffer): Snapshot | undefined {
   const payload = readRecord(bytes, 0);
   const value: unknown = payload === undefined ? undefined : packr.unpack(payload);
-  return isSnapshot(value) ? value : undefined;
+  return validateSnapshot(value) ? value : undefined;
 }
 
 /** Packs a command for the log. */
@@ -77,13 +68,13 @@
 /** Reads the identity file. */
 export function parseIdentity(file: string, bytes: Buffer): Identity {
   const content = parseDocument(bytes);
-  if (isIdentity(content)) return content;
+  if (validateIdentity(content)) return content;
   throw new StorageError('damaged', file, 0, REMEDY, 'the identity is damaged');
 }
 
 /** Reads the vote file. */
 export function parseVote(file: string, bytes: Buffer): Vote {
   const content = parseDocument(bytes);
-  if (isVote(content)) return content;
+  if (validateVote(content)) return content;
   throw new StorageError('damaged', file, 0, REMEDY, 'term and vote are damaged');
 }
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -1,9 +1,10 @@
 /** Reads settings. Invariant: settings are returned only if the whole file fits the schema and is consistent. */
 import { readFileSync } from 'node:fs';
-import { Ajv, type ErrorObject } from 'ajv';
+import type { ErrorObject } from 'ajv';
 import { parse } from 'ini';
 import { Err, Ok, type Result } from 'ts-results-es';
 import { settingsSchema, type Settings } from '../generated/settings.js';
+import { validateSettings } from '../generated/settings.validate.js';
 import { describeSchemaError, type SettingsProblem } from './problem.js';
 
 interface PropertySchema {
@@ -15,9 +16,6 @@
 const TIME = /^\s*(\d+(?:\.\d+)?)(ms|s)\s*$/;
 const MS_PER_SECOND = 1000;
 
-const ajv = new Ajv({ allErrors: true, useDefaults: true, verbose: true });
-const validateSettings = ajv.compile<Settings>(settingsSchema);
-
 /** INI knows text only: turns text into the type that the schema names. */
 function parseValue(schema: PropertySchema | undefined, value: unknown): unknown {
   if (schema?.properties !== undefined && typeof value === 'object' && value !== null) {
