--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -20,7 +20,6 @@
       | x a 0 1 cold                                    | 60   | 500  | noUpstream |
       | x a 0 1 cold-turn                               | 60   | 500  | x          |
       | x a 0 1 failing, y b 0 2                        | 60   | 500  | y          |
-      | x a 0 1 slow, y b 0 2                           | 60   | 500  | y          |
       | x a 0 1 out-of-reach, y b 0 2                   | 60   | 500  | y          |
 
   Scenario Outline: What follows when an attempt ends
--- a/src/control/consensus.ts
+++ b/src/control/consensus.ts
@@ -77,7 +77,8 @@
  */
 export function createConsensus(start: ConsensusStart): ConsensusState {
   const { self, timings, now, random, vote, log, snapshot, nonce } = start;
-  return renewElectionTimer(
+  const { firstElectionMax } = timings;
+  const state = renewElectionTimer(
     withMembership({
       self,
       timings,
@@ -102,6 +103,8 @@
       failed: false,
     }),
   );
+  if (firstElectionMax === undefined) return state;
+  return { ...state, electionDue: now + random * firstElectionMax };
 }
 
 /**
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -24,6 +24,11 @@
   readonly electionMin: Duration;
   /** The longest such time. */
   readonly electionMax: Duration;
+  /**
+   * The longest time between the start of a member and its first election. Members that all start at once
+   * needn't wait for a leader that none of them has; a leader that lives is not disturbed by it.
+   */
+  readonly firstElectionMax?: Duration;
 }
 
 /** The timings that the budgets of traffic and of leader loss are met with. */
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -45,6 +45,7 @@
   largeGroupHeartbeat: 120,
   electionMin: 600,
   electionMax: 1200,
+  firstElectionMax: 400,
 };
 /** Milliseconds between two questions of a steward that looks for its group. */
 const FIND_INTERVAL: Duration = 200;
--- a/src/gateway/book.ts
+++ b/src/gateway/book.ts
@@ -11,7 +11,6 @@
 } from '../catalog/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import { computeColdPause, type ColdBounds } from './budget.js';
-import { computeSlowness } from './choose.js';
 import type { AttemptOutcome, LoadReport, UpstreamRecord } from './types.js';
 
 /** Milliseconds after which a counted answer has lost half of its weight. */
@@ -27,12 +26,6 @@
 /** Milliseconds without requests to an address that answered for another instance. */
 const MISDIRECTED_BLOCK: Duration = 3000;
 
-/** Weight of one ratio in the slowness of an upstream. */
-const RATIO_WEIGHT = 0.3;
-/** Bounds of a ratio, so that one odd answer doesn't outweigh the rest. */
-const MIN_RATIO = 0.5;
-const MAX_RATIO = 12;
-
 function createRecord(instance: Instance, service: Service | undefined): UpstreamRecord {
   return {
     instance,
@@ -46,10 +39,6 @@
     coldTurnAt: -Infinity,
     misses: 0,
     blockedUntil: -Infinity,
-    slowness: 1,
-    slownessAt: 0,
-    newRatios: 0,
-    newRatioCount: 0,
     outOfReachUntil: -Infinity,
     good: 0,
     bad: 0,
@@ -83,18 +72,6 @@
   record.bad += bad;
 }
 
-/**
- * Takes ratios of the time that answers took to the time that was expected of them. A VM may be slow in a
- * way that its reports don't show.
- */
-export function addRatios(record: UpstreamRecord, sum: number, count: number, now: Instant): void {
-  if (count <= 0) return;
-  const mean = Math.min(Math.max(sum / count, MIN_RATIO), MAX_RATIO);
-  const kept = (1 - RATIO_WEIGHT) ** count;
-  record.slowness = computeSlowness(record, now) * kept + mean * (1 - kept);
-  record.slownessAt = now;
-}
-
 /** This gateway's part in the allowances of cold upstreams. */
 export interface ColdShare {
   /** The id of this gateway and of all. */
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -7,8 +7,6 @@
 
 /** Milliseconds after which a report of the pace has lost half of its weight; VMs change in about 500. */
 const PACE_HALF_LIFE: Duration = 250;
-/** Milliseconds after which what was learned of an upstream's slowness has lost half of its weight. */
-const SLOWNESS_HALF_LIFE: Duration = 2000;
 /** Pace that is assumed of an upstream without a fresh report. */
 const UNKNOWN_PACE = 1.5;
 /** Milliseconds that an upstream in another availability zone counts as slower. */
@@ -60,11 +58,6 @@
   return record.report.pace * trust + UNKNOWN_PACE * (1 - trust);
 }
 
-/** Returns how much longer than the reports explain answers take at present. */
-export function computeSlowness({ slowness, slownessAt }: UpstreamRecord, now: Instant): number {
-  return 1 + (slowness - 1) * 0.5 ** ((now - slownessAt) / SLOWNESS_HALF_LIFE);
-}
-
 /** Returns how many requests are believed to be in the upstream. */
 export function computeOccupancy(record: UpstreamRecord): number {
   const { running, waiting } = record.report;
@@ -81,7 +74,7 @@
   const { slots } = record.instance;
   const ahead = Math.max(0, computeOccupancy(record) + 1 - slots);
   const queue = ahead > 0 ? QUEUE_PENALTY + ahead / slots : 0;
-  return work * computePace(record, now) * computeSlowness(record, now) * (1 + queue);
+  return work * computePace(record, now) * (1 + queue);
 }
 
 function isOpen(record: UpstreamRecord, now: Instant): boolean {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,7 +31,6 @@
 import {
   addCounts,
   addOutcome,
-  addRatios,
   addReport,
   markCold,
   claimColdTurn,
@@ -356,11 +355,10 @@
   }
 
   #takeReport(heard: HeardReport): void {
-    const { id, at, good, bad, coldFor, ratios, ratioCount, outOfReachFor, ...report } = heard;
+    const { id, at, good, bad, coldFor, outOfReachFor, ...report } = heard;
     const record = this.#book.getRecord(id);
     if (record === undefined) return;
     const now = this.now();
-    addRatios(record, ratios, ratioCount, now);
     if (outOfReachFor > 0) record.outOfReachUntil = now + outOfReachFor;
     else if (now - at < FRESH_REPORT) record.outOfReachUntil = -Infinity;
     addReport(record, report, at);
@@ -534,7 +532,7 @@
     record.sinceReport -= 1;
     const pace = computePace(record, now);
     const latency = (now - sentAt) / pace;
-    this.#learnSlowness(request, record, now - sentAt, outcome);
+    this.#learnOutcome(request, record, now - sentAt, outcome);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
     if (isGood) this.#getWork(request).addSample(latency);
     const isMoving = this.#book.getVersionShare(request.service).next !== undefined;
@@ -545,8 +543,8 @@
     }
   }
 
-  /** Compares the time that an attempt took with the time that its upstream's reports explain. */
-  #learnSlowness(
+  /** Learns from an attempt; one that was given up long after its answer was due counts as lost. */
+  #learnOutcome(
     request: GatewayRequest,
     record: UpstreamRecord,
     elapsed: Duration,
@@ -554,15 +552,10 @@
   ): void {
     const now = this.now();
     const expected = this.#getWork(request).value * computePace(record, now);
-    const ratio = elapsed / Math.max(expected, 1);
-    const isOverdue = outcome === undefined && ratio > OVERDUE_RATIO;
-    const isTimed = outcome?.kind === 'answered' && outcome.answer.status < 500;
-    if (isOverdue) addOutcome(record, { kind: 'lost', reason: 'no answer in time' }, now);
-    else if (outcome !== undefined) addOutcome(record, outcome, now);
-    if (!isOverdue && !isTimed) return;
-    addRatios(record, ratio, 1, now);
-    record.newRatios += ratio;
-    record.newRatioCount += 1;
+    if (outcome !== undefined) addOutcome(record, outcome, now);
+    else if (elapsed > expected * OVERDUE_RATIO) {
+      addOutcome(record, { kind: 'lost', reason: 'no answer in time' }, now);
+    }
   }
 
   recordDecision(
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -10,7 +10,7 @@
 import type { AttemptOutcome, HeaderDialect, UpstreamRecord } from './types.js';
 
 /** Milliseconds between two looks at what is due. */
-const LOOK_INTERVAL: Duration = 40;
+const LOOK_INTERVAL: Duration = 25;
 /** Milliseconds until an answer; the health path of a sound upstream answers at once. */
 const PROBE_LIMIT: Duration = 500;
 /** Milliseconds between two probes of a cold upstream, which bears few requests. */
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -11,9 +11,9 @@
 const packr = new Packr({ useRecords: false });
 
 /** Milliseconds between two pulses of a small fleet; VMs change their pace in about 500. */
-const PULSE_INTERVAL: Duration = 100;
+const PULSE_INTERVAL: Duration = 50;
 /** Datagrams a second that one gateway sends at most. */
-const PULSE_RATE = 250;
+const PULSE_RATE = 400;
 /** Bytes of rows in one datagram, below the usual packet size. */
 const MAX_DATAGRAM = 1200;
 
@@ -30,9 +30,6 @@
   bad: number,
   /** Milliseconds that the upstream stays cold. */
   coldFor: Duration,
-  /** Hundredths of the sum of ratios of time taken to time expected, and their number. */
-  ratios: number,
-  ratioCount: number,
   /** Milliseconds for which the upstream counts as out of reach; only its prober says so. */
   outOfReachFor: Duration,
 ];
@@ -48,8 +45,6 @@
   readonly good: number;
   readonly bad: number;
   readonly coldFor: Duration;
-  readonly ratios: number;
-  readonly ratioCount: number;
   readonly outOfReachFor: Duration;
 }
 
@@ -117,16 +112,14 @@
     return this.#options
       .listRecords()
       .filter((record) => {
-        const { ownReportAt, newGood, newBad, newRatioCount, outOfReachUntil } = record;
-        return ownReportAt > since || newGood + newBad + newRatioCount > 0 || outOfReachUntil > now;
+        const { ownReportAt, newGood, newBad, outOfReachUntil } = record;
+        return ownReportAt > since || newGood + newBad > 0 || outOfReachUntil > now;
       })
       .map((record) => {
-        const { report, newGood, newBad, newRatios, newRatioCount } = record;
+        const { report, newGood, newBad } = record;
         const { running, waiting, slots, pace } = report;
         record.newGood = 0;
         record.newBad = 0;
-        record.newRatios = 0;
-        record.newRatioCount = 0;
         return [
           record.instance.id,
           running,
@@ -137,8 +130,6 @@
           newGood,
           newBad,
           Math.round(Math.max(0, Math.min(record.coldUntil - now, 60_000))),
-          Math.round(newRatios * 100),
-          newRatioCount,
           isProber(record) ? Math.round(Math.max(0, record.outOfReachUntil - now)) : 0,
         ] as const;
       });
@@ -165,7 +156,7 @@
     const now = this.#options.now();
     const rows = packr.unpack(message) as readonly PulseRow[];
     rows.forEach((row) => {
-      const [id, running, waiting, slots, pace, age, good, bad, coldFor, ratios, ratioCount] = row;
+      const [id, running, waiting, slots, pace, age, good, bad, coldFor, outOfReachFor] = row;
       this.#options.onReport({
         id,
         running,
@@ -176,9 +167,7 @@
         good,
         bad,
         coldFor,
-        ratios: ratios / 100,
-        ratioCount,
-        outOfReachFor: row[11],
+        outOfReachFor,
       });
     });
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -93,12 +93,6 @@
   misses: number;
   /** No request is sent before this instant. */
   blockedUntil: Instant;
-  /** Times by which answers take longer than the reports explain, as of `slownessAt`. */
-  slowness: number;
-  slownessAt: Instant;
-  /** Sum and number of such ratios here that the other gateways have not been told of. */
-  newRatios: number;
-  newRatioCount: number;
   /** Until when the gateway that probes it found it out of reach. */
   outOfReachUntil: Instant;
   /** Decayed counts of good and bad answers that any gateway got. */
