--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -32,6 +32,10 @@
     When callers go on while every gateway is restarted in turn
     Then every request of those callers got a whole answer
 
+  Scenario: Metrics of both programs are served
+    Given the platform's site serves two services
+    Then the gateways count the calls that they served, and one steward leads
+
   Scenario: A steward that lost its disk becomes a member again, and acknowledged changes survive all kills
     Given the platform's site serves two services
     When the leading steward is killed and loses its disk
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -1,7 +1,15 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { createId, Site, waitUntil, type Answer, type Behaviour, type Upstream } from './site.js';
+import {
+  createId,
+  sendQuestion,
+  Site,
+  waitUntil,
+  type Answer,
+  type Behaviour,
+  type Upstream,
+} from './site.js';
 
 interface PlatformWorld {
   site: Site;
@@ -319,6 +327,34 @@
   assert.deepEqual(bad, []);
 });
 
+Then(
+  'the gateways count the calls that they served, and one steward leads',
+  async function (this: PlatformWorld) {
+    const { ips } = this.site;
+    const calls = await Promise.all(ips.map((ip) => readMetric(ip, 9464, 'chivewalk_calls_total')));
+    assert.ok(
+      calls.every((count) => count >= 2),
+      calls.join(),
+    );
+    const leads = await Promise.all(
+      ips.map((ip) => readMetric(ip, 9465, 'chivewalk_steward_leader')),
+    );
+    assert.equal(
+      leads.reduce((sum, count) => sum + count, 0),
+      1,
+    );
+  },
+);
+
+async function readMetric(ip: string, port: number, name: string): Promise<number> {
+  const { body } = await sendQuestion(ip, port, { path: '/metrics' });
+  return body
+    .split('\n')
+    .filter((line) => line.startsWith(name))
+    .map((line) => Number(line.slice(line.lastIndexOf(' '))))
+    .reduce((sum, count) => sum + count, 0);
+}
+
 async function findLeader({ site }: PlatformWorld): Promise<string> {
   let leader: string | undefined;
   await waitUntil('a steward leads', async () => {
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -2,7 +2,7 @@
  * Runs a gateway or a steward as a process. Invariant: listeners close before what they speak to, and the
  * process has logged its stop before it ends.
  */
-import { existsSync } from 'node:fs';
+import { existsSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
@@ -149,11 +149,14 @@
     now,
     wallNow: Date.now,
   });
+  const seeds = listSeeds(own.seeds, own.steward_port);
+  const exclusion = watchExclusion(node, mesh, seeds, own.data_folder);
   const publisher = createPublisher({
     mesh,
     control: node,
     now,
     listCold: () => steward.listCold(),
+    onFound: exclusion.takeMembers,
     onEvidence: (rows) => {
       steward.addEvidence(rows);
     },
@@ -189,6 +192,45 @@
   };
 }
 
+/**
+ * Lets a member that was replaced while it was away join anew. It asks the others once it has missed a leader
+ * for long; only a group that has a leader without it may say that it is no member any more.
+ */
+function watchExclusion(
+  node: ControlNode<Catalog>,
+  mesh: Mesh,
+  seeds: readonly Address[],
+  folder: string,
+): { readonly takeMembers: (members: readonly Address[], healthy: boolean) => void } {
+  let leaderSeenAt = performance.now();
+  const hasNoLeader = (): boolean => performance.now() - leaderSeenAt > EXCLUSION_SILENCE;
+  setInterval(() => {
+    if (node.status.leader !== undefined) leaderSeenAt = performance.now();
+    if (!hasNoLeader()) return;
+    seeds
+      .filter((seed) => seed !== mesh.address)
+      .forEach((seed) => {
+        mesh.send(seed, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
+      });
+  }, EXCLUSION_INTERVAL).unref();
+  return {
+    takeMembers: (members, healthy) => {
+      if (!healthy || !hasNoLeader() || members.includes(mesh.address)) return;
+      log.warn('the group replaced this member: it empties its folder and joins anew', {
+        members,
+      });
+      standardOutput.flush();
+      rmSync(folder, { recursive: true, force: true });
+      setTimeout(() => process.exit(1), EXIT_DELAY);
+    },
+  };
+}
+
+/** Milliseconds without a leader after which a member asks whether it still belongs to the group. */
+const EXCLUSION_SILENCE: Duration = 5000;
+/** Milliseconds between two such questions. */
+const EXCLUSION_INTERVAL: Duration = 1000;
+
 /** Logs changes of what the member is. */
 function watchRole(node: ControlNode<Catalog>): void {
   let known = '';
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -24,6 +24,8 @@
   readonly now: () => Instant;
   /** Milliseconds that each cold instance stays cold, as far as this member knows. */
   readonly listCold: () => Readonly<Record<string, Duration>>;
+  /** Called with the members of the group as another process knows them. */
+  readonly onFound: (members: readonly Address[], healthy: boolean) => void;
   /** Called on the leader with evidence of any entry. */
   readonly onEvidence: (rows: readonly EvidenceRow[]) => void;
 }
@@ -116,8 +118,10 @@
           healthy: this.#options.control.status.healthy,
         } satisfies FeedMessage);
         return;
-      case 'news':
       case 'found':
+        this.#options.onFound(message.members, message.healthy);
+        return;
+      case 'news':
         return;
     }
   }
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -20,11 +20,13 @@
 export async function createExposition(listen: Address, metrics: Metrics): Promise<Exposition> {
   const server = createServer((request, response) => {
     if (request.url !== '/metrics') {
-      response.writeHead(404).end();
+      response.writeHead(404);
+      response.end();
       return;
     }
     void metrics.renderText().then((text) => {
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(text);
     });
   });
   await new Promise<void>((resolve, reject) => {
