--- a/features/telemetry/sink.steps.ts
+++ b/features/telemetry/sink.steps.ts
@@ -26,7 +26,7 @@
   this.sink.flush();
 });
 
-function logLines(world: SinkWorld, count: number, size: number): void {
+function addLines(world: SinkWorld, count: number, size: number): void {
   world.logged = Array.from({ length: count }, (_, at) => `line ${at} `.padEnd(size, '.'));
   world.logged.forEach((line) => {
     world.sink.addLine(line);
@@ -36,7 +36,7 @@
 When(
   '{int} lines are logged at once, and one more a second later',
   function (this: SinkWorld, count: number) {
-    logLines(this, count, 10);
+    addLines(this, count, 10);
     this.now += 1000;
     this.sink.addLine('the last');
     this.sink.flush();
@@ -59,7 +59,7 @@
   'its reader takes nothing while {int} lines of {int} bytes are logged',
   function (this: SinkWorld, count: number, size: number) {
     this.takes = 0;
-    logLines(this, count, size);
+    addLines(this, count, size);
     this.sink.flush();
   },
 );
@@ -75,7 +75,7 @@
   'its reader takes {int} bytes at a time while {int} lines are logged',
   async function (this: SinkWorld, bytes: number, count: number) {
     this.takes = bytes;
-    logLines(this, count, 12);
+    addLines(this, count, 12);
     while (!this.written.includes(this.logged.at(-1) ?? '')) {
       this.sink.flush();
       await new Promise((resolve) => setTimeout(resolve, 0));
