--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -16,6 +16,7 @@
     And an unsafe request over upstreams that "refuse" gets 503, and ran never
     And an unsafe request over upstreams that "fail" gets 500, and ran once
     And a safe request over upstreams that "cut" gets 502, and ran at most twice
+    And an answer that only the end of its connection ends is passed on in the same way
     And requests over upstreams that answer twice each get their own answer
 
   Scenario: An upstream that drains, one that leaves, and a zone that is out
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -1,4 +1,4 @@
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When, type World } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
@@ -11,7 +11,7 @@
   type Upstream,
 } from './site.js';
 
-interface PlatformWorld {
+interface PlatformWorld extends World {
   site: Site;
   sent: readonly Readonly<Record<string, unknown>>[];
   drained: Upstream;
@@ -113,12 +113,23 @@
   );
 });
 
-Then('the configuration reads back as it was sent', async function (this: PlatformWorld) {
-  const answer = await this.site.order({ path: '/-/Config.Get' });
-  const read = JSON.parse(answer.body) as { version: number; hosts: unknown };
-  assert.equal(read.version, this.site.version);
-  assert.deepEqual(read.hosts, [{ host: 'site.example', paths: this.sent }]);
-});
+/** Milliseconds within which the site serves again after a loss of all; the platform's bound `recovery`. */
+const RECOVERY_TIME = 15_000;
+
+Then(
+  'the configuration reads back as it was sent',
+  { timeout: RECOVERY_TIME + 5000 },
+  async function (this: PlatformWorld) {
+    const since = performance.now();
+    const answer = await this.site.order({ path: '/-/Config.Get' });
+    const read = JSON.parse(answer.body) as { version: number; hosts: unknown };
+    const elapsed = Math.round(performance.now() - since);
+    this.log(`read back after ${elapsed} ms`);
+    assert.ok(elapsed <= RECOVERY_TIME, `read back after ${elapsed} ms`);
+    assert.equal(read.version, this.site.version);
+    assert.deepEqual(read.hosts, [{ host: 'site.example', paths: this.sent }]);
+  },
+);
 
 When('a route moves to the other service', async function (this: PlatformWorld) {
   this.sent = [{ ...safeRoute, service: 'orders' }, unsafeRoute];
@@ -202,6 +213,19 @@
   },
 );
 
+Then(
+  'an answer that only the end of its connection ends is passed on in the same way',
+  async function (this: PlatformWorld) {
+    applyBehaviour(this, 'unframed');
+    const { status, headers, body } = await this.site.call(this.site.ips[0] ?? '', '/records/1');
+    assert.equal(status, 200);
+    assert.equal(body, 'half of an answ');
+    assert.equal(headers['content-length'], undefined);
+    assert.equal(headers['transfer-encoding'], undefined);
+    assert.equal(headers.connection, 'close');
+  },
+);
+
 Then(
   'requests over upstreams that answer twice each get their own answer',
   { timeout: 20_000 },
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -70,7 +70,7 @@
 }
 
 /** What an upstream does with requests. */
-export type Behaviour = 'serve' | 'reset' | 'refuse' | 'fail' | 'cut' | 'stray';
+export type Behaviour = 'serve' | 'reset' | 'refuse' | 'fail' | 'cut' | 'stray' | 'unframed';
 
 /** A stand-in upstream. */
 export class Upstream {
@@ -138,6 +138,9 @@
             response.write('half');
             setTimeout(() => socket.destroy(), 10);
             return;
+          case 'unframed':
+            socket.end(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\n\r\nhalf of an answ`);
+            return;
           case 'stray':
             response.writeHead(200, seal);
             response.end(`served by ${id}`);
