Let an entry open only once it knows what the other entries know

Cause of the known red test (a restarted entry answered 503 noUpstream): the entry asks two seeds for a copy of what they know. A seed whose last dial to the restarted entry had failed less than 200 ms ago dropped its answer, because the mesh doesn't dial a peer again within that time; the entry then asked again only after 5 s, and took callers meanwhile without knowing an upstream.

Ruled out: the copy itself (it holds all upstreams), and the order of start (the configuration is confirmed first).

Change: a peer that connects is no longer blocked for dialling; a joining entry asks every 500 ms; the listener for callers opens once a copy from an entry that knows the others came, or after the time in which upstreams renew.

--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -161,3 +161,34 @@
     Given two memberships over loopback
     When an upstream announces itself at the second one
     Then the first one lists it and knows both entries
+
+  Scenario: An entry whose first questions are lost asks again until it knows what the others know
+    Given 3 entries in 3 zones
+    And upstream "u1" announces itself at entry 1
+    And 2000 ms of membership pass
+    When entry 0 starts again while nothing that is sent to it arrives
+    And 400 ms of membership pass
+    Then entry 0 has not joined
+    When what is sent to entry 0 arrives again
+    And 1200 ms of membership pass
+    Then entry 0 has joined and lists the upstreams "u1"
+
+  Scenario: Entries that start together need no other entry to join
+    Given 3 entries in 3 zones
+    Then entry 0 has joined and lists the upstreams ""
+    And entry 1 has joined and lists the upstreams ""
+
+  Scenario: An entry that is joining itself doesn't make another one join
+    Given 4 entries in 3 zones
+    And upstream "u1" announces itself at entry 1
+    And 2000 ms of membership pass
+    And messages from entry 1 to entry 0 are cut
+    And messages from entry 3 to entry 0 are cut
+    When the entries 0 and 2 start again together
+    And 300 ms of membership pass
+    Then entry 0 has not joined
+
+  Scenario: A peer that could not be reached gets an answer as soon as it calls
+    Given a mesh end whose peer does not run yet
+    When it sends to the peer, and the peer starts and asks it right after the failure
+    Then the peer gets the answer
--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -1,5 +1,6 @@
 import { Given, Then, When, After } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { setTimeout as waitFor } from 'node:timers/promises';
 import { createMembership, type Membership } from '../../src/membership/index.js';
 import { describeEntry } from '../../src/membership/entries.js';
 import { computeHash } from '../../src/membership/gossip.js';
@@ -16,8 +17,13 @@
   homes: Map<string, number>;
   memberships: Membership[];
   meshes: Mesh[];
+  peerAddress: string;
+  failures: string[];
+  answer: Promise<unknown>;
 }
 
+const SECRET = 'the secret of the site';
+
 const SEED = 20261204;
 const LONG_AGO = 10_000;
 
@@ -170,6 +176,40 @@
     .forEach((at) => this.network.start(at, `zone-${zone}`, 2));
 });
 
+When(
+  'entry {int} starts again while nothing that is sent to it arrives',
+  function (this: MembershipWorld, index: number) {
+    const others = Array.from({ length: this.count }, (_, at) => at).filter((at) => at !== index);
+    others.forEach((at) => this.network.cuts.add(`${toAddress(at)}>${toAddress(index)}`));
+    this.network.start(index, 'zone-0', 2);
+  },
+);
+
+When('what is sent to entry {int} arrives again', function (this: MembershipWorld, index: number) {
+  Array.from({ length: this.count }, (_, at) => at).forEach((at) =>
+    this.network.cuts.delete(`${toAddress(at)}>${toAddress(index)}`),
+  );
+});
+
+When(
+  'the entries {int} and {int} start again together',
+  function (this: MembershipWorld, one: number, two: number) {
+    [one, two].forEach((index) => this.network.start(index, 'zone-0', 2));
+  },
+);
+
+Then('entry {int} has not joined', function (this: MembershipWorld, index: number) {
+  assert.notEqual(this.network.stateOf(index).awaited, undefined);
+});
+
+Then(
+  'entry {int} has joined and lists the upstreams {string}',
+  function (this: MembershipWorld, index: number, ids: string) {
+    assert.equal(this.network.stateOf(index).awaited, undefined);
+    assert.equal(listIds(this.network.stateOf(index)), ids);
+  },
+);
+
 When('zone {int} is parted from the others', function (this: MembershipWorld, zone: number) {
   const indexes = Array.from({ length: this.count }, (_, index) => index);
   indexes
@@ -353,7 +393,7 @@
   const ports = await findFreePorts(2);
   const addresses = ports.map((port) => `127.0.0.1:${port}`);
   this.meshes = await Promise.all(
-    addresses.map((address) => createMesh({ address, secret: 'the secret of the site' })),
+    addresses.map((address) => createMesh({ address, secret: SECRET })),
   );
   this.memberships = this.meshes.map((mesh, at) =>
     createMembership({
@@ -384,6 +424,42 @@
   assert.equal(first.upstreams[0]?.id, 'u1');
 });
 
+Given('a mesh end whose peer does not run yet', async function (this: MembershipWorld) {
+  const [own, peer] = await findFreePorts(2);
+  this.peerAddress = `127.0.0.1:${peer}`;
+  this.failures = [];
+  const mesh = await createMesh({
+    ...{ address: `127.0.0.1:${own}`, secret: SECRET },
+    onProblem: (_, problem) => this.failures.push(problem),
+  });
+  mesh.handle('question', (from) => {
+    mesh.send(from, 'answer', 'heard');
+  });
+  Object.assign(this, { meshes: [mesh], memberships: [] });
+});
+
+When(
+  'it sends to the peer, and the peer starts and asks it right after the failure',
+  async function (this: MembershipWorld) {
+    const [mesh] = this.meshes;
+    assert.ok(mesh);
+    mesh.send(this.peerAddress, 'question', 'is anybody there?');
+    while (this.failures.length === 0) await waitFor(1);
+    const peer = await createMesh({ address: this.peerAddress, secret: SECRET });
+    this.meshes.push(peer);
+    this.answer = new Promise((resolve) => {
+      peer.handle('answer', (_, message) => {
+        resolve(message);
+      });
+    });
+    peer.send(mesh.address, 'question', 'what is known?');
+  },
+);
+
+Then('the peer gets the answer', async function (this: MembershipWorld) {
+  assert.equal(await Promise.race([this.answer, waitFor(2000)]), 'heard');
+});
+
 After(async function (this: Partial<MembershipWorld>) {
   const { memberships, meshes } = this;
   if (memberships === undefined || meshes === undefined) return;
--- a/features/site/failure.feature
+++ b/features/site/failure.feature
@@ -50,7 +50,6 @@
     And the last crashing request was refused by its fingerprint
     And calls for "orders" without the poison are answered
 
-  @known-red
   Scenario: Restarting all entries one after another cuts off no request
     Given a site of 3 control processes and entries in the zones "shah-alam, putrajaya, cyberjaya"
     And an upstream of "seam-records" in each of these zones
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,6 +1,7 @@
 /**
  * The role `entry`: binds membership, distribution, claims, routing and the listeners together.
- * Invariant: no caller's request is taken before a configuration was confirmed as current.
+ * Invariant: no caller's request is taken before a configuration was confirmed as current, and none before
+ * the upstreams that other entries know are known here, unless nobody tells them for {@link JOIN_LIMIT_MS}.
  */
 import { inject, injectable } from 'inversify';
 import { createClaims, type ClaimService } from '../claims/index.js';
@@ -78,6 +79,7 @@
     const membership = this.#membership;
     const client = this.#startClient(options);
     const claims = this.#startClaims(client);
+    await this.#waitForUpstreams(membership);
     const entry = await this.#openEntry(options, membership, client, claims);
     const announcements = await createAnnouncements({
       listen: options.upstream_listen,
@@ -127,6 +129,16 @@
     };
   }
 
+  /** Callers that were served here before a restart come back at once. */
+  async #waitForUpstreams(membership: Membership): Promise<void> {
+    const startedAt = getNow();
+    await Promise.race([membership.joined, waitAtMost(JOIN_LIMIT_MS)]);
+    log.info('upstreams are known here', {
+      upstreams: membership.upstreams.length,
+      waitedMs: Math.round(getNow() - startedAt),
+    });
+  }
+
   #startClient(options: EntrySettings): ConfigClient {
     return createConfigClient({
       mesh: this.#mesh,
@@ -283,6 +295,11 @@
 
 const DEFAULT_TTL_MS = 5000;
 const DEFAULT_PROBE_SHARE = 0.01;
+/**
+ * Milliseconds after which an entry opens although nobody told it what is known; within this time every
+ * upstream has renewed its announcement at some entry.
+ */
+const JOIN_LIMIT_MS = RENEW_AFTER_MS;
 /** Milliseconds that a stopping entry waits for the roster to do without it. */
 const LEAVE_LIMIT_MS = 3000;
 
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -76,9 +76,15 @@
     ...{ entries: new Map([[self.id, own]]), upstreams: new Map(), leases: new Map() },
     ...{ passed: new Map(), rumours: new Map([[`e:${self.id}`, 4]]), probe: undefined },
     ...{ relays: new Map(), round: [], condemn: emptyCondemnState, listed: [] },
+    awaited: findAwaited(seeds.filter((seed) => seed !== self.peerAddress)),
   };
 }
 
+/** Where nobody is left to ask, nobody knows more than this entry. */
+function findAwaited(seeds: readonly Address[]): readonly Address[] | undefined {
+  return seeds.length === 0 ? undefined : seeds;
+}
+
 /**
  * Decides what follows from an event.
  *
@@ -177,8 +183,10 @@
 }
 
 function advanceReconnect(state: MembershipState, now: Instant, random: number): Step {
-  if (now - state.schedule.reconnected < state.intervals.reconnect) return { state, effects: [] };
-  if (listPeers(state).length > 0) return sendReconnect(state, now, random);
+  const isJoining = state.awaited !== undefined;
+  const interval = isJoining ? state.intervals.join : state.intervals.reconnect;
+  if (now - state.schedule.reconnected < interval) return { state, effects: [] };
+  if (!isJoining && listPeers(state).length > 0) return sendReconnect(state, now, random);
   const scheduled = { ...state, schedule: { ...state.schedule, reconnected: now } };
   return sendJoin(scheduled, now, random);
 }
@@ -210,8 +218,10 @@
     }
     case 'pingRequest':
       return forwardPing(state, from, message.sequence, message.target, now);
-    case 'records':
-      return mergeDelta(state, message.delta, from, now);
+    case 'records': {
+      const merged = mergeDelta(state, message.delta, from, now);
+      return { ...merged, state: recordCopy(merged.state, from, message.copyEnd) };
+    }
     case 'buckets':
       return { state, effects: handleBuckets(state, from, message.hashes, now) };
     case 'digest':
@@ -225,6 +235,17 @@
   }
 }
 
+/** A copy of an entry that is joining itself only tells that this one is no better. */
+function recordCopy(
+  state: MembershipState,
+  from: Address,
+  end: 'partial' | 'whole' | undefined,
+): MembershipState {
+  if (end === undefined || state.awaited === undefined) return state;
+  const others = state.awaited.filter((seed) => seed !== from);
+  return { ...state, awaited: end === 'whole' ? undefined : findAwaited(others) };
+}
+
 function handleRenewal(
   state: MembershipState,
   from: Address,
@@ -323,6 +344,9 @@
   const changes: readonly MembershipEffect[] = [
     ...(listChanged ? [{ kind: 'upstreamsChanged' } as const] : []),
     ...(entriesChanged ? [{ kind: 'entriesChanged' } as const] : []),
+    ...(before.awaited !== undefined && state.awaited === undefined
+      ? [{ kind: 'joined' } as const]
+      : []),
     ...listCondemned(before, state, now),
   ];
   const next = listChanged ? { ...state, listed } : state;
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -289,5 +289,10 @@
       `a:${fingerprint}`,
     ]),
   ];
-  return sendAll(state, to, keys, now);
+  const copyEnd = state.awaited === undefined ? 'whole' : 'partial';
+  return sendAll(state, to, keys, now).map((effect, at, all) =>
+    effect.kind === 'send' && effect.message.kind === 'records' && at === all.length - 1
+      ? { ...effect, message: { ...effect.message, copyEnd } }
+      : effect,
+  );
 }
--- a/src/membership/service.ts
+++ b/src/membership/service.ts
@@ -57,6 +57,8 @@
   updateSeeds(seeds: readonly Address[]): void;
   readonly entries: readonly KnownEntry[];
   onEntriesChanged(listener: () => void): void;
+  /** Resolves once this entry knows what the others know, or nobody is left to ask. */
+  readonly joined: Promise<void>;
   /** Tells all entries that this one takes no new callers. */
   setStopping(): void;
   /** Reports that an upstream crashed while it ran a request. */
@@ -77,14 +79,20 @@
   readonly #condemnedListeners: CondemnedListener[] = [];
   readonly #suspectListeners: ((fingerprints: readonly string[]) => void)[] = [];
   readonly #timer: NodeJS.Timeout;
+  readonly joined: Promise<void>;
   #state: MembershipState;
   #closed = false;
+  #resolveJoined: () => void = () => undefined;
 
   private constructor(options: MembershipOptions) {
     this.#options = options;
     const intervals = { ...defaultIntervals, ...options.intervals };
     const { self, seeds } = options;
     this.#state = createMembershipState(self, seeds, intervals, options.now());
+    this.joined = new Promise((resolve) => {
+      this.#resolveJoined = resolve;
+    });
+    if (this.#state.awaited === undefined) this.#resolveJoined();
     options.mesh.handle(CHANNEL, (from, message) => {
       this.#handleMessage(from, message as MembershipMessage);
     });
@@ -192,6 +200,9 @@
           listener();
         });
         break;
+      case 'joined':
+        this.#resolveJoined();
+        break;
       case 'condemned':
         this.#condemnedListeners.forEach((listener) => {
           listener(effect.fingerprints, effect.until);
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -18,6 +18,8 @@
   readonly suspicion: Duration;
   /** Between two rounds of rumours. */
   readonly gossip: Duration;
+  /** Between two requests for a copy of what the others know. */
+  readonly join: Duration;
   /** Between two attempts to reach a dead entry or a seed. */
   readonly reconnect: Duration;
   /** After which an announcement that is not renewed lapses. */
@@ -35,6 +37,7 @@
   probeTimeout: 400,
   suspicion: 3000,
   gossip: 250,
+  join: 500,
   reconnect: 5000,
   lease: 7000,
   grace: 7000,
@@ -122,6 +125,8 @@
   readonly sequence: number;
   readonly schedule: Schedule;
   readonly condemn: CondemnState;
+  /** Seeds that have not sent a copy; undefined once this entry knows what the others know. */
+  readonly awaited: readonly Address[] | undefined;
   /** Records of the upstreams that are listed now. */
   readonly listed: readonly UpstreamState[];
 }
@@ -163,6 +168,8 @@
   | { readonly kind: 'send'; readonly to: Address; readonly message: MembershipMessage }
   | { readonly kind: 'upstreamsChanged' }
   | { readonly kind: 'entriesChanged' }
+  /** This entry knows what the others know. */
+  | { readonly kind: 'joined' }
   | {
       readonly kind: 'condemned';
       readonly fingerprints: readonly string[];
--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -224,8 +224,11 @@
     socket.on('data', (chunk) => {
       try {
         reader.addChunk(chunk).forEach((frame) => {
-          if (peer === undefined) peer = this.#verifyPeer(nonce, frame);
-          else if (frame.length === 0) socket.write(SIGN_OF_LIFE);
+          if (peer === undefined) {
+            peer = this.#verifyPeer(nonce, frame);
+            // A peer that just connected listens again: what is sent to it now needn't be dropped.
+            this.#blockedUntil.delete(peer);
+          } else if (frame.length === 0) socket.write(SIGN_OF_LIFE);
           else this.#deliver(peer, frame);
         });
       } catch (error) {
