Tell addresses that can be dialled to a process that looks for its group

It asks the seeds for the members while they are still founding; a member without a group knows the others by address alone, and the publisher cut the last character off each (10.1.0.25:736). The steward dialled those for 5 s, was told that it belongs to no group, emptied its folder and started anew.

Ruled out: an admission that takes long (none was asked for: the log shows 5 s of refused dials only).

Change: one function cuts the address out of an identity, and leaves an address as it is; it stood three times.

--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -13,4 +13,5 @@
 } from './control.js';
 export { StorageError } from './files.js';
 export { openControl } from './node.js';
+export { toAddress } from './steps.js';
 export { defaultTimings, type Timings } from './types.js';
--- a/src/control/steps.ts
+++ b/src/control/steps.ts
@@ -35,9 +35,16 @@
   );
 }
 
-/** Returns the address part of a member's identity. */
+/**
+ * Returns the address part of a member's identity. A member without a group knows the others by address
+ * alone, so an address is returned as it is.
+ *
+ * @example
+ * toAddress('10.1.0.18:7200#5f1e0c9a') // '10.1.0.18:7200'
+ */
 export function toAddress(id: MemberId): string {
-  return id.slice(0, id.lastIndexOf('#'));
+  const [address = ''] = id.split('#', 1);
+  return address;
 }
 
 /** Returns the identities that count in majorities. */
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -3,7 +3,7 @@
  * and in order, or the whole state.
  */
 import { encodeCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
-import type { ControlNode } from '../control/index.js';
+import { toAddress, type ControlNode } from '../control/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
 import { mergeEvidence, type EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
@@ -127,7 +127,7 @@
   }
 
   #listMembers(): readonly Address[] {
-    return this.#options.control.status.members.map(({ id }) => id.slice(0, id.lastIndexOf('#')));
+    return this.#options.control.status.members.map(({ id }) => toAddress(id));
   }
 
   #takeEvidence(rows: readonly EvidenceRow[]): void {
--- a/src/steward/members.ts
+++ b/src/steward/members.ts
@@ -2,7 +2,7 @@
  * Decides which members the control group gains and loses without an operator. Invariant: at most one
  * change is proposed at a time, a member that answers is never removed, and three voters remain.
  */
-import type { ControlStatus, MemberChange } from '../control/index.js';
+import { toAddress, type ControlStatus, type MemberChange } from '../control/index.js';
 import type { Address, Duration } from '../model/index.js';
 
 /** Milliseconds of silence after which a member may be the one that a new member replaces. */
@@ -19,10 +19,6 @@
   readonly admitted: number;
 }
 
-function getAddress(id: string): Address {
-  return id.slice(0, id.lastIndexOf('#'));
-}
-
 /**
  * Returns the next change of the group, or nothing.
  *
@@ -34,7 +30,7 @@
   requests: JoinRequests,
 ): MemberChange | undefined {
   if (status.role !== 'leader') return undefined;
-  const addresses = status.members.map(({ id }) => getAddress(id));
+  const addresses = status.members.map(({ id }) => toAddress(id));
   const joiner = requests.waiting.find((address) => !addresses.includes(address));
   if (joiner !== undefined) return { kind: 'add', address: joiner };
   const voters = status.members.filter(({ voter }) => voter);
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,2 +1,2 @@
 /** Messages between the processes of one site. */
-export { createMesh, type Mesh, type MeshOptions } from './mesh.js';
+export { createMesh, type Mesh, type MessageHandler, type MeshOptions } from './mesh.js';
