Let slow callers fetch their last answer to its end

The gateway destroyed a closing connection 500 ms after the answer was handed to the socket, while most of it still waited in the process for the caller's slow link.

Ruled out: the upstream (its run had ended well), the change of configuration beside it (no route of it changed).

Change: the 500 ms count from when the last byte left the process. Before: the new scenario gets the first megabytes only; after: all 24 MB.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -19,6 +19,11 @@
     And an answer that only the end of its connection ends is passed on in the same way
     And requests over upstreams that answer twice each get their own answer
 
+  Scenario: A caller that fetches a large last answer slowly gets all of it
+    Given the platform's site serves two services
+    When a caller asks for an answer of 24 MB on its last request, and reads nothing for 1500 ms
+    Then it gets all 24 MB
+
   Scenario: An upstream that drains, one that leaves, and a zone that is out
     Given the platform's site serves two services
     When an upstream says that it drains
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -1,8 +1,12 @@
 import { After, Given, Then, When, type World } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   createId,
+  LARGE_BYTES,
+  PORTS,
   sendQuestion,
   Site,
   waitUntil,
@@ -19,6 +23,7 @@
   outZone: string;
   answers: Answer[];
   failures: string[];
+  received: number;
 }
 
 const safeRoute = {
@@ -246,6 +251,31 @@
   },
 );
 
+When(
+  'a caller asks for an answer of 24 MB on its last request, and reads nothing for {int} ms',
+  { timeout: 20_000 },
+  async function (this: PlatformWorld, pause: number) {
+    const { site } = this;
+    applyBehaviour(this, 'large');
+    const socket = connect(PORTS.front, site.ips[0] ?? '');
+    socket.write(
+      `GET /records/1 HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n` +
+        `X-Attempt-Id: ${createId()}\r\nX-Deadline-Ms: 10000\r\n\r\n`,
+    );
+    socket.pause();
+    await sleep(pause);
+    this.received = 0;
+    socket.on('data', (chunk: Buffer) => {
+      this.received += chunk.length;
+    });
+    await once(socket.resume(), 'close');
+  },
+);
+
+Then('it gets all 24 MB', function (this: PlatformWorld) {
+  assert.ok(this.received > LARGE_BYTES, `got ${this.received} bytes`);
+});
+
 async function countArrivals(
   { site }: PlatformWorld,
   upstreams: readonly Upstream[],
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -10,7 +10,7 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-const PORTS = {
+export const PORTS = {
   front: 8381,
   ready: 8388,
   directory: 8383,
@@ -20,6 +20,8 @@
 };
 const PROGRAM = 'dist/platform/main.js';
 const GRACE_MS = 3000;
+/** Bytes of a large answer; more than the socket buffers of both ends hold. */
+export const LARGE_BYTES = 24 * 1024 * 1024;
 
 /** An answer with its whole body. */
 export interface Answer {
@@ -70,7 +72,8 @@
 }
 
 /** What an upstream does with requests. */
-export type Behaviour = 'serve' | 'reset' | 'refuse' | 'fail' | 'cut' | 'stray' | 'unframed';
+export type Behaviour =
+  'serve' | 'reset' | 'refuse' | 'fail' | 'cut' | 'stray' | 'unframed' | 'large';
 
 /** A stand-in upstream. */
 export class Upstream {
@@ -126,6 +129,10 @@
             response.writeHead(200, seal);
             response.end(`served by ${id}`);
             return;
+          case 'large':
+            response.writeHead(200, seal);
+            response.end(Buffer.alloc(LARGE_BYTES));
+            return;
           case 'fail':
             response.writeHead(500, seal);
             response.end('failed');
@@ -265,6 +272,7 @@
       region: 'klang-valley',
       role,
       ip,
+      'limits.cpu_share': '0.54',
       'internal_port_range.0': String(PORTS.peer),
       'internal_port_range.1': String(PORTS.gateway),
       seeds: this.ips.map((seed) => `${seed}:${PORTS.control}`).join(','),
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -20,6 +20,8 @@
 const MAX_READ_AHEAD = 16;
 /** Milliseconds for which a closed connection is read on, so that the answer isn't lost in a reset. */
 const LINGER: Duration = 500;
+/** Milliseconds that a caller may take to fetch its last answer; the largest takes seconds on a slow link. */
+const LONGEST_LINGER: Duration = 30_000;
 
 /** An answer as it goes to the caller. */
 export interface CallerAnswer {
@@ -249,7 +251,12 @@
     this.#slots = [];
     this.#isClosed = true;
     this.#socket.resume();
-    setTimeout(() => this.#socket.destroy(), LINGER).unref();
+    const timer = setTimeout(() => this.#socket.destroy(), LONGEST_LINGER).unref();
+    // Until the last byte has left this process, closing would cut the answer off.
+    this.#socket.once('finish', () => {
+      clearTimeout(timer);
+      setTimeout(() => this.#socket.destroy(), LINGER).unref();
+    });
     this.#host.onClose(this);
   }
 
