Time moves of traffic by the clock that doesn't jump

Change: each member notes when a move's order was applied by its monotonic clock; the time of day tells the age only of orders from before it took part.

--- a/features/steward/decisions.feature
+++ b/features/steward/decisions.feature
@@ -71,3 +71,13 @@
       | follower | a:1    |      | elsewhere a:1 |
       | newborn  |        | b:1  | elsewhere b:1 |
       | newborn  |        |      | unavailable |
+
+  Scenario Outline: A jump of the time of day doesn't end a move of traffic
+    When a leading steward gets the order for a move of 14000 ms, and its time of day jumps by <jump> ms
+    Then the steward proposes that the move is "running"
+
+    Examples:
+      | jump   |
+      | 0      |
+      | 15000  |
+      | -15000 |
--- a/features/steward/decisions.steps.ts
+++ b/features/steward/decisions.steps.ts
@@ -1,6 +1,12 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { emptyCatalog, type Instance, type TrafficMove } from '../../src/catalog/index.js';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  emptyCatalog,
+  type CatalogCommand,
+  type Instance,
+  type TrafficMove,
+} from '../../src/catalog/index.js';
 import type { ControlStatus, MemberChange } from '../../src/control/index.js';
 import { addEvidenceBlock, createJudgement, type EvidenceRow } from '../../src/rollout/index.js';
 import {
@@ -11,9 +17,11 @@
   type MoveStep,
   type Steward,
 } from '../../src/steward/index.js';
+import { createInstance } from '../gateway/catalog.js';
 import { createControl } from '../support/control.js';
 
 interface StewardWorld {
+  state: string;
   steward: Steward | undefined;
   outcomes: readonly string[];
   move: TrafficMove;
@@ -165,6 +173,51 @@
   assert.deepEqual(this.outcomes, [answer, answer]);
 });
 
+When(
+  'a leading steward gets the order for a move of {int} ms, and its time of day jumps by {int} ms',
+  async function (this: StewardWorld, duration: number, jump: number) {
+    const move = buildMove(duration, 0);
+    const catalog = { ...emptyCatalog, moves: { [move.service]: move } };
+    const instance = { ...createInstance('u1'), version: 'v2' };
+    const applied = { ...catalog, instances: { u1: instance } };
+    let wallNow = 0;
+    const proposed: CatalogCommand[] = [];
+    const startedAt = performance.now();
+    let tell: () => void = () => undefined;
+    const control = createControl(
+      { role: 'leader', leader: 'a:1' },
+      {
+        applied,
+        propose: (command) => {
+          proposed.push(command as CatalogCommand);
+          return Promise.resolve({ kind: 'unknown' });
+        },
+        onApplied: (listener) => {
+          tell = () => {
+            listener(applied, 1, undefined);
+          };
+        },
+      },
+    );
+    this.steward = createSteward({
+      ...{ control, findLeader: () => undefined, announceInterval: 1500 },
+      ...{ now: () => performance.now() - startedAt, wallNow: () => wallNow },
+    });
+    tell();
+    wallNow = jump;
+    await sleep(500);
+    const [first] = proposed;
+    this.state = first?.kind === 'stepMove' ? first.state : '';
+  },
+);
+
+Then(
+  'the steward proposes that the move is {string}',
+  function (this: StewardWorld, state: string) {
+    assert.equal(this.state, state);
+  },
+);
+
 After(function (this: Partial<StewardWorld>) {
   this.steward?.close();
 });
--- a/features/support/control.ts
+++ b/features/support/control.ts
@@ -3,7 +3,18 @@
 import { emptyCatalog, type Catalog } from '../../src/catalog/index.js';
 import type { ControlNode, ControlStatus } from '../../src/control/index.js';
 
-export function createControl(status: Partial<ControlStatus>): ControlNode<Catalog> {
+/** What a test may set of a control member besides its status. */
+export interface ControlParts {
+  readonly applied?: Catalog;
+  readonly propose?: ControlNode<Catalog>['propose'];
+  readonly onApplied?: ControlNode<Catalog>['onApplied'];
+}
+
+/** Builds the member. */
+export function createControl(
+  status: Partial<ControlStatus>,
+  parts: ControlParts = {},
+): ControlNode<Catalog> {
   const full: ControlStatus = {
     ...{ role: 'follower', term: 1, leader: undefined, commitIndex: 0, lastIndex: 0 },
     ...{ members: [], silences: [], healthy: true, problem: undefined },
@@ -20,5 +31,6 @@
           : { kind: 'notLeader', leader: full.leader },
       ),
     ...{ onApplied: () => undefined, onJoiner: () => undefined, close: () => Promise.resolve() },
+    ...parts,
   };
 }
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -92,11 +92,18 @@
   readonly judgement: Judgement;
 }
 
+/** When a move was ordered, by the clock of this process that never jumps. */
+interface MoveStart {
+  readonly orderedAt: number;
+  readonly startedAt: Instant;
+}
+
 class LeaderSteward implements Steward {
   readonly #options: StewardOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #heard = new Map<string, Heard>();
   readonly #moves = new Map<string, WatchedMove>();
+  readonly #starts = new Map<string, MoveStart>();
   #evidence: readonly EvidenceRow[] = [];
   #joins: JoinRequests = { waiting: [], admitted: 0 };
   #isChanging = false;
@@ -110,8 +117,9 @@
     options.control.onJoiner((address) => {
       this.#requestJoin(address);
     });
-    options.control.onApplied((_, __, command) => {
+    options.control.onApplied((catalog, _, command) => {
       this.#noteCold(command as CatalogCommand | undefined);
+      this.#noteMoves(catalog);
     });
   }
 
@@ -211,6 +219,20 @@
     this.#heard.set(id, { bornAt, sequence, at: now, coldUntil });
   }
 
+  /**
+   * Notes when moves began. The time of day may jump, so it tells the age only of moves that were ordered before
+   * this member took part.
+   */
+  #noteMoves({ moves }: Catalog): void {
+    const { control, now, wallNow } = this.#options;
+    Object.values(moves).forEach(({ service, orderedAt }) => {
+      if (this.#starts.get(service)?.orderedAt === orderedAt) return;
+      const isOld = control.status.leader === undefined;
+      const age = isOld ? Math.max(0, wallNow() - orderedAt) : 0;
+      this.#starts.set(service, { orderedAt, startedAt: now() - age });
+    });
+  }
+
   #look(): void {
     const { control, now } = this.#options;
     const { role, term } = control.status;
@@ -258,14 +280,14 @@
   }
 
   #steerMove(move: TrafficMove, rows: readonly EvidenceRow[]): void {
-    const { control, wallNow } = this.#options;
+    const { control, now } = this.#options;
     const { service, version, orderedAt } = move;
     const known = this.#moves.get(service);
     const before = known?.orderedAt === orderedAt ? known.judgement : createJudgement(version);
     const own = rows.filter((row) => row.service === service);
     const judgement = own.length === 0 ? before : addEvidenceBlock(before, own);
     const bearable = computeBearableShare(control.applied, move);
-    const step = planStep(move, judgement, bearable, wallNow() - orderedAt);
+    const step = planStep(move, judgement, bearable, now() - this.#findStart(move));
     this.#moves.set(service, {
       orderedAt,
       judgement: step === undefined ? judgement : startStep(judgement),
@@ -273,6 +295,12 @@
     if (step !== undefined) this.#proposeStep(move, step);
   }
 
+  #findStart(move: TrafficMove): Instant {
+    const known = this.#starts.get(move.service);
+    if (known?.orderedAt !== move.orderedAt) this.#noteMoves(this.#options.control.applied);
+    return this.#starts.get(move.service)?.startedAt ?? this.#options.now();
+  }
+
   #proposeStep({ service, version, orderedAt }: TrafficMove, step: MoveStep): void {
     const { share, state, reason } = step;
     log.info('traffic move steps', { service, version, share, state, reason });
