Prefer upstreams with an idle connection, keep large answers within the zone; a soak of the real programs

Change: among upstreams about as good as the best, one with an idle connection goes first; large answers go to the own zone while its upstreams answer within 0.8 of the target.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -21,6 +21,21 @@
       | x a 0 1 cold-turn                               | 60   | 500  | x          |
       | x a 0 1 failing, y b 0 2                        | 60   | 500  | y          |
       | x a 0 1 out-of-reach, y b 0 2                   | 60   | 500  | y          |
+      | x a 0 1, y a 0 1 connected                      | 60   | 500  | y          |
+      | x a 0 1, y a 0 2 connected                      | 60   | 500  | x          |
+      | x a 0 1 connected, y a 2 1 connected            | 60   | 500  | x y        |
+
+  Scenario Outline: The upstream of an attempt whose answer is large
+    Given gateway upstreams "<upstreams>"
+    When a download with <work> ms of work and <left> ms left is placed from zone "a"
+    Then the gateway chooses among "<chosen>"
+
+    Examples: answers are late after 200 ms
+      | upstreams          | work | left | chosen |
+      | x a 0 2, y b 0 1   | 60   | 500  | x      |
+      | x a 6 1, y b 0 1   | 60   | 500  | x      |
+      | x a 0 4, y b 0 1   | 60   | 500  | y      |
+      | x a 0 7, y b 0 7.1 | 60   | 600  | x y    |
 
   Scenario Outline: What follows when an attempt ends
     Given a gateway request of kind "<kind>" with at most <attempts> attempts
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -14,6 +14,7 @@
 import type { AttemptOutcome, UpstreamRecord } from '../../src/gateway/types.js';
 
 interface DecisionWorld {
+  connected: ReadonlySet<string>;
   records: readonly UpstreamRecord[];
   chosen: string;
   state: RepeatState;
@@ -28,6 +29,7 @@
 }
 
 const NOW = 100_000;
+const TARGET = 200;
 
 function buildRecord(text: string): UpstreamRecord {
   const [id = '', zone = '', running = '', pace = '', how = ''] = text.trim().split(' ');
@@ -67,14 +69,24 @@
 
 Given('gateway upstreams {string}', function (this: DecisionWorld, text: string) {
   this.records = text.split(',').map(buildRecord);
+  this.connected = new Set(
+    text
+      .split(',')
+      .filter((item) => item.endsWith(' connected'))
+      .map((item) => item.trim().split(' ')[0] ?? ''),
+  );
 });
 
 When(
-  'a request with {int} ms of work and {int} ms left is placed from zone {string}',
-  function (this: DecisionWorld, work: number, left: number, zone: string) {
+  /^a (request|download) with (\d+) ms of work and (\d+) ms left is placed from zone "(\w+)"$/,
+  function (this: DecisionWorld, what: string, work: string, left: string, zone: string) {
     const chosen = Array.from({ length: 50 }, (_, at) => {
       const random = at / 50;
-      const context = { now: NOW, work, left, zone, isLarge: false, patience: 0.8, random };
+      const context = {
+        ...{ now: NOW, work: Number(work), left: Number(left), target: TARGET, random },
+        ...{ zone, isLarge: what === 'download', patience: 0.8 },
+        hasConnection: ({ instance }: UpstreamRecord) => this.connected.has(instance.id),
+      };
       const choice = chooseUpstream(this.records, context);
       return choice.kind === 'chosen' ? choice.record.instance.id : choice.kind;
     });
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -7,7 +7,7 @@
   createId,
   LARGE_BYTES,
   PORTS,
-  sendQuestion,
+  readMetric,
   Site,
   waitUntil,
   type Answer,
@@ -385,13 +385,15 @@
   'the gateways count the calls that they served, and one steward leads',
   async function (this: PlatformWorld) {
     const { ips } = this.site;
-    const calls = await Promise.all(ips.map((ip) => readMetric(ip, 9464, 'chivewalk_calls_total')));
+    const calls = await Promise.all(
+      ips.map((ip) => readMetric(ip, PORTS.gatewayMetrics, 'chivewalk_calls_total')),
+    );
     assert.ok(
       calls.every((count) => count >= 2),
       calls.join(),
     );
     const leads = await Promise.all(
-      ips.map((ip) => readMetric(ip, 9465, 'chivewalk_steward_leader')),
+      ips.map((ip) => readMetric(ip, PORTS.stewardMetrics, 'chivewalk_steward_leader')),
     );
     assert.equal(
       leads.reduce((sum, count) => sum + count, 0),
@@ -400,15 +402,6 @@
   },
 );
 
-async function readMetric(ip: string, port: number, name: string): Promise<number> {
-  const { body } = await sendQuestion(ip, port, { path: '/metrics' });
-  return body
-    .split('\n')
-    .filter((line) => line.startsWith(name))
-    .map((line) => Number(line.slice(line.lastIndexOf(' '))))
-    .reduce((sum, count) => sum + count, 0);
-}
-
 async function findLeader({ site }: PlatformWorld): Promise<string> {
   let leader: string | undefined;
   await waitUntil('a steward leads', async () => {
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -17,6 +17,8 @@
   control: 8382,
   peer: 7200,
   gateway: 7215,
+  gatewayMetrics: 9464,
+  stewardMetrics: 9465,
 };
 const PROGRAM = 'dist/platform/main.js';
 const GRACE_MS = 3000;
@@ -80,6 +82,8 @@
   readonly arrivals: Arrival[] = [];
   behaviour: Behaviour = 'serve';
   state: 'ready' | 'draining' = 'ready';
+  /** The address that it announces, if that isn't its own. */
+  announced: string | undefined;
   beating = true;
   acknowledged = 0;
   readonly born = Date.now();
@@ -176,7 +180,7 @@
     this.#sequence += 1;
     const { service, zone, version } = this;
     const body = JSON.stringify({
-      address: this.address,
+      address: this.announced ?? this.address,
       born: this.born,
       info: { service, version, zone, slots: 6 },
       status: { state: this.state, seq: this.#sequence, cold_left: '0ms' },
@@ -425,6 +429,22 @@
     });
   }
 
+  /** Reads the configuration through one steward. */
+  readConfiguration(turn: number): Promise<Answer> {
+    return this.#askFollowing(this.ips[turn % this.ips.length] ?? '', { path: '/-/Config.Get' }, 2);
+  }
+
+  /** Whether every steward is a member and counts so many that vote. */
+  async countVoters(wanted: number): Promise<boolean> {
+    const counts = await Promise.all(
+      this.ips.map(async (ip) => {
+        const term = await readMetric(ip, PORTS.stewardMetrics, 'chivewalk_steward_term');
+        return term > 0 ? readMetric(ip, PORTS.stewardMetrics, 'chivewalk_steward_voters') : 0;
+      }),
+    ).catch((): readonly number[] => []);
+    return counts.length > 0 && counts.every((count) => count === wanted);
+  }
+
   async isReady(ip: string): Promise<boolean> {
     const answer = await sendQuestion(ip, PORTS.ready, { path: '/-/readiness' }).catch(
       () => undefined,
@@ -458,3 +478,12 @@
     await sleep(25);
   }
 }
+
+/** Returns the sum of a metric over its labels. */
+export async function readMetric(ip: string, port: number, name: string): Promise<number> {
+  const { body } = await sendQuestion(ip, port, { path: '/metrics' });
+  return body
+    .split('\n')
+    .filter((line) => line.startsWith(name))
+    .reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0);
+}
--- /dev/null
+++ b/features/soak/proxy.ts
@@ -0,0 +1,87 @@
+/** A proxy on loopback that delays, resets, cuts one way and silences connections. */
+import { connect, createServer, type Server, type Socket } from 'node:net';
+
+/** What the proxy does to the bytes of its connections. */
+export type LinkFault =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'delay'; readonly ms: number }
+  /** Nothing arrives any more, and the connections stay open. */
+  | { readonly kind: 'silent' }
+  /** Requests arrive, answers don't. */
+  | { readonly kind: 'oneWay' };
+
+const SOUND: LinkFault = { kind: 'none' };
+
+/** A link to one address. */
+export class Link {
+  #fault: LinkFault = SOUND;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  /** Connections that lost bytes; they must deliver none of the later ones. */
+  readonly #silenced = new WeakSet<Socket>();
+
+  private constructor(target: string) {
+    const [host = '', port = ''] = target.split(':');
+    this.#server = createServer((near) => {
+      const far = connect(Number(port), host);
+      this.#forward(near, far, 'request');
+      this.#forward(far, near, 'answer');
+    });
+  }
+
+  static async open(listen: string, target: string): Promise<Link> {
+    const link = new Link(target);
+    const [host, port] = listen.split(':');
+    await new Promise<void>((resolve, reject) => {
+      link.#server.once('error', reject);
+      link.#server.listen(Number(port), host, resolve);
+    });
+    return link;
+  }
+
+  /** Sets what happens from now on; connections that were silenced stay so. */
+  setFault(fault: LinkFault): void {
+    this.#fault = fault;
+  }
+
+  resetAll(): void {
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  close(): void {
+    this.#server.close();
+    this.resetAll();
+  }
+
+  #forward(from: Socket, to: Socket, direction: 'request' | 'answer'): void {
+    this.#sockets.add(from);
+    let lastAt = 0;
+    const schedule = (act: () => void): void => {
+      const wait = this.#fault.kind === 'delay' ? this.#fault.ms : 0;
+      lastAt = Math.max(lastAt, performance.now() + wait);
+      if (lastAt <= performance.now()) act();
+      else setTimeout(act, lastAt - performance.now());
+    };
+    from.on('data', (chunk: Buffer) => {
+      const { kind } = this.#fault;
+      const isLost = kind === 'silent' || (kind === 'oneWay' && direction === 'answer');
+      if (isLost) this.#silenced.add(from);
+      if (this.#silenced.has(from)) return;
+      schedule(() => {
+        to.write(chunk);
+      });
+    });
+    from.on('end', () => {
+      if (this.#silenced.has(from)) return;
+      schedule(() => {
+        to.end();
+      });
+    });
+    from.on('error', () => {
+      to.resetAndDestroy();
+    });
+    from.on('close', () => {
+      this.#sockets.delete(from);
+    });
+  }
+}
--- /dev/null
+++ b/features/soak/soak.ts
@@ -0,0 +1,415 @@
+/**
+ * Runs the real programs as separate processes, injects the faults of a seed from outside them, and checks the
+ * promises of docs/PLATFORM.md by what callers, upstreams and operators see.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Site, waitUntil, type Answer, type Arrival, type Upstream } from '../platform/site.js';
+import { Caller, type Sight } from './callers.js';
+import { planFaults, type Fault, type PlannedFault } from './faults.js';
+import { Link, type LinkFault } from './proxy.js';
+
+/** What a run found. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly faults: readonly PlannedFault[];
+  readonly answered: number;
+  readonly requests: number;
+  readonly violations: readonly string[];
+  /** The last lines of every process, for a run that found something. */
+  readonly output: string;
+}
+
+interface Span {
+  readonly from: number;
+  until: number;
+}
+
+interface Leaving {
+  readonly upstream: Upstream;
+  readonly acknowledgedAt: number;
+}
+
+interface ZoneOut {
+  readonly zone: string;
+  readonly acknowledgedAt: number;
+  until: number;
+}
+
+/** Milliseconds without a fault of a process after which its promises with a time bound hold. */
+const CONTACT = 3000;
+/** Milliseconds from an acknowledged "draining" to the last request. */
+const DRAIN_BOUND = 2000;
+/** Milliseconds from an acknowledged emptying of a zone to the last request. */
+const EVACUATE_BOUND = 5000;
+/** Milliseconds from an acknowledged configuration to the last older read. */
+const CONFIG_BOUND = 2000;
+/** Milliseconds from the last fault until callers are served again. */
+const RECOVERY_BOUND = 15_000;
+/** Milliseconds that a late request may take to reach an upstream. */
+const SETTLE_TIME = 1500;
+/** Requests in a row that each caller must have answered once the faults are over. */
+const RECOVERED_COUNT = 10;
+const NOT_RUN = [408, 421, 429, 503];
+
+const safeRoute = {
+  ...{ name: 'r-safe', path_prefix: '/records/', kind: 'safe', timeout: '800ms' },
+  ...{ target_latency: '200ms', priority: 2, service: 'records', max_attempts: 2 },
+};
+const unsafeRoute = {
+  ...safeRoute,
+  ...{ name: 'r-unsafe', path_prefix: '/orders/', kind: 'unsafe', priority: 1, service: 'orders' },
+};
+
+/** One run. */
+class Soak {
+  readonly #seed: number;
+  readonly #site: Site;
+  readonly #callers: readonly Caller[];
+  readonly #links: readonly Link[];
+  /** When a process was down, paused or just back. */
+  readonly #disturbed: Span[] = [];
+  readonly #leaving: Leaving[] = [];
+  readonly #zonesOut: ZoneOut[] = [];
+  readonly #violations: string[] = [];
+  readonly #acknowledged: (readonly [version: number, at: number])[] = [];
+  #stewardsBusy: Promise<void> = Promise.resolve();
+  #ordersBusy: Promise<void> = Promise.resolve();
+  #isReading = true;
+
+  private constructor(seed: number, site: Site, links: readonly Link[]) {
+    this.#seed = seed;
+    this.#site = site;
+    this.#links = links;
+    this.#callers = [...site.zones, ...site.zones].map((zone) => new Caller(site, zone));
+  }
+
+  static async open(seed: number): Promise<Soak> {
+    const site = await Site.start();
+    const places = site.zones.flatMap((_, at) =>
+      [
+        ['records', at, 1],
+        ['records', at, 3],
+        ['orders', at, 2],
+        ['orders', at, 4],
+      ].map(([service, vm, number]) => [String(service), Number(vm), Number(number)] as const),
+    );
+    const upstreams = await Promise.all(
+      places.map(([service, at, number]) => site.addUpstream(service, at, number)),
+    );
+    const links = await Promise.all(
+      upstreams.map(async (upstream) => {
+        const target = upstream.address;
+        const link = await Link.open(target.replace(':8080', ':8081'), target);
+        upstream.announced = target.replace(':8080', ':8081');
+        return link;
+      }),
+    );
+    const soak = new Soak(seed, site, links);
+    await soak.#changeRoutes();
+    await soak.#waitUntilServed('start');
+    return soak;
+  }
+
+  async run(length: number): Promise<SoakReport> {
+    const faults = planFaults(
+      this.#seed,
+      length,
+      this.#site.ips.length,
+      this.#site.upstreams.length,
+    );
+    this.#callers.forEach((caller) => {
+      caller.start();
+    });
+    const reading = this.#readConfigurations();
+    const startedAt = performance.now();
+    await Promise.all(
+      faults.map(async ({ at, fault }) => {
+        await sleep(Math.max(0, startedAt + at - performance.now()));
+        await this.#inject(fault);
+      }),
+    );
+    await Promise.all([this.#stewardsBusy, this.#ordersBusy]);
+    this.#links.forEach((link) => {
+      link.setFault({ kind: 'none' });
+    });
+    await this.#waitUntilServed('the faults are over');
+    this.#isReading = false;
+    await reading;
+    await Promise.all(this.#callers.map((caller) => caller.stop()));
+    await sleep(SETTLE_TIME);
+    await this.#checkReadBack();
+    this.#checkSights();
+    this.#checkArrivals();
+    const sights = this.#callers.flatMap(({ sights: seen }) => seen);
+    return {
+      seed: this.#seed,
+      faults,
+      answered: sights.filter(({ status }) => status === 200).length,
+      requests: sights.length,
+      violations: this.#violations,
+      output: [...this.#site.processes]
+        .map(([name, { output }]) => `== ${name}\n${output.slice(-8000)}`)
+        .join('\n'),
+    };
+  }
+
+  async close(): Promise<void> {
+    this.#links.forEach((link) => {
+      link.close();
+    });
+    await this.#site.stop();
+  }
+
+  async #inject(fault: Fault): Promise<void> {
+    switch (fault.kind) {
+      case 'killGateway':
+        return this.#restart([`gateway-${fault.vm + 1}`], 'SIGKILL', false);
+      case 'stopGateway':
+        return this.#restart([`gateway-${fault.vm + 1}`], 'SIGTERM', false);
+      case 'pauseGateway':
+        return this.#pause(`gateway-${fault.vm + 1}`, fault.ms);
+      case 'killSteward':
+        return this.#disturbStewards(() =>
+          this.#restart([`steward-${fault.vm + 1}`], 'SIGKILL', false),
+        );
+      case 'wipeSteward':
+        return this.#disturbStewards(() => this.#wipe(`steward-${fault.vm + 1}`));
+      case 'pauseSteward':
+        return this.#disturbStewards(() => this.#pause(`steward-${fault.vm + 1}`, fault.ms));
+      case 'killAllStewards':
+        return this.#disturbStewards(() =>
+          this.#restart(['steward-1', 'steward-2', 'steward-3'], 'SIGKILL', false),
+        );
+      case 'misbehave': {
+        const upstream = this.#site.upstreams[fault.upstream];
+        if (upstream === undefined) return;
+        upstream.behaviour = fault.how;
+        await sleep(fault.ms);
+        upstream.behaviour = 'serve';
+        return;
+      }
+      case 'resetLink':
+        this.#links[fault.upstream]?.resetAll();
+        return;
+      case 'delayLink':
+        return this.#spoilLink(fault.upstream, { kind: 'delay', ms: fault.ms }, fault.ms * 10);
+      case 'silenceLink':
+        return this.#spoilLink(fault.upstream, { kind: 'silent' }, fault.ms);
+      case 'cutOneWay':
+        return this.#spoilLink(fault.upstream, { kind: 'oneWay' }, fault.ms);
+      case 'drain':
+        return this.#drain(fault.upstream);
+      case 'changeRoutes':
+        return this.#queueOrder(() => this.#changeRoutes());
+      case 'zoneOut':
+        return this.#queueOrder(() => this.#emptyZone(fault.vm, fault.ms));
+    }
+  }
+
+  /** Faults of stewards follow one another: the site bears the loss of one of three. */
+  #disturbStewards(act: () => Promise<void>): Promise<void> {
+    this.#stewardsBusy = this.#stewardsBusy.then(act);
+    return this.#stewardsBusy;
+  }
+
+  #queueOrder(act: () => Promise<void>): Promise<void> {
+    this.#ordersBusy = this.#ordersBusy.then(act);
+    return this.#ordersBusy;
+  }
+
+  async #markDisturbed(act: () => Promise<void>): Promise<void> {
+    const span: Span = { from: performance.now(), until: Infinity };
+    this.#disturbed.push(span);
+    await act();
+    span.until = performance.now();
+  }
+
+  #restart(names: readonly string[], signal: NodeJS.Signals, losesDisk: boolean): Promise<void> {
+    return this.#markDisturbed(async () => {
+      await Promise.all(names.map((name) => this.#site.endProcess(name, signal)));
+      await Promise.all(names.map((name) => this.#site.restartProcess(name, losesDisk)));
+    });
+  }
+
+  /** A disk may be lost once its loss can be borne: the others agree, and have what it had. */
+  async #wipe(name: string): Promise<void> {
+    await this.#waitForVoters();
+    await this.#restart([name], 'SIGKILL', true);
+    await this.#waitForVoters();
+  }
+
+  async #waitForVoters(): Promise<void> {
+    await waitUntil('all stewards have votes', () => this.#site.countVoters(3), 30_000);
+  }
+
+  #pause(name: string, ms: number): Promise<void> {
+    return this.#markDisturbed(async () => {
+      const child = this.#site.processes.get(name)?.child;
+      child?.kill('SIGSTOP');
+      await sleep(ms);
+      child?.kill('SIGCONT');
+    });
+  }
+
+  async #spoilLink(at: number, fault: LinkFault, ms: number): Promise<void> {
+    const link = this.#links[at];
+    if (link === undefined) return;
+    link.setFault(fault);
+    await sleep(ms);
+    link.setFault({ kind: 'none' });
+  }
+
+  /** One upstream of each service may leave, so that calls can still be served. */
+  async #drain(at: number): Promise<void> {
+    const upstream = this.#site.upstreams[at];
+    const isTaken = this.#leaving.some((one) => one.upstream.service === upstream?.service);
+    if (upstream === undefined || isTaken || upstream.state === 'draining') return;
+    upstream.state = 'draining';
+    await waitUntil(
+      '"draining" is acknowledged',
+      () => upstream.beat(this.#site.shuffleIps()),
+      30_000,
+    );
+    this.#leaving.push({ upstream, acknowledgedAt: performance.now() });
+  }
+
+  async #changeRoutes(): Promise<void> {
+    const timeout = `${800 + (this.#site.version % 5) * 10}ms`;
+    const answer = await this.#site.putRoutes([{ ...safeRoute, timeout }, unsafeRoute]);
+    if (answer.status === 200) this.#acknowledged.push([this.#site.version, performance.now()]);
+    else
+      this.#violations.push(`a valid configuration was refused: ${answer.status} ${answer.body}`);
+  }
+
+  async #emptyZone(vm: number, ms: number): Promise<void> {
+    const zone = this.#site.zones[vm] ?? '';
+    await this.#site.order({ method: 'POST', path: `/-/Evacuation.Start/${zone}` });
+    const span: ZoneOut = { zone, acknowledgedAt: performance.now(), until: Infinity };
+    this.#zonesOut.push(span);
+    await sleep(EVACUATE_BOUND + ms);
+    span.until = performance.now();
+    await this.#site.order({ method: 'POST', path: `/-/Evacuation.End/${zone}` });
+  }
+
+  /** Reads the configuration again and again; none may be older than what was acknowledged. */
+  async #readConfigurations(): Promise<void> {
+    let turn = 0;
+    while (this.#isReading) {
+      const askedAt = performance.now();
+      turn += 1;
+      const read = await this.#site
+        .readConfiguration(turn)
+        .catch((): Answer | undefined => undefined);
+      if (read?.status === 200) this.#checkRead(read, askedAt);
+      await sleep(150);
+    }
+  }
+
+  #checkRead({ body }: Answer, askedAt: number): void {
+    const { version } = JSON.parse(body) as { version: number };
+    const due = this.#acknowledged.filter(([, at]) => at + CONFIG_BOUND < askedAt).at(-1)?.[0] ?? 0;
+    if (version < due) {
+      this.#violations.push(`read configuration ${version} though ${due} was acknowledged`);
+    }
+  }
+
+  async #checkReadBack(): Promise<void> {
+    const read = await this.#site.order({ path: '/-/Config.Get' });
+    const { version } = JSON.parse(read.body) as { version: number };
+    const newest = this.#acknowledged.at(-1)?.[0] ?? 0;
+    if (version !== newest) {
+      this.#violations.push(
+        `the configuration reads back as ${version}, acknowledged was ${newest}`,
+      );
+    }
+  }
+
+  async #waitUntilServed(since: string): Promise<void> {
+    const isServed = async (ip: string): Promise<boolean> => {
+      const answers = await Promise.all(
+        Array.from({ length: RECOVERED_COUNT }, (_, at) =>
+          this.#site
+            .call(
+              ip,
+              at % 2 === 0 ? '/records/0' : '/orders/0',
+              at % 2 === 0 ? {} : { method: 'POST' },
+            )
+            .catch((): undefined => undefined),
+        ),
+      );
+      return answers.every((answer) => answer?.status === 200);
+    };
+    await Promise.all(
+      this.#site.ips.map((ip) =>
+        waitUntil(`${ip} serves after ${since}`, () => isServed(ip), RECOVERY_BOUND).catch(
+          (error: unknown) => this.#violations.push(String(error)),
+        ),
+      ),
+    );
+  }
+
+  #checkSights(): void {
+    const ran = new Map<string, number>();
+    this.#site.upstreams
+      .flatMap(({ arrivals }) => arrivals)
+      .forEach(({ id }) => ran.set(id, (ran.get(id) ?? 0) + 1));
+    this.#callers
+      .flatMap(({ sights }) => sights)
+      .forEach((sight) => {
+        const problem = findProblem(sight, ran.get(sight.id) ?? 0);
+        if (problem !== undefined) this.#violations.push(`${sight.kind} ${sight.id}: ${problem}`);
+      });
+  }
+
+  /** Whether every process had run undisturbed for a while before the instant. */
+  #isCalm(at: number): boolean {
+    return this.#disturbed.every(({ from, until }) => at < from || at > until + CONTACT);
+  }
+
+  #checkArrivals(): void {
+    const report = (upstream: Upstream, { id, at }: Arrival, since: number, what: string): void => {
+      const late = Math.round(at - since);
+      this.#violations.push(`${upstream.id} got ${id} ${late} ms after ${what}`);
+    };
+    this.#leaving.forEach(({ upstream, acknowledgedAt }) => {
+      upstream.arrivals
+        .filter(({ at }) => at > acknowledgedAt + DRAIN_BOUND && this.#isCalm(at))
+        .forEach((arrival) => {
+          report(upstream, arrival, acknowledgedAt, '"draining" was acknowledged');
+        });
+    });
+    this.#zonesOut.forEach(({ zone, acknowledgedAt, until }) => {
+      this.#site.upstreams
+        .filter((upstream) => upstream.zone === zone)
+        .forEach((upstream) => {
+          upstream.arrivals
+            .filter(({ at }) => at > acknowledgedAt + EVACUATE_BOUND && at < until)
+            .filter(({ at }) => this.#isCalm(at))
+            .forEach((arrival) => {
+              report(upstream, arrival, acknowledgedAt, 'its zone was emptied');
+            });
+        });
+    });
+  }
+}
+
+function findProblem({ kind, id, status, seal, body }: Sight, ran: number): string | undefined {
+  if (kind === 'unsafe' && ran > 1) return `ran ${ran} times`;
+  if (ran > safeRoute.max_attempts) return `ran ${ran} times`;
+  if (kind === 'unsafe' && NOT_RUN.includes(status) && ran > 0) {
+    return `was answered ${status} and ran`;
+  }
+  if (status === 200 && seal !== `seal-${id}`) return `got the seal ${seal ?? 'of nobody'}`;
+  if (status === 200 && !body.startsWith('served by ')) return `got the body "${body}"`;
+  return undefined;
+}
+
+/** Runs one seed for `length` milliseconds of faults, and what it takes to recover. */
+export async function runSoak(seed: number, length: number): Promise<SoakReport> {
+  const soak = await Soak.open(seed);
+  try {
+    return await soak.run(length);
+  } finally {
+    await soak.close();
+  }
+}
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -173,6 +173,11 @@
     ['chivewalk_steward_term', 'Current term.', () => node.status.term],
     ['chivewalk_steward_commit_index', 'Newest committed entry.', () => node.status.commitIndex],
     ['chivewalk_steward_members', 'Members of the group.', () => node.status.members.length],
+    [
+      'chivewalk_steward_voters',
+      'Members that vote.',
+      () => node.status.members.filter(({ voter }) => voter).length,
+    ],
     ['chivewalk_steward_gateways', 'Gateways that are alive.', () => publisher.entries.length],
     [
       'chivewalk_steward_routes_version',
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -11,8 +11,8 @@
 const UNKNOWN_PACE = 1.5;
 /** Milliseconds that an upstream in another availability zone counts as slower. */
 const ZONE_PENALTY: Duration = 3;
-/** The same for large answers, whose bytes between zones are dear. */
-const DOWNLOAD_ZONE_PENALTY: Duration = 25;
+/** Part of the time until an answer is late that an upstream of the own zone may take for a large one. */
+const LARGE_TARGET_USE = 0.8;
 /** Expected time, as a multiple of the best one, up to which upstreams are as good as the best. */
 const EQUAL_RATIO = 1.15;
 /** Milliseconds on top of that. */
@@ -35,8 +35,13 @@
   readonly work: Duration;
   /** Milliseconds that are left. */
   readonly left: Duration;
+  /** Milliseconds until the answer is late in the eyes of the caller. */
+  readonly target: Duration;
   readonly zone: ZoneId;
+  /** Whether the answer is large, so that carrying it between zones is dear. */
   readonly isLarge: boolean;
+  /** Whether a connection to the upstream is open and idle; a new one takes time and a slot there. */
+  readonly hasConnection: (record: UpstreamRecord) => boolean;
   /** Share of the time left that the expected time may take. */
   readonly patience: number;
   /** From 0 to 1, exclusive. */
@@ -89,15 +94,14 @@
 }
 
 function measureUpstream(record: UpstreamRecord, context: ChoiceContext): Rated {
-  const { now, work, zone, isLarge } = context;
+  const { now, work, zone } = context;
   const expected = computeTime(record, work, now);
-  const penalty = isLarge ? DOWNLOAD_ZONE_PENALTY : ZONE_PENALTY;
   const badShare = computeBadShare(record);
   const failing = badShare > FAILING_SHARE ? 1 + badShare * FAILING_PENALTY : 1;
   return {
     record,
     expected,
-    cost: expected * failing + (record.instance.zone === zone ? 0 : penalty),
+    cost: expected * failing + (record.instance.zone === zone ? 0 : ZONE_PENALTY),
   };
 }
 
@@ -107,10 +111,26 @@
   return !isFull && expected <= context.left * context.patience;
 }
 
-/** Returns one of those that are about as good as the best, those with more free slots more often. */
-function pickAmongBest(rated: readonly Rated[], random: number): Rated | undefined {
+/** Large answers stay within the zone as long as its upstreams answer in time. */
+function listPreferred(able: readonly Rated[], context: ChoiceContext): readonly Rated[] {
+  if (!context.isLarge) return able;
+  const limit = context.target * LARGE_TARGET_USE;
+  const near = able.filter(
+    ({ record, cost }) => record.instance.zone === context.zone && cost <= limit,
+  );
+  return near.length > 0 ? near : able;
+}
+
+/**
+ * Returns one of those that are about as good as the best: one with an idle connection if there is any, and
+ * those with more free slots more often.
+ */
+function pickAmongBest(rated: readonly Rated[], context: ChoiceContext): Rated | undefined {
+  const { random, hasConnection } = context;
   const least = Math.min(...rated.map(({ cost }) => cost));
-  const best = rated.filter(({ cost }) => cost <= least * EQUAL_RATIO + EQUAL_SLACK);
+  const equal = rated.filter(({ cost }) => cost <= least * EQUAL_RATIO + EQUAL_SLACK);
+  const connected = equal.filter(({ record }) => hasConnection(record));
+  const best = connected.length > 0 ? connected : equal;
   const weights = best.map(({ record }) =>
     Math.max(0.5, record.instance.slots - computeOccupancy(record)),
   );
@@ -125,14 +145,14 @@
  * Returns the upstream for the next attempt.
  *
  * @example
- * chooseUpstream(records, { now, work: 60, left: 480, zone: 'cyberjaya', isLarge: false, patience: 0.8, random })
+ * chooseUpstream(records, { now, work: 60, left: 480, target: 180, zone: 'cyberjaya', ... })
  */
 export function chooseUpstream(records: readonly UpstreamRecord[], context: ChoiceContext): Choice {
   const open = records.filter((record) => isOpen(record, context.now));
   if (open.length === 0) return { kind: 'noUpstream' };
   const rated = open.map((record) => measureUpstream(record, context));
   const able = rated.filter((one) => hasRoom(one, context));
-  const chosen = pickAmongBest(able, context.random);
+  const chosen = pickAmongBest(listPreferred(able, context), context);
   if (chosen !== undefined) {
     return { kind: 'chosen', record: chosen.record, expected: chosen.expected };
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -487,6 +487,8 @@
       now,
       work: this.#getWork(request).value,
       left: deadline - now,
+      target: request.arrivedAt + route.targetLatency - now,
+      hasConnection: ({ instance }) => this.#pool.hasIdle(instance.address),
       zone: this.#options.zone,
       isLarge: route.kind === 'download',
       patience: Math.max(0.3, PATIENCE - (route.rank - urgent) * PATIENCE_STEP),
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -257,6 +257,12 @@
     );
   }
 
+  /** Whether a request to the address needs no new connection. */
+  hasIdle(address: Address): boolean {
+    const last = this.#idle.get(address)?.at(-1);
+    return last !== undefined && last.until > performance.now() && last.socket.writable;
+  }
+
   /** Closes the idle connections to an address that no instance answers at any more. */
   dropAddress(address: Address): void {
     this.#idle.get(address)?.forEach(({ socket }) => socket.destroy());
