Ask upstreams for their load right before a request where VMs change their pace; compress what entries are sent

Change: where the pace of a service's VMs varies, the upstream that was chosen is asked for its load first, and another one is chosen if it has become slow; reports between gateways and regular probes come less than half as often. Entries are sent the catalog without the operators' own words, compressed.

--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -9,3 +9,11 @@
       | role     | members                                   |
       | newborn  | 10.1.0.18:7200 10.2.0.34:7200             |
       | follower | 10.1.0.18:7200#5f1e0c9a 10.2.0.34:7200#11 |
+
+  Scenario: A table of a thousand routes reaches entries in few bytes, and they route as the control members do
+    Given a catalog that got 1040 routes by one change and then had 3 of them changed and 2 removed
+    When an entry is sent the whole state, and another one every change
+    Then both hold the same routes, apart from the operators' own words
+    And the changes took at most 65536 bytes, and the state as much
+    When a change that was accepted before is sent to both once more
+    Then both hold the same routes, apart from the operators' own words
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -1,5 +1,14 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import {
+  applyCommand,
+  emptyCatalog,
+  type Catalog,
+  type CatalogCommand,
+  type Route,
+  type RouteTable,
+} from '../../src/catalog/index.js';
+import { decodeCommands, decodeState, encodeCommands, encodeState } from '../../src/feed/codec.js';
 import type { ControlStatus } from '../../src/control/index.js';
 import { createPublisher, type FeedMessage, type Publisher } from '../../src/feed/index.js';
 import type { Address } from '../../src/model/index.js';
@@ -31,6 +40,10 @@
 }
 
 interface FeedWorld {
+  leader: Catalog;
+  commands: CatalogCommand[];
+  held: readonly Catalog[];
+  sizes: readonly number[];
   mesh: TestMesh;
   publisher: Publisher | undefined;
 }
@@ -65,6 +78,110 @@
   assert.equal(message?.kind === 'found' ? message.members.join(' ') : '', members);
 });
 
+function createRoute(at: number, timeout = 800): Route {
+  const item = {
+    name: `r-${at}`,
+    path_prefix: `/fipu${at}/wu/`,
+    note: 'in the words of the operator',
+  };
+  return {
+    ...{ name: `r-${at}`, host: 'site.example', prefix: `/fipu${at}/wu/`, kind: 'safe', timeout },
+    ...{ targetLatency: 200, maxAttempts: 2, rank: 1, source: item },
+    parts: [{ service: 'records', weight: 1 }],
+  };
+}
+
+const table: RouteTable = {
+  version: 1,
+  routes: [createRoute(0)],
+  services: [
+    {
+      ...{ name: 'records', healthPath: '/health', maxConnections: 200, coldTime: 0, coldRate: 1 },
+      source: { name: 'records' },
+    },
+  ],
+  limits: { headBytes: 1, bodyBytes: 1, headTimeout: 1, idleTimeout: 1, source: {} },
+  extra: { note: 'more of the operator' },
+};
+
+function createPatch(
+  version: number,
+  routes: readonly Route[],
+  removed: readonly string[],
+): CatalogCommand {
+  return {
+    ...{ kind: 'patchRoutes', base: version - 1, digest: `d${version}` },
+    patch: {
+      version,
+      upsert: { routes, services: [], limits: undefined },
+      remove: { routes: removed, services: [] },
+    },
+  };
+}
+
+function applyAll(catalog: Catalog, commands: readonly CatalogCommand[]): Catalog {
+  return commands.reduce((state, command) => applyCommand(state, command).state, catalog);
+}
+
+Given(
+  'a catalog that got {int} routes by one change and then had 3 of them changed and 2 removed',
+  function (this: FeedWorld, count: number) {
+    const routes = Array.from({ length: count }, (_, at) => createRoute(at + 1));
+    this.commands = [
+      { kind: 'replaceRoutes', base: 0, digest: 'd1', table },
+      createPatch(2, routes, []),
+      createPatch(
+        3,
+        [5, 6, 7].map((at) => createRoute(at, 900)),
+        ['r-8', 'r-9'],
+      ),
+    ];
+    this.leader = applyAll(emptyCatalog, this.commands);
+  },
+);
+
+function sendCommands(commands: readonly CatalogCommand[]): ReturnType<typeof encodeCommands> {
+  return encodeCommands(commands.map((command, at) => [at + 1, command]));
+}
+
+When('an entry is sent the whole state, and another one every change', function (this: FeedWorld) {
+  const state = encodeState(this.leader);
+  const changes = sendCommands(this.commands);
+  const received = decodeCommands(changes).map(([, command]) => command);
+  this.held = [decodeState(state), applyAll(emptyCatalog, received)];
+  this.sizes = [state[1].length, changes[1].length];
+});
+
+When('a change that was accepted before is sent to both once more', function (this: FeedWorld) {
+  const again = decodeCommands(sendCommands(this.commands.slice(1, 2))).map(([, one]) => one);
+  this.leader = applyAll(this.leader, again);
+  this.held = this.held.map((catalog) => applyAll(catalog, again));
+});
+
+function listRoutes({ table: held }: Catalog): readonly unknown[] {
+  return [
+    held?.version,
+    ...(held?.routes ?? []).map((route) => ({ ...route, source: undefined })),
+    ...(held?.services ?? []).map((service) => ({ ...service, source: undefined })),
+  ];
+}
+
+Then("both hold the same routes, apart from the operators' own words", function (this: FeedWorld) {
+  assert.equal(this.leader.table?.routes.length, 1039);
+  this.held.forEach((catalog) => {
+    assert.deepEqual(listRoutes(catalog), listRoutes(this.leader));
+  });
+});
+
+Then(
+  'the changes took at most {int} bytes, and the state as much',
+  function (this: FeedWorld, most: number) {
+    this.sizes.forEach((size) => {
+      assert.ok(size <= most, `${size} bytes`);
+    });
+  },
+);
+
 After(function (this: Partial<FeedWorld>) {
   this.publisher?.close();
 });
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -84,7 +84,7 @@
       const random = at / 50;
       const context = {
         ...{ now: NOW, work: Number(work), left: Number(left), target: TARGET, random },
-        ...{ zone, isLarge: what === 'download', patience: 0.8 },
+        ...{ zone, isLarge: what === 'download', patience: 0.8, looked: [] },
         hasConnection: ({ instance }: UpstreamRecord) => this.connected.has(instance.id),
       };
       const choice = chooseUpstream(this.records, context);
--- a/features/gateway/pulse.feature
+++ b/features/gateway/pulse.feature
@@ -18,6 +18,6 @@
     When one gateway that is no relay sees an upstream with 5 requests and a bad answer
     Then within 1000 ms every gateway believes that it has 5 requests
     And no gateway counted the bad answer more than twice
-    When a relay falls silent, and 700 ms pass
+    When a relay falls silent, and 1000 ms pass
     And one gateway that is no relay sees an upstream with 3 requests and a bad answer
     Then within 2000 ms every gateway believes that it has 3 requests
--- /dev/null
+++ b/src/feed/codec.ts
@@ -0,0 +1,110 @@
+/**
+ * What entries are sent of the catalog. Invariant: entries get all that they decide by, and none of what only
+ * operators' reads and repeated orders need, which is most of a large table.
+ */
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { Packr } from 'msgpackr';
+import {
+  decodeCatalog,
+  encodeCatalog,
+  type Catalog,
+  type CatalogCommand,
+  type RouteTable,
+} from '../catalog/index.js';
+
+const packr = new Packr({ useRecords: false });
+
+/** Bytes from which compressing pays: a table of a thousand routes would fill a small VM's link for a second. */
+const COMPRESSED_SIZE = 1024;
+/** Level of compression; higher ones take several times as long for little. */
+const COMPRESSION = { level: 3 };
+
+/** Bytes, compressed or not. */
+export type Bulk = readonly [isCompressed: boolean, bytes: Uint8Array];
+
+function buildBulk(bytes: Uint8Array): Bulk {
+  return bytes.length < COMPRESSED_SIZE
+    ? [false, bytes]
+    : [true, deflateRawSync(bytes, COMPRESSION)];
+}
+
+function openBulk([isCompressed, bytes]: Bulk): Uint8Array {
+  return isCompressed ? inflateRawSync(bytes) : bytes;
+}
+
+function dropSource<T extends { readonly source: unknown }>(item: T): T {
+  return { ...item, source: undefined };
+}
+
+function dropTableSources(table: RouteTable): RouteTable {
+  return {
+    ...table,
+    routes: table.routes.map(dropSource),
+    services: table.services.map(dropSource),
+    limits: dropSource(table.limits),
+    extra: {},
+  };
+}
+
+function dropSources(command: CatalogCommand): CatalogCommand {
+  switch (command.kind) {
+    case 'replaceRoutes':
+      return { ...command, table: dropTableSources(command.table) };
+    case 'patchRoutes': {
+      const { upsert, remove, version } = command.patch;
+      const { routes, services, limits } = upsert;
+      return {
+        ...command,
+        patch: {
+          version,
+          remove,
+          upsert: {
+            routes: routes.map(dropSource),
+            services: services.map(dropSource),
+            limits: limits && dropSource(limits),
+          },
+        },
+      };
+    }
+    case 'announce':
+    case 'end':
+    case 'chill':
+    case 'startMove':
+    case 'stepMove':
+    case 'setZone':
+      return command;
+  }
+}
+
+/** Commands by their index in the log. */
+export type IndexedCommands = readonly (readonly [index: number, command: CatalogCommand])[];
+
+/**
+ * Encodes commands for entries.
+ *
+ * @example
+ * decodeCommands(encodeCommands([[17, { kind: 'setZone', zone: 'cyberjaya', out: true }]]))
+ */
+export function encodeCommands(commands: IndexedCommands): Bulk {
+  return buildBulk(packr.pack(commands.map(([index, command]) => [index, dropSources(command)])));
+}
+
+/** Reads what {@link encodeCommands} wrote. */
+export function decodeCommands(bulk: Bulk): IndexedCommands {
+  return packr.unpack(openBulk(bulk)) as IndexedCommands;
+}
+
+/**
+ * Encodes the whole state for entries. The accepted changes are left out: an entry that applies one of them again
+ * finds it built on an old version, and changes nothing either.
+ */
+export function encodeState(catalog: Catalog): Bulk {
+  const { table } = catalog;
+  const lean = { ...catalog, accepted: [], table: table && dropTableSources(table) };
+  return buildBulk(encodeCatalog(lean));
+}
+
+/** Reads what {@link encodeState} wrote. */
+export function decodeState(bulk: Bulk): Catalog {
+  return decodeCatalog(openBulk(bulk));
+}
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -2,17 +2,12 @@
  * The entry's side of the feed. Invariant: commands are applied in the order of the log, each once; after
  * a gap nothing is applied until the whole state came.
  */
-import {
-  applyCommand,
-  decodeCatalog,
-  emptyCatalog,
-  type Catalog,
-  type CatalogCommand,
-} from '../catalog/index.js';
+import { applyCommand, emptyCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
 import { hashText } from '../routing/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
+import { decodeCommands, decodeState } from './codec.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
 
 /** Milliseconds between two calls to the control member that is followed. */
@@ -154,13 +149,14 @@
     const { base, after, commands, cold, fleet } = news;
     const { onChange, onCold } = this.#options;
     if (base !== undefined && base.index > this.#view.index) {
-      this.#view = { ...this.#view, catalog: decodeCatalog(base.state), index: base.index };
+      this.#view = { ...this.#view, catalog: decodeState(base.state), index: base.index };
       onChange(this.#view, { kind: 'replaced' });
       onCold(cold);
     }
     const hasGap = after > this.#view.index;
-    commands.forEach(([index, command]) => {
-      if (hasGap || index <= this.#view.index) return;
+    const listed = commands === undefined || hasGap ? [] : decodeCommands(commands);
+    listed.forEach(([index, command]) => {
+      if (index <= this.#view.index) return;
       this.#view = {
         ...this.#view,
         catalog: applyCommand(this.#view.catalog, command).state,
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -3,11 +3,12 @@
  * and in order, or the whole state.
  */
 import { createHash } from 'node:crypto';
-import { encodeCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
+import { type Catalog, type CatalogCommand } from '../catalog/index.js';
 import { toAddress, type ControlNode } from '../control/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
 import { mergeEvidence, type EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
+import { encodeCommands, encodeState, type Bulk, type IndexedCommands } from './codec.js';
 import { addEntry, listEntries, pruneEntries, type FleetTable } from './fleet.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage, type GroupNews } from './types.js';
 
@@ -49,6 +50,12 @@
   readonly revision: string;
 }
 
+/** What was encoded last, and of what. */
+interface Encoded {
+  readonly key: string;
+  readonly bulk: Bulk;
+}
+
 class FeedPublisher implements Publisher {
   readonly #options: PublisherOptions;
   readonly #timer: NodeJS.Timeout;
@@ -59,6 +66,8 @@
   #fleet: FleetTable = new Map();
   #own: FleetTable = new Map();
   #evidence: readonly EvidenceRow[] = [];
+  #encoded: Encoded = { key: '', bulk: [false, new Uint8Array()] };
+  #encodedState: Encoded = { key: '', bulk: [false, new Uint8Array()] };
   #described: FleetDescription = { entries: [], revision: '' };
 
   constructor(options: PublisherOptions) {
@@ -150,25 +159,37 @@
     const { entries, revision } = this.#describeFleet();
     const isBehind = follower.index < this.#complete;
     const commands = isBehind ? [] : this.#commands.filter(([index]) => index > follower.index);
+    const last = commands.at(-1)?.[0];
     mesh.send(to, FEED_CHANNEL, {
       kind: 'news',
       healthy: control.status.healthy,
-      base: isBehind
-        ? { index: control.appliedIndex, state: encodeCatalog(control.applied) }
-        : undefined,
+      base: isBehind ? { index: control.appliedIndex, state: this.#encodeState() } : undefined,
       after: follower.index,
-      commands,
+      commands: last === undefined ? undefined : this.#encodeCommands(commands, last),
       cold: isBehind ? listCold() : {},
       fleet: revision === follower.fleetRevision ? undefined : { revision, entries },
       members: this.#listMembers(),
     } satisfies FeedMessage);
-    const index = Math.max(
-      follower.index,
-      isBehind ? control.appliedIndex : (commands.at(-1)?.[0] ?? 0),
-    );
+    const index = Math.max(follower.index, isBehind ? control.appliedIndex : (last ?? 0));
     this.#followers.set(to, { ...follower, index, fleetRevision: revision });
   }
 
+  /** Most followers are sent the same commands, so these are encoded once. */
+  #encodeCommands(commands: IndexedCommands, last: number): Bulk {
+    const key = `${commands[0]?.[0] ?? last} ${last}`;
+    if (this.#encoded.key !== key) this.#encoded = { key, bulk: encodeCommands(commands) };
+    return this.#encoded.bulk;
+  }
+
+  #encodeState(): Bulk {
+    const { applied, appliedIndex } = this.#options.control;
+    const key = `state ${appliedIndex}`;
+    if (this.#encodedState.key !== key) {
+      this.#encodedState = { key, bulk: encodeState(applied) };
+    }
+    return this.#encodedState.bulk;
+  }
+
   /** Returns the entries with a digest of their list, which is made anew only after a change. */
   #describeFleet(): FleetDescription {
     const entries = listEntries(this.#fleet);
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -2,8 +2,8 @@
  * The messages that bring the catalog from control members to entries. Invariant: an entry's index never
  * falls within one life of its process, so it never acts on an older state than it has acted on.
  */
-import type { CatalogCommand } from '../catalog/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
+import type { Bulk } from './codec.js';
 import type { Address, Duration, ZoneId } from '../model/index.js';
 
 /** The mesh channel of the feed. */
@@ -39,10 +39,10 @@
       /** Whether the member takes part in a group that has a leader. */
       readonly healthy: boolean;
       /** The whole state, for an entry that is too far behind. */
-      readonly base: { readonly index: number; readonly state: Uint8Array } | undefined;
+      readonly base: { readonly index: number; readonly state: Bulk } | undefined;
       /** The index after which `commands` has every command. */
       readonly after: number;
-      readonly commands: readonly (readonly [index: number, command: CatalogCommand])[];
+      readonly commands: Bulk | undefined;
       /** Milliseconds that each cold instance stays cold. */
       readonly cold: Readonly<Record<string, Duration>>;
       readonly fleet:
--- a/src/gateway/book.ts
+++ b/src/gateway/book.ts
@@ -11,7 +11,7 @@
 } from '../catalog/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import { hashText } from '../routing/index.js';
-import { computeColdPause, type ColdBounds } from './budget.js';
+import { Average, computeColdPause, type ColdBounds } from './budget.js';
 import type { AttemptOutcome, LoadReport, UpstreamRecord } from './types.js';
 
 /** Milliseconds after which a counted answer has lost half of its weight. */
@@ -24,6 +24,8 @@
 const BLOCKING_MISSES = 2;
 /** Milliseconds without requests after the upstream turned one away. */
 const TURNED_AWAY_BLOCK: Duration = 30;
+/** Weight of one report in the average pace of a service; some hundred reports count. */
+const PACE_WEIGHT = 0.002;
 /** Milliseconds without requests to an address that answered for another instance. */
 const MISDIRECTED_BLOCK: Duration = 3000;
 
@@ -142,6 +144,7 @@
   #records: ReadonlyMap<string, UpstreamRecord> = new Map();
   #byKey: ReadonlyMap<number, UpstreamRecord> = new Map();
   #all: readonly UpstreamRecord[] = [];
+  readonly #excess = new Map<string, Average>();
   #usable = new Map<string, readonly UpstreamRecord[]>();
   #versions = new Map<string, VersionShare>();
 
@@ -193,6 +196,18 @@
       .filter((address) => !held.has(address));
   }
 
+  /** Counts a report of the pace of one of the service's VMs. */
+  addPace(service: string, pace: number): void {
+    const average = this.#excess.get(service) ?? new Average(0, PACE_WEIGHT);
+    this.#excess.set(service, average);
+    average.addSample(Math.max(0, pace - 1));
+  }
+
+  /** Returns by how much the pace of the service's VMs exceeds the usual on average. */
+  getExcess(service: string): number {
+    return this.#excess.get(service)?.value ?? 0;
+  }
+
   getVersionShare(service: string): VersionShare {
     return this.#versions.get(service) ?? { stable: undefined, next: undefined, share: 0 };
   }
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -3,10 +3,9 @@
  * that is expected to answer after the deadline is never chosen.
  */
 import type { Duration, Instant, ZoneId } from '../model/index.js';
+import { computeTrust } from './looks.js';
 import type { UpstreamRecord } from './types.js';
 
-/** Milliseconds after which a report of the pace has lost half of its weight; VMs change in about 500. */
-const PACE_HALF_LIFE: Duration = 250;
 /** Pace that is assumed of an upstream without a fresh report. */
 const UNKNOWN_PACE = 1.5;
 /** Milliseconds that an upstream in another availability zone counts as slower. */
@@ -40,6 +39,8 @@
   readonly zone: ZoneId;
   /** Whether the answer is large, so that carrying it between zones is dear. */
   readonly isLarge: boolean;
+  /** Upstreams that were just asked for their load. */
+  readonly looked: readonly UpstreamRecord[];
   /** Whether a connection to the upstream is open and idle; a new one takes time and a slot there. */
   readonly hasConnection: (record: UpstreamRecord) => boolean;
   /** Share of the time left that the expected time may take. */
@@ -59,7 +60,7 @@
 export function computePace(record: UpstreamRecord, now: Instant): number {
   const age = now - record.reportedAt;
   if (!Number.isFinite(age)) return UNKNOWN_PACE;
-  const trust = 0.5 ** (age / PACE_HALF_LIFE);
+  const trust = computeTrust(age);
   return record.report.pace * trust + UNKNOWN_PACE * (1 - trust);
 }
 
@@ -122,15 +123,18 @@
 }
 
 /**
- * Returns one of those that are about as good as the best: one with an idle connection if there is any, and
- * those with more free slots more often.
+ * Returns one of those that are about as good as the best: one that was just looked at if there is any, otherwise
+ * one with an idle connection, and those with more free slots more often.
  */
 function pickAmongBest(rated: readonly Rated[], context: ChoiceContext): Rated | undefined {
-  const { random, hasConnection } = context;
+  const { random, looked, hasConnection } = context;
   const least = Math.min(...rated.map(({ cost }) => cost));
   const equal = rated.filter(({ cost }) => cost <= least * EQUAL_RATIO + EQUAL_SLACK);
-  const connected = equal.filter(({ record }) => hasConnection(record));
-  const best = connected.length > 0 ? connected : equal;
+  const best =
+    [
+      equal.filter(({ record }) => looked.includes(record)),
+      equal.filter(({ record }) => hasConnection(record)),
+    ].find((some) => some.length > 0) ?? equal;
   const weights = best.map(({ record }) =>
     Math.max(0.5, record.instance.slots - computeOccupancy(record)),
   );
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -47,6 +47,7 @@
 } from './caller.js';
 import { chooseUpstream, computePace, type Choice } from './choose.js';
 import { EvidenceCollector } from './evidence.js';
+import { isLookWorthwhile } from './looks.js';
 import { ConnectionPool, type Attempt } from './pool.js';
 import { createProber, recordLoad, type Prober } from './prober.js';
 import { createPulse, type HeardReport, type Pulse } from './pulse.js';
@@ -232,6 +233,9 @@
       onCold: (record, coldFor) => {
         markCold(record, coldFor, this.now(), this.#coldShare);
       },
+      onLoad: ({ instance, report }) => {
+        this.#book.addPace(instance.service, report.pace);
+      },
       onEnd: (record, outcome) => {
         this.#takeProbe(record, outcome);
       },
@@ -365,6 +369,7 @@
     if (outOfReachFor > 0) record.outOfReachUntil = now + outOfReachFor;
     else if (now - at < FRESH_REPORT) record.outOfReachUntil = -Infinity;
     addReport(record, { ...report, slots: record.instance.slots }, at);
+    this.#book.addPace(record.instance.service, report.pace);
     if (good + bad > 0) addCounts(record, good, bad, now);
     if (coldFor > 0 && record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
   }
@@ -477,7 +482,11 @@
     return this.#getBudget(service).takeRepeat();
   }
 
-  choose(request: GatewayRequest, tried: readonly UpstreamRecord[]): Choice {
+  choose(
+    request: GatewayRequest,
+    tried: readonly UpstreamRecord[],
+    looked: readonly UpstreamRecord[],
+  ): Choice {
     const { route, service, version, deadline } = request;
     const now = this.now();
     const usable = this.#book.listUsable(service, version);
@@ -488,6 +497,7 @@
       work: this.#getWork(request).value,
       left: deadline - now,
       target: request.arrivedAt + route.targetLatency - now,
+      looked,
       hasConnection: ({ instance }) => this.#pool.hasIdle(instance.address),
       zone: this.#options.zone,
       isLarge: route.kind === 'download',
@@ -496,6 +506,18 @@
     });
   }
 
+  isLookDue(request: GatewayRequest, record: UpstreamRecord): boolean {
+    const now = this.now();
+    // A cold upstream bears few requests, and a look may count as one.
+    if (record.coldUntil > now) return false;
+    const excess = this.#book.getExcess(request.service);
+    return isLookWorthwhile(this.#getWork(request).value, excess, now - record.reportedAt);
+  }
+
+  look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void {
+    this.#prober.look(record, onEnd);
+  }
+
   send(
     request: GatewayRequest,
     record: UpstreamRecord,
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -10,13 +10,17 @@
 import type { AttemptOutcome, HeaderDialect, UpstreamRecord } from './types.js';
 
 /** Milliseconds between two looks at what is due. */
-const LOOK_INTERVAL: Duration = 25;
+const DUE_INTERVAL: Duration = 50;
 /** Milliseconds until an answer; the health path of a sound upstream answers at once. */
 const PROBE_LIMIT: Duration = 500;
 /** Milliseconds between two probes of a cold upstream, which bears few requests. */
 const COLD_INTERVAL: Duration = 400;
 /** Milliseconds for which a missed probe keeps requests away; the next probes come within this time. */
 const OUT_OF_REACH_TIME: Duration = 900;
+/** Milliseconds that a look may take; a sound upstream needs about 10 with a new connection. */
+const LOOK_LIMIT: Duration = 60;
+/** Milliseconds without requests to an upstream that answered no look; the probe goes on for longer. */
+const LOOK_BLOCK: Duration = 150;
 /** Milliseconds between two probes of an upstream that tells no load. */
 const SILENT_INTERVAL: Duration = 1000;
 
@@ -30,6 +34,8 @@
   readonly self: string;
   readonly listGateways: () => readonly string[];
   readonly listRecords: () => readonly UpstreamRecord[];
+  /** Called with an upstream that told its load to the probe that was due. */
+  readonly onLoad: (record: UpstreamRecord) => void;
   readonly onCold: (record: UpstreamRecord, coldFor: Duration) => void;
   readonly onEnd: (record: UpstreamRecord, outcome: AttemptOutcome) => void;
 }
@@ -38,6 +44,8 @@
 export interface Prober {
   /** Whether this gateway is the one that probes the upstream. */
   isProber(record: UpstreamRecord): boolean;
+  /** Asks an upstream for its load at once; `onEnd` is told whether it answered soon enough. */
+  look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void;
   close(): void;
 }
 
@@ -59,6 +67,8 @@
   readonly #options: ProberOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #tellsLoad = new Map<string, boolean>();
+  /** Looks that wait for the probe under way. */
+  readonly #looks = new Map<UpstreamRecord, readonly ((isAnswered: boolean) => void)[]>();
   #gateways: readonly string[] = [];
   #own: ReadonlySet<string> = new Set();
   #known = 0;
@@ -66,8 +76,8 @@
   constructor(options: ProberOptions) {
     this.#options = options;
     this.#timer = setInterval(() => {
-      this.#look();
-    }, LOOK_INTERVAL);
+      this.#probeDue();
+    }, DUE_INTERVAL);
   }
 
   close(): void {
@@ -78,6 +88,34 @@
     return this.#own.has(record.instance.id);
   }
 
+  look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void {
+    const startedAt = this.#options.now();
+    let isOver = false;
+    const end = (isAnswered: boolean): void => {
+      if (isOver) return;
+      isOver = true;
+      clearTimeout(timer);
+      onEnd(isAnswered);
+    };
+    const timer = setTimeout(() => {
+      const now = this.#options.now();
+      // A timer that is late itself says that this process is, not the upstream.
+      const isOurs = now - startedAt > LOOK_LIMIT * 1.5;
+      if (!isOurs) record.blockedUntil = Math.max(record.blockedUntil, now + LOOK_BLOCK);
+      end(false);
+    }, LOOK_LIMIT);
+    this.#looks.set(record, [...(this.#looks.get(record) ?? []), end]);
+    if (!record.isProbing) this.#probe(record);
+  }
+
+  #finishLooks(record: UpstreamRecord, isAnswered: boolean): void {
+    const looks = this.#looks.get(record) ?? [];
+    this.#looks.delete(record);
+    looks.forEach((end) => {
+      end(isAnswered);
+    });
+  }
+
   /**
    * Believes an upstream to be out of reach, unless most probes fail: then this gateway itself is cut off.
    */
@@ -107,7 +145,7 @@
     return this.#own;
   }
 
-  #look(): void {
+  #probeDue(): void {
     const { now, listRecords } = this.#options;
     const records = listRecords();
     const own = this.#listOwn(records);
@@ -131,7 +169,7 @@
   }
 
   #probe(record: UpstreamRecord): void {
-    const { pool, dialect, now, onCold, onEnd } = this.#options;
+    const { pool, dialect, now, onLoad, onCold, onEnd } = this.#options;
     const { address, id } = record.instance;
     record.isProbing = true;
     record.lastProbeAt = now();
@@ -144,8 +182,11 @@
     const end = (outcome: AttemptOutcome): void => {
       clearTimeout(timer);
       record.isProbing = false;
-      this.#markReach(record, outcome.kind === 'answered' || outcome.kind === 'notRun');
+      const isAnswered = outcome.kind === 'answered';
+      // The others believe only the gateway that probes it regularly.
+      if (this.isProber(record)) this.#markReach(record, isAnswered || outcome.kind === 'notRun');
       onEnd(record, outcome);
+      this.#finishLooks(record, isAnswered);
     };
     const attempt = pool.sendProbe(
       address,
@@ -163,6 +204,7 @@
             getHeader(found, dialect.load) !== undefined,
           );
           recordLoad(record, found, dialect, now());
+          if (this.isProber(record)) onLoad(record);
           const coldFor = Number(getHeader(found, dialect.coldFor) ?? 0);
           if (coldFor > 0) onCold(record, coldFor);
         },
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -11,13 +11,13 @@
 const packr = new Packr({ useRecords: false });
 
 /** Milliseconds between two pulses of a small fleet; VMs change their pace in about 500. */
-const PULSE_INTERVAL: Duration = 50;
+const PULSE_INTERVAL: Duration = 100;
 /** Datagrams a second that one gateway sends to all others at most. */
 const PULSE_RATE = 400;
 /** Milliseconds between two pulses through relays; each of the two further hops adds as much at most. */
-const RELAYED_INTERVAL: Duration = 70;
+const RELAYED_INTERVAL: Duration = 150;
 /** Milliseconds without a word of the relay after which the next one is used; a few of its pulses. */
-const RELAY_SILENCE: Duration = 400;
+const RELAY_SILENCE: Duration = 500;
 /** Milliseconds for which a relay serves a gateway that it heard from. */
 const FOLLOWER_TIME: Duration = 1000;
 /** Rows in one datagram; a row takes up to 18 bytes, and the usual packet holds 1,200. */
@@ -161,14 +161,19 @@
     [...this.#followers].forEach(([address, at]) => {
       if (now - at > FOLLOWER_TIME) this.#followers.delete(address);
     });
-    const ours = mergeCounts(this.#fromFollowers, own);
-    const all = mergeCounts(this.#fromRelays, ours);
+    const fromFollowers = this.#fromFollowers;
+    const forwarded = mergeCounts(fromFollowers, this.#fromRelays);
     this.#fromFollowers = new Map();
     this.#fromRelays = new Map();
     if (plan.isRelay || this.#followers.size > 0) {
-      this.#send(plan.relays, 'relay', this.#listRows(ours));
+      this.#send(
+        plan.relays,
+        'relay',
+        this.#listRows(mergeCounts(fromFollowers, own), fromFollowers),
+      );
       // A follower learns from it that its relay lives, so it is sent also without news.
-      this.#send([...this.#followers.keys()], 'own-relay', this.#listRows(all), true);
+      const rows = this.#listRows(mergeCounts(forwarded, own), forwarded);
+      this.#send([...this.#followers.keys()], 'own-relay', rows, true);
     }
     if (plan.isRelay) return;
     if (now - this.#relayHeardAt > RELAY_SILENCE) {
@@ -202,7 +207,9 @@
     );
   }
 
-  #listRows(counts: Counts): readonly PulseRow[] {
+  /** Only the prober of an upstream, and who passes its word on, says that it is out of reach. */
+  #listRows(counts: Counts, forwarded: Counts = new Map()): readonly PulseRow[] {
+    const { isProber } = this.#options;
     const now = this.#options.now();
     const clip = (time: Duration): Duration =>
       Math.round(Math.max(0, Math.min(time, LONGEST_TIME)));
@@ -215,7 +222,7 @@
         buildRow([
           ...([key, running, waiting, Math.round(pace * 100), age, good, bad] as const),
           clip(record.coldUntil - now),
-          clip(record.outOfReachUntil - now),
+          forwarded.has(key) || isProber(record) ? clip(record.outOfReachUntil - now) : 0,
         ]),
       ];
     });
--- a/src/gateway/repeat.ts
+++ b/src/gateway/repeat.ts
@@ -75,7 +75,13 @@
     : { kind: 'refused', cause: 'unreachable', retryAfter: UNREACHABLE_DELAY };
 }
 
-function hasRunLeft({ isIdempotent, mayHaveRun, pending, maxAttempts }: RepeatState): boolean {
+/** Tells whether the request may go to one more upstream. */
+export function hasRunLeft({
+  isIdempotent,
+  mayHaveRun,
+  pending,
+  maxAttempts,
+}: RepeatState): boolean {
   return mayHaveRun + pending === 0 || (isIdempotent && mayHaveRun + pending < maxAttempts);
 }
 
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -12,7 +12,9 @@
   const byHost = new Map<string, Route[]>();
   (table?.routes ?? []).forEach((route) => {
     const host = route.host.toLowerCase();
-    byHost.set(host, [...(byHost.get(host) ?? []), route]);
+    const known = byHost.get(host);
+    if (known === undefined) byHost.set(host, [route]);
+    else known.push(route);
   });
   return new Map(
     [...byHost].map(([host, routes]) => [
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -10,6 +10,7 @@
   isHedgeable,
   createRepeatState,
   decideAfter,
+  hasRunLeft,
   finishRequest,
   type RepeatState,
 } from './repeat.js';
@@ -19,14 +20,24 @@
 const HEDGE_RATIO = 1.7;
 /** Milliseconds on top of that. */
 const HEDGE_SLACK: Duration = 8;
+/** Upstreams that are asked for their load for one attempt; nearly always one of them is at its usual pace. */
+const MAX_LOOKS = 3;
 /** Milliseconds after which a caller may come back when no upstream may be used. */
 const NO_UPSTREAM_DELAY: Duration = 200;
 
 /** What a run needs of the gateway. */
 export interface RunHost {
   readonly now: () => Instant;
-  /** Chooses an upstream that is not among `tried`. */
-  choose(request: GatewayRequest, tried: readonly UpstreamRecord[]): Choice;
+  /** Chooses an upstream that is not among `tried`; of equal ones, one of `looked`. */
+  choose(
+    request: GatewayRequest,
+    tried: readonly UpstreamRecord[],
+    looked: readonly UpstreamRecord[],
+  ): Choice;
+  /** Whether the upstream is to be asked for its load before the request goes there. */
+  isLookDue(request: GatewayRequest, record: UpstreamRecord): boolean;
+  /** Asks the upstream for its load; `onEnd` is told whether it answered soon enough. */
+  look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void;
   send(
     request: GatewayRequest,
     record: UpstreamRecord,
@@ -56,6 +67,14 @@
   readonly sentAt: Instant;
 }
 
+/** The upstreams that were asked for their load for one attempt. */
+interface Looks {
+  readonly answered: readonly UpstreamRecord[];
+  readonly silent: readonly UpstreamRecord[];
+}
+
+const NO_LOOKS: Looks = { answered: [], silent: [] };
+
 /** One request on its way. */
 export class RequestRun {
   readonly #host: RunHost;
@@ -95,8 +114,46 @@
     this.#end();
   }
 
+  /** Chooses an upstream, after a look at those whose load isn't known well enough. */
+  #place(onPlaced: (choice: Choice) => void, past: Looks = NO_LOOKS): void {
+    const choice = this.#choose(past);
+    const isDue =
+      past.answered.length + past.silent.length < MAX_LOOKS &&
+      choice.kind === 'chosen' &&
+      !past.answered.includes(choice.record) &&
+      this.#host.isLookDue(this.#request, choice.record);
+    if (!isDue) {
+      onPlaced(choice);
+      return;
+    }
+    const { record } = choice;
+    this.#host.look(record, (isAnswered) => {
+      if (this.#isOver) return;
+      const { answered, silent } = past;
+      this.#place(
+        onPlaced,
+        isAnswered
+          ? { silent, answered: [...answered, record] }
+          : { answered, silent: [...silent, record] },
+      );
+    });
+  }
+
+  /** Chooses among all again if only upstreams that didn't answer a look are left. */
+  #choose({ answered, silent }: Looks): Choice {
+    const choice = this.#host.choose(this.#request, [...this.#tried, ...silent], answered);
+    return choice.kind === 'chosen' || silent.length === 0
+      ? choice
+      : this.#host.choose(this.#request, this.#tried, answered);
+  }
+
   #sendFirst(): void {
-    const choice = this.#host.choose(this.#request, []);
+    this.#place((choice) => {
+      this.#handleFirst(choice);
+    });
+  }
+
+  #handleFirst(choice: Choice): void {
     switch (choice.kind) {
       case 'chosen':
         this.#send(choice);
@@ -126,19 +183,26 @@
     clearTimeout(this.#hedge);
     this.#hedge = setTimeout(
       () => {
-        this.#sendHedge();
+        this.sendHedge();
       },
       expected * HEDGE_RATIO + HEDGE_SLACK,
     );
   }
 
   /** Asks a second upstream, as the first one takes longer than work does there. */
-  #sendHedge(): void {
+  sendHedge(): void {
     if (this.#isOver || !isHedgeable(this.#state)) return;
-    const choice = this.#host.choose(this.#request, this.#tried);
-    if (choice.kind !== 'chosen' || !this.#host.takeRepeat(this.#request.service)) return;
-    this.#host.recordDecision(this.#request, 'hedge', choice.record, 'the first upstream is late');
-    this.#send(choice);
+    this.#place((choice) => {
+      const isAllowed = !this.#isOver && isHedgeable(this.#state) && choice.kind === 'chosen';
+      if (!isAllowed || !this.#host.takeRepeat(this.#request.service)) return;
+      this.#host.recordDecision(
+        this.#request,
+        'hedge',
+        choice.record,
+        'the first upstream is late',
+      );
+      this.#send(choice);
+    });
   }
 
   #handleEnd(pending: PendingAttempt, outcome: AttemptOutcome): void {
@@ -161,14 +225,19 @@
   }
 
   #sendAgain(outcome: AttemptOutcome, isCharged: boolean): void {
-    const choice = this.#host.choose(this.#request, this.#tried);
-    const isAllowed =
-      choice.kind === 'chosen' && (!isCharged || this.#host.takeRepeat(this.#request.service));
-    if (isAllowed) {
-      const reason = outcome.kind === 'answered' ? `status ${outcome.answer.status}` : outcome.kind;
-      this.#host.recordDecision(this.#request, 'sendAgain', choice.record, reason);
-      this.#send(choice);
-    } else if (this.#state.pending === 0) this.#answer(finishRequest(this.#state));
+    this.#place((choice) => {
+      // Another attempt may have begun meanwhile.
+      const isAllowed =
+        choice.kind === 'chosen' &&
+        hasRunLeft(this.#state) &&
+        (!isCharged || this.#host.takeRepeat(this.#request.service));
+      if (isAllowed) {
+        const reason =
+          outcome.kind === 'answered' ? `status ${outcome.answer.status}` : outcome.kind;
+        this.#host.recordDecision(this.#request, 'sendAgain', choice.record, reason);
+        this.#send(choice);
+      } else if (this.#state.pending === 0) this.#answer(finishRequest(this.#state));
+    });
   }
 
   #handleDeadline(): void {
