Count only admissions in the place of an absent member as replacements, and spread entries over all members

The fourth steward's admission at the first start counted as a replacement, so that the next silent member was taken for the replaced one. By reading: entries stayed with the three seeds for good, 35 each on the grown sites. Change: an admission while all others answer replaces nobody; an entry follows the member that it prefers among all as soon as it hears of them.

--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -17,3 +17,8 @@
     And the changes took at most 65536 bytes, and the state as much
     When a change that was accepted before is sent to both once more
     Then both hold the same routes, apart from the operators' own words
+
+  Scenario: Entries that know one seed spread over all members
+    Given 40 entries that follow the seed "10.1.0.18:7200"
+    When it tells them of the members "10.1.0.18:7200 10.2.0.34:7200 10.3.0.12:7200 10.4.0.20:7200"
+    Then each member is followed by at least 4 of the entries
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -10,7 +10,13 @@
 } from '../../src/catalog/index.js';
 import { decodeCommands, decodeState, encodeCommands, encodeState } from '../../src/feed/codec.js';
 import type { ControlStatus } from '../../src/control/index.js';
-import { createPublisher, type FeedMessage, type Publisher } from '../../src/feed/index.js';
+import {
+  createFollower,
+  createPublisher,
+  type FeedMessage,
+  type Follower,
+  type Publisher,
+} from '../../src/feed/index.js';
 import type { Address } from '../../src/model/index.js';
 import { createControl } from '../support/control.js';
 import type { Mesh, MessageHandler } from '../../src/wire/index.js';
@@ -40,6 +46,10 @@
 }
 
 interface FeedWorld {
+  meshes: readonly TestMesh[];
+  followers: readonly Follower[];
+  seed: string;
+  groupMembers: readonly string[];
   leader: Catalog;
   commands: CatalogCommand[];
   held: readonly Catalog[];
@@ -182,6 +192,51 @@
   },
 );
 
+Given(
+  '{int} entries that follow the seed {string}',
+  function (this: FeedWorld, count: number, seed: string) {
+    this.seed = seed;
+    this.meshes = Array.from({ length: count }, () => new TestMesh());
+    this.followers = this.meshes.map((mesh, at) =>
+      createFollower({
+        ...{ mesh, seeds: [seed], now: () => 0 },
+        describeSelf: () => ({
+          ...{ id: `gateway-${at}`, zone: 'a', capacity: 1, ready: false },
+          ...{ callerAddress: `10.9.0.${at}:80`, peerAddress: `10.9.0.${at}:7215` },
+        }),
+        collectEvidence: () => [],
+        onChange: () => undefined,
+        onCold: () => undefined,
+        onDependency: () => undefined,
+      }),
+    );
+  },
+);
+
+When('it tells them of the members {string}', function (this: FeedWorld, members: string) {
+  this.groupMembers = members.split(' ');
+  this.meshes.forEach((mesh) => {
+    mesh.receive(this.seed, {
+      ...{ kind: 'news', healthy: true, base: undefined, after: 0, commands: undefined },
+      ...{ cold: {}, fleet: undefined, members: this.groupMembers },
+    });
+  });
+});
+
+Then(
+  'each member is followed by at least {int} of the entries',
+  function (this: FeedWorld, least: number) {
+    const followed = this.meshes.map(({ sent }) => sent.at(-1)?.[0]);
+    this.groupMembers.forEach((member) => {
+      const count = followed.filter((address) => address === member).length;
+      assert.ok(count >= least, `${member} is followed by ${count}`);
+    });
+  },
+);
+
 After(function (this: Partial<FeedWorld>) {
+  this.followers?.forEach((follower) => {
+    follower.close();
+  });
   this.publisher?.close();
 });
--- /dev/null
+++ b/features/gateway/burst.steps.ts
@@ -0,0 +1,87 @@
+import { Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { UpstreamBook } from '../../src/gateway/book.js';
+import { chooseUpstream } from '../../src/gateway/choose.js';
+import type { UpstreamRecord } from '../../src/gateway/types.js';
+import { createCatalog } from './catalog.js';
+
+/** An upstream that runs as many requests as it has slots, in the order of arrival. */
+interface Server {
+  readonly record: UpstreamRecord;
+  readonly freeAt: number[];
+  readonly endsAt: number[];
+}
+
+interface BurstWorld {
+  servers: readonly Server[];
+  work: number;
+  capacity: number;
+  latencies: readonly number[];
+  target: number;
+}
+
+const DEADLINE = 600;
+
+Given(
+  '{int} upstreams with 6 slots each, and {int} ms of work a request',
+  function (this: BurstWorld, count: number, work: number) {
+    const book = new UpstreamBook();
+    book.update(createCatalog(Array.from({ length: count }, (_, at) => `u${at}`)));
+    this.servers = book.records.map((record) => ({
+      record,
+      freeAt: Array.from({ length: record.instance.slots }, () => 0),
+      endsAt: [],
+    }));
+    this.work = work;
+  },
+);
+
+When(
+  'requests for {float} times their slots arrive for {int} ms, and answers are late after {int} ms',
+  function (this: BurstWorld, load: number, length: number, target: number) {
+    const random = xoroshiro128plus(20261204);
+    const draw = (): number => (random.next() >>> 0) / 2 ** 32;
+    const slots = this.servers.reduce((sum, { freeAt }) => sum + freeAt.length, 0);
+    const gap = this.work / slots / load;
+    this.target = target;
+    this.capacity = (length / this.work) * slots;
+    const arrivals = Array.from({ length: Math.floor(length / gap) }, (_, at) => at * gap);
+    this.latencies = arrivals.flatMap((now) => {
+      this.servers.forEach(({ record, endsAt }) => {
+        const inside = endsAt.filter((at) => at > now).length;
+        const running = Math.min(inside, record.instance.slots);
+        record.report = { running, waiting: inside - running, slots: 6, pace: 1 };
+        record.reportedAt = now;
+      });
+      const choice = chooseUpstream(
+        this.servers.map(({ record }) => record),
+        {
+          ...{ now, work: this.work, left: DEADLINE, target, zone: 'a', isLarge: false },
+          ...{ looked: [], hasConnection: () => true, patience: 0.8, random: draw() },
+        },
+      );
+      if (choice.kind !== 'chosen') return [];
+      const server = this.servers.find(({ record }) => record === choice.record);
+      assert.ok(server);
+      const soonest = server.freeAt.indexOf(Math.min(...server.freeAt));
+      const endsAt = Math.max(now, server.freeAt[soonest] ?? 0) + this.work * (0.7 + 0.6 * draw());
+      server.freeAt[soonest] = endsAt;
+      server.endsAt.push(endsAt);
+      return [endsAt - now];
+    });
+  },
+);
+
+Then(
+  'at least {int} in 100 of what they can run is answered in time',
+  function (this: BurstWorld, share: number) {
+    const good = this.latencies.filter((latency) => latency <= this.target).length;
+    assert.ok(good >= (share / 100) * this.capacity, `${good} of ${this.capacity}`);
+  },
+);
+
+Then('at most {int} in 100 of what they ran was late', function (this: BurstWorld, share: number) {
+  const late = this.latencies.filter((latency) => latency > this.target).length;
+  assert.ok(late <= (share / 100) * this.latencies.length, `${late} of ${this.latencies.length}`);
+});
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -11,8 +11,10 @@
       | x a 0 1, y b 0 1                                | 5    | 500  | x          |
       | x a 6 1, y b 0 1                                | 60   | 500  | y          |
       | x a 0 1, y a 0 1                                | 60   | 500  | x y        |
-      | x a 17 1                                        | 60   | 500  | x          |
-      | x a 18 1                                        | 60   | 500  | noRoom     |
+      | x a 17 1                                        | 30   | 500  | x          |
+      | x a 18 1                                        | 30   | 500  | noRoom     |
+      | x a 10 1                                        | 60   | 500  | x          |
+      | x a 14 1                                        | 60   | 500  | noRoom     |
       | x a 0 7                                         | 60   | 500  | noRoom     |
       | x a 0 7                                         | 60   | 600  | x          |
       | x a 0 1 blocked, y a 0 7                        | 60   | 600  | y          |
--- a/features/gateway/looks.steps.ts
+++ b/features/gateway/looks.steps.ts
@@ -190,7 +190,7 @@
       const [record] = records.filter((one) => !tried.includes(one));
       return record === undefined || draw() < 0.1
         ? { kind: 'noUpstream' }
-        : { kind: 'chosen', record, expected: 0 };
+        : { kind: 'chosen', record, expected: 0, slowdown: 1 };
     },
     isLookDue: () => draw() < 0.6,
     look: (_, onEnd) => {
--- a/features/steward/decisions.feature
+++ b/features/steward/decisions.feature
@@ -81,3 +81,13 @@
       | 0      |
       | 15000  |
       | -15000 |
+
+  Scenario Outline: Which admissions replace a member
+    Given stewards "a b c" with silences "<silences>"
+    When "d" is admitted, after 0 admissions that replace a member
+    Then the steward remembers <admitted> of them
+
+    Examples: at the first start all others answer
+      | silences         | admitted |
+      | b 100, c 100     | 0        |
+      | b 100, c 1200    | 1        |
--- a/features/steward/decisions.steps.ts
+++ b/features/steward/decisions.steps.ts
@@ -14,6 +14,8 @@
   createSteward,
   planMembers,
   planStep,
+  recordChange,
+  type JoinRequests,
   type MoveStep,
   type Steward,
 } from '../../src/steward/index.js';
@@ -21,6 +23,7 @@
 import { createControl } from '../support/control.js';
 
 interface StewardWorld {
+  joins: JoinRequests;
   state: string;
   steward: Steward | undefined;
   outcomes: readonly string[];
@@ -148,6 +151,18 @@
   assert.equal(change === undefined ? '' : `${change.kind} ${change.address}`, wanted);
 });
 
+When(
+  '{string} is admitted, after 0 admissions that replace a member',
+  function (this: StewardWorld, address: string) {
+    const before = { waiting: [address], admitted: 0 };
+    this.joins = recordChange(before, { kind: 'add', address }, this.status.silences);
+  },
+);
+
+Then('the steward remembers {int} of them', function (this: StewardWorld, admitted: number) {
+  assert.deepEqual(this.joins, { waiting: [], admitted });
+});
+
 Given(
   'a steward that is {string}, knows the leader {string} and was told of the leader {string}',
   function (this: StewardWorld, role: ControlStatus['role'], leader: string, told: string) {
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -139,12 +139,23 @@
       return;
     }
     this.#heardAt = this.#options.now();
-    this.#members = message.members;
+    this.#takeMembers(message.members);
     if (!this.#isLost) return;
     this.#isLost = false;
     this.#options.onDependency('regained', from);
   }
 
+  /** Follows the preferred member once it is known, so that not all entries stay with the seeds. */
+  #takeMembers(members: readonly Address[]): void {
+    if (members.join() === this.#members.join()) return;
+    this.#members = members;
+    const preferred = this.#orderMembers().find((member) => members.includes(member));
+    if (preferred === undefined || preferred === this.#anchor) return;
+    this.#anchor = preferred;
+    this.#anchoredAt = this.#options.now();
+    this.callNow();
+  }
+
   #takeNews(news: Extract<FeedMessage, { kind: 'news' }>): void {
     const { base, after, commands, cold, fleet } = news;
     const { onChange, onCold } = this.#options;
--- a/src/gateway/book.ts
+++ b/src/gateway/book.ts
@@ -26,6 +26,10 @@
 const TURNED_AWAY_BLOCK: Duration = 30;
 /** Weight of one report in the average pace of a service; some hundred reports count. */
 const PACE_WEIGHT = 0.002;
+/** Excess that is assumed before reports tell: a look too many costs less than a request on a slow VM. */
+const INITIAL_EXCESS = 1;
+/** Reports that the assumption counts for. */
+const INITIAL_COUNT = 20;
 /** Milliseconds without requests to an address that answered for another instance. */
 const MISDIRECTED_BLOCK: Duration = 3000;
 
@@ -198,7 +202,8 @@
 
   /** Counts a report of the pace of one of the service's VMs. */
   addPace(service: string, pace: number): void {
-    const average = this.#excess.get(service) ?? new Average(0, PACE_WEIGHT);
+    const average =
+      this.#excess.get(service) ?? new Average(INITIAL_EXCESS, PACE_WEIGHT, INITIAL_COUNT);
     this.#excess.set(service, average);
     average.addSample(Math.max(0, pace - 1));
   }
--- a/src/gateway/budget.ts
+++ b/src/gateway/budget.ts
@@ -81,11 +81,13 @@
 export class Average {
   readonly #weight: number;
   #value: number;
-  #count = 0;
+  #count: number;
 
-  constructor(initial: number, weight: number) {
+  /** `count` is how many samples the initial value stands for. */
+  constructor(initial: number, weight: number, count = 0) {
     this.#value = initial;
     this.#weight = weight;
+    this.#count = count;
   }
 
   get value(): number {
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -43,7 +43,7 @@
   readonly looked: readonly UpstreamRecord[];
   /** Whether a connection to the upstream is open and idle; a new one takes time and a slot there. */
   readonly hasConnection: (record: UpstreamRecord) => boolean;
-  /** Share of the time left that the expected time may take. */
+  /** Share of the time left, or until the answer is late, that the expected time may take. */
   readonly patience: number;
   /** From 0 to 1, exclusive. */
   readonly random: number;
@@ -51,7 +51,13 @@
 
 /** What became of a choice. */
 export type Choice =
-  | { readonly kind: 'chosen'; readonly record: UpstreamRecord; readonly expected: Duration }
+  | {
+      readonly kind: 'chosen';
+      readonly record: UpstreamRecord;
+      readonly expected: Duration;
+      /** Times by which {@link expected} exceeds the work, for the pace there and the requests ahead. */
+      readonly slowdown: number;
+    }
   /** Upstreams exist; the soonest of them has room in `wait` milliseconds. */
   | { readonly kind: 'noRoom'; readonly wait: Duration }
   | { readonly kind: 'noUpstream' };
@@ -106,10 +112,17 @@
   };
 }
 
+/**
+ * Tells whether the upstream may get the request. A free slot is used as long as the answer comes before the
+ * deadline. Waiting for one is worth it only if the answer is in time: in a burst, queues that are longer make
+ * every answer late, and the upstreams are as busy without them.
+ */
 function hasRoom({ record, expected }: Rated, context: ChoiceContext): boolean {
   const { slots } = record.instance;
-  const isFull = computeOccupancy(record) >= slots * (1 + WAITING_PER_SLOT);
-  return !isFull && expected <= context.left * context.patience;
+  const { left, target, patience } = context;
+  const occupancy = computeOccupancy(record);
+  if (occupancy >= slots * (1 + WAITING_PER_SLOT)) return false;
+  return expected <= (occupancy < slots ? left : Math.min(left, target)) * patience;
 }
 
 /** Large answers stay within the zone as long as its upstreams answer in time. */
@@ -158,7 +171,8 @@
   const able = rated.filter((one) => hasRoom(one, context));
   const chosen = pickAmongBest(listPreferred(able, context), context);
   if (chosen !== undefined) {
-    return { kind: 'chosen', record: chosen.record, expected: chosen.expected };
+    const { record, expected } = chosen;
+    return { kind: 'chosen', record, expected, slowdown: expected / context.work };
   }
   const soonest = Math.min(...rated.map(({ expected }) => expected));
   return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -53,7 +53,7 @@
 import { createPulse, type HeardReport, type Pulse } from './pulse.js';
 import { planPulse, type PulsePlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedDealer, type RouteIndex } from './router.js';
-import { RequestRun, type RunHost } from './run.js';
+import { RequestRun, type RunHost, type SentAttempt } from './run.js';
 import { VersionDealer } from './shares.js';
 import type {
   AttemptOutcome,
@@ -550,8 +550,7 @@
 
   recordAttempt(
     request: GatewayRequest,
-    record: UpstreamRecord,
-    sentAt: Instant,
+    { record, sentAt, slowdown }: SentAttempt,
     outcome: AttemptOutcome | undefined,
   ): void {
     const now = this.now();
@@ -561,7 +560,7 @@
     const latency = (now - sentAt) / pace;
     this.#learnOutcome(request, record, now - sentAt, outcome);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
-    if (isGood) this.#getWork(request).addSample(latency);
+    if (isGood) this.#getWork(request).addSample((now - sentAt) / slowdown);
     const isMoving = this.#book.getVersionShare(request.service).next !== undefined;
     const isEvidence = outcome?.kind === 'answered' || outcome?.kind === 'lost';
     if (isMoving && isEvidence) {
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -48,8 +48,7 @@
   /** Tells that an attempt ended, or was given up (`undefined`). */
   recordAttempt(
     request: GatewayRequest,
-    record: UpstreamRecord,
-    sentAt: Instant,
+    sent: SentAttempt,
     outcome: AttemptOutcome | undefined,
   ): void;
   /** Logs a decision beyond the plain good case. */
@@ -61,10 +60,16 @@
   ): void;
 }
 
-interface PendingAttempt {
-  readonly attempt: Attempt;
+/** What was known of an attempt when it was sent. */
+export interface SentAttempt {
   readonly record: UpstreamRecord;
   readonly sentAt: Instant;
+  /** Times by which it was expected to take longer than the work. */
+  readonly slowdown: number;
+}
+
+interface PendingAttempt extends SentAttempt {
+  readonly attempt: Attempt;
 }
 
 /** The upstreams that were asked for their load for one attempt. */
@@ -167,13 +172,14 @@
     }
   }
 
-  #send({ record, expected }: Extract<Choice, { kind: 'chosen' }>): void {
+  #send({ record, expected, slowdown }: Extract<Choice, { kind: 'chosen' }>): void {
     const sentAt = this.#host.now();
     this.#tried = [...this.#tried, record];
     this.#state = { ...this.#state, pending: this.#state.pending + 1 };
     const pending: PendingAttempt = {
       record,
       sentAt,
+      slowdown,
       attempt: this.#host.send(this.#request, record, (outcome) => {
         this.#handleEnd(pending, outcome);
       }),
@@ -208,8 +214,7 @@
   #handleEnd(pending: PendingAttempt, outcome: AttemptOutcome): void {
     if (this.#isOver) return;
     this.#pending.delete(pending);
-    const { record, sentAt } = pending;
-    this.#host.recordAttempt(this.#request, record, sentAt, outcome);
+    this.#host.recordAttempt(this.#request, pending, outcome);
     this.#state = addAttemptEnd(this.#state, outcome);
     const decision = decideAfter(this.#state, outcome);
     switch (decision.kind) {
@@ -254,9 +259,9 @@
     this.#isOver = true;
     clearTimeout(this.#deadline);
     clearTimeout(this.#hedge);
-    this.#pending.forEach(({ attempt, record, sentAt }) => {
-      attempt.cancel();
-      this.#host.recordAttempt(this.#request, record, sentAt, undefined);
+    this.#pending.forEach((pending) => {
+      pending.attempt.cancel();
+      this.#host.recordAttempt(this.#request, pending, undefined);
     });
     this.#pending.clear();
   }
--- a/src/steward/index.ts
+++ b/src/steward/index.ts
@@ -1,5 +1,5 @@
 /** The duties of the leader of the control group towards the catalog. */
-export { planMembers, type JoinRequests } from './members.js';
+export { planMembers, recordChange, type JoinRequests } from './members.js';
 export { computeBearableShare, planStep, type MoveStep } from './moves.js';
 export {
   createSteward,
--- a/src/steward/members.ts
+++ b/src/steward/members.ts
@@ -9,6 +9,8 @@
 const REPLACEABLE_SILENCE: Duration = 2500;
 /** Milliseconds of silence after which a member counts as gone although no other one came. */
 const GONE_SILENCE: Duration = 15_000;
+/** Milliseconds of silence from which a member is away; a few heartbeats. */
+const AWAY_SILENCE: Duration = 700;
 /** Milliseconds of silence after which a full group gives a member's place to one that waits for it. */
 const SPARE_SILENCE: Duration = 8000;
 /** Voters that are never gone below: two of them agree without the third. */
@@ -17,7 +19,7 @@
 /** What the leader remembers of processes that ask to be admitted. */
 export interface JoinRequests {
   readonly waiting: readonly Address[];
-  /** Admissions that no removal has followed yet. */
+  /** Admissions in the place of a member that was away, which no removal has followed yet. */
   readonly admitted: number;
 }
 
@@ -45,3 +47,25 @@
   const limit = joiner === undefined ? unreplaced : SPARE_SILENCE;
   return silence > limit ? { kind: 'remove', address } : undefined;
 }
+
+/**
+ * Returns what is remembered after a change was carried out. A member that joins while all others answer replaces
+ * nobody: it makes the group larger, as at the first start.
+ *
+ * @example
+ * recordChange(requests, { kind: 'add', address: '10.0.3.4:7200' }, [['10.0.2.9:7200', 1200]]).admitted // 1 more
+ */
+export function recordChange(
+  { waiting, admitted }: JoinRequests,
+  change: MemberChange,
+  silences: ControlStatus['silences'],
+): JoinRequests {
+  const others = waiting.filter((address) => address !== change.address);
+  const isReplacement = silences.some(([, silence]) => silence > AWAY_SILENCE);
+  switch (change.kind) {
+    case 'add':
+      return { waiting: others, admitted: admitted + Number(isReplacement) };
+    case 'remove':
+      return { waiting: others, admitted: Math.max(0, admitted - 1) };
+  }
+}
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -23,7 +23,7 @@
   type Judgement,
 } from '../rollout/index.js';
 import { createLogger } from '../telemetry/index.js';
-import { planMembers, type JoinRequests } from './members.js';
+import { planMembers, recordChange, type JoinRequests } from './members.js';
 import { computeBearableShare, planStep, type MoveStep } from './moves.js';
 
 const log = createLogger('steward');
@@ -317,14 +317,17 @@
     const change = this.#isChanging ? undefined : planMembers(control.status, this.#joins);
     if (change === undefined) return;
     this.#isChanging = true;
+    const { silences } = control.status;
     const outcome = await control.changeMembers(change);
     this.#isChanging = false;
     log.info('control members change', { ...change, change: change.kind, outcome: outcome.kind });
-    const isDone = outcome.kind === 'committed';
-    const waiting = this.#joins.waiting.filter((address) => address !== change.address);
-    const step = change.kind === 'add' ? 1 : -1;
-    const admitted = isDone ? Math.max(0, this.#joins.admitted + step) : this.#joins.admitted;
-    this.#joins = { waiting, admitted };
+    this.#joins =
+      outcome.kind === 'committed'
+        ? recordChange(this.#joins, change, silences)
+        : {
+            ...this.#joins,
+            waiting: this.#joins.waiting.filter((address) => address !== change.address),
+          };
   }
 }
 
