--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -362,14 +362,14 @@
   }
 
   #takeReport(heard: HeardReport): void {
-    const { key, at, good, bad, coldFor, outOfReachFor, ...report } = heard;
+    const { key, running, waiting, pace, at, good, bad, coldFor, outOfReachFor } = heard;
     const record = this.#book.getByKey(key);
     if (record === undefined) return;
     const now = this.now();
     if (outOfReachFor > 0) record.outOfReachUntil = now + outOfReachFor;
     else if (now - at < FRESH_REPORT) record.outOfReachUntil = -Infinity;
-    addReport(record, { ...report, slots: record.instance.slots }, at);
-    this.#book.addPace(record.instance.service, report.pace);
+    addReport(record, { running, waiting, slots: record.instance.slots, pace }, at);
+    this.#book.addPace(record.instance.service, pace);
     if (good + bad > 0) addCounts(record, good, bad, now);
     if (coldFor > 0 && record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
   }
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -70,8 +70,12 @@
   /** Looks that wait for the probe under way. */
   readonly #looks = new Map<UpstreamRecord, readonly ((isAnswered: boolean) => void)[]>();
   #gateways: readonly string[] = [];
-  #own: ReadonlySet<string> = new Set();
-  #known = 0;
+  #hashes: readonly number[] = [];
+  #records: readonly UpstreamRecord[] = [];
+  #ownRecords: readonly UpstreamRecord[] = [];
+  #own: ReadonlySet<UpstreamRecord> = new Set();
+  /** Whether this gateway has the first rank for an upstream, as long as the gateways are the same. */
+  #isFirst: ReadonlyMap<string, boolean> = new Map();
 
   constructor(options: ProberOptions) {
     this.#options = options;
@@ -85,7 +89,7 @@
   }
 
   isProber(record: UpstreamRecord): boolean {
-    return this.#own.has(record.instance.id);
+    return this.#own.has(record);
   }
 
   look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void {
@@ -122,7 +126,7 @@
   #markReach(record: UpstreamRecord, isReached: boolean): void {
     const now = this.#options.now();
     record.outOfReachUntil = isReached ? -Infinity : now + OUT_OF_REACH_TIME;
-    const own = this.#options.listRecords().filter((one) => this.#own.has(one.instance.id));
+    const own = this.#ownRecords;
     const missed = own.filter((one) => one.outOfReachUntil > now);
     if (missed.length <= 1 || missed.length * 2 <= own.length) return;
     missed.forEach((one) => {
@@ -131,26 +135,33 @@
   }
 
   /** Returns the upstreams that this gateway probes: it has the first rank of the list for them. */
-  #listOwn(records: readonly UpstreamRecord[]): ReadonlySet<string> {
-    const gateways = this.#options.listGateways();
-    if (gateways === this.#gateways && records.length === this.#known) return this.#own;
+  #listOwn(): readonly UpstreamRecord[] {
+    const { listGateways, listRecords, self } = this.#options;
+    const gateways = listGateways();
+    const records = listRecords();
+    if (gateways === this.#gateways && records === this.#records) return this.#ownRecords;
+    const isSameFleet = gateways === this.#gateways;
+    const known = isSameFleet ? this.#isFirst : new Map<string, boolean>();
+    const hashes = isSameFleet ? this.#hashes : gateways.map(hashText);
+    const at = gateways.indexOf(self);
     this.#gateways = gateways;
-    this.#known = records.length;
-    const at = gateways.indexOf(this.#options.self);
-    const hashes = gateways.map(hashText);
-    const own = records.filter(
-      ({ instance }) => at >= 0 && computeRank(instance.id, at, hashes) === 0,
+    this.#hashes = hashes;
+    this.#records = records;
+    this.#isFirst = new Map(
+      records.map(({ instance: { id } }) => [
+        id,
+        known.get(id) ?? (at >= 0 && computeRank(id, at, hashes) === 0),
+      ]),
     );
-    this.#own = new Set(own.map(({ instance }) => instance.id));
-    return this.#own;
+    this.#ownRecords = records.filter(({ instance }) => this.#isFirst.get(instance.id) === true);
+    this.#own = new Set(this.#ownRecords);
+    return this.#ownRecords;
   }
 
   #probeDue(): void {
-    const { now, listRecords } = this.#options;
-    const records = listRecords();
-    const own = this.#listOwn(records);
-    records
-      .filter((record) => own.has(record.instance.id) && this.#isDue(record, now()))
+    const now = this.#options.now();
+    this.#listOwn()
+      .filter((record) => this.#isDue(record, now))
       .forEach((record) => {
         this.#probe(record);
       });
--- a/src/gateway/pulse.ts
+++ b/src/gateway/pulse.ts
@@ -81,13 +81,14 @@
 /** Good and bad answers by the key of their upstream. */
 type Counts = ReadonlyMap<number, readonly [good: number, bad: number]>;
 
-function addCounts(counts: Counts, key: number, good: number, bad: number): Counts {
-  const [knownGood, knownBad] = counts.get(key) ?? [0, 0];
-  return new Map(counts).set(key, [knownGood + good, knownBad + bad]);
-}
-
 function mergeCounts(one: Counts, two: Counts): Counts {
-  return [...two].reduce((sum, [key, [good, bad]]) => addCounts(sum, key, good, bad), one);
+  if (one.size === 0) return two;
+  const sum = new Map(one);
+  two.forEach(([good, bad], key) => {
+    const [knownGood, knownBad] = sum.get(key) ?? [0, 0];
+    sum.set(key, [knownGood + good, knownBad + bad]);
+  });
+  return sum;
 }
 
 function buildRow(row: PulseRow): PulseRow {
@@ -270,10 +271,16 @@
     rows.forEach((row) => {
       const [key, running, waiting, pace, age, good = 0, bad = 0, coldFor = 0, outOfReachFor = 0] =
         row;
-      const at = now - age;
       this.#options.onReport({
-        ...{ key, running, waiting, pace: pace / 100, at },
-        ...{ good, bad, coldFor, outOfReachFor },
+        key,
+        running,
+        waiting,
+        pace: pace / 100,
+        at: now - age,
+        good,
+        bad,
+        coldFor,
+        outOfReachFor,
       });
     });
   }
