--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -18,7 +18,7 @@
 /** Milliseconds for which a missed probe keeps requests away; the next probes come within this time. */
 const OUT_OF_REACH_TIME: Duration = 900;
 /** Milliseconds that a look may take; a sound upstream needs about 10 with a new connection. */
-const LOOK_LIMIT: Duration = 60;
+const LOOK_LIMIT: Duration = 40;
 /** Milliseconds without requests to an upstream that answered no look; the probe goes on for longer. */
 const LOOK_BLOCK: Duration = 150;
 /** Milliseconds between two probes of an upstream that tells no load. */
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -22,6 +22,8 @@
 const HEDGE_SLACK: Duration = 8;
 /** Upstreams that are asked for their load for one attempt; nearly always one of them is at its usual pace. */
 const MAX_LOOKS = 3;
+/** Looks without an answer after which the request goes out all the same; each takes its time. */
+const MAX_SILENT_LOOKS = 2;
 /** Milliseconds after which a caller may come back when no upstream may be used. */
 const NO_UPSTREAM_DELAY: Duration = 200;
 
@@ -124,6 +126,7 @@
     const choice = this.#choose(past);
     const isDue =
       past.answered.length + past.silent.length < MAX_LOOKS &&
+      past.silent.length < MAX_SILENT_LOOKS &&
       choice.kind === 'chosen' &&
       !past.answered.includes(choice.record) &&
       this.#host.isLookDue(this.#request, choice.record);
