Bound looks by the fleet's rate of probes, and look only where the load is told at once

Cause, by reading: looks grow with the requests, so that a service with short work and busy upstreams would be probed more often than the site allows; and where a service tells no load, its health path waits for a slot like a request. Change: looks draw on half of the probes that the site allows, divided over the gateways; a service is looked at only once a probe showed that it tells its load. The new scenario bounds 20 gateways by 33 looks a second and upstream.

--- a/features/gateway/looks.feature
+++ b/features/gateway/looks.feature
@@ -26,3 +26,8 @@
     Given 4000 random requests whose looks and attempts end in any order
     Then unsafe ones were sent again only if they can't have run, and the others ran at most 2 times
     And each got one answer
+
+  Scenario: Looks of all gateways stay within the rate of probes
+    Given 20 gateways that look at 30 upstreams whenever they may, at 60 probes a second each
+    When 10 seconds pass
+    Then they made at least 25 and at most 33 looks a second and upstream
--- a/features/gateway/looks.steps.ts
+++ b/features/gateway/looks.steps.ts
@@ -3,6 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Route } from '../../src/catalog/index.js';
 import { addReport, UpstreamBook } from '../../src/gateway/book.js';
+import { Allowance } from '../../src/gateway/budget.js';
 import { chooseUpstream } from '../../src/gateway/choose.js';
 import { isLookWorthwhile } from '../../src/gateway/looks.js';
 import { RequestRun, type RunHost } from '../../src/gateway/run.js';
@@ -15,6 +16,10 @@
 import { createCatalog } from './catalog.js';
 
 interface LooksWorld {
+  allowances: readonly Allowance[];
+  perSecond: number;
+  upstreams: number;
+  made: number;
   work: number;
   excess: number;
   vms: readonly SharedVm[];
@@ -251,3 +256,34 @@
     assert.equal(answers.length, 1);
   });
 });
+
+Given(
+  '{int} gateways that look at {int} upstreams whenever they may, at {int} probes a second each',
+  function (this: LooksWorld, gateways: number, upstreams: number, rate: number) {
+    this.allowances = Array.from({ length: gateways }, () => new Allowance());
+    this.upstreams = upstreams;
+    // Looks may use half of the probes.
+    this.perSecond = (upstreams * rate * 0.5) / gateways;
+  },
+);
+
+When('{int} seconds pass', function (this: LooksWorld, seconds: number) {
+  const times = Array.from({ length: seconds * 200 }, (_, at) => at * 5);
+  this.made = this.allowances.reduce((sum, allowance) => {
+    const own = times.filter((now) => {
+      allowance.refill(this.perSecond, now);
+      const may = allowance.has();
+      if (may) allowance.take();
+      return may;
+    });
+    return sum + own.length / seconds;
+  }, 0);
+});
+
+Then(
+  'they made at least {int} and at most {int} looks a second and upstream',
+  function (this: LooksWorld, least: number, most: number) {
+    const each = this.made / this.upstreams;
+    assert.ok(each >= least && each <= most, `${each} looks a second`);
+  },
+);
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -286,6 +286,7 @@
       'bounds.grace': `${GRACE_MS}ms`,
       'bounds.retry_budget_ratio': '0.2',
       'bounds.retry_slack': '64',
+      'bounds.probes_per_s': '60',
       'bounds.cold_factor': '1.5',
       'bounds.cold_slack': '5',
     };
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -298,6 +298,7 @@
     retryBounds: { ratio: own.retry_ratio ?? 0, slack: own.retry_slack ?? 0 },
     coldBounds: { factor: own.cold_factor ?? 1, slack: own.cold_slack ?? 0 },
     probeInterval: own.probe_interval_ms ?? 0,
+    probeRate: own.probe_rate ?? 0,
     stopTime: own.stop_time_ms,
     recordCall: (service, outcome, latency) => {
       metrics.recordCall({ service, outcome, latency });
--- a/src/gateway/budget.ts
+++ b/src/gateway/budget.ts
@@ -101,7 +101,23 @@
   }
 }
 
-/** Whether `limit` milliseconds have passed. */
-export function hasPassed(since: Instant, limit: Duration, now: Instant): boolean {
-  return now - since >= limit;
+/** An allowance of so many uses a second, of which one second's worth can be saved up. */
+export class Allowance {
+  #left = 0;
+  #at: Instant | undefined;
+
+  /** Adds what has come since the last call. */
+  refill(perSecond: number, now: Instant): void {
+    const since = now - (this.#at ?? now - 1000);
+    this.#at = now;
+    this.#left = Math.min(perSecond, this.#left + (perSecond * since) / 1000);
+  }
+
+  has(): boolean {
+    return this.#left >= 1;
+  }
+
+  take(): void {
+    this.#left -= 1;
+  }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -112,6 +112,8 @@
   readonly coldBounds: ColdBounds;
   /** Milliseconds after which a report of an upstream's load is no longer fresh. */
   readonly probeInterval: Duration;
+  /** Probes of one upstream a second that all gateways may make together, on average. */
+  readonly probeRate: number;
   /** Milliseconds within which the process must end once it is told to. */
   readonly stopTime: Duration;
   /** Counts a finished request. */
@@ -226,6 +228,7 @@
       pool: this.#pool,
       dialect: options.dialect,
       interval: options.probeInterval,
+      rate: options.probeRate,
       now: this.now,
       self: options.id,
       listGateways: () => this.#gateways,
@@ -509,7 +512,7 @@
   isLookDue(request: GatewayRequest, record: UpstreamRecord): boolean {
     const now = this.now();
     // A cold upstream bears few requests, and a look may count as one.
-    if (record.coldUntil > now) return false;
+    if (record.coldUntil > now || !this.#prober.mayLook(record)) return false;
     const excess = this.#book.getExcess(request.service);
     return isLookWorthwhile(this.#getWork(request).value, excess, now - record.reportedAt);
   }
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -6,6 +6,7 @@
 import type { Duration, Instant } from '../model/index.js';
 import { computeRank, hashText } from '../routing/index.js';
 import { addReport } from './book.js';
+import { Allowance } from './budget.js';
 import type { ConnectionPool } from './pool.js';
 import type { AttemptOutcome, HeaderDialect, UpstreamRecord } from './types.js';
 
@@ -17,6 +18,8 @@
 const COLD_INTERVAL: Duration = 400;
 /** Milliseconds for which a missed probe keeps requests away; the next probes come within this time. */
 const OUT_OF_REACH_TIME: Duration = 900;
+/** Part of the probes that looks may use; regular probes need the rest. */
+const LOOK_PART = 0.5;
 /** Milliseconds that a look may take; a sound upstream needs about 10 with a new connection. */
 const LOOK_LIMIT: Duration = 40;
 /** Milliseconds without requests to an upstream that answered no look; the probe goes on for longer. */
@@ -30,6 +33,8 @@
   readonly dialect: HeaderDialect;
   /** Milliseconds after which a report is no longer fresh. */
   readonly interval: Duration;
+  /** Probes of one upstream a second that all gateways may make together, on average. */
+  readonly rate: number;
   readonly now: () => Instant;
   readonly self: string;
   readonly listGateways: () => readonly string[];
@@ -44,6 +49,8 @@
 export interface Prober {
   /** Whether this gateway is the one that probes the upstream. */
   isProber(record: UpstreamRecord): boolean;
+  /** Whether the upstream tells its load at once, and this gateway may make one more probe for a request. */
+  mayLook(record: UpstreamRecord): boolean;
   /** Asks an upstream for its load at once; `onEnd` is told whether it answered soon enough. */
   look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void;
   close(): void;
@@ -67,6 +74,7 @@
   readonly #options: ProberOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #tellsLoad = new Map<string, boolean>();
+  readonly #allowance = new Allowance();
   /** Looks that wait for the probe under way. */
   readonly #looks = new Map<UpstreamRecord, readonly ((isAnswered: boolean) => void)[]>();
   #gateways: readonly string[] = [];
@@ -92,7 +100,16 @@
     return this.#own.has(record);
   }
 
+  mayLook({ instance }: UpstreamRecord): boolean {
+    const { now, rate, listGateways, listRecords } = this.#options;
+    const perSecond = (listRecords().length * rate * LOOK_PART) / listGateways().length;
+    this.#allowance.refill(perSecond, now());
+    // Where the load isn't told, the health path waits for a slot like a request.
+    return this.#tellsLoad.get(instance.service) === true && this.#allowance.has();
+  }
+
   look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void {
+    this.#allowance.take();
     const startedAt = this.#options.now();
     let isOver = false;
     const end = (isAnswered: boolean): void => {
