Look at upstreams whose load others told of, and use one that left a look unanswered last instead of not at all

Cause, by reading the diff: since the bound on looks, a gateway looked only at services of which it probes an upstream itself, one or two of all; and an answer that had arrived while the process was held up counted as no answer, after which the upstream got no request for 150 ms, so that a service with few upstreams was refused. Change: a report of any gateway shows that the load is told; pending input is read before a look counts as unanswered; such an upstream counts as slower.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -23,6 +23,8 @@
       | x a 0 1 cold-turn                               | 60   | 500  | x          |
       | x a 0 1 failing, y b 0 2                        | 60   | 500  | y          |
       | x a 0 1 out-of-reach, y b 0 2                   | 60   | 500  | y          |
+      | x a 0 1 silent, y b 0 2                         | 60   | 500  | y          |
+      | x a 0 1 silent                                  | 60   | 500  | x          |
       | x a 0 1, y a 0 1 connected                      | 60   | 500  | y          |
       | x a 0 1, y a 0 2 connected                      | 60   | 500  | x          |
       | x a 0 1 connected, y a 2 1 connected            | 60   | 500  | x y        |
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -55,6 +55,7 @@
     coldUntil: how.startsWith('cold') ? NOW + 1000 : -Infinity,
     coldTurnAt: how === 'cold-turn' ? NOW : NOW + 500,
     misses: 0,
+    silentUntil: how === 'silent' ? NOW + 100 : -Infinity,
     outOfReachUntil: how === 'out-of-reach' ? NOW + 100 : -Infinity,
     blockedUntil: how === 'blocked' ? NOW + 100 : -Infinity,
     good: 6,
--- a/features/gateway/looks.feature
+++ b/features/gateway/looks.feature
@@ -31,3 +31,8 @@
     Given 20 gateways that look at 30 upstreams whenever they may, at 60 probes a second each
     When 10 seconds pass
     Then they made at least 25 and at most 33 looks a second and upstream
+
+  Scenario: Upstreams that another gateway probes are looked at as well, if their load is known to be told
+    Given a gateway that probes none of the upstreams itself
+    Then it may look at an upstream whose load another gateway told of
+    And it may not look at an upstream whose load nobody told of
--- a/features/gateway/looks.steps.ts
+++ b/features/gateway/looks.steps.ts
@@ -1,4 +1,4 @@
-import { Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Route } from '../../src/catalog/index.js';
@@ -6,6 +6,8 @@
 import { Allowance } from '../../src/gateway/budget.js';
 import { chooseUpstream } from '../../src/gateway/choose.js';
 import { isLookWorthwhile } from '../../src/gateway/looks.js';
+import { ConnectionPool } from '../../src/gateway/pool.js';
+import { createProber, type Prober } from '../../src/gateway/prober.js';
 import { RequestRun, type RunHost } from '../../src/gateway/run.js';
 import type {
   AttemptOutcome,
@@ -13,9 +15,12 @@
   GatewayRequest,
   UpstreamRecord,
 } from '../../src/gateway/types.js';
+import { headerDialect } from '../../platform/headers.js';
 import { createCatalog } from './catalog.js';
 
 interface LooksWorld {
+  prober: Prober | undefined;
+  probed: readonly UpstreamRecord[];
   allowances: readonly Allowance[];
   perSecond: number;
   upstreams: number;
@@ -287,3 +292,37 @@
     assert.ok(each >= least && each <= most, `${each} looks a second`);
   },
 );
+
+Given('a gateway that probes none of the upstreams itself', function (this: LooksWorld) {
+  const book = new UpstreamBook();
+  book.update(createCatalog(['u1', 'u2']));
+  this.probed = book.records;
+  const pool = new ConnectionPool(headerDialect);
+  pool.close();
+  this.prober = createProber({
+    ...{ pool, dialect: headerDialect, interval: 60_000, rate: 60, self: 'nobody' },
+    now: () => performance.now(),
+    listGateways: () => ['another'],
+    listRecords: () => book.records,
+    onLoad: () => undefined,
+    onCold: () => undefined,
+    onEnd: () => undefined,
+  });
+});
+
+Then('it may look at an upstream whose load another gateway told of', function (this: LooksWorld) {
+  const [told] = this.probed;
+  assert.ok(told);
+  addReport(told, { running: 1, waiting: 0, slots: 6, pace: 1 }, performance.now() - 100);
+  assert.equal(this.prober?.mayLook(told), true);
+});
+
+Then('it may not look at an upstream whose load nobody told of', function (this: LooksWorld) {
+  const untold = this.probed[1];
+  assert.ok(untold);
+  assert.equal(this.prober?.mayLook(untold), false);
+});
+
+After(function (this: Partial<LooksWorld>) {
+  this.prober?.close();
+});
--- a/src/gateway/book.ts
+++ b/src/gateway/book.ts
@@ -47,6 +47,7 @@
     coldTurnAt: -Infinity,
     misses: 0,
     blockedUntil: -Infinity,
+    silentUntil: -Infinity,
     outOfReachUntil: -Infinity,
     good: 0,
     bad: 0,
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -27,6 +27,9 @@
 /** Times by which a failing upstream counts as slower, for each share of bad answers. */
 const FAILING_PENALTY = 8;
 
+/** Times by which an upstream that left a look unanswered counts as slower. */
+const SILENCE_PENALTY = 8;
+
 /** What the choice rests on, besides the upstreams. */
 export interface ChoiceContext {
   readonly now: Instant;
@@ -105,10 +108,11 @@
   const expected = computeTime(record, work, now);
   const badShare = computeBadShare(record);
   const failing = badShare > FAILING_SHARE ? 1 + badShare * FAILING_PENALTY : 1;
+  const silent = record.silentUntil > now ? SILENCE_PENALTY : 1;
   return {
     record,
     expected,
-    cost: expected * failing + (record.instance.zone === zone ? 0 : ZONE_PENALTY),
+    cost: expected * failing * silent + (record.instance.zone === zone ? 0 : ZONE_PENALTY),
   };
 }
 
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -22,8 +22,8 @@
 const LOOK_PART = 0.5;
 /** Milliseconds that a look may take; a sound upstream needs about 10 with a new connection. */
 const LOOK_LIMIT: Duration = 40;
-/** Milliseconds without requests to an upstream that answered no look; the probe goes on for longer. */
-const LOOK_BLOCK: Duration = 150;
+/** Milliseconds for which an upstream that answered no look is used last; its probe goes on for longer. */
+const SILENCE_TIME: Duration = 150;
 /** Milliseconds between two probes of an upstream that tells no load. */
 const SILENT_INTERVAL: Duration = 1000;
 
@@ -100,17 +100,16 @@
     return this.#own.has(record);
   }
 
-  mayLook({ instance }: UpstreamRecord): boolean {
+  mayLook(record: UpstreamRecord): boolean {
     const { now, rate, listGateways, listRecords } = this.#options;
     const perSecond = (listRecords().length * rate * LOOK_PART) / listGateways().length;
     this.#allowance.refill(perSecond, now());
     // Where the load isn't told, the health path waits for a slot like a request.
-    return this.#tellsLoad.get(instance.service) === true && this.#allowance.has();
+    return Number.isFinite(record.reportedAt) && this.#allowance.has();
   }
 
   look(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void {
     this.#allowance.take();
-    const startedAt = this.#options.now();
     let isOver = false;
     const end = (isAnswered: boolean): void => {
       if (isOver) return;
@@ -119,11 +118,11 @@
       onEnd(isAnswered);
     };
     const timer = setTimeout(() => {
-      const now = this.#options.now();
-      // A timer that is late itself says that this process is, not the upstream.
-      const isOurs = now - startedAt > LOOK_LIMIT * 1.5;
-      if (!isOurs) record.blockedUntil = Math.max(record.blockedUntil, now + LOOK_BLOCK);
-      end(false);
+      // An answer that has arrived is read before the immediate, also after this process was held up.
+      setImmediate(() => {
+        if (!isOver) record.silentUntil = this.#options.now() + SILENCE_TIME;
+        end(false);
+      });
     }, LOOK_LIMIT);
     this.#looks.set(record, [...(this.#looks.get(record) ?? []), end]);
     if (!record.isProbing) this.#probe(record);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -95,6 +95,8 @@
   misses: number;
   /** No request is sent before this instant. */
   blockedUntil: Instant;
+  /** Until when others go first, as it left a look unanswered. */
+  silentUntil: Instant;
   /** Until when the gateway that probes it found it out of reach. */
   outOfReachUntil: Instant;
   /** Decayed counts of good and bad answers that any gateway got. */
