--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -218,6 +218,24 @@
   output: string;
 }
 
+/** Port that a site holds on its network for as long as it runs, so that no other site takes the network. */
+const CLAIM_PORT = 7999;
+
+/** Takes one of the networks of loopback that no other site on this machine uses. */
+async function claimNetwork(): Promise<readonly [net: number, claim: Server]> {
+  const net = 20 + Math.floor(Math.random() * 200);
+  const claim = createServer();
+  const isFree = await new Promise<boolean>((resolve) => {
+    claim.once('error', () => {
+      resolve(false);
+    });
+    claim.listen(CLAIM_PORT, `127.${net}.1.1`, () => {
+      resolve(true);
+    });
+  });
+  return isFree ? [net, claim] : claimNetwork();
+}
+
 /** The site: three VMs in three zones, each with a steward and a gateway. */
 export class Site {
   readonly processes = new Map<string, Running>();
@@ -230,13 +248,14 @@
   private constructor(
     readonly folder: string,
     readonly net: number,
+    readonly claim: Server,
   ) {
     this.ips = this.zones.map((_, at) => `127.${net}.${at + 1}.1`);
   }
 
   static async start(): Promise<Site> {
     const folder = await mkdtemp(join(tmpdir(), 'chivewalk-platform-'));
-    const site = new Site(folder, 20 + Math.floor(Math.random() * 200));
+    const site = new Site(folder, ...(await claimNetwork()));
     await Promise.all(
       site.ips.flatMap((ip, at) => [
         site.startProcess('steward', ip, at, true),
@@ -459,6 +478,7 @@
       upstream.stop();
     });
     await Promise.all([...this.processes.keys()].map((name) => this.endProcess(name, 'SIGKILL')));
+    this.claim.close();
     await rm(this.folder, { recursive: true, force: true });
   }
 }
