Let an entry take callers only once a configuration was confirmed

It opened its listener once it knew the upstreams, though no control member had confirmed a configuration yet, against the invariant on top of the file; on a busy machine that takes longer. Ruled out: a lease that was lost later (all refusals came from one entry, right after its start). Change: the listener opens after the first confirmation, or after 5 s without one.

--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -80,6 +80,7 @@
     const client = this.#startClient(options);
     const claims = this.#startClaims(client);
     await this.#waitForUpstreams(membership);
+    await this.#waitForConfiguration(client);
     const entry = await this.#openEntry(options, membership, client, claims);
     const announcements = await createAnnouncements({
       listen: options.upstream_listen,
@@ -139,6 +140,16 @@
     });
   }
 
+  /** Until a configuration is confirmed, every caller would be refused as by an entry that lost touch. */
+  async #waitForConfiguration(client: ConfigClient): Promise<void> {
+    const until = getNow() + CONFIRM_LIMIT_MS;
+    while (!client.isServing(getNow()) && getNow() < until) await waitAtMost(CONFIRM_POLL_MS);
+    if (client.isServing(getNow())) return;
+    log.warn('no control member confirmed a configuration: callers are refused until one does', {
+      waitedMs: CONFIRM_LIMIT_MS,
+    });
+  }
+
   #startClient(options: EntrySettings): ConfigClient {
     return createConfigClient({
       mesh: this.#mesh,
@@ -300,6 +311,10 @@
  * upstream has renewed its announcement at some entry.
  */
 const JOIN_LIMIT_MS = RENEW_AFTER_MS;
+/** Milliseconds after which an entry opens without a confirmed configuration; a group elects a leader in less. */
+const CONFIRM_LIMIT_MS = 5000;
+/** Milliseconds between two looks whether a configuration was confirmed. */
+const CONFIRM_POLL_MS = 25;
 /** Milliseconds that a stopping entry waits for the roster to do without it. */
 const LEAVE_LIMIT_MS = 3000;
 
