Validate callers' requests before the runtime's parser sees them

Cause: node:http of Node 20.19.0 accepts a bare LF as a line end, an empty field name, a space in a name and a high byte in the target, so the entry did too: with a bare LF that ends a head, two requests reached the upstream. A malformed request behind a valid one got bytes of a second response.

Each connection now passes through StrictSocket. RequestScanner (pure, in http1) lets an element through only once it is well-formed as a whole; a malformed one is replaced by bytes that no parser accepts, so that the refusal stays in order with earlier responses. http1 itself trimmed vertical tabs and other control characters off field values and took such a transfer coding for 'chunked'; it removes spaces and tabs alone now.

Found on the way: a chunked body that ended between the choice of an upstream and the first read of its stream was never ended at the upstream. The reader gets its end now.

Ruled out: insecureHTTPParser (off already); filling the chunk in place (heads that are held back can't be). Upstreams' answers are read by undici, whose parser comes with the package, not with Node.

--- a/features/http1/reader.feature
+++ b/features/http1/reader.feature
@@ -23,6 +23,7 @@
       | POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n        | 400   |
       | POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc              | 400   |
       | POST /a HTTP/1.1\r\nContent-Length: -3\r\n\r\n                                     | 400   |
+      | POST /a HTTP/1.1\r\nTransfer-Encoding: \vchunked\r\n\r\n                         | 400   |
       | POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n                       | 501   |
       | POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n                 | 400   |
       | POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n                       | 400   |
@@ -48,3 +49,23 @@
       | HTTP/1.1 204 No Content\r\n\r\n                                  | reset | 204 []                       |
       | garbage\r\n\r\n                                                  | order | 400                          |
       | HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n | order | 200 [ok]; 500 [] |
+
+  Scenario Outline: A stream of requests is validated without buffering bodies
+    Given the request bytes "<bytes>"
+    Then the request scanner passes on "<accepted>" and reports "<error>" wherever the bytes are split
+
+    Examples:
+      | bytes                                                                  | accepted                                              | error |
+      | GET /a HTTP/1.1\r\nHost: x\r\n\r\n                                     | GET /a HTTP/1.1\r\nHost: x\r\n\r\n                    |       |
+      | GET /a HTTP/1.1\r\nHost: x\r\n                                         |                                                       |       |
+      | GET /a HTTP/1.1\nHost: x\r\n\r\n                                       |                                                       | 400   |
+      | GET /a HTTP/1.1\r\n: x\r\n\r\n                                         |                                                       | 400   |
+      | GET /a HTTP/1.1\r\nX Y: x\r\n\r\n                                      |                                                       | 400   |
+      | GET /é HTTP/1.1\r\n\r\n                                                |                                                       | 400   |
+      | GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\nGET /c HTTP/1.1\r\n\r\n    | GET /a HTTP/1.1\r\n\r\n                               | 400   |
+      | PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nabc\r\n\r\n                | PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nab        | 400   |
+      | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nA: 1\r\n\r\n | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nA: 1\r\n\r\n | |
+      | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\naX0\r\n\r\n  | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na | 400 |
+      | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\na\r\n          | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n | 400   |
+      | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA : 1\r\n\r\n | PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n | 400 |
+      | PUT /a HTTP/1.1\r\nTransfer-Encoding: \v chunked\r\n\r\n               |                                                       | 400   |
--- a/features/http1/reader.steps.ts
+++ b/features/http1/reader.steps.ts
@@ -4,6 +4,7 @@
   createResponseGrammar,
   MessageReader,
   requestGrammar,
+  RequestScanner,
   type ReaderEvent,
   type RequestHead,
   type ResponseHead,
@@ -16,8 +17,12 @@
 
 const LIMITS = { headBytes: 1000, bodyBytes: 1000 };
 
+function replaceEscapes(text: string): string {
+  return text.replaceAll('\\r', '\r').replaceAll('\\n', '\n').replaceAll('\\v', '\v');
+}
+
 function parseBytes(text: string): Buffer {
-  return Buffer.from(text.replaceAll('\\r', '\r').replaceAll('\\n', '\n'), 'latin1');
+  return Buffer.from(replaceEscapes(text), 'latin1');
 }
 
 function describeEvents<Head>(
@@ -77,3 +82,18 @@
     wanted,
   );
 });
+
+Then(
+  'the request scanner passes on {string} and reports {string} wherever the bytes are split',
+  function (this: ReaderWorld, accepted: string, error: string) {
+    const { bytes } = this;
+    Array.from({ length: bytes.length }, (_, index) => index).forEach((at) => {
+      const scanner = new RequestScanner({ headBytes: 1000, chunkLineBytes: 100 });
+      const results = [scanner.scan(bytes.subarray(0, at)), scanner.scan(bytes.subarray(at))];
+      const passed = results.map((result) => result.accepted.toString('latin1')).join('');
+      assert.equal(passed, replaceEscapes(accepted), `split at ${at}`);
+      const found = results.find((result) => result.error !== undefined)?.error?.status;
+      assert.equal(String(found ?? ''), error, `split at ${at}`);
+    });
+  },
+);
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -22,6 +22,8 @@
   #size = 0;
   #isComplete = false;
   #isStreaming = false;
+  /** Whether the body ended before it was streamed. */
+  #hasEnded = false;
   #onGathered: ((gathered: GatherResult) => void) | undefined;
   #bufferLimit = 0;
   #mustFit = false;
@@ -143,7 +145,9 @@
       this.#reader?.push(null);
       return;
     }
-    this.#isComplete = true;
+    // A reader that was opened before still takes the gathered chunks, so they are not the content.
+    this.#hasEnded = true;
+    this.#isComplete = this.#reader === undefined;
     this.#finishGathering('ready');
   }
 
@@ -161,6 +165,7 @@
     this.#isStreaming = true;
     const first = this.#chunks.splice(0);
     const hasCapacity = first.map((chunk) => this.#reader?.push(chunk) ?? false).at(-1) ?? true;
-    if (hasCapacity) this.#request.resume();
+    if (this.#hasEnded) this.#reader?.push(null);
+    else if (hasCapacity) this.#request.resume();
   }
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -35,6 +35,7 @@
 import { sendProbe } from './probe.js';
 import { refuseMalformed } from './reject.js';
 import { writeRefusal } from './refusal.js';
+import { attachStrictSockets, StrictSocket } from './strict.js';
 import { UpstreamPools } from './upstreams.js';
 
 /** Options of {@link createEntry}. */
@@ -105,8 +106,10 @@
     );
     this.#server.maxHeadersCount = 0;
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      refuseMalformed(socket, error.code, this.#responses.get(socket));
+      const code = socket instanceof StrictSocket ? (socket.errorCode ?? error.code) : error.code;
+      refuseMalformed(socket, code, this.#responses.get(socket));
     });
+    attachStrictSockets(this.#server);
     this.#server.on('connect', (_: IncomingMessage, socket: Duplex) => {
       refuseMalformed(socket, 'CONNECT', this.#responses.get(socket));
     });
--- a/src/entry/limits.ts
+++ b/src/entry/limits.ts
@@ -5,6 +5,8 @@
 
 /** Maximum bytes of a message head, including the start line. */
 export const MAX_HEAD_BYTES = 16 * KIBIBYTE;
+/** Maximum bytes of a chunk-size line, including its extensions. */
+export const MAX_CHUNK_LINE_BYTES = 16 * KIBIBYTE;
 /** Maximum characters of a request target. */
 export const MAX_TARGET_LENGTH = 8 * KIBIBYTE;
 /** Maximum number of header fields in a request. */
--- a/src/http1/head.ts
+++ b/src/http1/head.ts
@@ -12,6 +12,9 @@
 // eslint-disable-next-line no-control-regex -- control characters are not allowed in field values
 const INVALID_VALUE = /[\0-\x08\n-\x1f\x7f]/;
 
+/** Whitespace around a field value; `trim` would also remove control characters. */
+const OPTIONAL_WHITESPACE = /^[ \t]+|[ \t]+$/g;
+
 /** Hop-by-hop header fields, which are not forwarded; RFC 9110, section 7.6.1. */
 const hopByHop: ReadonlySet<string> = new Set([
   'connection',
@@ -29,11 +32,12 @@
   return { kind: 'protocolError', status, reason };
 }
 
-function parseFields(lines: readonly string[]): HeaderList | ProtocolError {
+/** Parses the lines of header or trailer fields, without their line ends. */
+export function parseFieldLines(lines: readonly string[]): HeaderList | ProtocolError {
   const fields = lines.map((line): readonly [string, string] | undefined => {
     const colon = line.indexOf(':');
     const name = line.slice(0, Math.max(colon, 0));
-    const value = line.slice(colon + 1).trim();
+    const value = line.slice(colon + 1).replace(OPTIONAL_WHITESPACE, '');
     return TOKEN.test(name) && !INVALID_VALUE.test(value) ? [name, value] : undefined;
   });
   const valid = fields.filter((field) => field !== undefined);
@@ -61,7 +65,7 @@
   if (match === null) return toError(400, 'the request line is malformed');
   const [, method = '', target = '', major, minor] = match;
   if (major !== '1') return toError(505, 'only HTTP/1.x is spoken here');
-  const headers = parseFields(lines);
+  const headers = parseFieldLines(lines);
   if ('kind' in headers) return headers;
   return { method, target, minorVersion: Number(minor), headers };
 }
@@ -72,7 +76,7 @@
   const match = STATUS_LINE.exec(first);
   if (match === null) return toError(400, 'the status line is malformed');
   const [, minor, status, reason = ''] = match;
-  const headers = parseFields(lines);
+  const headers = parseFieldLines(lines);
   if ('kind' in headers) return headers;
   return { status: Number(status), reason, minorVersion: Number(minor), headers };
 }
--- a/src/http1/index.ts
+++ b/src/http1/index.ts
@@ -8,6 +8,7 @@
   renderHead,
 } from './head.js';
 export { createResponseGrammar, MessageReader, requestGrammar } from './reader.js';
+export { RequestScanner, type ScannerLimits, type ScanResult } from './scanner.js';
 export type {
   Framing,
   HeaderList,
