Close an upstream's connection after a refusal, so that its second copy answers nothing

Cause: an upstream of an entry names no request in its answers. After a refusal the connection was kept; when the upstream wrote the refusal once more while it ran the next request, that one counted as not run and was sent again. The connection of a refusal is closed now; a copy can only arrive where nothing is waiting.

Ruled out: distrusting each refusal on a reused connection, which makes every refusal by a busy upstream an unknown outcome. A copy of a refusal written on another connection still can't be told apart here; gateways can, as their upstreams echo the request's id.

--- a/features/entry/failure.feature
+++ b/features/entry/failure.feature
@@ -43,3 +43,8 @@
       | GET    | never answers                    |
       | POST   | never answers                    |
       | POST   | answers before the body          |
+
+  Scenario: An upstream writes an earlier refusal once more while it runs the next request
+    Given an entry whose only upstream "says not run, and once more for the next request"
+    When the caller sends a "POST" request, then two at once
+    Then each request got its own answer and ran once
--- a/features/entry/failure.steps.ts
+++ b/features/entry/failure.steps.ts
@@ -1,11 +1,18 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { startRawUpstream, type RawBehaviour, type RawUpstream } from './raw.js';
-import { announceUpstreams, sendCall, startEntry, type EntryWorld } from './world.js';
+import {
+  announceUpstreams,
+  sendCall,
+  startEntry,
+  type EntryWorld,
+  type ObservedResponse,
+} from './world.js';
 
 interface FailureWorld extends EntryWorld {
   rawUpstream: RawUpstream | undefined;
   outcome: unknown;
+  answers: readonly ObservedResponse[];
 }
 
 /** A loopback address that no test binds, so that no other test can take the port meanwhile. */
@@ -52,6 +59,10 @@
   'says not run': {
     answer: 'HTTP/1.1 503 Busy\r\nx-chivewalk-not-run: 1\r\ncontent-length: 4\r\n\r\nshed',
   },
+  'says not run, and once more for the next request': {
+    answer: 'HTTP/1.1 503 Busy\r\nx-chivewalk-not-run: 1\r\ncontent-length: 4\r\n\r\nshed',
+    laterAnswer: `${OK}content-length: 3\r\n\r\nran`,
+  },
   'fails with 500': { answer: 'HTTP/1.1 500 Broken\r\ncontent-length: 6\r\n\r\nbroken' },
   'never answers': {},
   'answers before the body': { answer: `${OK}content-length: 5\r\n\r\nearly` },
@@ -91,6 +102,30 @@
   },
 );
 
+When(
+  'the caller sends a {string} request, then two at once',
+  async function (this: FailureWorld, method: string) {
+    const { port } = this.harness;
+    const headers = { 'content-length': '4' };
+    const send = (): Promise<ObservedResponse> =>
+      sendCall({ port, method, path: '/seam/batches', body: 'hold', headers });
+    this.answers = [await send(), ...(await Promise.all([send(), send()]))];
+  },
+);
+
+Then('each request got its own answer and ran once', function (this: FailureWorld) {
+  assert.deepEqual(
+    this.answers.map(({ status, body }) => [status, body]),
+    [
+      [200, 'ran'],
+      [200, 'ran'],
+      [200, 'ran'],
+    ],
+  );
+  // The first one was sent twice, as the upstream refused it.
+  assert.equal(this.rawUpstream?.requests.length, 4);
+});
+
 Then(
   'the results at the caller and at the upstream match the snapshot',
   function (this: FailureWorld) {
--- a/features/entry/raw.ts
+++ b/features/entry/raw.ts
@@ -5,6 +5,11 @@
 export interface RawBehaviour {
   /** Bytes written as the response; nothing is written if absent. */
   readonly answer?: string;
+  /**
+   * Written as the response to the second and later requests; a copy of {@link answer} goes before it on the
+   * connection that carried the first one.
+   */
+  readonly laterAnswer?: string;
   /** How the connection ends after the response; it stays open if absent. */
   readonly end?: 'close' | 'reset';
 }
@@ -21,8 +26,16 @@
 
 const START_LINE = /^(?:GET|HEAD|OPTIONS|PUT|DELETE|POST|PATCH) \S+ HTTP\/1\.1$/gm;
 
-function applyBehaviour(socket: Socket, { answer, end }: RawBehaviour): void {
-  if (answer !== undefined) socket.write(answer, 'latin1');
+function applyBehaviour(
+  socket: Socket,
+  { answer, laterAnswer, end }: RawBehaviour,
+  isFirst: boolean,
+  isFirstSocket: boolean,
+): void {
+  if (answer !== undefined && (isFirst || laterAnswer === undefined || isFirstSocket)) {
+    socket.write(answer, 'latin1');
+  }
+  if (laterAnswer !== undefined && !isFirst) socket.write(laterAnswer, 'latin1');
   if (end === 'close') socket.end();
   if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 10);
 }
@@ -32,6 +45,7 @@
   const requests: string[] = [];
   const sockets = new Set<Socket>();
   let closed = 0;
+  let firstSocket: Socket | undefined;
   const server: Server = createServer((socket) => {
     sockets.add(socket);
     let text = '';
@@ -44,7 +58,8 @@
       if (!text.includes('\r\n\r\n')) return;
       requests.push(...(text.match(START_LINE) ?? []));
       text = '';
-      applyBehaviour(socket, behaviour);
+      firstSocket ??= socket;
+      applyBehaviour(socket, behaviour, requests.length === 1, socket === firstSocket);
     });
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -37,6 +37,8 @@
   readonly #method: string;
   #phase: Phase = 'starting';
   #mayHaveRun = false;
+  /** Whether the response says that the request was not run. */
+  #isRejected = false;
   #discardedBytes = 0;
   #resume: () => void = handleNoResume;
 
@@ -106,6 +108,7 @@
     }
     this.#resume = resume;
     this.#phase = 'answering';
+    this.#isRejected = head.notRun;
     if (head.notRun) this.#mayHaveRun = false;
     const isWanted = this.#owner.handleHead(this, head);
     if (!isWanted && !this.#hasEnded()) this.#phase = 'discarding';
@@ -124,7 +127,9 @@
     const isWanted = this.#phase === 'answering';
     if (this.#phase === 'ended') return;
     this.#phase = 'ended';
-    this.#pool.release(this);
+    // A second copy of a refusal would be taken for the answer to the next request on the connection.
+    if (this.#isRejected) this.#pool.drop(this);
+    else this.#pool.release(this);
     if (isWanted) this.#owner.handleEnd();
   }
 
