Bound the bytes that a gateway holds of messages without end

Cause: a response body was held up to 64 MB each and several at once, which is more than a VM of 250 MB has; a body in chunks of one byte took over a hundred times its size in pieces; interim heads, empty lines before a head, trailers and answers that name other requests were read for as long as they came, from upstreams and, but for the interim heads, from callers.

BufferBudget counts what all incomplete messages of the process take, 80 MB at most, and beyond that drops the largest: 'lost' for an attempt, so 502 or a retry, 413 for a caller. The reader bounds what belongs to no head and no body by the head's limit; an exchange bounds what comes before its own response by 2 MB, which a late copy of the largest answer fits into.

Ruled out: pausing reads when the process is full, as the endless message then holds its share until the deadline while whole ones wait behind it.

features/gateway/upstreams.feature streams each shape; other requests go on and at most 12 MB are held.

--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -6,6 +6,7 @@
 import { TokenBucket } from '../../src/gateway/budget.js';
 import { chooseUpstream } from '../../src/gateway/choose.js';
 import { isProbeWorthwhile } from '../../src/gateway/ondemand.js';
+import { BufferBudget } from '../../src/gateway/buffers.js';
 import { ConnectionPool } from '../../src/gateway/pool.js';
 import { createProber, type Prober } from '../../src/gateway/prober.js';
 import { RequestRun, type RunHost } from '../../src/gateway/run.js';
@@ -307,7 +308,7 @@
     const registry = new UpstreamRegistry();
     registry.update(createCatalog(['u1', 'u2']));
     this.upstreamRecords = registry.records;
-    const pool = new ConnectionPool(headerDialect);
+    const pool = new ConnectionPool(headerDialect, new BufferBudget(1_000_000));
     pool.close();
     this.prober = createProber({
       ...{ pool, dialect: headerDialect, interval: 60_000, rate: 60, self: 'nobody' },
--- /dev/null
+++ b/features/gateway/upstreams.feature
@@ -0,0 +1,37 @@
+Feature: Upstreams that send bytes which are no answer
+  What an upstream sends is the answer to a request only if it certainly belongs to it.
+
+  Scenario Outline: An upstream sends <bytes> without end
+    Given an upstream that sends "<bytes>" without end
+    When a request is sent to it while another upstream answers requests
+    Then the attempt ends as "lost" and at most 12 MB were held
+    And every request to the other upstream was answered
+
+    Examples:
+      | bytes                          |
+      | a head                         |
+      | interim heads                  |
+      | empty lines                    |
+      | a body that ends by closing    |
+      | a body in chunks of one byte   |
+      | a trailer                      |
+      | answers to another request     |
+      | no HTTP                        |
+
+  Scenario: Of several endless bodies and a whole one, the whole one is delivered
+    Given an upstream that sends "a body that ends by closing" without end
+    When 4 requests are sent to it while another upstream answers requests
+    Then the attempts end as "lost" and at most 12 MB were held
+    And every request to the other upstream was answered
+
+  Scenario Outline: A caller sends <bytes> without end
+    Given a caller's connection to a gateway
+    When the caller sends "<bytes>" without end
+    Then it is answered with <status> and at most 12 MB were held
+
+    Examples:
+      | bytes                        | status |
+      | a head                       | 431    |
+      | empty lines                  | 431    |
+      | a body in chunks of one byte | 413    |
+      | a trailer                    | 431    |
--- /dev/null
+++ b/features/gateway/upstreams.steps.ts
@@ -0,0 +1,315 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { headerDialect } from '../../platform/headers.js';
+import { BufferBudget } from '../../src/gateway/buffers.js';
+import { CallerConnection, type CallerHost } from '../../src/gateway/caller.js';
+import { ConnectionPool } from '../../src/gateway/pool.js';
+import type { AttemptOutcome } from '../../src/gateway/types.js';
+
+const LIMIT_BYTES = 12 * 1024 * 1024;
+/** Times in milliseconds. */
+const STEP = { timeout: 30_000 };
+const ATTEMPT_LIMIT = 8000;
+/** Bytes written at once by peers that send without end. */
+const PIECE_BYTES = 256 * 1024;
+const ID_HEADER = headerDialect.requestId;
+const NOT_RUN = `${headerDialect.notRun}: 1\r\n`;
+
+interface UpstreamsWorld {
+  servers: Server[];
+  sockets: Socket[];
+  buffers: BufferBudget;
+  pool: ConnectionPool;
+  address: string;
+  outcomes: AttemptOutcome[];
+  healthyOutcomes: AttemptOutcome[];
+  mostHeld: number;
+  status: number;
+}
+
+async function startServer(
+  world: UpstreamsWorld,
+  accept: (socket: Socket) => void,
+): Promise<string> {
+  const server = createServer((socket) => {
+    world.sockets.push(socket);
+    socket.on('error', () => undefined);
+    accept(socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  world.servers.push(server);
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Starts an upstream that passes each request, given by its id and number, to `answer`. */
+async function startUpstream(
+  world: UpstreamsWorld,
+  answer: (socket: Socket, id: string, number: number) => void,
+): Promise<string> {
+  let number = 0;
+  return startServer(world, (socket) => {
+    socket.on('data', (chunk) => {
+      const id = new RegExp(`${ID_HEADER}: (\\S+)`, 'i').exec(chunk.toString('latin1'))?.[1] ?? '';
+      number += 1;
+      answer(socket, id, number);
+    });
+  });
+}
+
+function renderAnswer(status: number, id: string, fields = '', body = 'ok'): string {
+  const name = id === '' ? '' : `${ID_HEADER}: ${id}\r\n`;
+  return `HTTP/1.1 ${status} X\r\n${name}${fields}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+function sendRequest(world: UpstreamsWorld, id: string, address: string): Promise<AttemptOutcome> {
+  return new Promise((resolve, reject) => {
+    const headers = [[ID_HEADER, id]] as const;
+    const request = { id, method: 'GET', target: '/a', headers, body: Buffer.alloc(0) };
+    const timer = setTimeout(() => {
+      reject(new Error(`no outcome within ${ATTEMPT_LIMIT} ms`));
+    }, ATTEMPT_LIMIT);
+    world.pool.send(address, request, {
+      onHead: () => undefined,
+      onEnd: (outcome) => {
+        clearTimeout(timer);
+        resolve(outcome);
+      },
+    });
+  });
+}
+
+/** Writes pieces until the connection is closed. */
+function writeWithoutEnd(socket: Socket, piece: Buffer): void {
+  while (socket.writable && socket.write(piece)) continue;
+  if (socket.writable)
+    socket.once('drain', () => {
+      writeWithoutEnd(socket, piece);
+    });
+}
+
+function buildPiece(text: string): Buffer {
+  return Buffer.from(text.repeat(Math.ceil(PIECE_BYTES / text.length)));
+}
+
+function createPool(world: UpstreamsWorld): void {
+  world.servers = [];
+  world.sockets = [];
+  world.buffers = new BufferBudget(LIMIT_BYTES);
+  world.pool = new ConnectionPool(headerDialect, world.buffers);
+  world.outcomes = [];
+  world.healthyOutcomes = [];
+  world.mostHeld = 0;
+}
+
+const answers: Readonly<Record<string, (id: string) => string>> = {
+  'its own answer': (id) => renderAnswer(200, id),
+  'a refusal that names the request': (id) => renderAnswer(503, id, NOT_RUN),
+  'a refusal that names no request': () => renderAnswer(503, '', NOT_RUN),
+  'a 421 that names no request': () => renderAnswer(421, ''),
+  'an earlier refusal, then its answer': (id) =>
+    renderAnswer(503, 'earlier', NOT_RUN) + renderAnswer(200, id),
+};
+
+Given(
+  'an upstream that sends {string} as its answer on a {word} connection',
+  async function (this: UpstreamsWorld, sent: string, kind: string) {
+    createPool(this);
+    const warmUps = kind === 'kept' ? 1 : 0;
+    this.address = await startUpstream(this, (socket, id, number) => {
+      socket.write(number <= warmUps ? renderAnswer(200, id) : (answers[sent]?.(id) ?? ''));
+    });
+    if (warmUps > 0) await sendRequest(this, 'first', this.address);
+  },
+);
+
+When('a request is sent to it', STEP, async function (this: UpstreamsWorld) {
+  this.outcomes = [await sendRequest(this, 'second', this.address)];
+});
+
+Then(
+  'the attempt ends as {string} and the connection is {word}',
+  function (this: UpstreamsWorld, kind: string, after: string) {
+    assert.equal(this.outcomes[0]?.kind, kind);
+    assert.equal(this.pool.hasIdleConnection(this.address), after === 'kept');
+  },
+);
+
+Given(
+  'an upstream that writes its first refusal once more while it runs the next request',
+  async function (this: UpstreamsWorld) {
+    createPool(this);
+    const refusal = renderAnswer(503, '', NOT_RUN);
+    this.address = await startUpstream(this, (socket, id, number) => {
+      if (number === 1) {
+        socket.write(refusal);
+        return;
+      }
+      this.sockets.forEach((one) => {
+        if (one.writable) one.write(one === socket && this.sockets.length > 1 ? '' : refusal);
+      });
+      setTimeout(() => socket.write(renderAnswer(200, id)), 50);
+    });
+  },
+);
+
+When('two requests are sent to it, one after the other', async function (this: UpstreamsWorld) {
+  this.outcomes = [await sendRequest(this, 'first', this.address)];
+  this.outcomes.push(await sendRequest(this, 'second', this.address));
+});
+
+Then(
+  'the first attempt ends as {string} and the second one as {string}',
+  function (this: UpstreamsWorld, first: string, second: string) {
+    assert.deepEqual(
+      this.outcomes.map(({ kind }) => kind),
+      [first, second],
+    );
+  },
+);
+
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
+
+/** The start of an endless answer to the request with this id, and the piece that it repeats. */
+const endlessAnswers: Readonly<Record<string, (id: string) => readonly [string, string]>> = {
+  'a head': () => ['HTTP/1.1 200 OK\r\nA: ', 'a'],
+  'interim heads': () => ['', 'HTTP/1.1 100 Continue\r\n\r\n'],
+  'empty lines': () => ['', '\r\n'],
+  'a body that ends by closing': (id) => [`HTTP/1.1 200 OK\r\n${ID_HEADER}: ${id}\r\n\r\n`, 'a'],
+  'a body in chunks of one byte': (id) => [
+    `HTTP/1.1 200 OK\r\n${ID_HEADER}: ${id}\r\n${CHUNKED}`,
+    '1\r\na\r\n',
+  ],
+  'a trailer': (id) => [`HTTP/1.1 200 OK\r\n${ID_HEADER}: ${id}\r\n${CHUNKED}0\r\n`, 'A: a\r\n'],
+  'answers to another request': () => ['', renderAnswer(200, 'another', '', 'a'.repeat(1000))],
+  'no HTTP': () => ['', '\0'],
+};
+
+Given(
+  'an upstream that sends {string} without end',
+  async function (this: UpstreamsWorld, bytes: string) {
+    createPool(this);
+    this.address = await startUpstream(this, (socket, id) => {
+      const [start, piece] = endlessAnswers[bytes]?.(id) ?? ['', ''];
+      socket.write(start);
+      writeWithoutEnd(socket, buildPiece(piece));
+    });
+  },
+);
+
+async function sendBesideOthers(world: UpstreamsWorld, count: number): Promise<void> {
+  const healthy = await startUpstream(world, (socket, id) => {
+    socket.write(renderAnswer(200, id, '', 'a'.repeat(100_000)));
+  });
+  let isOver = false;
+  const watch = setInterval(() => {
+    world.mostHeld = Math.max(world.mostHeld, world.buffers.total);
+  }, 1);
+  const sendOthers = async (): Promise<void> => {
+    while (!isOver) world.healthyOutcomes.push(await sendRequest(world, 'other', healthy));
+  };
+  const others = sendOthers();
+  const ids = Array.from({ length: count }, (_, at) => `endless-${at}`);
+  world.outcomes = await Promise.all(ids.map((id) => sendRequest(world, id, world.address)));
+  isOver = true;
+  await others;
+  clearInterval(watch);
+}
+
+When(
+  'a request is sent to it while another upstream answers requests',
+  STEP,
+  async function (this: UpstreamsWorld) {
+    await sendBesideOthers(this, 1);
+  },
+);
+
+When(
+  '{int} requests are sent to it while another upstream answers requests',
+  STEP,
+  async function (this: UpstreamsWorld, count: number) {
+    await sendBesideOthers(this, count);
+  },
+);
+
+Then(
+  /^the attempts? ends? as "(.*)" and at most 12 MB were held$/,
+  function (this: UpstreamsWorld, kind: string) {
+    assert.deepEqual(new Set(this.outcomes.map((outcome) => outcome.kind)), new Set([kind]));
+    assert.ok(this.mostHeld <= LIMIT_BYTES, `${this.mostHeld} bytes were held`);
+    assert.equal(this.buffers.total, 0);
+  },
+);
+
+Then('every request to the other upstream was answered', function (this: UpstreamsWorld) {
+  assert.ok(this.healthyOutcomes.length > 0);
+  assert.ok(this.healthyOutcomes.every(({ kind }) => kind === 'answered'));
+});
+
+const host: CallerHost = {
+  now: () => performance.now(),
+  isIdempotent: () => true,
+  serve: () => undefined,
+  isStopping: () => false,
+  renderProtocolError: ({ status, reason }) => {
+    return { status, reason: 'X', headers: [], body: Buffer.from(reason), isUnframed: false };
+  },
+  onClose: () => undefined,
+};
+
+Given("a caller's connection to a gateway", async function (this: UpstreamsWorld) {
+  createPool(this);
+  const limits = { headBytes: 16_384, bodyBytes: 64 * 1024 * 1024 };
+  this.address = await startServer(this, (socket) => {
+    new CallerConnection(host, socket, limits, this.buffers);
+  });
+});
+
+const POST = 'POST /a HTTP/1.1\r\nHost: a\r\n';
+
+const endlessRequests: Readonly<Record<string, readonly [string, string]>> = {
+  'a head': [`${POST}A: `, 'a'],
+  'empty lines': ['', '\r\n'],
+  'a body in chunks of one byte': [`${POST}${CHUNKED}`, '1\r\na\r\n'],
+  'a trailer': [`${POST}${CHUNKED}0\r\n`, 'A: a\r\n'],
+};
+
+When(
+  'the caller sends {string} without end',
+  STEP,
+  async function (this: UpstreamsWorld, bytes: string) {
+    const [start, piece] = endlessRequests[bytes] ?? ['', ''];
+    const watch = setInterval(() => {
+      this.mostHeld = Math.max(this.mostHeld, this.buffers.total);
+    }, 1);
+    this.status = await new Promise<number>((resolve, reject) => {
+      const socket = connect(Number(this.address.split(':')[1]), '127.0.0.1');
+      this.sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        resolve(Number(/^HTTP\/1\.1 (\d+)/.exec(chunk.toString('latin1'))?.[1] ?? 0));
+      });
+      socket.write(start);
+      writeWithoutEnd(socket, buildPiece(piece));
+      setTimeout(() => {
+        reject(new Error(`no answer within ${ATTEMPT_LIMIT} ms`));
+      }, ATTEMPT_LIMIT).unref();
+    });
+    clearInterval(watch);
+  },
+);
+
+Then(
+  'it is answered with {int} and at most 12 MB were held',
+  function (this: UpstreamsWorld, status: number) {
+    assert.equal(this.status, status);
+    assert.ok(this.mostHeld <= LIMIT_BYTES, `${this.mostHeld} bytes were held`);
+    assert.equal(this.buffers.total, 0);
+  },
+);
+
+After(function (this: Partial<UpstreamsWorld>) {
+  this.pool?.close();
+  this.sockets?.forEach((socket) => socket.destroy());
+  this.servers?.forEach((server) => server.close());
+});
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -15,6 +15,7 @@
   type RequestHead,
 } from '../http1/index.js';
 import type { Duration, Instant } from '../model/index.js';
+import type { BufferBudget, BufferHolder } from './buffers.js';
 
 /** Number of unanswered requests at which the connection is paused. */
 const MAX_PIPELINED_REQUESTS = 16;
@@ -78,10 +79,12 @@
   return tokens.includes('close') || (head.minorVersion === 0 && !tokens.includes('keep-alive'));
 }
 
-export class CallerConnection {
+/** A caller's connection and the requests on it. */
+export class CallerConnection implements BufferHolder {
   readonly #host: CallerHost;
   readonly #socket: Socket;
   readonly #reader: MessageReader<RequestHead>;
+  readonly #buffers: BufferBudget;
   #pipeline: readonly PipelinedRequest[] = [];
   #headReadAt: Instant = 0;
   #isReading = true;
@@ -91,8 +94,9 @@
   /** When the first byte of an unfinished request arrived. */
   #partialSince: Instant | undefined;
 
-  constructor(host: CallerHost, socket: Socket, limits: MessageLimits) {
+  constructor(host: CallerHost, socket: Socket, limits: MessageLimits, buffers: BufferBudget) {
     this.#host = host;
+    this.#buffers = buffers;
     this.#socket = socket;
     this.#reader = new MessageReader(requestGrammar, limits);
     this.#idleSince = host.now();
@@ -139,6 +143,28 @@
       this.#handleEvent(event, now);
     });
     if (!this.#reader.hasPartialMessage) this.#partialSince = undefined;
+    if (!this.#isClosed) this.#buffers.update(this, this.#reader.heldBytes);
+  }
+
+  handleBufferLimit(): void {
+    if (!this.#isReading) return;
+    const reason = 'too many bytes of incomplete requests are held';
+    this.#refuseInput({ kind: 'protocolError', status: 413, reason });
+  }
+
+  /** Answers the request that is being read after all earlier ones, and reads no further. */
+  #refuseInput(error: ProtocolError): void {
+    const arrivedAt = this.#host.now();
+    this.#isReading = false;
+    this.#buffers.update(this, 0);
+    this.#addToPipeline({
+      request: { head: PLACEHOLDER_HEAD, body: EMPTY_BODY, hasBody: false, arrivedAt },
+      isIdempotent: true,
+      isLast: true,
+      served: undefined,
+      isStarted: true,
+      answer: this.#host.renderProtocolError(error),
+    });
   }
 
   #handleEvent(event: ReaderEvent<RequestHead>, now: Instant): void {
@@ -159,15 +185,7 @@
         });
         return;
       case 'protocolError':
-        this.#isReading = false;
-        this.#addToPipeline({
-          request: { head: PLACEHOLDER_HEAD, body: EMPTY_BODY, hasBody: false, arrivedAt: now },
-          isIdempotent: true,
-          isLast: true,
-          served: undefined,
-          isStarted: true,
-          answer: this.#host.renderProtocolError(event),
-        });
+        this.#refuseInput(event);
         return;
     }
   }
@@ -251,6 +269,7 @@
     this.#pipeline.forEach(({ served }) => served?.cancel());
     this.#pipeline = [];
     this.#isClosed = true;
+    this.#buffers.update(this, 0);
     this.#socket.resume();
     const timer = setTimeout(() => this.#socket.destroy(), MAX_LINGER_TIME).unref();
     // Destroying the socket before all output is flushed would truncate the answer.
@@ -264,6 +283,7 @@
   #handleClose(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
+    this.#buffers.update(this, 0);
     this.#isReading = false;
     this.#pipeline.forEach(({ served }) => served?.cancel());
     this.#pipeline = [];
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -38,6 +38,7 @@
   UpstreamRegistry,
   type SlowStartShare,
 } from './registry.js';
+import { BufferBudget } from './buffers.js';
 import { MovingAverage, RetryBudget, type ColdBounds, type RetryBounds } from './budget.js';
 import {
   CallerConnection,
@@ -98,6 +99,9 @@
 /** Share of the stop time after which unfinished requests are abandoned. */
 const DRAIN_SHARE = 0.92;
 
+/** Maximum bytes of incomplete requests and responses, which a VM of 250 MB can hold besides the process. */
+const MAX_BUFFERED_BYTES = 80 * 1024 * 1024;
+
 /** Options of {@link openGateway}. */
 export interface GatewayOptions {
   readonly id: string;
@@ -161,6 +165,7 @@
   readonly #dialect: HeaderDialect;
   readonly #droppedRequestHeaders: ReadonlySet<string>;
   readonly #registry = new UpstreamRegistry();
+  readonly #buffers = new BufferBudget(MAX_BUFFERED_BYTES);
   readonly #pool: ConnectionPool;
   readonly #follower: Follower;
   readonly #loadGossip: LoadGossip;
@@ -194,7 +199,7 @@
       'expect',
     ]);
     this.#gateways = [options.id];
-    this.#pool = new ConnectionPool(options.dialect);
+    this.#pool = new ConnectionPool(options.dialect, this.#buffers);
     this.#follower = createFollower({
       mesh: options.mesh,
       seeds: options.seeds,
@@ -387,7 +392,7 @@
 
   #accept(socket: Socket): void {
     const { headBytes, bodyBytes } = this.#limits;
-    this.#callers.add(new CallerConnection(this, socket, { headBytes, bodyBytes }));
+    this.#callers.add(new CallerConnection(this, socket, { headBytes, bodyBytes }, this.#buffers));
   }
 
   onClose(connection: CallerConnection): void {
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -14,6 +14,7 @@
   type ResponseHead,
 } from '../http1/index.js';
 import { parseAddress, type Address, type Duration } from '../model/index.js';
+import type { BufferBudget, BufferHolder } from './buffers.js';
 import type { AttemptOutcome, HeaderDialect } from './types.js';
 
 /** Milliseconds within which a connection must open; TCP retransmits a lost SYN only after a second. */
@@ -27,6 +28,9 @@
 /** Limits on responses: heads larger than any upstream sends, and bodies that fit into memory. */
 const RESPONSE_LIMITS: MessageLimits = { headBytes: 64 * 1024, bodyBytes: 64 * 1024 * 1024 };
 
+/** Bytes that may arrive on a connection before the response to its request, such as a late copy of another. */
+const MAX_STRAY_BYTES = 2 * 1024 * 1024;
+
 /** A request as it is sent to an upstream. */
 export interface UpstreamRequest {
   readonly id: string;
@@ -65,24 +69,28 @@
   /** Whether the connection is already open. */
   readonly isOpen: boolean;
   readonly isProbe: boolean;
+  readonly buffers: BufferBudget;
 }
 
 /** One request and its response on one connection. */
-class Exchange implements Attempt {
+class Exchange implements Attempt, BufferHolder {
   readonly #request: UpstreamRequest;
   readonly #isProbe: boolean;
+  readonly #buffers: BufferBudget;
   readonly #dialect: HeaderDialect;
   readonly #listener: AttemptListener;
   readonly #release: (socket: Socket, idleTime: Duration) => void;
   readonly #reader: MessageReader<ResponseHead>;
   readonly #socket: Socket;
   #isSent = false;
+  #hasHead = false;
+  #receivedBytes = 0;
   #isOver = false;
   #connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
     socket: Socket,
-    { request, isOpen, isProbe }: ExchangeOptions,
+    { request, isOpen, isProbe, buffers }: ExchangeOptions,
     dialect: HeaderDialect,
     listener: AttemptListener,
     release: (socket: Socket, idleTime: Duration) => void,
@@ -90,13 +98,14 @@
     this.#socket = socket;
     this.#request = request;
     this.#isProbe = isProbe;
+    this.#buffers = buffers;
     this.#dialect = dialect;
     this.#listener = listener;
     this.#release = release;
     this.#reader = new MessageReader(createResponseGrammar(request.method), RESPONSE_LIMITS);
     socket.removeAllListeners();
     socket.on('data', (chunk: Buffer) => {
-      this.#handleEvents(this.#reader.addChunk(chunk));
+      this.#read(chunk);
     });
     socket.on('end', () => {
       this.#handleEvents(this.#reader.finish());
@@ -123,10 +132,28 @@
 
   cancel(): void {
     this.#isOver = true;
+    this.#buffers.update(this, 0);
     clearTimeout(this.#connectTimer);
     this.#socket.destroy();
   }
 
+  handleBufferLimit(): void {
+    this.#fail(
+      'the gateway holds too many bytes of incomplete responses, most of them of this one',
+    );
+  }
+
+  #read(chunk: Buffer): void {
+    this.#receivedBytes += chunk.length;
+    this.#handleEvents(this.#reader.addChunk(chunk));
+    if (this.#isOver) return;
+    if (!this.#hasHead && this.#receivedBytes > MAX_STRAY_BYTES) {
+      this.#fail(`over ${MAX_STRAY_BYTES} bytes came before the response`);
+      return;
+    }
+    this.#buffers.update(this, this.#reader.heldBytes);
+  }
+
   #send(): void {
     if (this.#isOver) return;
     this.#isSent = true;
@@ -145,6 +172,7 @@
   #settle(outcome: AttemptOutcome): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#buffers.update(this, 0);
     clearTimeout(this.#connectTimer);
     this.#listener.onEnd(outcome);
   }
@@ -160,7 +188,9 @@
       if (this.#isOver) return;
       switch (event.kind) {
         case 'head':
-          if (this.#isForThisRequest(event.head)) this.#listener.onHead(event.head.headers);
+          if (!this.#isForThisRequest(event.head)) return;
+          this.#hasHead = true;
+          this.#listener.onHead(event.head.headers);
           return;
         case 'message':
           this.#handleMessage(event);
@@ -213,13 +243,15 @@
 /** The connections of one gateway to all upstreams. */
 export class ConnectionPool {
   readonly #dialect: HeaderDialect;
+  readonly #buffers: BufferBudget;
   readonly #idleConnections = new Map<Address, readonly IdleConnection[]>();
   readonly #sweepTimer: NodeJS.Timeout;
   /** Total number of connections opened. */
   opened = 0;
 
-  constructor(dialect: HeaderDialect) {
+  constructor(dialect: HeaderDialect, buffers: BufferBudget) {
     this.#dialect = dialect;
+    this.#buffers = buffers;
     this.#sweepTimer = setInterval(() => {
       this.#sweep();
     }, SWEEP_INTERVAL);
@@ -252,7 +284,7 @@
     const socket = idle ?? connect({ ...parseAddress(address), noDelay: true });
     return new Exchange(
       socket,
-      { request, isOpen: idle !== undefined, isProbe },
+      { request, isOpen: idle !== undefined, isProbe, buffers: this.#buffers },
       this.#dialect,
       listener,
       (released, idleTime) => {
--- a/src/http1/reader.ts
+++ b/src/http1/reader.ts
@@ -17,10 +17,13 @@
   ResponseHead,
 } from './types.js';
 
+const NO_BYTES = Buffer.alloc(0);
 const HEAD_END = Buffer.from('\r\n\r\n');
 const LINE_END = Buffer.from('\r\n');
 /** Maximum bytes of a chunk-size line, including its extensions. */
 const MAX_CHUNK_LINE = 256;
+/** Bytes of memory that each piece of a body takes besides its content. */
+const PIECE_OVERHEAD = 128;
 const CHUNK_SIZE = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 
 interface Message<Head> {
@@ -56,13 +59,15 @@
 export class MessageReader<Head extends object> {
   readonly #grammar: MessageGrammar<Head>;
   readonly #limits: MessageLimits;
-  #pending: Buffer = Buffer.alloc(0);
+  #pending: Buffer = NO_BYTES;
   #message: Message<Head> | undefined;
   #bodyParts: Buffer[] = [];
   #bodySize = 0;
   /** Bytes of the current chunk that have not arrived; undefined between chunks. */
   #chunkRemaining: number | undefined;
   #inTrailer = false;
+  /** Bytes of the trailer, or of the empty lines and interim heads before a head, that were read. */
+  #skippedBytes = 0;
   #failed = false;
 
   constructor(grammar: MessageGrammar<Head>, limits: MessageLimits) {
@@ -80,6 +85,11 @@
     return this.#message !== undefined;
   }
 
+  /** Bytes of memory that the message that is not complete yet takes, approximately. */
+  get heldBytes(): number {
+    return this.#pending.length + this.#bodySize + this.#bodyParts.length * PIECE_OVERHEAD;
+  }
+
   /** Adds a chunk; returns the heads, messages and errors that result from it. */
   addChunk(chunk: Buffer): readonly ReaderEvent<Head>[] {
     if (this.#failed) return [];
@@ -117,6 +127,9 @@
 
   #fail(events: ReaderEvent<Head>[], error: ProtocolError): boolean {
     this.#failed = true;
+    this.#pending = NO_BYTES;
+    this.#bodyParts = [];
+    this.#bodySize = 0;
     events.push(error);
     return false;
   }
@@ -126,6 +139,8 @@
     // Skip empty lines before a message; RFC 9112, section 2.2.
     while (this.#pending[start] === 13 && this.#pending[start + 1] === 10) start += 2;
     if (start > 0) this.#pending = this.#pending.subarray(start);
+    this.#skippedBytes += start;
+    if (this.#skippedBytes > this.#limits.headBytes) return this.#failSkipped(events);
     const end = this.#pending.indexOf(HEAD_END);
     const size = end < 0 ? this.#pending.length : end;
     if (size > this.#limits.headBytes) {
@@ -136,7 +151,11 @@
     const head = this.#grammar.parseHead(this.#pending.toString('latin1', 0, end));
     this.#pending = this.#pending.subarray(end + HEAD_END.length);
     if ('kind' in head) return this.#fail(events, head);
-    if (this.#grammar.isInterim(head)) return true;
+    if (this.#grammar.isInterim(head)) {
+      this.#skippedBytes += end;
+      return true;
+    }
+    this.#skippedBytes = 0;
     const framing = this.#grammar.findFraming(head);
     if (framing.kind === 'protocolError') return this.#fail(events, framing);
     if (framing.kind === 'length' && framing.bytes > this.#limits.bodyBytes) {
@@ -147,6 +166,11 @@
     return true;
   }
 
+  #failSkipped(events: ReaderEvent<Head>[]): boolean {
+    const reason = `over ${this.#limits.headBytes} bytes came that belong to no head and no body`;
+    return this.#fail(events, { kind: 'protocolError', status: 431, reason });
+  }
+
   #failBodyTooLarge(events: ReaderEvent<Head>[]): boolean {
     const reason = `the body is longer than ${this.#limits.bodyBytes} bytes`;
     return this.#fail(events, { kind: 'protocolError', status: 413, reason });
@@ -172,6 +196,7 @@
     this.#bodySize = 0;
     this.#chunkRemaining = undefined;
     this.#inTrailer = false;
+    this.#skippedBytes = 0;
   }
 
   #readLength(length: number, events: ReaderEvent<Head>[]): boolean {
@@ -221,11 +246,10 @@
 
   #readTrailer(events: ReaderEvent<Head>[]): boolean {
     const end = this.#pending.indexOf(LINE_END);
-    if (end < 0) {
-      if (this.#pending.length <= this.#limits.headBytes) return false;
-      const reason = 'the trailer is too long';
-      return this.#fail(events, { kind: 'protocolError', status: 431, reason });
-    }
+    const size = end < 0 ? this.#pending.length : end + 2;
+    if (this.#skippedBytes + size > this.#limits.headBytes) return this.#failSkipped(events);
+    if (end < 0) return false;
+    this.#skippedBytes += size;
     this.#pending = this.#pending.subarray(end + 2);
     if (end === 0) this.#complete(events);
     return true;
