Take a refusal that names no request for an answer only on a new connection

Cause: Exchange took a refusal (or any 421) without a request id as the answer to the request at hand, on a reused connection too. The second copy of an earlier refusal then made a request that was being run count as not run: its caller was told so, or it was sent to a second upstream.

Upstreams echo the id; a refusal without one now counts on the first request of a connection alone, which is closed after it. Elsewhere the attempt is lost: 502, or a retry of a request that may run twice.

features/gateway/upstreams.feature, 'a refusal that names no request' and 'a 421 that names no request' on a kept connection: notRun before, lost after.

--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -1,6 +1,25 @@
 Feature: Upstreams that send bytes which are no answer
   What an upstream sends is the answer to a request only if it certainly belongs to it.
 
+  Scenario Outline: An upstream sends <sent> on a <kind> connection
+    Given an upstream that sends "<sent>" as its answer on a <kind> connection
+    When a request is sent to it
+    Then the attempt ends as "<outcome>" and the connection is <after>
+
+    Examples:
+      | sent                                | kind | outcome  | after  |
+      | its own answer                      | new  | answered | kept   |
+      | a refusal that names the request    | kept | notRun   | kept   |
+      | a refusal that names no request     | new  | notRun   | closed |
+      | a refusal that names no request     | kept | lost     | closed |
+      | a 421 that names no request         | kept | lost     | closed |
+      | an earlier refusal, then its answer | kept | answered | kept   |
+
+  Scenario: An earlier refusal that names no request is written once more
+    Given an upstream that writes its first refusal once more while it runs the next request
+    When two requests are sent to it, one after the other
+    Then the first attempt ends as "notRun" and the second one as "answered"
+
   Scenario Outline: An upstream sends <bytes> without end
     Given an upstream that sends "<bytes>" without end
     When a request is sent to it while another upstream answers requests
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -76,6 +76,8 @@
 class Exchange implements Attempt, BufferHolder {
   readonly #request: UpstreamRequest;
   readonly #isProbe: boolean;
+  /** Whether an earlier exchange used the connection. */
+  readonly #isReused: boolean;
   readonly #buffers: BufferBudget;
   readonly #dialect: HeaderDialect;
   readonly #listener: AttemptListener;
@@ -98,6 +100,7 @@
     this.#socket = socket;
     this.#request = request;
     this.#isProbe = isProbe;
+    this.#isReused = isOpen;
     this.#buffers = buffers;
     this.#dialect = dialect;
     this.#listener = listener;
@@ -204,13 +207,15 @@
 
   /**
    * Returns whether a response belongs to this request. An upstream may answer a request twice; the second
-   * answer then arrives before the answer to the next request on the connection.
+   * answer then arrives before the answer to the next request on the connection. A refusal that names no
+   * request may be such a second answer too, unless this is the first request on the connection.
    */
   #isForThisRequest(head: ResponseHead): boolean {
     const id = getHeader(head.headers, this.#dialect.requestId);
     if (id === undefined && this.#isProbe) return true;
     const isRejection = getHeader(head.headers, this.#dialect.notRun) !== undefined;
-    return id === this.#request.id || (id === undefined && (isRejection || head.status === 421));
+    if (id !== undefined) return id === this.#request.id;
+    return !this.#isReused && (isRejection || head.status === 421);
   }
 
   #handleMessage({
@@ -226,7 +231,9 @@
     }
     const { status, reason, headers } = head;
     const isClosing = (getHeader(headers, 'connection') ?? '').toLowerCase().includes('close');
-    const isReusable = head.minorVersion >= 1 && !isClosing && framing.kind !== 'untilClose';
+    const isNamed = this.#isProbe || getHeader(headers, this.#dialect.requestId) !== undefined;
+    const isReusable =
+      isNamed && head.minorVersion >= 1 && !isClosing && framing.kind !== 'untilClose';
     if (isReusable && !this.#reader.hasPartialMessage)
       this.#release(this.#socket, parseKeepAlive(headers));
     else this.#socket.destroy();
