Send and apply the commands of one batch together

Cause: a control member sent each applied command to each follower in a message of its own, and the follower applied them one by one.

A publisher now sends once after the batch, and an update becomes visible as a whole. Each gateway does the work for one change, and a zone that went out and came back within the update stays as it was.

features/feed: 88 messages before, 1 after; 3 changes seen before, 1 after. Both scenarios fail on the code before.

--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -22,3 +22,13 @@
     Given 40 entries that follow the seed "10.1.0.18:7200"
     When the seed sends them the members "10.1.0.18:7200 10.2.0.34:7200 10.3.0.12:7200 10.4.0.20:7200"
     Then each member is followed by at least 4 of the entries
+
+  Scenario: Commands that are applied together reach followers in one message
+    Given a feed publisher that the entry "10.4.0.20:7200" follows
+    When the control member applies 88 commands at once
+    Then the entry is sent 1 message with 88 commands
+
+  Scenario: An entry that catches up never acts on a state from between the commands of one update
+    Given an entry whose view is observed
+    When an update adds the routes of version 1, takes the zone "b" out, and takes it back
+    Then the entry saw 1 change, to routes of version 1 and no zone out
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -55,6 +55,8 @@
   replicas: readonly Catalog[];
   sizes: readonly number[];
   mesh: TestMesh;
+  applyCommand: (index: number, command: CatalogCommand) => void;
+  seen: readonly Catalog[];
   publisher: Publisher | undefined;
 }
 
@@ -236,6 +238,106 @@
   },
 );
 
+const ENTRY = {
+  ...{ id: 'gateway-1', zone: 'a', capacity: 1, ready: true },
+  ...{ callerAddress: '10.4.0.20:80', peerAddress: '10.4.0.20:7200' },
+} as const;
+
+Given(
+  'a feed publisher that the entry {string} follows',
+  function (this: FeedWorld, entry: string) {
+    this.mesh = new TestMesh();
+    this.publisher = createPublisher({
+      mesh: this.mesh,
+      control: createControl(
+        {},
+        {
+          onApplied: (listener) => {
+            this.applyCommand = (index, command) => {
+              listener(emptyCatalog, index, command);
+            };
+          },
+        },
+      ),
+      now: () => 0,
+      listCold: () => ({}),
+      onGroupFound: () => undefined,
+      onEvidence: () => undefined,
+    });
+    this.mesh.receive(entry, {
+      ...{ kind: 'follow', entry: ENTRY, index: 0, fleetRevision: '', evidence: [] },
+    });
+    this.mesh.sent.length = 0;
+  },
+);
+
+When(
+  'the control member applies {int} commands at once',
+  async function (this: FeedWorld, count: number) {
+    Array.from({ length: count }, (_, index) => index + 1).forEach((index) => {
+      this.applyCommand(index, { kind: 'setZone', zone: `z${index}`, out: true });
+    });
+    await new Promise((resolve) => setImmediate(resolve));
+  },
+);
+
+Then(
+  'the entry is sent {int} message(s) with {int} commands',
+  function (this: FeedWorld, messages: number, commands: number) {
+    const counts = this.mesh.sent.map(([, message]) =>
+      message.kind === 'news' && message.commands !== undefined
+        ? decodeCommands(message.commands).length
+        : 0,
+    );
+    assert.deepEqual(
+      counts,
+      Array.from({ length: messages }, () => commands),
+    );
+  },
+);
+
+Given('an entry whose view is observed', function (this: FeedWorld) {
+  this.seed = '10.1.0.18:7200';
+  this.mesh = new TestMesh();
+  this.seen = [];
+  this.followers = [
+    createFollower({
+      ...{ mesh: this.mesh, seeds: [this.seed], now: () => 0 },
+      describeSelf: () => ENTRY,
+      collectEvidence: () => [],
+      onChange: ({ catalog }) => {
+        this.seen = [...this.seen, catalog];
+      },
+      onCold: () => undefined,
+      onDependency: () => undefined,
+    }),
+  ];
+});
+
+When(
+  'an update adds the routes of version 1, takes the zone {string} out, and takes it back',
+  function (this: FeedWorld, zone: string) {
+    const commands = sendCommands([
+      { kind: 'replaceRoutes', base: 0, digest: 'd1', table },
+      { kind: 'setZone', zone, out: true },
+      { kind: 'setZone', zone, out: false },
+    ]);
+    this.mesh.receive(this.seed, {
+      ...{ kind: 'news', healthy: true, base: undefined, after: 0, commands },
+      ...{ cold: {}, fleet: undefined, members: [this.seed] },
+    });
+  },
+);
+
+Then(
+  'the entry saw {int} change(s), to routes of version {int} and no zone out',
+  function (this: FeedWorld, changes: number, version: number) {
+    assert.equal(this.seen.length, changes);
+    assert.equal(this.seen.at(-1)?.table?.version, version);
+    assert.deepEqual(this.seen.at(-1)?.zonesOut, []);
+  },
+);
+
 After(function (this: Partial<FeedWorld>) {
   this.followers?.forEach((follower) => {
     follower.close();
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -1,13 +1,14 @@
 /**
  * Follows a control member on behalf of an entry and keeps a copy of the catalog. Invariant: commands are applied
- * in log order, each once; after a gap no command is applied until the whole state arrives.
+ * in log order, each once; after a gap no command is applied until the whole state arrives. The commands of one
+ * update become visible together, so that an entry that catches up never acts on a state from between them.
  */
 import { applyCommand, emptyCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
 import { hashText } from '../routing/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
-import { decodeCommands, decodeState } from './codec.js';
+import { decodeCommands, decodeState, type IndexedCommands } from './codec.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
 
 /** Interval of polls to the followed control member, in milliseconds. */
@@ -18,7 +19,8 @@
 /** Cause of a change of the entry's view. */
 export type FeedChange =
   | { readonly kind: 'replaced' }
-  | { readonly kind: 'command'; readonly command: CatalogCommand }
+  /** All commands of one update, in log order. */
+  | { readonly kind: 'commands'; readonly commands: readonly CatalogCommand[] }
   | { readonly kind: 'fleet' };
 
 /** An entry's copy of the catalog, with the live entries. */
@@ -166,21 +168,25 @@
       onCold(cold);
     }
     const hasGap = after > this.#view.index;
-    const listed = commands === undefined || hasGap ? [] : decodeCommands(commands);
-    listed.forEach(([index, command]) => {
-      if (index <= this.#view.index) return;
-      this.#view = {
-        ...this.#view,
-        catalog: applyCommand(this.#view.catalog, command).state,
-        index,
-      };
-      onChange(this.#view, { kind: 'command', command });
-    });
+    if (commands !== undefined && !hasGap) this.#applyCommands(decodeCommands(commands));
     if (fleet === undefined || fleet.revision === this.#fleetRevision) return;
     this.#fleetRevision = fleet.revision;
     this.#view = { ...this.#view, entries: fleet.entries };
     onChange(this.#view, { kind: 'fleet' });
   }
+
+  #applyCommands(received: IndexedCommands): void {
+    const newer = received.filter(([index]) => index > this.#view.index);
+    const index = newer.at(-1)?.[0];
+    if (index === undefined) return;
+    const commands = newer.map(([, command]) => command);
+    const catalog = commands.reduce(
+      (state, command) => applyCommand(state, command).state,
+      this.#view.catalog,
+    );
+    this.#view = { ...this.#view, catalog, index };
+    this.#options.onChange(this.#view, { kind: 'commands', commands });
+  }
 }
 
 /** Starts following the control members. */
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -60,6 +60,7 @@
   readonly #options: PublisherOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #followers = new Map<Address, FollowerState>();
+  #pendingUpdates: NodeJS.Immediate | undefined;
   #commands: readonly (readonly [number, CatalogCommand])[] = [];
   /** The log index after which {@link #commands} holds every command. */
   #completeAfter: number;
@@ -90,6 +91,7 @@
 
   close(): void {
     clearInterval(this.#timer);
+    if (this.#pendingUpdates !== undefined) clearImmediate(this.#pendingUpdates);
   }
 
   #recordCommand(index: number, command: CatalogCommand | undefined): void {
@@ -102,6 +104,18 @@
       this.#completeAfter =
         all.length > MAX_KEPT_COMMANDS ? (all[0]?.[0] ?? index) : this.#completeAfter;
     }
+    this.#scheduleUpdates();
+  }
+
+  /** Sends updates after the current batch of commands, so that each follower is sent the batch in one message. */
+  #scheduleUpdates(): void {
+    this.#pendingUpdates ??= setImmediate(() => {
+      this.#pendingUpdates = undefined;
+      this.#sendUpdates();
+    });
+  }
+
+  #sendUpdates(): void {
     const since = this.#options.now() - FOLLOWER_TIMEOUT;
     [...this.#followers].forEach(([address, follower]) => {
       if (follower.lastCallAt < since) this.#followers.delete(address);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { Catalog, Route } from '../catalog/index.js';
+import type { Catalog, CatalogCommand, Route } from '../catalog/index.js';
 import {
   createFollower,
   type EntryRecord,
@@ -160,6 +160,11 @@
   };
 }
 
+/** Returns the distinct kinds of the commands, for a log line. */
+function describeCommands(commands: readonly CatalogCommand[]): string {
+  return [...new Set(commands.map(({ kind }) => kind))].join(' ');
+}
+
 class RunningGateway implements Gateway, RunHost, CallerHost {
   readonly #options: GatewayOptions;
   readonly #dialect: HeaderDialect;
@@ -334,15 +339,15 @@
       .forEach((zone) => {
         this.#registry.markZoneCold(zone, this.now(), this.#coldShare);
       });
-    if (change.kind === 'command') {
-      const { command } = change;
+    const commands = change.kind === 'commands' ? change.commands : [];
+    commands.forEach((command) => {
       if (command.kind === 'announce')
         this.#markColdUpstreams({ [command.instance.id]: command.coldFor });
       if (command.kind === 'chill') this.#markColdUpstreams({ [command.id]: command.coldFor });
-    }
+    });
     log.info('catalog changed', {
       index,
-      change: change.kind === 'command' ? change.command.kind : change.kind,
+      change: change.kind === 'commands' ? describeCommands(commands) : change.kind,
       version: catalog.table?.version ?? 0,
       upstreams: Object.keys(catalog.instances).length,
     });
