Update the registry by what changed, and choose an upstream in linear time

Cause: each catalog command rebuilt every index of every gateway, and the weighted choice summed the weights anew for each candidate.

The registry still compares all instances by identity, which is linear.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
   zone: () => import('./zone.js'),
   decide: () => import('./decide.js'),
   policies: () => import('./policies.js'),
+  scale: () => import('./scale.js'),
 };
 
 const name = process.argv[2];
--- a/src/catalog/instances.ts
+++ b/src/catalog/instances.ts
@@ -18,11 +18,13 @@
   instances: Readonly<Record<string, Instance>>,
   removed: readonly Instance[],
 ): Readonly<Record<string, Instance>> {
+  if (removed.length === 0) return instances;
   const ids = new Set(removed.map(({ id }) => id));
   return Object.fromEntries(Object.entries(instances).filter(([id]) => !ids.has(id)));
 }
 
 function appendEnded(state: Catalog, removed: readonly Instance[]): Catalog['ended'] {
+  if (removed.length === 0) return state.ended;
   const added = removed.map(({ id, bornAt }) => [id, bornAt] as const);
   return [...state.ended, ...added].slice(-MAX_REMEMBERED_ENDS);
 }
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -167,6 +167,27 @@
   return sameZone.length > 0 ? sameZone : candidates;
 }
 
+/**
+ * Returns one item, chosen at random in proportion to the weights. `random` is from 0 (inclusive)
+ * to 1 (exclusive). The work is linear in the number of items.
+ *
+ * @example
+ * pickWeighted(['a', 'b'], [1, 3], 0.5) // 'b'
+ */
+export function pickWeighted<T>(
+  items: readonly T[],
+  weights: readonly number[],
+  random: number,
+): T | undefined {
+  const threshold = random * weights.reduce((sum, weight) => sum + weight, 0);
+  let sum = 0;
+  const index = weights.findIndex((weight) => {
+    sum += weight;
+    return sum > threshold;
+  });
+  return index >= 0 ? items[index] : items.at(-1);
+}
+
 /**
  * Returns one of the candidates whose cost is close to the lowest. Upstreams that were just probed
  * come first, then those with an idle connection; among these, the choice is random and weighted by
@@ -187,11 +208,7 @@
   const weights = preferred.map(({ record }) =>
     Math.max(0.5, record.instance.slots - computeOccupancy(record)),
   );
-  const threshold = random * weights.reduce((sum, weight) => sum + weight, 0);
-  const cumulativeWeights = weights.map((_, index) =>
-    weights.slice(0, index + 1).reduce((sum, next) => sum + next, 0),
-  );
-  return preferred[cumulativeWeights.findIndex((sum) => sum > threshold)] ?? preferred.at(-1);
+  return pickWeighted(preferred, weights, random);
 }
 
 /**
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -4,13 +4,14 @@
  * long as the catalog lists the same start of it.
  */
 import {
+  emptyCatalog,
   getVersionShare,
   type Catalog,
   type Instance,
   type Service,
   type VersionShare,
 } from '../catalog/index.js';
-import type { Duration, Instant } from '../model/index.js';
+import type { Address, Duration, Instant } from '../model/index.js';
 import { hashText } from '../routing/index.js';
 import { MovingAverage, computeColdInterval, type ColdBounds } from './budget.js';
 import type { AttemptOutcome, LoadReport, UpstreamRecord } from './types.js';
@@ -156,11 +157,13 @@
 
 /** The upstreams of one gateway, indexed by id, key and service. */
 export class UpstreamRegistry {
-  #records: ReadonlyMap<string, UpstreamRecord> = new Map();
-  #byKey: ReadonlyMap<number, UpstreamRecord> = new Map();
+  readonly #records = new Map<string, UpstreamRecord>();
+  readonly #byKey = new Map<number, UpstreamRecord>();
+  #catalog: Catalog = emptyCatalog;
+  #services: ReadonlyMap<string, Service> = new Map();
   #allRecords: readonly UpstreamRecord[] = [];
   readonly #excessPace = new Map<string, MovingAverage>();
-  #usable = new Map<string, readonly UpstreamRecord[]>();
+  readonly #usable = new Map<string, readonly UpstreamRecord[]>();
   #versions = new Map<string, VersionShare>();
 
   get records(): readonly UpstreamRecord[] {
@@ -179,39 +182,84 @@
     return this.#records.get(id);
   }
 
-  /** Applies a new catalog and returns the addresses that no longer belong to an instance. */
-  update(catalog: Catalog): readonly string[] {
-    const services = new Map(catalog.table?.services.map((service) => [service.name, service]));
-    const before = this.#records;
-    this.#records = new Map(
-      Object.values(catalog.instances).map((instance) => {
-        const known = before.get(instance.id);
-        const service = services.get(instance.service);
-        const record =
-          known?.instance.bornAt === instance.bornAt && known.instance.address === instance.address
-            ? Object.assign(known, { instance, service })
-            : createRecord(instance, service);
-        return [instance.id, record];
-      }),
-    );
-    this.#allRecords = [...this.#records.values()];
-    this.#byKey = new Map(this.#allRecords.map((record) => [record.key, record]));
+  /**
+   * Applies a new catalog and returns the addresses that no longer belong to an instance. Instances
+   * that are the same object as before keep their record and their place in the indexes.
+   */
+  update(catalog: Catalog): readonly Address[] {
+    const previous = this.#catalog;
+    this.#catalog = catalog;
+    const areServicesChanged = catalog.table !== previous.table;
+    if (areServicesChanged) this.#updateServices(catalog);
     this.#versions = new Map(
-      [...new Set([...services.keys()])].map((name) => [name, getVersionShare(catalog, name)]),
-    );
-    const usable = this.#allRecords.filter(
-      ({ instance }) => !instance.draining && !catalog.zonesOut.includes(instance.zone),
+      [...this.#services.keys()].map((name) => [name, getVersionShare(catalog, name)]),
     );
-    this.#usable = new Map(
-      [...services.keys()].map((name) => [
-        name,
-        usable.filter(({ instance }) => instance.service === name),
-      ]),
+    const { gone, changed } = this.#updateRecords(catalog.instances, previous.instances);
+    const isAnyUsableChanged = areServicesChanged || catalog.zonesOut !== previous.zonesOut;
+    const affected = new Set([...gone, ...changed].map(({ service }) => service));
+    [...this.#services.keys()]
+      .filter((name) => isAnyUsableChanged || affected.has(name))
+      .forEach((name) => this.#usable.set(name, this.#findUsable(name)));
+    return gone
+      .map(({ address }) => address)
+      .filter((address) => !this.#allRecords.some(({ instance }) => instance.address === address));
+  }
+
+  #updateServices({ table }: Catalog): void {
+    this.#services = new Map(table?.services.map((service) => [service.name, service]));
+    this.#usable.clear();
+    this.#allRecords.forEach((record) => {
+      Object.assign(record, { service: this.#services.get(record.instance.service) });
+    });
+  }
+
+  /** Returns the instances that were removed or replaced, and those that were added or changed. */
+  #updateRecords(
+    instances: Catalog['instances'],
+    previous: Catalog['instances'],
+  ): Readonly<Record<'gone' | 'changed', readonly Instance[]>> {
+    if (instances === previous) return { gone: [], changed: [] };
+    const gone = Object.values(previous).filter(({ id }) => instances[id] !== previous[id]);
+    const changed = Object.values(instances).filter((instance) => {
+      return previous[instance.id] !== instance;
+    });
+    gone
+      .filter(({ id }) => instances[id] === undefined)
+      .forEach((instance) => {
+        this.#removeRecord(instance);
+      });
+    changed.forEach((instance) => {
+      this.#setRecord(instance);
+    });
+    this.#allRecords = [...this.#records.values()];
+    return { gone, changed };
+  }
+
+  #removeRecord({ id }: Instance): void {
+    const record = this.#records.get(id);
+    if (record === undefined) return;
+    this.#records.delete(id);
+    this.#byKey.delete(record.key);
+  }
+
+  /** Keeps the state of an instance as long as it is the same start at the same address. */
+  #setRecord(instance: Instance): void {
+    const known = this.#records.get(instance.id);
+    const service = this.#services.get(instance.service);
+    const record =
+      known?.instance.bornAt === instance.bornAt && known.instance.address === instance.address
+        ? Object.assign(known, { instance, service })
+        : createRecord(instance, service);
+    this.#records.set(instance.id, record);
+    this.#byKey.set(record.key, record);
+  }
+
+  #findUsable(service: string): readonly UpstreamRecord[] {
+    const { zonesOut } = this.#catalog;
+    return this.#allRecords.filter(
+      ({ instance }) =>
+        instance.service === service && !instance.draining && !zonesOut.includes(instance.zone),
     );
-    const activeAddresses = new Set(this.#allRecords.map(({ instance }) => instance.address));
-    return [...before.values()]
-      .map(({ instance }) => instance.address)
-      .filter((address) => !activeAddresses.has(address));
   }
 
   /** Adds the pace of one of the service's VMs to the average. */
