Let requests wait for the first route table instead of refusing them

Cause: after all processes restarted together, gateways accepted callers 0.5 to 1.2 s before the control members had a leader and the gateways their routes.

Such requests now wait for up to 1.2 s or a third of the caller's time, in the first 3 s of a process only, and at most 256 of them. A gateway that gets no routes for longer refuses at once, so that callers go elsewhere.

Ruled out: a longer Retry-After, which callers of short routes can't follow, and serving by a steward's state before the group has a leader, which may be an older one.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -56,6 +56,7 @@
 import { planGossip, type GossipPlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
+import { decideStartupWait } from './startup.js';
 import { VersionSplitter } from './shares.js';
 import type {
   AttemptOutcome,
@@ -191,6 +192,11 @@
   #gateways: readonly string[];
   #gossipPlan: GossipPlan = { kind: 'direct', peers: [] };
   #isStopping = false;
+  /** Whether the update at hand is the first one of this process, whose commands may be of any age. */
+  #isCatchingUp = true;
+  /** Functions that start the requests that wait for the first route table. */
+  readonly #waitingForTable = new Set<() => void>();
+  readonly #startedAt: Instant = performance.now();
 
   readonly now = (): Instant => performance.now();
 
@@ -352,6 +358,13 @@
       upstreams: Object.keys(catalog.instances).length,
     });
     if (!wasReady && this.isReady()) this.#follower.pollNow();
+    if (catalog.table !== undefined) this.#startWaiting();
+  }
+
+  #startWaiting(): void {
+    [...this.#waitingForTable].forEach((start) => {
+      start();
+    });
   }
 
   #applyTable(catalog: Catalog): void {
@@ -425,16 +438,7 @@
     const { head } = request;
     const id = getHeader(head.headers, this.#dialect.requestId) ?? '';
     const idHeaders: HeaderList = id === '' ? [] : [[this.#dialect.requestId, id]];
-    if (this.#catalog?.table === undefined) {
-      log.info('request refused', { id, cause: 'notReady', index: this.view.index });
-      onAnswer(
-        buildLocalAnswer(503, 'no configuration has come yet', [
-          ...idHeaders,
-          ['Retry-After', String(NOT_READY_RETRY_AFTER / 1000)],
-        ]),
-      );
-      return undefined;
-    }
+    if (this.#catalog?.table === undefined) return this.#waitForTable(request, id, onAnswer);
     const route = this.#findRoute(head);
     if (route === undefined) {
       log.info('request refused', { id, cause: 'noRoute', version: this.#catalog.table.version });
@@ -446,6 +450,55 @@
     });
   }
 
+  /** Serves the request once the first route table arrives, or refuses it. */
+  #waitForTable(
+    request: CallerRequest,
+    id: string,
+    onAnswer: (answer: CallerAnswer) => void,
+  ): ServedRequest | undefined {
+    const requestedTime = Number(getHeader(request.head.headers, this.#dialect.deadline) ?? 0);
+    const now = this.now();
+    const decision = decideStartupWait(
+      { startedAt: this.#startedAt, now, waiting: this.#waitingForTable.size },
+      Math.max(0, requestedTime - (now - request.arrivedAt)),
+    );
+    if (decision.kind === 'refuse') {
+      this.#refuseUntilReady(id, onAnswer);
+      return undefined;
+    }
+    let served: ServedRequest | undefined;
+    const end = (): void => {
+      clearTimeout(timer);
+      this.#waitingForTable.delete(start);
+    };
+    const start = (): void => {
+      end();
+      served = this.serve(request, onAnswer);
+    };
+    const timer = setTimeout(() => {
+      end();
+      this.#refuseUntilReady(id, onAnswer);
+    }, decision.time);
+    this.#waitingForTable.add(start);
+    return {
+      cancel: () => {
+        end();
+        served?.cancel();
+      },
+    };
+  }
+
+  #refuseUntilReady(id: string, onAnswer: (answer: CallerAnswer) => void): void {
+    log.info('request refused', { id, cause: 'notReady', index: this.view.index });
+    const idHeaders: HeaderList = id === '' ? [] : [[this.#dialect.requestId, id]];
+    onAnswer(
+      buildLocalAnswer(503, 'no configuration has come yet', [
+        ...idHeaders,
+        ['Retry-After', String(NOT_READY_RETRY_AFTER / 1000)],
+      ]),
+    );
+  }
+
   #run(
     { head, body, hasBody, arrivedAt }: CallerRequest,
     route: Route,
