End a slow start that is only known from the log once the upstream reports none

Cause: a gateway that starts applies the commands of the log from the first one on, and took each slow start in them for one that begins now.

Slow starts of a process's first update are kept, as they may be true, but marked; the first health response that reports the load and no slow start ends them, as does a load report of a gateway that knows of none. Records in this state are left out of load gossip. Slow starts learned later are unchanged.

After a start no upstream's load is known either, so on-demand probes were refused and a quarter of the requests began on a slow VM. They are now allowed once the load of any upstream of the service is known. The check 'it may not probe on demand if no gateway reported its load' is replaced: reporting is a property of the service, so it now asks for an upstream of a service that never reported.

--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -53,6 +53,7 @@
     ownReportAt: NOW,
     inFlightChange: 0,
     coldUntil: state.startsWith('cold') ? NOW + 1000 : -Infinity,
+    isColdOutdated: false,
     nextColdSlotAt: state === 'cold-turn' ? NOW : NOW + 500,
     misses: 0,
     unresponsiveUntil: state === 'silent' ? NOW + 100 : -Infinity,
--- a/features/gateway/ondemand.feature
+++ b/features/gateway/ondemand.feature
@@ -35,4 +35,5 @@
   Scenario: Upstreams that another gateway probes are also probed on demand, if they report their load
     Given a gateway that doesn't probe any of the upstreams periodically
     Then it may probe an upstream on demand if another gateway reported its load
-    And it may not probe an upstream on demand if no gateway reported its load
+    And it may also probe the other upstreams of the same service, whose load nobody reported yet
+    And it may not probe an upstream on demand if no gateway reported the load of any upstream of its service
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -17,7 +17,7 @@
   UpstreamRecord,
 } from '../../src/gateway/types.js';
 import { headerDialect } from '../../platform/headers.js';
-import { createCatalog } from './catalog.js';
+import { createCatalog, createInstance } from './catalog.js';
 
 interface OnDemandWorld {
   prober: Prober | undefined;
@@ -306,7 +306,9 @@
   "a gateway that doesn't probe any of the upstreams periodically",
   function (this: OnDemandWorld) {
     const registry = new UpstreamRegistry();
-    registry.update(createCatalog(['u1', 'u2']));
+    const catalog = createCatalog(['u1', 'u2', 'u3']);
+    const other = { ...createInstance('u3'), service: 'orders' };
+    registry.update({ ...catalog, instances: { ...catalog.instances, u3: other } });
     this.upstreamRecords = registry.records;
     const pool = new ConnectionPool(headerDialect, new BufferBudget(1_000_000));
     pool.close();
@@ -317,6 +319,7 @@
       listRecords: () => registry.records,
       onLoad: () => undefined,
       onCold: () => undefined,
+      onWarm: () => undefined,
       onEnd: () => undefined,
     });
   },
@@ -333,10 +336,19 @@
 );
 
 Then(
-  'it may not probe an upstream on demand if no gateway reported its load',
+  'it may also probe the other upstreams of the same service, whose load nobody reported yet',
   function (this: OnDemandWorld) {
     const unreported = this.upstreamRecords[1];
     assert.ok(unreported);
+    assert.equal(this.prober?.canProbeOnDemand(unreported), true);
+  },
+);
+
+Then(
+  'it may not probe an upstream on demand if no gateway reported the load of any upstream of its service',
+  function (this: OnDemandWorld) {
+    const unreported = this.upstreamRecords[2];
+    assert.ok(unreported);
     assert.equal(this.prober?.canProbeOnDemand(unreported), false);
   },
 );
--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -49,3 +49,14 @@
     Then the group has 3 voters again
     When all stewards are killed at once and started again
     Then the configuration reads back as it was sent
+
+  Scenario: Requests that arrive while all processes restart wait for the routes instead of being refused
+    Given the platform's site serves two services
+    When every gateway and steward is killed at once and started again, and callers send as soon as they can connect
+    Then every request of the first 300 ms after each gateway accepted connections got status 200
+
+  Scenario: A slow start of the past doesn't hold requests back after a restart of all processes
+    Given the platform's site serves two services
+    When the upstreams of "records" announce a slow start of 30000 ms, and stop announcing one later
+    And every gateway and steward is killed at once and started again, and callers send as soon as they can connect
+    Then 60 requests for "records" in one second are all served, 2000 ms later
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -385,6 +385,85 @@
   },
 );
 
+When(
+  'every gateway and steward is killed at once and started again, and callers send as soon as they can connect',
+  { timeout: 40_000 },
+  async function (this: PlatformWorld) {
+    const { site } = this;
+    const names = [...site.processes.keys()];
+    await Promise.all(names.map((name) => site.endProcess(name, 'SIGKILL')));
+    await Promise.all(names.map((name) => site.restartProcess(name, false)));
+    this.answers = [];
+    const callUntilServed = async (ip: string): Promise<void> => {
+      await waitUntil('the gateway accepts connections', async () => {
+        const probe = await site.call(ip, '/records/5').catch(() => undefined);
+        if (probe !== undefined) this.answers.push(probe);
+        return probe !== undefined;
+      });
+      const calls = Array.from({ length: 10 }, async (_, index) => {
+        await sleep(index * 30);
+        this.answers.push(await site.call(ip, '/records/5'));
+      });
+      await Promise.all(calls);
+    };
+    await Promise.all(site.ips.map(callUntilServed));
+  },
+);
+
+Then(
+  'every request of the first 300 ms after each gateway accepted connections got status 200',
+  function (this: PlatformWorld) {
+    assert.equal(this.answers.length, 33);
+    assert.deepEqual(
+      this.answers.map(({ status }) => status).filter((status) => status !== 200),
+      [],
+    );
+  },
+);
+
+When(
+  'the upstreams of {string} announce a slow start of {int} ms, and stop announcing one later',
+  { timeout: 20_000 },
+  async function (this: PlatformWorld, service: string, time: number) {
+    const upstreams = this.site.upstreams.filter((upstream) => upstream.service === service);
+    const setColdLeft = async (coldLeft: string): Promise<void> => {
+      const acknowledged = upstreams.map(({ acknowledgedHeartbeats }) => acknowledgedHeartbeats);
+      upstreams.forEach((upstream) => {
+        upstream.coldLeft = coldLeft;
+      });
+      await waitUntil('the slow start is announced', () =>
+        Promise.resolve(
+          upstreams.every(
+            (upstream, index) => upstream.acknowledgedHeartbeats > (acknowledged[index] ?? 0) + 1,
+          ),
+        ),
+      );
+    };
+    await setColdLeft(`${time}ms`);
+    await setColdLeft('0ms');
+  },
+);
+
+Then(
+  '{int} requests for {string} in one second are all served, {int} ms later',
+  { timeout: 20_000 },
+  async function (this: PlatformWorld, count: number, service: string, delay: number) {
+    await sleep(delay);
+    const { site } = this;
+    const statuses = await Promise.all(
+      Array.from({ length: count }, async (_, index) => {
+        await sleep((index * 1000) / count);
+        const answer = await site.call(site.ips[index % 3] ?? '', `/${service}/5`);
+        return answer.status;
+      }),
+    );
+    assert.deepEqual(
+      statuses.filter((status) => status !== 200),
+      [],
+    );
+  },
+);
+
 Then('every request of those callers got a complete response', function (this: PlatformWorld) {
   assert.deepEqual(this.failures, []);
   assert.ok(this.answers.length > 300, `${this.answers.length} answers`);
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -89,6 +89,8 @@
   /** The address that it announces if that differs from its own. */
   announcedAddress: string | undefined;
   sendsHeartbeats = true;
+  /** The remaining slow start that it announces; its health responses report none. */
+  coldLeft = '0ms';
   acknowledgedHeartbeats = 0;
   readonly born = Date.now();
   #sequence = 0;
@@ -187,7 +189,7 @@
       address: this.announcedAddress ?? this.address,
       born: this.born,
       info: { service, version, zone, slots: 6 },
-      status: { state: this.state, seq: this.#sequence, cold_left: '0ms' },
+      status: { state: this.state, seq: this.#sequence, cold_left: this.coldLeft },
     });
     const options = {
       method: 'POST',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -34,7 +34,9 @@
   addOutcome,
   addReport,
   markCold,
+  markColdFromLog,
   claimColdSlot,
+  endOutdatedCold,
   UpstreamRegistry,
   type SlowStartShare,
 } from './registry.js';
@@ -253,6 +255,7 @@
       onCold: (record, coldFor) => {
         markCold(record, coldFor, this.now(), this.#coldShare);
       },
+      onWarm: endOutdatedCold,
       onLoad: ({ instance, report }) => {
         this.#registry.addPace(instance.service, report.pace);
       },
@@ -333,6 +336,7 @@
       this.#gossipPlan = planGossip(this.#options.mesh.address, this.#options.zone, entries);
       return;
     }
+    this.#isCatchingUp = this.#catalog === undefined;
     const previousZonesOut = this.#catalog?.zonesOut ?? [];
     const wasReady = this.isReady();
     if (catalog.table !== this.#catalog?.table) this.#applyTable(catalog);
@@ -381,11 +385,10 @@
   }
 
   #markColdUpstreams(cold: Readonly<Record<string, Duration>>): void {
+    const mark = this.#isCatchingUp ? markColdFromLog : markCold;
     Object.entries(cold).forEach(([id, coldFor]) => {
       const record = this.#registry.getRecord(id);
-      if (record !== undefined && coldFor > 0) {
-        markCold(record, coldFor, this.now(), this.#coldShare);
-      }
+      if (record !== undefined && coldFor > 0) mark(record, coldFor, this.now(), this.#coldShare);
     });
   }
 
@@ -400,7 +403,8 @@
     addReport(record, { running, waiting, slots: record.instance.slots, pace }, reportedAt);
     this.#registry.addPace(record.instance.service, pace);
     if (good + bad > 0) addCounts(record, good, bad, now);
-    if (coldFor > 0 && record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
+    if (coldFor === 0) endOutdatedCold(record);
+    else if (record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
   }
 
   #recordProbe(record: UpstreamRecord, outcome: AttemptOutcome): void {
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -228,7 +228,8 @@
   }
 
   /**
-   * Builds the rows for the given counts. Only the prober of an upstream, and gateways that forward
+   * Builds the rows for the given counts, without upstreams whose slow start is only known from the
+   * log: others would take it for a new one, or for over. Only the prober of an upstream, and gateways that forward
    * its report, may mark the upstream as unreachable.
    */
   #listRows(counts: Counts, forwarded: Counts = new Map()): readonly GossipRow[] {
@@ -238,7 +239,7 @@
       Math.round(Math.max(0, Math.min(time, MAX_ROW_TIME)));
     return [...counts].flatMap(([key, [good, bad]]) => {
       const record = this.#options.getRecord(key);
-      if (record === undefined) return [];
+      if (record === undefined || (record.isColdOutdated && record.coldUntil > now)) return [];
       const { running, waiting, pace } = record.report;
       const age = clampTime(now - record.reportedAt);
       return [
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -8,7 +8,7 @@
 import { addReport } from './registry.js';
 import { TokenBucket } from './budget.js';
 import type { ConnectionPool } from './pool.js';
-import type { AttemptOutcome, HeaderDialect, UpstreamRecord } from './types.js';
+import type { AttemptOutcome, HeaderDialect, UpstreamAnswer, UpstreamRecord } from './types.js';
 
 /** Milliseconds between two checks for due probes. */
 const CHECK_INTERVAL: Duration = 50;
@@ -56,6 +56,8 @@
    */
   readonly onLoad: (record: UpstreamRecord) => void;
   readonly onCold: (record: UpstreamRecord, coldFor: Duration) => void;
+  /** Called when an upstream's health response reports its load and no slow start. */
+  readonly onWarm: (record: UpstreamRecord) => void;
   readonly onEnd: (record: UpstreamRecord, outcome: AttemptOutcome) => void;
 }
 
@@ -64,8 +66,8 @@
   /** Returns whether this gateway is the one that probes the upstream periodically. */
   isProber(record: UpstreamRecord): boolean;
   /**
-   * Returns whether a load report of the upstream is known and the budget allows one more on-demand
-   * probe.
+   * Returns whether the upstream's service is known to report its load and the budget allows one
+   * more on-demand probe.
    */
   canProbeOnDemand(record: UpstreamRecord): boolean;
   /** Probes an upstream immediately. `onEnd` receives whether it answered within the timeout. */
@@ -127,8 +129,19 @@
     const { now, rate, listGateways, listRecords } = this.#options;
     const perSecond = (listRecords().length * rate * ON_DEMAND_SHARE) / listGateways().length;
     this.#onDemandBudget.refill(perSecond, now());
-    // Where the load is not reported, the health check waits for a slot like any request.
-    return Number.isFinite(record.reportedAt) && this.#onDemandBudget.hasToken();
+    return this.#isLoadReported(record) && this.#onDemandBudget.hasToken();
+  }
+
+  /** Where the load is not reported, the health check waits for a slot like any request. */
+  #isLoadReported({ instance: { service }, reportedAt }: UpstreamRecord): boolean {
+    const known = this.#reportsLoad.get(service);
+    if (known !== undefined || Number.isFinite(reportedAt)) return known ?? true;
+    // All upstreams of a service report their load, or none does.
+    const isReported = this.#options
+      .listRecords()
+      .some((other) => other.instance.service === service && Number.isFinite(other.reportedAt));
+    if (isReported) this.#reportsLoad.set(service, true);
+    return isReported;
   }
 
   probeOnDemand(record: UpstreamRecord, onEnd: (isAnswered: boolean) => void): void {
@@ -226,8 +239,14 @@
     return now - lastUpdateAt >= interval;
   }
 
+  #isWarm({ status, headers }: UpstreamAnswer): boolean {
+    const { dialect } = this.#options;
+    const coldFor = Number(getHeader(headers, dialect.coldFor) ?? 0);
+    return status === 200 && getHeader(headers, dialect.load) !== undefined && coldFor === 0;
+  }
+
   #probe(record: UpstreamRecord): void {
-    const { pool, dialect, now, onLoad, onCold, onEnd } = this.#options;
+    const { pool, dialect, now, onLoad, onCold, onWarm, onEnd } = this.#options;
     const { address, id } = record.instance;
     record.isProbing = true;
     record.lastProbeAt = now();
@@ -244,6 +263,7 @@
       // Other gateways accept the reachability of an upstream only from its periodic prober.
       if (this.isProber(record))
         this.#updateReachability(record, isAnswered || outcome.kind === 'notRun');
+      if (outcome.kind === 'answered' && this.#isWarm(outcome.answer)) onWarm(record);
       onEnd(record, outcome);
       this.#finishOnDemandProbes(record, isAnswered);
     };
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -54,6 +54,7 @@
     ownReportAt: -Infinity,
     inFlightChange: 0,
     coldUntil: -Infinity,
+    isColdOutdated: false,
     nextColdSlotAt: -Infinity,
     misses: 0,
     blockedUntil: -Infinity,
@@ -114,12 +115,34 @@
   share: SlowStartShare,
 ): void {
   const wasCold = record.coldUntil > now;
+  record.isColdOutdated = false;
   record.coldUntil = coldFor > 0 ? now + coldFor : -Infinity;
   // The first slots are spread at random, as all gateways learn of the cold upstream at the same
   // time.
   if (!wasCold) record.nextColdSlotAt = now + computeSlotInterval(record, share) * Math.random();
 }
 
+/**
+ * Marks the upstream as cold by a command that a gateway applies while it catches up. The command may
+ * be older than the slow start, so a load report without one ends it.
+ */
+export function markColdFromLog(
+  record: UpstreamRecord,
+  coldFor: Duration,
+  now: Instant,
+  share: SlowStartShare,
+): void {
+  markCold(record, coldFor, now, share);
+  record.isColdOutdated = true;
+}
+
+/** Ends a slow start that was only known from the log, as the upstream reports that it is not cold. */
+export function endOutdatedCold(record: UpstreamRecord): void {
+  if (!record.isColdOutdated) return;
+  record.isColdOutdated = false;
+  record.coldUntil = -Infinity;
+}
+
 /** Uses the slow-start slot of this gateway at a cold upstream and schedules the next one. */
 export function claimColdSlot(record: UpstreamRecord, now: Instant, share: SlowStartShare): void {
   record.nextColdSlotAt = now + computeSlotInterval(record, share);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -95,6 +95,11 @@
   /** Requests sent from here minus requests ended here since the report. */
   inFlightChange: number;
   coldUntil: Instant;
+  /**
+   * Whether {@link coldUntil} comes from the past: the gateway learned of it while it caught up, so
+   * that the slow start may be over. The first load report that says so ends it.
+   */
+  isColdOutdated: boolean;
   /**
    * Start of the next slow-start slot, when this gateway may send a request to the cold upstream.
    */
