Probe and prefer upstreams of the own zone, and gossip to other zones less often

Cause: the prober of an upstream was any gateway of the site, every gateway sent its load reports to all others ten times a second, and equally good upstreams of all zones were chosen alike.

The gateways of a zone probe its upstreams; only a zone without gateways is probed by the others. Reports go to other zones in every third round, direct and between relays. Among equally good upstreams those of the own zone with at most half of their slots in use come first, after those with an idle connection.

The row 'x a 0 7, y b 0 7.1' of large answers expected a tie between zones; ties go to the own zone now, and the row is kept with that result, beside one with a busy own zone, which still ties.

Shown by features/gateway: choice, paths of reports (reports received in other zones), probers by zone; the new rows fail on the code before.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -11,6 +11,11 @@
       | x a 0 1, y b 0 1                                | 5    | 500  | x          |
       | x a 6 1, y b 0 1                                | 60   | 500  | y          |
       | x a 0 1, y a 0 1                                | 60   | 500  | x y        |
+      | x a 0 1, y b 0 1                                | 60   | 500  | x          |
+      | x a 3 1, y b 0 1                                | 60   | 500  | x          |
+      | x a 4 1, y b 0 1                                | 60   | 500  | x y        |
+      | x a 0 1, y b 0 1 connected                      | 60   | 500  | y          |
+      | x a 0 1 connected, y b 0 1 connected            | 60   | 500  | x          |
       | x a 17 1                                        | 30   | 500  | x          |
       | x a 18 1                                        | 30   | 500  | noRoom     |
       | x a 10 1                                        | 60   | 500  | x          |
@@ -39,7 +44,8 @@
       | x a 0 2, y b 0 1   | 60   | 500  | x      |
       | x a 6 1, y b 0 1   | 60   | 500  | x      |
       | x a 0 4, y b 0 1   | 60   | 500  | y      |
-      | x a 0 7, y b 0 7.1 | 60   | 600  | x y    |
+      | x a 0 7, y b 0 7.1 | 60   | 600  | x      |
+      | x a 4 7, y b 0 7.1 | 60   | 600  | x y    |
 
   Scenario Outline: Decision after an attempt ends
     Given a gateway request of kind "<kind>" with at most <attempts> attempts
--- a/features/gateway/gossip.feature
+++ b/features/gateway/gossip.feature
@@ -21,3 +21,14 @@
     When a relay stops, and 1000 ms pass
     And a gateway that is not a relay observes an upstream with 3 requests and a bad answer
     Then within 2000 ms every gateway's load report shows 3 requests
+
+  Scenario Outline: Load reports cross zones less often than they are spread within a zone
+    Given <gateways> gateways on loopback gossip load reports
+    When a gateway that is not a relay observes an upstream every 50 ms for 2400 ms
+    Then the gateways of its zone receive at least <near> reports each
+    And those of other zones receive at least 4 and at most <far> reports each
+
+    Examples:
+      | gateways | near | far |
+      | 12       | 16   | 10  |
+      | 40       | 10   | 8   |
--- a/features/gateway/gossip.steps.ts
+++ b/features/gateway/gossip.steps.ts
@@ -12,12 +12,15 @@
   readonly entry: EntryRecord;
   readonly record: UpstreamRecord;
   readonly gossip: LoadGossip;
+  /** Number of different reports that the gateway received. */
+  received: number;
   isStopped: boolean;
 }
 
 interface GossipWorld {
   entries: readonly EntryRecord[];
   members: readonly GossipMember[];
+  observer: GossipMember;
 }
 
 const ZONES = 4;
@@ -91,6 +94,8 @@
       isProber: () => false,
       getPlan: () => plan,
       onReport: ({ reportedAt, good, bad, running, waiting, pace }) => {
+        // The age of a report is rounded to milliseconds, so the same report may look slightly newer.
+        if (reportedAt > record.reportedAt + 5) member.received += 1;
         addReport(record, { running, waiting, pace, slots: 6 }, reportedAt);
         addCounts(record, good, bad, now());
       },
@@ -98,7 +103,8 @@
         assert.fail(message);
       },
     });
-    return { entry, record, gossip, isStopped: false };
+    const member: GossipMember = { entry, record, gossip, received: 0, isStopped: false };
+    return member;
   });
   // A relay serves only gateways from which it has received a message.
   await sleep(300);
@@ -124,6 +130,46 @@
   },
 );
 
+When(
+  'a gateway that is not a relay observes an upstream every {int} ms for {int} ms',
+  async function (this: GossipWorld, interval: number, time: number) {
+    const { members } = this;
+    const observer = members.find((member) => !isRelay(member, members));
+    assert.ok(observer);
+    this.observer = observer;
+    const until = performance.now() + time;
+    while (performance.now() < until) {
+      const now = performance.now();
+      addReport(observer.record, { running: 1, waiting: 0, slots: 6, pace: 1 }, now);
+      observer.record.ownReportAt = now;
+      await sleep(interval);
+    }
+  },
+);
+
+function listReceived({ members, observer }: GossipWorld, isNear: boolean): readonly number[] {
+  return members
+    .filter((member) => member !== observer)
+    .filter(({ entry }) => (entry.zone === observer.entry.zone) === isNear)
+    .map(({ received }) => received);
+}
+
+Then(
+  'the gateways of its zone receive at least {int} reports each',
+  function (this: GossipWorld, least: number) {
+    const counts = listReceived(this, true);
+    assert.ok(Math.min(...counts) >= least, counts.join(' '));
+  },
+);
+
+Then(
+  'those of other zones receive at least {int} and at most {int} reports each',
+  function (this: GossipWorld, least: number, most: number) {
+    const counts = listReceived(this, false);
+    assert.ok(Math.min(...counts) >= least && Math.max(...counts) <= most, counts.join(' '));
+  },
+);
+
 When('a relay stops, and {int} ms pass', async function (this: GossipWorld, time: number) {
   const relay = this.members.find((member) => isRelay(member, this.members));
   assert.ok(relay);
--- a/features/gateway/ondemand.feature
+++ b/features/gateway/ondemand.feature
@@ -37,3 +37,8 @@
     Then it may probe an upstream on demand if another gateway reported its load
     And it may also probe the other upstreams of the same service, whose load nobody reported yet
     And it may not probe an upstream on demand if no gateway reported the load of any upstream of its service
+
+  Scenario: Upstreams are probed periodically from their own zone
+    Given 4 gateways and 12 upstreams in each of the zones "a b c", and 6 upstreams in zone "d"
+    When the gateways look for due probes
+    Then each upstream is probed by exactly one gateway, which is in its zone if the zone has any
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -316,6 +316,7 @@
       ...{ pool, dialect: headerDialect, interval: 60_000, rate: 60, self: 'nobody' },
       now: () => performance.now(),
       listGateways: () => ['another'],
+      listProbers: () => ['another'],
       listRecords: () => registry.records,
       onLoad: () => undefined,
       onCold: () => undefined,
@@ -353,6 +354,92 @@
   },
 );
 
+interface ZoneProber {
+  readonly zone: string;
+  readonly prober: Prober;
+}
+
+interface ZoneProberWorld extends OnDemandWorld {
+  zoneProbers: readonly ZoneProber[];
+}
+
+Given(
+  '{int} gateways and {int} upstreams in each of the zones {string}, and {int} upstreams in zone {string}',
+  function (
+    this: ZoneProberWorld,
+    gateways: number,
+    upstreams: number,
+    zones: string,
+    others: number,
+    otherZone: string,
+  ) {
+    const gatewaysByZone = new Map(
+      zones
+        .split(' ')
+        .map((zone) => [
+          zone,
+          Array.from({ length: gateways }, (_, index) => `gateway-${zone}-${index}`),
+        ]),
+    );
+    const instances = [
+      ...[...gatewaysByZone.keys()].flatMap((zone) =>
+        Array.from({ length: upstreams }, (_, index) => createInstance(`${zone}-${index}`, zone)),
+      ),
+      ...Array.from({ length: others }, (_, index) =>
+        createInstance(`${otherZone}-${index}`, otherZone),
+      ),
+    ];
+    const registry = new UpstreamRegistry();
+    registry.update({
+      ...createCatalog([]),
+      instances: Object.fromEntries(instances.map((instance) => [instance.id, instance])),
+    });
+    this.upstreamRecords = registry.records;
+    const all = [...gatewaysByZone.values()].flat();
+    const pool = new ConnectionPool(headerDialect, new BufferBudget(1_000_000));
+    pool.close();
+    this.zoneProbers = [...gatewaysByZone].flatMap(([zone, ids]) =>
+      ids.map((self) => ({
+        zone,
+        prober: createProber({
+          ...{ pool, dialect: headerDialect, interval: 60_000, rate: 60, self },
+          now: () => 0,
+          listGateways: () => all,
+          listProbers: (name) => gatewaysByZone.get(name) ?? all,
+          listRecords: () => registry.records,
+          onLoad: () => undefined,
+          onCold: () => undefined,
+          onWarm: () => undefined,
+          onEnd: () => undefined,
+        }),
+      })),
+    );
+  },
+);
+
+When('the gateways look for due probes', async function (this: ZoneProberWorld) {
+  await new Promise((resolve) => setTimeout(resolve, 150));
+});
+
+Then(
+  'each upstream is probed by exactly one gateway, which is in its zone if the zone has any',
+  function (this: ZoneProberWorld) {
+    this.upstreamRecords.forEach((record) => {
+      const probers = this.zoneProbers.filter(({ prober }) => prober.isProber(record));
+      assert.equal(probers.length, 1, record.instance.id);
+      const { zone } = record.instance;
+      const hasGateways = this.zoneProbers.some((one) => one.zone === zone);
+      if (hasGateways) assert.equal(probers[0]?.zone, zone);
+    });
+  },
+);
+
+After(function (this: Partial<ZoneProberWorld>) {
+  this.zoneProbers?.forEach(({ prober }) => {
+    prober.close();
+  });
+});
+
 After(function (this: Partial<OnDemandWorld>) {
   this.prober?.close();
 });
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -19,6 +19,8 @@
 const TIE_RATIO = 1.15;
 /** Milliseconds added to the limit that {@link TIE_RATIO} gives. */
 const TIE_SLACK: Duration = 2;
+/** Share of its slots up to which an upstream of the own zone is preferred to one of another zone. */
+const NEAR_OCCUPANCY_SHARE = 0.5;
 /**
  * Share of the work added to the expected time of an upstream without a free slot, on top of its
  * queueing delay.
@@ -188,22 +190,36 @@
   return index >= 0 ? items[index] : items.at(-1);
 }
 
+/**
+ * Returns whether the upstream is in the own zone and lightly loaded. Beyond that the load is spread
+ * over all zones, as load reports are too old to fill an upstream's last slots.
+ */
+function isNear(record: UpstreamRecord, zone: ZoneId): boolean {
+  const { instance } = record;
+  const limit = instance.slots * NEAR_OCCUPANCY_SHARE;
+  return instance.zone === zone && computeOccupancy(record) <= limit;
+}
+
 /**
  * Returns one of the candidates whose cost is close to the lowest. Upstreams that were just probed
- * come first, then those with an idle connection; among these, the choice is random and weighted by
- * the number of free slots.
+ * come first, then those with an idle connection, then those of the own zone, as a new connection
+ * costs more than a transfer between zones; among these, the choice is random and weighted by the
+ * number of free slots.
  */
 function pickAmongBest(
   candidates: readonly ScoredUpstream[],
   context: ChoiceContext,
 ): ScoredUpstream | undefined {
-  const { random, justProbed, hasConnection } = context;
+  const { random, zone, justProbed, hasConnection } = context;
   const lowestCost = Math.min(...candidates.map(({ cost }) => cost));
   const tied = candidates.filter(({ cost }) => cost <= lowestCost * TIE_RATIO + TIE_SLACK);
+  const near = tied.filter(({ record }) => isNear(record, zone));
   const preferred =
     [
       tied.filter(({ record }) => justProbed.includes(record)),
+      near.filter(({ record }) => hasConnection(record)),
       tied.filter(({ record }) => hasConnection(record)),
+      near,
     ].find((some) => some.length > 0) ?? tied;
   const weights = preferred.map(({ record }) =>
     Math.max(0.5, record.instance.slots - computeOccupancy(record)),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -36,7 +36,7 @@
   markCold,
   markColdFromLog,
   claimColdSlot,
-  endOutdatedCold,
+  finishOutdatedCold,
   UpstreamRegistry,
   type SlowStartShare,
 } from './registry.js';
@@ -163,6 +163,14 @@
   };
 }
 
+/** Returns the ids of the gateways in each zone. */
+function listByZone(entries: readonly EntryRecord[]): ReadonlyMap<ZoneId, readonly string[]> {
+  const zones = [...new Set(entries.map(({ zone }) => zone))];
+  return new Map(
+    zones.map((name) => [name, entries.filter(({ zone }) => zone === name).map(({ id }) => id)]),
+  );
+}
+
 /** Returns the distinct kinds of the commands, for a log line. */
 function describeCommands(commands: readonly CatalogCommand[]): string {
   return [...new Set(commands.map(({ kind }) => kind))].join(' ');
@@ -192,7 +200,8 @@
   #topRanks: ReadonlyMap<string, number> = new Map();
   #entries: readonly EntryRecord[] = [];
   #gateways: readonly string[];
-  #gossipPlan: GossipPlan = { kind: 'direct', peers: [] };
+  #gatewaysByZone: ReadonlyMap<ZoneId, readonly string[]> = new Map();
+  #gossipPlan: GossipPlan = { kind: 'direct', peers: [], farPeers: [] };
   #isStopping = false;
   /** Whether the update at hand is the first one of this process, whose commands may be of any age. */
   #isCatchingUp = true;
@@ -251,11 +260,12 @@
       now: this.now,
       self: options.id,
       listGateways: () => this.#gateways,
+      listProbers: (zone) => this.#gatewaysByZone.get(zone) ?? this.#gateways,
       listRecords: () => this.#registry.records,
       onCold: (record, coldFor) => {
         markCold(record, coldFor, this.now(), this.#coldShare);
       },
-      onWarm: endOutdatedCold,
+      onWarm: finishOutdatedCold,
       onLoad: ({ instance, report }) => {
         this.#registry.addPace(instance.service, report.pace);
       },
@@ -333,6 +343,7 @@
       this.#entries = entries;
       const ids = entries.map(({ id }) => id);
       this.#gateways = ids.includes(this.#options.id) ? ids : [...ids, this.#options.id].sort();
+      this.#gatewaysByZone = listByZone(entries);
       this.#gossipPlan = planGossip(this.#options.mesh.address, this.#options.zone, entries);
       return;
     }
@@ -403,7 +414,7 @@
     addReport(record, { running, waiting, slots: record.instance.slots, pace }, reportedAt);
     this.#registry.addPace(record.instance.service, pace);
     if (good + bad > 0) addCounts(record, good, bad, now);
-    if (coldFor === 0) endOutdatedCold(record);
+    if (coldFor === 0) finishOutdatedCold(record);
     else if (record.coldUntil <= now) markCold(record, coldFor, now, this.#coldShare);
   }
 
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -15,6 +15,11 @@
  * 500 ms.
  */
 const GOSSIP_INTERVAL: Duration = 100;
+/**
+ * Number of rounds after which reports are sent to other zones. Gateways send few requests there, and
+ * probe on demand before they do; traffic between zones is expensive.
+ */
+const FAR_ROUNDS = 3;
 /** Maximum number of datagrams per second that one gateway sends to all others. */
 const MAX_DATAGRAM_RATE = 400;
 /**
@@ -93,6 +98,8 @@
 /** Counts of good and bad answers, by the key of the upstream. */
 type Counts = ReadonlyMap<number, readonly [good: number, bad: number]>;
 
+const NO_COUNTS: Counts = new Map();
+
 function mergeCounts(one: Counts, two: Counts): Counts {
   if (one.size === 0) return two;
   const sum = new Map(one);
@@ -120,6 +127,10 @@
    */
   #followerCounts: Counts = new Map();
   #relayCounts: Counts = new Map();
+  /** Answers since the last round that was sent to other zones: those counted here, and followers'. */
+  #farOwn: Counts = NO_COUNTS;
+  #farForwarded: Counts = NO_COUNTS;
+  #round = 0;
   /** Number of relays of the zone that were given up so far; selects the current relay. */
   #relayFailovers = 0;
   #relayLastReceivedAt: Instant;
@@ -152,7 +163,10 @@
     const plan = this.#options.getPlan();
     const interval =
       plan.kind === 'direct'
-        ? Math.max(GOSSIP_INTERVAL, (plan.peers.length * 1000) / MAX_DATAGRAM_RATE)
+        ? Math.max(
+            GOSSIP_INTERVAL,
+            ((plan.peers.length + plan.farPeers.length / FAR_ROUNDS) * 1000) / MAX_DATAGRAM_RATE,
+          )
         : RELAYED_GOSSIP_INTERVAL;
     this.#timer = setTimeout(() => {
       this.#sendOwn(this.#options.getPlan());
@@ -162,9 +176,11 @@
 
   #sendOwn(plan: GossipPlan): void {
     const own = this.#collectOwnCounts();
+    this.#round += 1;
     switch (plan.kind) {
       case 'direct':
         this.#send(plan.peers, 'gateway', this.#listRows(own));
+        this.#sendFar(plan.farPeers, 'gateway', own, NO_COUNTS);
         return;
       case 'relayed':
         this.#sendThroughRelays(plan, own);
@@ -172,6 +188,17 @@
     }
   }
 
+  /** Adds the counts to those for other zones, and sends these in every {@link FAR_ROUNDS}th round. */
+  #sendFar(peers: readonly Address[], source: GossipSource, own: Counts, forwarded: Counts): void {
+    this.#farOwn = mergeCounts(this.#farOwn, own);
+    this.#farForwarded = mergeCounts(this.#farForwarded, forwarded);
+    if (this.#round % FAR_ROUNDS !== 0) return;
+    const all = mergeCounts(this.#farForwarded, this.#farOwn);
+    this.#send(peers, source, this.#listRows(all, this.#farForwarded));
+    this.#farOwn = NO_COUNTS;
+    this.#farForwarded = NO_COUNTS;
+  }
+
   #sendThroughRelays(plan: Extract<GossipPlan, { kind: 'relayed' }>, own: Counts): void {
     const now = this.#options.now();
     [...this.#followers].forEach(([address, at]) => {
@@ -183,10 +210,11 @@
     this.#relayCounts = new Map();
     if (plan.isRelay || this.#followers.size > 0) {
       this.#send(
-        plan.relays,
+        plan.zoneRelays,
         'relay',
         this.#listRows(mergeCounts(fromFollowers, own), fromFollowers),
       );
+      this.#sendFar(plan.farRelays, 'relay', own, fromFollowers);
       // Followers detect a failed relay by missing datagrams, so a datagram is sent even without
       // rows.
       const rows = this.#listRows(mergeCounts(forwarded, own), forwarded);
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -3,7 +3,7 @@
  * and no periodic probe while a fresh load report of it is known.
  */
 import { getHeader, type HeaderList } from '../http1/index.js';
-import type { Duration, Instant } from '../model/index.js';
+import type { Duration, Instant, ZoneId } from '../model/index.js';
 import { computeRank, hashText } from '../routing/index.js';
 import { addReport } from './registry.js';
 import { TokenBucket } from './budget.js';
@@ -50,6 +50,11 @@
   readonly now: () => Instant;
   readonly self: string;
   readonly listGateways: () => readonly string[];
+  /**
+   * Returns the gateways of which one probes the upstreams of the zone. The same list object is
+   * returned until the gateways change.
+   */
+  readonly listProbers: (zone: ZoneId) => readonly string[];
   readonly listRecords: () => readonly UpstreamRecord[];
   /**
    * Called when a probe of an upstream receives response headers, if this gateway is its prober.
@@ -100,7 +105,6 @@
     readonly ((isAnswered: boolean) => void)[]
   >();
   #gateways: readonly string[] = [];
-  #hashes: readonly number[] = [];
   #records: readonly UpstreamRecord[] = [];
   #ownRecords: readonly UpstreamRecord[] = [];
   #ownRecordSet: ReadonlySet<UpstreamRecord> = new Set();
@@ -191,24 +195,20 @@
 
   /**
    * Returns the upstreams that this gateway probes, which are those for which it ranks first among
-   * all gateways.
+   * the probers of their zone.
    */
   #listOwn(): readonly UpstreamRecord[] {
-    const { listGateways, listRecords, self } = this.#options;
-    const gateways = listGateways();
-    const records = listRecords();
+    const gateways = this.#options.listGateways();
+    const records = this.#options.listRecords();
     if (gateways === this.#gateways && records === this.#records) return this.#ownRecords;
-    const isSameFleet = gateways === this.#gateways;
-    const knownRanks = isSameFleet ? this.#isFirstRanked : new Map<string, boolean>();
-    const hashes = isSameFleet ? this.#hashes : gateways.map(hashText);
-    const ownIndex = gateways.indexOf(self);
+    const known = gateways === this.#gateways ? this.#isFirstRanked : new Map<string, boolean>();
     this.#gateways = gateways;
-    this.#hashes = hashes;
     this.#records = records;
+    const ranks = this.#rankZones(records);
     this.#isFirstRanked = new Map(
-      records.map(({ instance: { id } }) => [
+      records.map(({ instance: { id, zone } }) => [
         id,
-        knownRanks.get(id) ?? (ownIndex >= 0 && computeRank(id, ownIndex, hashes) === 0),
+        known.get(id) ?? ranks.get(zone)?.(id) === 0,
       ]),
     );
     this.#ownRecords = records.filter(
@@ -218,6 +218,21 @@
     return this.#ownRecords;
   }
 
+  /** Returns, by zone, a function that ranks this gateway for an upstream id, if it may probe there. */
+  #rankZones(records: readonly UpstreamRecord[]): ReadonlyMap<ZoneId, (id: string) => number> {
+    const { listProbers, self } = this.#options;
+    const zones = [...new Set(records.map(({ instance }) => instance.zone))];
+    return new Map(
+      zones.flatMap((zone) => {
+        const probers = listProbers(zone);
+        const ownIndex = probers.indexOf(self);
+        if (ownIndex < 0) return [];
+        const hashes = probers.map(hashText);
+        return [[zone, (id: string) => computeRank(id, ownIndex, hashes)] as const];
+      }),
+    );
+  }
+
   #probeDue(): void {
     const now = this.#options.now();
     this.#listOwn()
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -137,7 +137,7 @@
 }
 
 /** Ends a slow start that was only known from the log, as the upstream reports that it is not cold. */
-export function endOutdatedCold(record: UpstreamRecord): void {
+export function finishOutdatedCold(record: UpstreamRecord): void {
   if (!record.isColdOutdated) return;
   record.isColdOutdated = false;
   record.coldUntil = -Infinity;
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -18,15 +18,19 @@
 
 /** How one gateway sends its load reports. */
 export type GossipPlan =
-  /** Directly to all other gateways. */
-  | { readonly kind: 'direct'; readonly peers: readonly Address[] }
+  /** Directly to all other gateways; those of other zones are sent reports less often. */
+  | {
+      readonly kind: 'direct';
+      readonly peers: readonly Address[];
+      readonly farPeers: readonly Address[];
+    }
   /** Through a relay of the own zone. */
   | {
       readonly kind: 'relayed';
       /** The relays of the own zone without this gateway, in the order in which to use them. */
       readonly zoneRelays: readonly Address[];
-      /** The relays of all zones, without this gateway. */
-      readonly relays: readonly Address[];
+      /** The relays of the other zones, which are sent reports less often. */
+      readonly farRelays: readonly Address[];
       readonly isRelay: boolean;
     };
 
@@ -45,7 +49,7 @@
  * Returns the gossip plan of the gateway `self`.
  *
  * @example
- * planGossip('10.1.0.18:7215', 'cyberjaya', entries) // { kind: 'direct', peers: [...] }
+ * planGossip('10.1.0.18:7215', 'cyberjaya', entries) // { kind: 'direct', peers: [...], farPeers: [...] }
  */
 export function planGossip(
   self: Address,
@@ -54,7 +58,11 @@
 ): GossipPlan {
   const others = entries.filter(({ peerAddress }) => peerAddress !== self);
   if (others.length < MAX_DIRECT_FLEET) {
-    return { kind: 'direct', peers: others.map(({ peerAddress }) => peerAddress) };
+    const listPeers = (isNear: boolean): readonly Address[] =>
+      others
+        .filter((entry) => (entry.zone === zone) === isNear)
+        .map(({ peerAddress }) => peerAddress);
+    return { kind: 'direct', peers: listPeers(true), farPeers: listPeers(false) };
   }
   const zones = [...new Set(entries.map((entry) => entry.zone))];
   const relaysByZone = new Map(
@@ -70,7 +78,7 @@
     zoneRelays: [...zoneRelays.slice(offset), ...zoneRelays.slice(0, offset)].filter(
       (address) => address !== self,
     ),
-    relays: [...relaysByZone.values()].flat().filter((address) => address !== self),
+    farRelays: [...relaysByZone].flatMap(([name, relays]) => (name === zone ? [] : relays)),
     isRelay: zoneRelays.includes(self),
   };
 }
