Send followers the differences of the list of gateways

FleetTable copied itself at each poll and sorted the list for each update.

A publisher keeps its last 32 lists by digest and sends the difference from the one that the follower names; others get the whole list. A difference that doesn't fit is dropped, and the next poll asks again. FleetTable changes in place, sorts once for each change, and most followers share one computed update.

--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -1,5 +1,8 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import {
   applyCommand,
   emptyCatalog,
@@ -14,9 +17,11 @@
   createFollower,
   createPublisher,
   type FeedMessage,
+  type EntryRecord,
   type Follower,
   type Publisher,
 } from '../../src/feed/index.js';
+import type { FleetUpdate } from '../../src/feed/types.js';
 import type { Address } from '../../src/model/index.js';
 import { createControl } from '../support/control.js';
 import type { Mesh, MessageHandler } from '../../src/wire/index.js';
@@ -58,6 +63,8 @@
   applyCommand: (index: number, command: CatalogCommand) => void;
   seen: readonly Catalog[];
   publisher: Publisher | undefined;
+  clock: { now: number };
+  random: RandomGenerator;
 }
 
 const REQUESTER = '10.4.0.20:7200';
@@ -338,6 +345,113 @@
   },
 );
 
+function createEntry(index: number, capacity: number): EntryRecord {
+  return {
+    ...{ id: `gateway-${index}`, zone: `z${index % 6}`, capacity, ready: true },
+    callerAddress: `10.${index % 6}.${Math.floor(index / 6)}.20:8381`,
+    peerAddress: `10.${index % 6}.${Math.floor(index / 6)}.20:7215`,
+  };
+}
+
+function openPublisher(mesh: TestMesh, clock: { readonly now: number }): Publisher {
+  return createPublisher({
+    ...{ mesh, control: createControl({}), now: () => clock.now, listCold: () => ({}) },
+    ...{ onGroupFound: () => undefined, onEvidence: () => undefined },
+  });
+}
+
+function requestUpdate(
+  mesh: TestMesh,
+  entry: EntryRecord,
+  fleetRevision: string,
+): FeedMessage | undefined {
+  mesh.sent.length = 0;
+  mesh.receive(entry.peerAddress, {
+    ...{ kind: 'follow', entry, index: 0, fleetRevision, evidence: [] },
+  });
+  return mesh.sent[0]?.[1];
+}
+
+Given('a feed publisher that knows {int} entries', function (this: FeedWorld, count: number) {
+  this.mesh = new TestMesh();
+  this.clock = { now: 0 };
+  this.publisher = openPublisher(this.mesh, this.clock);
+  Array.from({ length: count }, (_, index) => createEntry(index, 1)).forEach((entry) => {
+    requestUpdate(this.mesh, entry, '');
+  });
+});
+
+When(
+  'one of the entries stops, and the entry {string} polls before and after',
+  function (this: FeedWorld, address: string) {
+    const follower = { ...ENTRY, peerAddress: address };
+    const getFleet = (message: FeedMessage | undefined): FleetUpdate | undefined =>
+      message?.kind === 'news' ? message.fleet : undefined;
+    const first = getFleet(requestUpdate(this.mesh, follower, ''));
+    this.clock.now += 100;
+    requestUpdate(this.mesh, { ...createEntry(7, 1), ready: false }, '');
+    const second = getFleet(requestUpdate(this.mesh, follower, first?.revision ?? ''));
+    assert.ok(
+      first !== undefined && second !== undefined,
+      'both polls are answered with an update',
+    );
+    this.sizes = [first, second].map((fleet) => JSON.stringify(fleet).length);
+  },
+);
+
+Then(
+  'the second update of its list takes at most {int} bytes, the first one more than {int}',
+  function (this: FeedWorld, most: number, least: number) {
+    const [first = 0, second = Infinity] = this.sizes;
+    assert.ok(first > least, `the first takes ${first}`);
+    assert.ok(second <= most, `the second takes ${second}`);
+  },
+);
+
+Given(
+  'a feed publisher whose followers join, change and leave at random, with seed {int}',
+  function (this: FeedWorld, seed: number) {
+    this.mesh = new TestMesh();
+    this.clock = { now: 0 };
+    this.publisher = openPublisher(this.mesh, this.clock);
+    this.random = xoroshiro128plus(seed);
+  },
+);
+
+When(
+  'an entry polls it {int} times, every third update of which is lost',
+  function (this: FeedWorld, count: number) {
+    const entryMesh = new TestMesh();
+    const follower = createFollower({
+      ...{ mesh: entryMesh, seeds: [this.mesh.address], now: () => this.clock.now },
+      ...{ describeSelf: () => ENTRY, collectEvidence: () => [], onChange: () => undefined },
+      ...{ onCold: () => undefined, onDependency: () => undefined },
+    });
+    this.followers = [follower];
+    Array.from({ length: count }, (_, index) => index).forEach((index) => {
+      // Entries that the draw passes over for two seconds of this clock expire.
+      this.clock.now += 100;
+      const joining = createEntry(uniformInt(this.random, 0, 30), uniformInt(this.random, 1, 2));
+      requestUpdate(this.mesh, joining, '');
+      follower.pollNow();
+      const own = entryMesh.sent.at(-1)?.[1];
+      if (own?.kind !== 'follow') return;
+      const update = requestUpdate(this.mesh, ENTRY, own.fleetRevision);
+      if (update === undefined || index % 3 === 2) return;
+      entryMesh.receive(this.mesh.address, update);
+      assert.deepEqual(follower.view.entries, this.publisher?.entries, `after poll ${index}`);
+    });
+  },
+);
+
+Then(
+  "after each update that arrives the entry has the publisher's list",
+  function (this: FeedWorld) {
+    const [follower] = this.followers;
+    assert.ok((follower?.view.entries.length ?? 0) > 1);
+  },
+);
+
 After(function (this: Partial<FeedWorld>) {
   this.followers?.forEach((follower) => {
     follower.close();
--- a/src/feed/fleet.ts
+++ b/src/feed/fleet.ts
@@ -1,21 +1,21 @@
 /**
  * Tracks the live entries, as known to a control member. Invariant: an entry from which no member has
- * received a poll for {@link ENTRY_TIMEOUT} is in no list.
+ * received a poll for {@link ENTRY_TIMEOUT} is in no list, and a list keeps its identity until it changes.
  */
+import { createHash } from 'node:crypto';
 import type { Duration, Instant } from '../model/index.js';
-import type { EntryRecord } from './types.js';
+import type { EntryRecord, FleetUpdate } from './types.js';
 
 /** Milliseconds without a poll after which an entry expires; eight of its polls. */
 export const ENTRY_TIMEOUT: Duration = 2000;
+/** Number of earlier lists kept, from which followers are sent differences; others are sent the whole list. */
+const MAX_KEPT_LISTS = 32;
 
 interface ReceivedEntry {
   readonly entry: EntryRecord;
-  readonly receivedAt: Instant;
+  receivedAt: Instant;
 }
 
-/** The entries known to one control member, by id. */
-export type FleetTable = ReadonlyMap<string, ReceivedEntry>;
-
 function isSameEntry(one: EntryRecord, two: EntryRecord): boolean {
   return (
     one.callerAddress === two.callerAddress &&
@@ -26,26 +26,126 @@
   );
 }
 
-/** Adds the record of an entry that was received at an instant, unless a record as recent is known. */
-export function addEntry(table: FleetTable, entry: EntryRecord, receivedAt: Instant): FleetTable {
-  const known = table.get(entry.id);
-  if (known !== undefined && known.receivedAt >= receivedAt) return table;
-  // An unchanged record keeps its object identity, by which the publisher detects changes of the list.
-  const kept = known !== undefined && isSameEntry(known.entry, entry) ? known.entry : entry;
-  return new Map(table).set(entry.id, { entry: kept, receivedAt });
+function compareIds(one: EntryRecord, two: EntryRecord): number {
+  return one.id < two.id ? -1 : 1;
+}
+
+/** The entries known to one control member. */
+export class FleetTable {
+  readonly #received = new Map<string, ReceivedEntry>();
+  #entries: readonly EntryRecord[] | undefined;
+
+  /** The entries sorted by id. */
+  get entries(): readonly EntryRecord[] {
+    this.#entries ??= [...this.#received.values()].map(({ entry }) => entry).sort(compareIds);
+    return this.#entries;
+  }
+
+  /** Adds the record of an entry that was received at an instant, unless a record as recent is known. */
+  add(entry: EntryRecord, receivedAt: Instant): void {
+    const known = this.#received.get(entry.id);
+    if (known !== undefined && known.receivedAt >= receivedAt) return;
+    if (known !== undefined && isSameEntry(known.entry, entry)) {
+      known.receivedAt = receivedAt;
+      return;
+    }
+    this.#received.set(entry.id, { entry, receivedAt });
+    this.#entries = undefined;
+  }
+
+  /** Removes the expired entries. */
+  prune(now: Instant): void {
+    const expired = [...this.#received.values()].filter(
+      ({ receivedAt }) => now - receivedAt > ENTRY_TIMEOUT,
+    );
+    expired.forEach(({ entry }) => this.#received.delete(entry.id));
+    if (expired.length > 0) this.#entries = undefined;
+  }
+
+  /** Returns the entries with the milliseconds since each was received. */
+  listAges(now: Instant): readonly (readonly [entry: EntryRecord, age: Duration])[] {
+    return [...this.#received.values()].map(
+      ({ entry, receivedAt }) => [entry, now - receivedAt] as const,
+    );
+  }
+}
+
+/**
+ * Applies an update to a list of entries with the given revision. Returns undefined if the update is a
+ * difference from another list.
+ *
+ * @example
+ * applyFleetUpdate([], '', { kind: 'whole', revision: 'r1', entries }) // entries
+ */
+export function applyFleetUpdate(
+  entries: readonly EntryRecord[],
+  revision: string,
+  update: FleetUpdate,
+): readonly EntryRecord[] | undefined {
+  switch (update.kind) {
+    case 'whole':
+      return update.entries;
+    case 'difference': {
+      if (update.base !== revision) return undefined;
+      const replaced = new Set([...update.removed, ...update.changed.map(({ id }) => id)]);
+      return [...entries.filter(({ id }) => !replaced.has(id)), ...update.changed].sort(compareIds);
+    }
+  }
 }
 
-/** Removes the expired entries. */
-export function pruneEntries(table: FleetTable, now: Instant): FleetTable {
-  const hasExpired = [...table.values()].some(({ receivedAt }) => now - receivedAt > ENTRY_TIMEOUT);
-  return hasExpired
-    ? new Map([...table].filter(([, { receivedAt }]) => now - receivedAt <= ENTRY_TIMEOUT))
-    : table;
+function computeDifference(
+  base: readonly EntryRecord[],
+  entries: readonly EntryRecord[],
+): Pick<Extract<FleetUpdate, { kind: 'difference' }>, 'changed' | 'removed'> {
+  const known = new Map(base.map((entry) => [entry.id, entry]));
+  const ids = new Set(entries.map(({ id }) => id));
+  return {
+    changed: entries.filter((entry) => known.get(entry.id) !== entry),
+    removed: base.filter(({ id }) => !ids.has(id)).map(({ id }) => id),
+  };
 }
 
-/** Returns the entries sorted by id. */
-export function listEntries(table: FleetTable): readonly EntryRecord[] {
-  return [...table.values()]
-    .map(({ entry }) => entry)
-    .sort((one, two) => (one.id < two.id ? -1 : 1));
+/** The current list of entries of a control member, and updates to it from earlier lists. */
+export class FleetHistory {
+  /** The latest lists by revision, oldest first. */
+  readonly #lists = new Map<string, readonly EntryRecord[]>();
+  /** Updates to the current list by the revision that they are for; most followers need the same one. */
+  readonly #updates = new Map<string, FleetUpdate>();
+  #entries: readonly EntryRecord[] = [];
+  #revision = '';
+
+  /** A digest of the current list, which is the same at all control members. */
+  get revision(): string {
+    return this.#revision;
+  }
+
+  /** Sets the current list. A list object that is known already costs nothing. */
+  setEntries(entries: readonly EntryRecord[]): void {
+    if (entries === this.#entries && this.#revision !== '') return;
+    this.#entries = entries;
+    this.#revision = createHash('sha256').update(JSON.stringify(entries)).digest('base64');
+    this.#updates.clear();
+    this.#lists.delete(this.#revision);
+    this.#lists.set(this.#revision, entries);
+    const [oldest] = this.#lists.keys();
+    if (this.#lists.size > MAX_KEPT_LISTS && oldest !== undefined) this.#lists.delete(oldest);
+  }
+
+  /** Returns the update for a follower that has the list with this revision, if it needs one. */
+  createUpdate(revision: string): FleetUpdate | undefined {
+    if (revision === this.#revision) return undefined;
+    const base = this.#lists.get(revision);
+    const key = base === undefined ? '' : revision;
+    const known = this.#updates.get(key);
+    if (known !== undefined) return known;
+    const update: FleetUpdate =
+      base === undefined
+        ? { kind: 'whole', revision: this.#revision, entries: this.#entries }
+        : {
+            ...{ kind: 'difference', base: revision, revision: this.#revision },
+            ...computeDifference(base, this.#entries),
+          };
+    this.#updates.set(key, update);
+    return update;
+  }
 }
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -9,6 +9,7 @@
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
 import { decodeCommands, decodeState, type IndexedCommands } from './codec.js';
+import { applyFleetUpdate } from './fleet.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
 
 /** Interval of polls to the followed control member, in milliseconds. */
@@ -170,8 +171,11 @@
     const hasGap = after > this.#view.index;
     if (commands !== undefined && !hasGap) this.#applyCommands(decodeCommands(commands));
     if (fleet === undefined || fleet.revision === this.#fleetRevision) return;
+    const entries = applyFleetUpdate(this.#view.entries, this.#fleetRevision, fleet);
+    // A difference from another list crossed an update on its way; the next poll asks again.
+    if (entries === undefined) return;
     this.#fleetRevision = fleet.revision;
-    this.#view = { ...this.#view, entries: fleet.entries };
+    this.#view = { ...this.#view, entries };
     onChange(this.#view, { kind: 'fleet' });
   }
 
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -2,14 +2,13 @@
  * Publishes the catalog of a control member to the entries that follow it. Invariant: a follower is sent each
  * command after its index once and in order, or the whole state.
  */
-import { createHash } from 'node:crypto';
 import { type Catalog, type CatalogCommand } from '../catalog/index.js';
 import { toAddress, type ControlNode } from '../control/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
 import { mergeEvidence, type EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
 import { encodeCommands, encodeState, type Payload, type IndexedCommands } from './codec.js';
-import { addEntry, listEntries, pruneEntries, type FleetTable } from './fleet.js';
+import { FleetHistory, FleetTable } from './fleet.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage, type GroupStatus } from './types.js';
 
 /** Maximum number of recent commands kept for followers that lag; others get the whole state. */
@@ -44,12 +43,6 @@
   readonly lastCallAt: Instant;
 }
 
-/** The live entries with a digest that identifies their list in polls. */
-interface FleetDescription {
-  readonly entries: readonly EntryRecord[];
-  readonly revision: string;
-}
-
 /** The last encoded payload; `key` identifies its content. */
 interface EncodedPayload {
   readonly key: string;
@@ -64,12 +57,12 @@
   #commands: readonly (readonly [number, CatalogCommand])[] = [];
   /** The log index after which {@link #commands} holds every command. */
   #completeAfter: number;
-  #fleet: FleetTable = new Map();
-  #ownFollowers: FleetTable = new Map();
+  readonly #fleet = new FleetTable();
+  readonly #ownFollowers = new FleetTable();
+  readonly #fleetHistory = new FleetHistory();
   #evidence: readonly EvidenceRow[] = [];
   #encodedCommands: EncodedPayload = { key: '', payload: [false, new Uint8Array()] };
   #encodedState: EncodedPayload = { key: '', payload: [false, new Uint8Array()] };
-  #fleetDescription: FleetDescription = { entries: [], revision: '' };
 
   constructor(options: PublisherOptions) {
     this.#options = options;
@@ -86,7 +79,7 @@
   }
 
   get entries(): readonly EntryRecord[] {
-    return listEntries(this.#fleet);
+    return this.#fleet.entries;
   }
 
   close(): void {
@@ -127,18 +120,17 @@
     const now = this.#options.now();
     switch (message.kind) {
       case 'follow': {
-        this.#fleet = addEntry(this.#fleet, message.entry, now);
-        this.#ownFollowers = addEntry(this.#ownFollowers, message.entry, now);
+        this.#fleet.add(message.entry, now);
+        this.#ownFollowers.add(message.entry, now);
         this.#handleEvidence(message.evidence);
         const { index, fleetRevision } = message;
         this.#sendUpdate(from, { index, fleetRevision, lastCallAt: now });
         return;
       }
       case 'followers':
-        this.#fleet = message.entries.reduce(
-          (table, [entry, age]) => addEntry(table, entry, now - age),
-          this.#fleet,
-        );
+        message.entries.forEach(([entry, age]) => {
+          this.#fleet.add(entry, now - age);
+        });
         return;
       case 'evidence':
         this.#handleEvidence(message.rows);
@@ -170,8 +162,8 @@
 
   #sendUpdate(to: Address, follower: FollowerState): void {
     const { control, mesh, listCold, now } = this.#options;
-    this.#fleet = pruneEntries(this.#fleet, now());
-    const { entries, revision } = this.#describeFleet();
+    this.#fleet.prune(now());
+    this.#fleetHistory.setEntries(this.#fleet.entries);
     const isBehind = follower.index < this.#completeAfter;
     const commands = isBehind ? [] : this.#commands.filter(([index]) => index > follower.index);
     const last = commands.at(-1)?.[0];
@@ -182,10 +174,11 @@
       after: follower.index,
       commands: last === undefined ? undefined : this.#encodeCommands(commands, last),
       cold: isBehind ? listCold() : {},
-      fleet: revision === follower.fleetRevision ? undefined : { revision, entries },
+      fleet: this.#fleetHistory.createUpdate(follower.fleetRevision),
       members: this.#listMembers(),
     } satisfies FeedMessage);
     const index = Math.max(follower.index, isBehind ? control.appliedIndex : (last ?? 0));
+    const { revision } = this.#fleetHistory;
     this.#followers.set(to, { ...follower, index, fleetRevision: revision });
   }
 
@@ -206,28 +199,11 @@
     return this.#encodedState.payload;
   }
 
-  /** Returns the entries with a digest of their list, which is recomputed only after a change. */
-  #describeFleet(): FleetDescription {
-    const entries = listEntries(this.#fleet);
-    const known = this.#fleetDescription.entries;
-    if (
-      entries.length === known.length &&
-      entries.every((entry, position) => entry === known[position])
-    ) {
-      return this.#fleetDescription;
-    }
-    const revision = createHash('sha256').update(JSON.stringify(entries)).digest('base64');
-    this.#fleetDescription = { entries, revision };
-    return this.#fleetDescription;
-  }
-
   /** Sends this member's followers to the other members, and the collected evidence to the leader. */
   #shareWithMembers(): void {
     const { control, mesh, now } = this.#options;
-    this.#ownFollowers = pruneEntries(this.#ownFollowers, now());
-    const entries = [...this.#ownFollowers.values()].map(
-      ({ entry, receivedAt }) => [entry, now() - receivedAt] as const,
-    );
+    this.#ownFollowers.prune(now());
+    const entries = this.#ownFollowers.listAges(now());
     if (entries.length > 0) {
       this.#listMembers()
         .filter((member) => member !== mesh.address)
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -23,6 +23,23 @@
   readonly ready: boolean;
 }
 
+/** An update of a follower's list of live entries. `revision` is a digest of the resulting list. */
+export type FleetUpdate =
+  | {
+      readonly kind: 'whole';
+      readonly revision: string;
+      readonly entries: readonly EntryRecord[];
+    }
+  /** The difference from the list with the revision `base`. */
+  | {
+      readonly kind: 'difference';
+      readonly base: string;
+      readonly revision: string;
+      readonly changed: readonly EntryRecord[];
+      /** Ids of the entries that are no longer listed. */
+      readonly removed: readonly string[];
+    };
+
 /** Messages between entries and control members. */
 export type FeedMessage =
   /** A poll of an entry for the commands after `index`. */
@@ -45,8 +62,7 @@
       readonly commands: Payload | undefined;
       /** Milliseconds for which each cold instance stays cold; filled only together with `base`. */
       readonly cold: Readonly<Record<string, Duration>>;
-      readonly fleet:
-        { readonly revision: string; readonly entries: readonly EntryRecord[] } | undefined;
+      readonly fleet: FleetUpdate | undefined;
       readonly members: readonly Address[];
     }
   /** A control member's followers, sent to the other members. */
