Follow a control member of the own zone, and share followers as differences

An entry prefers a member that runs on the host of a live entry of its zone, unless it gave that member up in the last 5 s. A member that is given up is tried again after all others. Members send each other a digest, the change since the last message, and the ids of followers that did not poll just now; a receiver that misses a change asks for the whole list. Members of old and new builds don't read each other's lists of followers.

features/feed: a message about 60 followers takes at most 200 bytes and lost ones are made up for; all entries of a zone follow its member, and leave it when it is silent.

--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -42,3 +42,19 @@
     Given a feed publisher whose followers join, change and leave at random, with seed 11
     When an entry polls it 400 times, every third update of which is lost
     Then after each update that arrives the entry has the publisher's list
+
+  Scenario: Control members tell each other the changes of their followers
+    Given two feed publishers, of which the first one is followed by 60 entries
+    Then within 2000 ms the second one lists 60 entries
+    And while nothing changes, a message about the followers takes at most 200 bytes
+    When an entry stops, and the next 2 messages between the publishers are lost
+    Then within 3000 ms the second one lists 60 entries, of which 59 are ready
+    When 20 of the entries no longer poll
+    Then within 4000 ms the second one lists 40 entries
+
+  Scenario: Entries follow a control member of their own zone, as long as it answers
+    Given 40 entries in zone "b" that follow the seed "10.1.0.18:7200"
+    When the seed sends them 4 members, of which "10.2.0.34:7200" runs beside an entry of zone "b"
+    Then all entries follow "10.2.0.34:7200"
+    When that member is silent for 1000 ms, while the list of entries changes
+    Then none of the entries follows "10.2.0.34:7200"
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -1,5 +1,6 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
@@ -28,7 +29,7 @@
 
 /** A mesh endpoint that records sent messages and delivers the messages that a test passes to `receive`. */
 class TestMesh implements Mesh {
-  readonly address = '10.1.0.18:7200';
+  readonly address: Address = '10.1.0.18:7200';
   readonly sent: (readonly [to: Address, message: FeedMessage])[] = [];
   readonly traffic = { messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 };
   #handler: MessageHandler = () => undefined;
@@ -452,7 +453,180 @@
   },
 );
 
-After(function (this: Partial<FeedWorld>) {
+/** Two meshes of which each delivers what the other one sends, except for the messages that a test drops. */
+class LinkedMesh extends TestMesh {
+  peer: LinkedMesh | undefined;
+  lost = 0;
+
+  constructor(override readonly address: Address) {
+    super();
+  }
+
+  override send(to: Address, channel: string, message: unknown): void {
+    super.send(to, channel, message);
+    if (to !== this.peer?.address) return;
+    if (this.lost > 0) this.lost -= 1;
+    else this.peer.receive(this.address, message as FeedMessage);
+  }
+}
+
+interface PairWorld extends FeedWorld {
+  pair: readonly [LinkedMesh, LinkedMesh];
+  publishers: readonly [Publisher, Publisher];
+  polling: readonly EntryRecord[];
+  pollTimer: NodeJS.Timeout | undefined;
+}
+
+async function waitForEntries(
+  { publishers }: PairWorld,
+  time: number,
+  isReached: (entries: readonly EntryRecord[]) => boolean,
+): Promise<void> {
+  const until = performance.now() + time;
+  while (!isReached(publishers[1].entries) && performance.now() < until) await sleep(20);
+  assert.ok(isReached(publishers[1].entries), `it lists ${publishers[1].entries.length}`);
+}
+
+Given(
+  'two feed publishers, of which the first one is followed by {int} entries',
+  function (this: PairWorld, count: number) {
+    this.pair = [new LinkedMesh('10.1.0.18:7200'), new LinkedMesh('10.2.0.34:7200')];
+    const [first, second] = this.pair;
+    Object.assign(first, { peer: second });
+    Object.assign(second, { peer: first });
+    const members = this.pair.map(({ address }) => ({ id: address, voter: true }));
+    const open = (mesh: TestMesh): Publisher =>
+      createPublisher({
+        ...{ mesh, control: createControl({ members }), now: () => performance.now() },
+        ...{ listCold: () => ({}), onGroupFound: () => undefined, onEvidence: () => undefined },
+      });
+    this.publishers = [open(first), open(second)];
+    this.polling = Array.from({ length: count }, (_, index) => createEntry(index, 1));
+    this.pollTimer = setInterval(() => {
+      this.polling.forEach((entry) => {
+        first.receive(entry.peerAddress, {
+          ...{ kind: 'follow', entry, index: 0, fleetRevision: '', evidence: [] },
+        });
+      });
+    }, 250);
+  },
+);
+
+Then(
+  'within {int} ms the second one lists {int} entries',
+  async function (this: PairWorld, time: number, count: number) {
+    await waitForEntries(this, time, (entries) => entries.length === count);
+  },
+);
+
+Then(
+  'while nothing changes, a message about the followers takes at most {int} bytes',
+  async function (this: PairWorld, most: number) {
+    const [{ sent }] = this.pair;
+    sent.length = 0;
+    await sleep(900);
+    const shared = sent.filter(([, { kind }]) => kind === 'followers');
+    assert.ok(shared.length > 0);
+    shared.forEach(([, message]) => {
+      assert.ok(JSON.stringify(message).length <= most, JSON.stringify(message));
+    });
+  },
+);
+
+When(
+  'an entry stops, and the next {int} messages between the publishers are lost',
+  function (this: PairWorld, lost: number) {
+    this.polling = this.polling.map((entry, index) => ({ ...entry, ready: index > 0 }));
+    this.pair[0].lost = lost;
+  },
+);
+
+Then(
+  'within {int} ms the second one lists {int} entries, of which {int} are ready',
+  async function (this: PairWorld, time: number, count: number, ready: number) {
+    await waitForEntries(
+      this,
+      time,
+      (entries) =>
+        entries.length === count && entries.filter((entry) => entry.ready).length === ready,
+    );
+  },
+);
+
+When('{int} of the entries no longer poll', function (this: PairWorld, count: number) {
+  this.polling = this.polling.slice(count);
+});
+
+interface ZoneFollowerWorld extends FeedWorld {
+  fleetEntries: readonly EntryRecord[];
+}
+
+Given(
+  '{int} entries in zone {string} that follow the seed {string}',
+  function (this: ZoneFollowerWorld, count: number, zone: string, seed: string) {
+    this.seed = seed;
+    this.clock = { now: 0 };
+    this.meshes = Array.from({ length: count }, () => new TestMesh());
+    this.followers = this.meshes.map((mesh, index) =>
+      createFollower({
+        ...{ mesh, seeds: [seed], now: () => this.clock.now, onChange: () => undefined },
+        describeSelf: () => ({ ...createEntry(index, 1), zone }),
+        ...{ collectEvidence: () => [], onCold: () => undefined, onDependency: () => undefined },
+      }),
+    );
+  },
+);
+
+function sendList(world: ZoneFollowerWorld, from: Address, revision: string): void {
+  const fleet: FleetUpdate = { kind: 'whole', revision, entries: world.fleetEntries };
+  world.meshes.forEach((mesh) => {
+    mesh.receive(from, {
+      ...{ kind: 'news', healthy: true, base: undefined, after: 0, commands: undefined },
+      ...{ cold: {}, fleet, members: world.groupMembers },
+    });
+  });
+}
+
+When(
+  'the seed sends them 4 members, of which {string} runs beside an entry of zone {string}',
+  function (this: ZoneFollowerWorld, member: string, zone: string) {
+    this.groupMembers = [this.seed, member, '10.3.0.12:7200', '10.4.0.20:7200'];
+    const beside = { ...createEntry(900, 1), zone, peerAddress: member.replace(':7200', ':7215') };
+    this.fleetEntries = [...Array.from({ length: 6 }, (_, at) => createEntry(at, 1)), beside];
+    sendList(this, this.seed, 'r1');
+  },
+);
+
+function listFollowed({ meshes }: FeedWorld): readonly (Address | undefined)[] {
+  return meshes.map(({ sent }) => sent.at(-1)?.[0]);
+}
+
+Then('all entries follow {string}', function (this: ZoneFollowerWorld, member: string) {
+  assert.deepEqual([...new Set(listFollowed(this))], [member]);
+});
+
+When(
+  'that member is silent for {int} ms, while the list of entries changes',
+  async function (this: ZoneFollowerWorld, time: number) {
+    this.clock.now += time;
+    // The followers' own timer polls within 250 ms and finds the member silent.
+    await sleep(400);
+    this.fleetEntries = this.fleetEntries.slice(1);
+    sendList(this, this.seed, 'r2');
+    await sleep(300);
+  },
+);
+
+Then('none of the entries follows {string}', function (this: ZoneFollowerWorld, member: string) {
+  assert.ok(!listFollowed(this).includes(member));
+});
+
+After(function (this: Partial<PairWorld>) {
+  clearInterval(this.pollTimer);
+  this.publishers?.forEach((publisher) => {
+    publisher.close();
+  });
+
   this.followers?.forEach((follower) => {
     follower.close();
   });
--- a/src/feed/fleet.ts
+++ b/src/feed/fleet.ts
@@ -62,22 +62,19 @@
     if (expired.length > 0) this.#entries = undefined;
   }
 
-  /** Returns the entries with the milliseconds since each was received. */
-  listAges(now: Instant): readonly (readonly [entry: EntryRecord, age: Duration])[] {
-    return [...this.#received.values()].map(
-      ({ entry, receivedAt }) => [entry, now - receivedAt] as const,
-    );
+  /** Returns the ids of the entries that were received over `age` milliseconds ago, with their ages. */
+  listSilent(age: Duration, now: Instant): readonly (readonly [id: string, age: Duration])[] {
+    return [...this.#received]
+      .filter(([, { receivedAt }]) => now - receivedAt > age)
+      .map(([id, { receivedAt }]) => [id, now - receivedAt] as const);
   }
 }
 
 /**
  * Applies an update to a list of entries with the given revision. Returns undefined if the update is a
  * difference from another list.
- *
- * @example
- * applyFleetUpdate([], '', { kind: 'whole', revision: 'r1', entries }) // entries
  */
-export function applyFleetUpdate(
+function applyFleetUpdate(
   entries: readonly EntryRecord[],
   revision: string,
   update: FleetUpdate,
@@ -105,6 +102,30 @@
   };
 }
 
+/** A list of entries that is kept up to date by updates from another process. */
+export class FleetCopy {
+  #entries: readonly EntryRecord[] = [];
+  #revision = '';
+
+  get entries(): readonly EntryRecord[] {
+    return this.#entries;
+  }
+
+  get revision(): string {
+    return this.#revision;
+  }
+
+  /** Applies an update and returns whether the list changed. A difference from another list is ignored. */
+  apply(update: FleetUpdate): boolean {
+    if (update.revision === this.#revision) return false;
+    const entries = applyFleetUpdate(this.#entries, this.#revision, update);
+    if (entries === undefined) return false;
+    this.#entries = entries;
+    this.#revision = update.revision;
+    return true;
+  }
+}
+
 /** The current list of entries of a control member, and updates to it from earlier lists. */
 export class FleetHistory {
   /** The latest lists by revision, oldest first. */
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -4,12 +4,12 @@
  * update become visible together, so that an entry that catches up never acts on a state from between them.
  */
 import { applyCommand, emptyCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
-import type { Address, Duration, Instant } from '../model/index.js';
+import { parseAddress, type Address, type Duration, type Instant } from '../model/index.js';
 import { hashText } from '../routing/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
 import { decodeCommands, decodeState, type IndexedCommands } from './codec.js';
-import { applyFleetUpdate } from './fleet.js';
+import { FleetCopy } from './fleet.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
 
 /** Interval of polls to the followed control member, in milliseconds. */
@@ -17,6 +17,9 @@
 /** Milliseconds without an answer after which the entry follows another control member. */
 const ANSWER_TIMEOUT: Duration = 700;
 
+/** Milliseconds for which a member that was given up isn't preferred for being in the entry's zone. */
+const GIVEN_UP_TIME: Duration = 5000;
+
 /** Cause of a change of the entry's view. */
 export type FeedChange =
   | { readonly kind: 'replaced' }
@@ -61,12 +64,15 @@
   readonly #options: FollowerOptions;
   readonly #timer: NodeJS.Timeout;
   #view: FeedView = { catalog: emptyCatalog, index: 0, entries: [] };
-  #fleetRevision = '';
+  readonly #fleet = new FleetCopy();
   #members: readonly Address[];
   #followed: Address;
   #followedSince: Instant;
   #lastHealthyAnswerAt: Instant;
   #isLost = true;
+  /** Hosts of the live entries in this entry's zone, on which members of that zone run too. */
+  #zoneHosts: ReadonlySet<string> = new Set();
+  readonly #givenUpAt = new Map<Address, Instant>();
 
   constructor(options: FollowerOptions) {
     this.#options = options;
@@ -97,7 +103,7 @@
       kind: 'follow',
       entry: this.#options.describeSelf(),
       index: this.#view.index,
-      fleetRevision: this.#fleetRevision,
+      fleetRevision: this.#fleet.revision,
       evidence: this.#options.collectEvidence(),
     } satisfies FeedMessage);
   }
@@ -106,14 +112,29 @@
     clearInterval(this.#timer);
   }
 
-  /** Ranks the members in an order that depends on this entry's id, which spreads entries over the members. */
-  #rankMembers(): readonly Address[] {
+  /**
+   * Ranks the members: first those of the own zone, as polls between zones are expensive, each part in an
+   * order that depends on this entry's id, which spreads entries over the members.
+   */
+  #rankMembers(): Address[] {
     const own = this.#options.describeSelf().id;
     const all = [...new Set([...this.#members, ...this.#options.seeds])];
-    return all
+    const ranked = all
       .map((member) => [hashText(`${own} ${member}`), member] as const)
       .sort(([one], [two]) => one - two)
       .map(([, member]) => member);
+    return [true, false].flatMap((isNear) =>
+      ranked.filter((member) => this.#isNear(member) === isNear),
+    );
+  }
+
+  #isNear(member: Address): boolean {
+    const isGivenUp = this.#options.now() - this.#getGivenUpAt(member) <= GIVEN_UP_TIME;
+    return !isGivenUp && this.#zoneHosts.has(parseAddress(member).host);
+  }
+
+  #getGivenUpAt(member: Address): Instant {
+    return this.#givenUpAt.get(member) ?? -Number.MAX_VALUE;
   }
 
   #poll(): void {
@@ -128,8 +149,11 @@
       this.#isLost = true;
       this.#options.onDependency('lost', this.#followed);
     }
-    const ranked = this.#rankMembers();
-    this.#followed = ranked[(ranked.indexOf(this.#followed) + 1) % ranked.length] ?? '';
+    this.#givenUpAt.set(this.#followed, this.#options.now());
+    const others = this.#rankMembers().filter((member) => member !== this.#followed);
+    // The longest ago given up, or never, comes first, so that every member is tried in turn.
+    const [next] = others.sort((one, two) => this.#getGivenUpAt(one) - this.#getGivenUpAt(two));
+    this.#followed = next ?? this.#followed;
     this.#followedSince = this.#options.now();
   }
 
@@ -153,13 +177,29 @@
   #updateMembers(members: readonly Address[]): void {
     if (members.join() === this.#members.join()) return;
     this.#members = members;
-    const preferred = this.#rankMembers().find((member) => members.includes(member));
+    this.#followPreferred();
+  }
+
+  #followPreferred(): void {
+    const preferred = this.#rankMembers().find((member) => this.#members.includes(member));
     if (preferred === undefined || preferred === this.#followed) return;
     this.#followed = preferred;
     this.#followedSince = this.#options.now();
     this.pollNow();
   }
 
+  /** Switches to a member of the own zone once one is known. */
+  #updateZoneHosts(entries: readonly EntryRecord[]): void {
+    const { zone } = this.#options.describeSelf();
+    this.#zoneHosts = new Set(
+      entries
+        .filter((entry) => entry.zone === zone)
+        .map(({ peerAddress }) => parseAddress(peerAddress).host),
+    );
+    const isNearKnown = this.#members.some((member) => this.#isNear(member));
+    if (isNearKnown && !this.#isNear(this.#followed)) this.#followPreferred();
+  }
+
   #applyUpdate(update: Extract<FeedMessage, { kind: 'news' }>): void {
     const { base, after, commands, cold, fleet } = update;
     const { onChange, onCold } = this.#options;
@@ -170,12 +210,11 @@
     }
     const hasGap = after > this.#view.index;
     if (commands !== undefined && !hasGap) this.#applyCommands(decodeCommands(commands));
-    if (fleet === undefined || fleet.revision === this.#fleetRevision) return;
-    const entries = applyFleetUpdate(this.#view.entries, this.#fleetRevision, fleet);
-    // A difference from another list crossed an update on its way; the next poll asks again.
-    if (entries === undefined) return;
-    this.#fleetRevision = fleet.revision;
+    // After a difference from another list, which crossed an update on its way, the next poll asks again.
+    if (fleet === undefined || !this.#fleet.apply(fleet)) return;
+    const { entries } = this.#fleet;
     this.#view = { ...this.#view, entries };
+    this.#updateZoneHosts(entries);
     onChange(this.#view, { kind: 'fleet' });
   }
 
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -8,13 +8,15 @@
 import { mergeEvidence, type EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
 import { encodeCommands, encodeState, type Payload, type IndexedCommands } from './codec.js';
-import { FleetHistory, FleetTable } from './fleet.js';
+import { FleetCopy, FleetHistory, FleetTable } from './fleet.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage, type GroupStatus } from './types.js';
 
 /** Maximum number of recent commands kept for followers that lag; others get the whole state. */
 const MAX_KEPT_COMMANDS = 512;
 /** Interval in milliseconds at which followers and evidence are sent to other control members. */
 const SHARE_INTERVAL: Duration = 400;
+/** Milliseconds since its last poll from which a follower is listed as silent; longer than between two polls. */
+const SILENCE_THRESHOLD: Duration = 300;
 /** Milliseconds after its last poll during which a follower is sent updates without polling. */
 const FOLLOWER_TIMEOUT: Duration = 1500;
 
@@ -60,6 +62,11 @@
   readonly #fleet = new FleetTable();
   readonly #ownFollowers = new FleetTable();
   readonly #fleetHistory = new FleetHistory();
+  readonly #ownHistory = new FleetHistory();
+  /** The revision of the own followers that each other member was last sent. */
+  readonly #sharedRevisions = new Map<Address, string>();
+  /** The followers of the other members. */
+  readonly #sharedFollowers = new Map<Address, FleetCopy>();
   #evidence: readonly EvidenceRow[] = [];
   #encodedCommands: EncodedPayload = { key: '', payload: [false, new Uint8Array()] };
   #encodedState: EncodedPayload = { key: '', payload: [false, new Uint8Array()] };
@@ -79,6 +86,7 @@
   }
 
   get entries(): readonly EntryRecord[] {
+    this.#fleet.prune(this.#options.now());
     return this.#fleet.entries;
   }
 
@@ -128,9 +136,10 @@
         return;
       }
       case 'followers':
-        message.entries.forEach(([entry, age]) => {
-          this.#fleet.add(entry, now - age);
-        });
+        this.#receiveFollowers(from, message);
+        return;
+      case 'findFollowers':
+        this.#sharedRevisions.delete(from);
         return;
       case 'evidence':
         this.#handleEvidence(message.rows);
@@ -199,18 +208,41 @@
     return this.#encodedState.payload;
   }
 
+  /** Refreshes the followers of another member, except for those that it calls silent. */
+  #receiveFollowers(
+    from: Address,
+    { revision, update, silent }: Extract<FeedMessage, { kind: 'followers' }>,
+  ): void {
+    const copy = this.#sharedFollowers.get(from) ?? new FleetCopy();
+    this.#sharedFollowers.set(from, copy);
+    if (update !== undefined) copy.apply(update);
+    if (copy.revision !== revision) {
+      this.#options.mesh.send(from, FEED_CHANNEL, { kind: 'findFollowers' } satisfies FeedMessage);
+      return;
+    }
+    const now = this.#options.now();
+    const ages = new Map(silent);
+    copy.entries.forEach((entry) => {
+      this.#fleet.add(entry, now - (ages.get(entry.id) ?? 0));
+    });
+  }
+
   /** Sends this member's followers to the other members, and the collected evidence to the leader. */
   #shareWithMembers(): void {
     const { control, mesh, now } = this.#options;
     this.#ownFollowers.prune(now());
-    const entries = this.#ownFollowers.listAges(now());
-    if (entries.length > 0) {
-      this.#listMembers()
-        .filter((member) => member !== mesh.address)
-        .forEach((member) => {
-          mesh.send(member, FEED_CHANNEL, { kind: 'followers', entries } satisfies FeedMessage);
-        });
-    }
+    this.#ownHistory.setEntries(this.#ownFollowers.entries);
+    const { revision } = this.#ownHistory;
+    const silent = this.#ownFollowers.listSilent(SILENCE_THRESHOLD, now());
+    this.#listMembers()
+      .filter((member) => member !== mesh.address)
+      .forEach((member) => {
+        const update = this.#ownHistory.createUpdate(this.#sharedRevisions.get(member) ?? '');
+        this.#sharedRevisions.set(member, revision);
+        mesh.send(member, FEED_CHANNEL, {
+          ...{ kind: 'followers', revision, update, silent },
+        } satisfies FeedMessage);
+      });
     const { leader } = control.status;
     if (this.#evidence.length === 0 || leader === undefined) return;
     mesh.send(leader, FEED_CHANNEL, {
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -68,8 +68,15 @@
   /** A control member's followers, sent to the other members. */
   | {
       readonly kind: 'followers';
-      readonly entries: readonly (readonly [entry: EntryRecord, age: Duration])[];
+      /** The digest of the sender's list of followers. */
+      readonly revision: string;
+      /** The change of the list since the last message to this member, if any. */
+      readonly update: FleetUpdate | undefined;
+      /** Ids of followers that did not poll just now, with the milliseconds since their last poll. */
+      readonly silent: readonly (readonly [id: string, age: Duration])[];
     }
+  /** A request for the whole list of the receiver's followers, as the last change is missing. */
+  | { readonly kind: 'findFollowers' }
   /** Evidence from a control member's followers, sent to the leader. */
   | { readonly kind: 'evidence'; readonly rows: readonly EvidenceRow[] }
   /** A request for the members of the group, from a process without state. */
