Send load reports to other zones together, as often as they stay useful

A report is out of date after about the time that a request takes.

FarReports keeps the rows until those of some service are twice as old as its shortest work, 1.5 s at most, and then sends all; what has become cold or unreachable is told in the next round, alone. Where requests take 60 ms, nothing changes. AverageWork takes the estimates of a route's work out of the gateway.

features/gateway/gossip.feature: 8 upstreams observed for 6 s are told in at most 5 rounds, no counted answer is lost.

--- a/features/gateway/gossip.feature
+++ b/features/gateway/gossip.feature
@@ -32,3 +32,10 @@
       | gateways | near | far |
       | 12       | 16   | 10  |
       | 40       | 10   | 8   |
+
+  Scenario: Load reports for other zones are sent together, and at once only if an upstream worsens
+    Given the reports of 8 upstreams for other zones, which are sent every 1300 ms
+    When each upstream is observed every 150 ms for 6000 ms, in rounds of 300 ms
+    Then other zones are sent at most 5 rounds of reports, with all answers that were counted
+    When an upstream becomes cold between two rounds
+    Then the next round tells other zones of that upstream alone
--- a/features/gateway/gossip.steps.ts
+++ b/features/gateway/gossip.steps.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EntryRecord } from '../../src/feed/index.js';
 import { addCounts, addReport, UpstreamRegistry } from '../../src/gateway/registry.js';
+import { FarReports, type DueReports } from '../../src/gateway/farreports.js';
 import { createLoadGossip, type LoadGossip } from '../../src/gateway/gossip.js';
 import { planGossip, type GossipPlan } from '../../src/gateway/relays.js';
 import type { UpstreamRecord } from '../../src/gateway/types.js';
@@ -93,6 +94,7 @@
       getRecord: (key) => registry.getByKey(key),
       isProber: () => false,
       getPlan: () => plan,
+      getFarInterval: () => 0,
       onReport: ({ reportedAt, good, bad, running, waiting, pace }) => {
         // The age of a report is rounded to milliseconds, so the same report may look slightly newer.
         if (reportedAt > record.reportedAt + 5) member.received += 1;
@@ -201,6 +203,75 @@
   });
 });
 
+interface FarWorld extends GossipWorld {
+  farReports: FarReports;
+  farRecords: readonly UpstreamRecord[];
+  rounds: readonly DueReports[];
+  counted: number;
+  now: number;
+}
+
+Given(
+  'the reports of {int} upstreams for other zones, which are sent every {int} ms',
+  function (this: FarWorld, count: number, interval: number) {
+    const registry = new UpstreamRegistry();
+    registry.update(createCatalog(Array.from({ length: count }, (_, index) => `u${index}`)));
+    this.farRecords = registry.records;
+    this.farReports = new FarReports({
+      getRecord: (key) => registry.getByKey(key),
+      getInterval: () => interval,
+    });
+    this.now = 0;
+    this.counted = 0;
+    this.rounds = [];
+  },
+);
+
+function runRound(world: FarWorld): DueReports {
+  world.now += 300;
+  const due = world.farReports.takeDue(world.now);
+  if (due.all.size > 0) world.rounds = [...world.rounds, due];
+  return due;
+}
+
+When(
+  'each upstream is observed every {int} ms for {int} ms, in rounds of 300 ms',
+  function (this: FarWorld, interval: number, time: number) {
+    const perRound = 300 / interval;
+    Array.from({ length: time / 300 }).forEach(() => {
+      const own = new Map(this.farRecords.map(({ key }) => [key, [perRound, 0] as const]));
+      this.farReports.add(own, new Map());
+      this.counted += perRound * own.size;
+      runRound(this);
+    });
+  },
+);
+
+Then(
+  'other zones are sent at most {int} rounds of reports, with all answers that were counted',
+  function (this: FarWorld, most: number) {
+    assert.ok(this.rounds.length <= most, `${this.rounds.length} rounds`);
+    this.now += 1300;
+    runRound(this);
+    const sent = this.rounds.flatMap(({ all }) => [...all.values()].map(([good]) => good));
+    assert.equal(
+      sent.reduce((sum, good) => sum + good, 0),
+      this.counted,
+    );
+  },
+);
+
+When('an upstream becomes cold between two rounds', function (this: FarWorld) {
+  const own = new Map(this.farRecords.map(({ key }) => [key, [1, 0] as const]));
+  this.farReports.add(own, new Map());
+  Object.assign(this.farRecords[0] ?? {}, { coldUntil: this.now + 5000 });
+});
+
+Then('the next round tells other zones of that upstream alone', function (this: FarWorld) {
+  assert.deepEqual([...runRound(this).all.keys()], [this.farRecords[0]?.key]);
+  assert.equal(runRound(this).all.size, 0);
+});
+
 After(function (this: Partial<GossipWorld>) {
   this.members
     ?.filter(({ isStopped }) => !isStopped)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,7 +41,7 @@
   type SlowStartShare,
 } from './registry.js';
 import { BufferBudget } from './buffers.js';
-import { MovingAverage, RetryBudget, type ColdBounds, type RetryBounds } from './budget.js';
+import { RetryBudget, type ColdBounds, type MovingAverage, type RetryBounds } from './budget.js';
 import {
   CallerConnection,
   type CallerAnswer,
@@ -59,6 +59,7 @@
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
 import { decideStartupWait } from './startup.js';
+import { AverageWork } from './work.js';
 import { VersionSplitter } from './shares.js';
 import type {
   AttemptOutcome,
@@ -74,10 +75,6 @@
 const MAX_DEADLINE_SHARE = 0.8;
 /** Amount by which {@link MAX_DEADLINE_SHARE} drops for each rank below the most urgent one of the service. */
 const DEADLINE_SHARE_STEP = 0.15;
-/** Initial estimate of a route's work, before the first answer, as a share of its target latency. */
-const INITIAL_WORK_SHARE = 0.3;
-/** Weight of one answer in the moving average of a route's work. */
-const WORK_WEIGHT = 0.02;
 /** Interval at which the timeouts of callers' connections are checked, in milliseconds. */
 const SWEEP_INTERVAL: Duration = 500;
 /** Retry-After of requests refused before the first route table has arrived, in milliseconds. */
@@ -102,6 +99,11 @@
 /** Share of the stop time after which unfinished requests are abandoned. */
 const DRAIN_SHARE = 0.92;
 
+/** Multiple of a service's shortest work after which a load report is sent to other zones again. */
+const FAR_WORK_RATIO = 2;
+/** Maximum milliseconds between two load reports of an upstream to other zones. */
+const MAX_FAR_INTERVAL: Duration = 1500;
+
 /** Maximum bytes of incomplete requests and responses, which a VM of 250 MB can hold besides the process. */
 const MAX_BUFFERED_BYTES = 80 * 1024 * 1024;
 
@@ -192,7 +194,7 @@
   readonly #routeSplitters = new Map<string, WeightedSplitter>();
   readonly #versionSplitter = new VersionSplitter();
   readonly #retryBudgets = new Map<string, RetryBudget>();
-  readonly #averageWork = new Map<string, MovingAverage>();
+  readonly #averageWork = new AverageWork();
   readonly #evidence = new EvidenceCollector();
   #catalog: Catalog | undefined;
   #routes: RouteIndex = new Map();
@@ -245,6 +247,11 @@
       getRecord: (key) => this.#registry.getByKey(key),
       isProber: (record) => this.#prober.isProber(record),
       getPlan: () => this.#gossipPlan,
+      getFarInterval: ({ instance }) =>
+        Math.min(
+          MAX_FAR_INTERVAL,
+          this.#averageWork.getShortest(instance.service) * FAR_WORK_RATIO,
+        ),
       onReport: (report) => {
         this.#applyReport(report);
       },
@@ -387,9 +394,10 @@
     this.#routes = buildRouteIndex(table);
     this.#limits = table?.limits ?? INITIAL_LIMITS;
     const ranks = new Map<string, number>();
-    table?.routes.forEach(({ parts, rank }) => {
-      parts.forEach(({ service }) => {
-        ranks.set(service, Math.min(rank, ranks.get(service) ?? rank));
+    table?.routes.forEach((route) => {
+      route.parts.forEach(({ service }) => {
+        ranks.set(service, Math.min(route.rank, ranks.get(service) ?? route.rank));
+        this.#averageWork.get(service, route);
       });
     });
     this.#topRanks = ranks;
@@ -554,12 +562,7 @@
   }
 
   #getAverageWork({ route, service }: GatewayRequest): MovingAverage {
-    const key = `${route.name} ${service}`;
-    const known = this.#averageWork.get(key);
-    if (known !== undefined) return known;
-    const average = new MovingAverage(route.targetLatency * INITIAL_WORK_SHARE, WORK_WEIGHT);
-    this.#averageWork.set(key, average);
-    return average;
+    return this.#averageWork.get(service, route);
   }
 
   takeRetry(service: string): boolean {
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -5,6 +5,7 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { Packr } from 'msgpackr';
 import { parseAddress, type Address, type Duration, type Instant } from '../model/index.js';
+import { FarReports, mergeCounts, NO_COUNTS, type Counts } from './farreports.js';
 import type { GossipPlan } from './relays.js';
 import type { UpstreamRecord } from './types.js';
 
@@ -86,6 +87,8 @@
   /** Whether this gateway is the one that probes the upstream. */
   readonly isProber: (record: UpstreamRecord) => boolean;
   readonly getPlan: () => GossipPlan;
+  /** Returns the milliseconds between two reports of an upstream to other zones. */
+  readonly getFarInterval: (record: UpstreamRecord) => Duration;
   readonly onReport: (report: ReceivedReport) => void;
   readonly onProblem: (message: string) => void;
 }
@@ -95,21 +98,6 @@
   close(): void;
 }
 
-/** Counts of good and bad answers, by the key of the upstream. */
-type Counts = ReadonlyMap<number, readonly [good: number, bad: number]>;
-
-const NO_COUNTS: Counts = new Map();
-
-function mergeCounts(one: Counts, two: Counts): Counts {
-  if (one.size === 0) return two;
-  const sum = new Map(one);
-  two.forEach(([good, bad], key) => {
-    const [knownGood, knownBad] = sum.get(key) ?? [0, 0];
-    sum.set(key, [knownGood + good, knownBad + bad]);
-  });
-  return sum;
-}
-
 function buildRow(row: GossipRow): GossipRow {
   const last = row.findLastIndex((value) => value !== 0);
   return row.slice(0, Math.max(last + 1, 5)) as unknown as GossipRow;
@@ -127,9 +115,7 @@
    */
   #followerCounts: Counts = new Map();
   #relayCounts: Counts = new Map();
-  /** Answers since the last round that was sent to other zones: those counted here, and followers'. */
-  #farOwn: Counts = NO_COUNTS;
-  #farForwarded: Counts = NO_COUNTS;
+  readonly #farReports: FarReports;
   #round = 0;
   /** Number of relays of the zone that were given up so far; selects the current relay. */
   #relayFailovers = 0;
@@ -137,6 +123,10 @@
 
   constructor(options: LoadGossipOptions) {
     this.#options = options;
+    this.#farReports = new FarReports({
+      getRecord: options.getRecord,
+      getInterval: options.getFarInterval,
+    });
     this.#relayLastReceivedAt = options.now();
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (message, { address, port }) => {
@@ -188,15 +178,12 @@
     }
   }
 
-  /** Adds the counts to those for other zones, and sends these in every {@link FAR_ROUNDS}th round. */
+  /** Adds the counts to those for other zones, and sends what is due in every {@link FAR_ROUNDS}th round. */
   #sendFar(peers: readonly Address[], source: GossipSource, own: Counts, forwarded: Counts): void {
-    this.#farOwn = mergeCounts(this.#farOwn, own);
-    this.#farForwarded = mergeCounts(this.#farForwarded, forwarded);
+    this.#farReports.add(own, forwarded);
     if (this.#round % FAR_ROUNDS !== 0) return;
-    const all = mergeCounts(this.#farForwarded, this.#farOwn);
-    this.#send(peers, source, this.#listRows(all, this.#farForwarded));
-    this.#farOwn = NO_COUNTS;
-    this.#farForwarded = NO_COUNTS;
+    const due = this.#farReports.takeDue(this.#options.now());
+    this.#send(peers, source, this.#listRows(due.all, due.forwarded));
   }
 
   #sendThroughRelays(plan: Extract<GossipPlan, { kind: 'relayed' }>, own: Counts): void {
