Keep a steward running while its disk refuses writes, and reopen its data folder afterwards

The failed member stays in place, which keeps what the rule protects: after a write that may be torn it never writes again, doesn't vote and doesn't lead. The process writes and syncs a trial file of 64 KB every 500 ms; once that works, the member is closed and the folder read anew, with its checksums, as after a restart.

Ruled out: trying again with the open files (the torn write stays), and reopening without a trial (a full disk opens and fails at the next write, over and over).

Open: a disk that hangs for seconds without an error delays the member as before.

features/platform, 'A steward whose disk refuses writes keeps answering': on the code before the process has exited after 2 s; now the same process follows the group with the change that it missed, and the change survives a kill of all.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -60,3 +60,12 @@
     When the upstreams of "records" announce a slow start of 30000 ms, and stop announcing one later
     And every gateway and steward is killed at once and started again, and callers send as soon as they can connect
     Then 60 requests for "records" in one second are all served, 2000 ms later
+
+  Scenario: A steward whose disk refuses writes keeps answering, and takes part again once the disk takes them
+    Given the platform's site serves two services
+    When the disk of the leading steward refuses writes, and the routes are changed
+    Then the change is acknowledged, and the steward's process still answers calls
+    When its disk takes writes again
+    Then within 20000 ms the same process follows the group with the changed routes
+    When all stewards are killed at once and started again
+    Then the configuration reads back as it was sent
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -1,13 +1,16 @@
 import { After, Given, Then, When, type World } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { promisify } from 'node:util';
 import {
   createId,
   LARGE_BYTES,
   PORTS,
   readMetric,
+  sendHttpRequest,
   Site,
   waitUntil,
   type HttpResponse,
@@ -26,6 +29,8 @@
   receivedBytes: number;
 }
 
+const runFile = promisify(execFile);
+
 const safeRoute = {
   name: 'r-safe',
   path_prefix: '/records/',
@@ -524,6 +529,73 @@
   },
 );
 
+interface DiskWorld extends PlatformWorld {
+  full: string;
+}
+
+/** Limits the size to which a running process may let files grow; it refuses writes beyond it. */
+async function applyFileSizeLimit(pid: number | undefined, limit: string): Promise<void> {
+  await runFile('prlimit', ['--pid', String(pid), `--fsize=${limit}:`]);
+}
+
+When(
+  'the disk of the leading steward refuses writes, and the routes are changed',
+  { timeout: 40_000 },
+  async function (this: DiskWorld) {
+    this.full = await findLeader(this);
+    await applyFileSizeLimit(this.site.processes.get(this.full)?.child.pid, '64');
+    this.sentRoutes = [{ ...safeRoute, timeout: '900ms' }, unsafeRoute];
+    const answer = await this.site.putRoutes(this.sentRoutes);
+    assert.equal(answer.status, 200, answer.body);
+  },
+);
+
+Then(
+  "the change is acknowledged, and the steward's process still answers calls",
+  { timeout: 20_000 },
+  async function (this: DiskWorld) {
+    // Longer than the process needs to end itself.
+    await sleep(2000);
+    const running = this.site.processes.get(this.full);
+    assert.ok(running);
+    assert.match(running.output, /the disk of this member failed/);
+    assert.equal(running.child.exitCode, null);
+    const answer = await sendHttpRequest(running.ip, PORTS.control, { path: '/-/Config.Get' });
+    assert.ok([307, 503].includes(answer.status), `status ${answer.status}`);
+  },
+);
+
+When('its disk takes writes again', async function (this: DiskWorld) {
+  await applyFileSizeLimit(this.site.processes.get(this.full)?.child.pid, 'unlimited');
+});
+
+Then(
+  'within {int} ms the same process follows the group with the changed routes',
+  { timeout: 30_000 },
+  async function (this: DiskWorld, time: number) {
+    const running = this.site.processes.get(this.full);
+    assert.ok(running);
+    await waitUntil(
+      'the steward holds the changed routes as a member that votes',
+      async () => {
+        const version = await readMetric(
+          running.ip,
+          PORTS.stewardMetrics,
+          'chivewalk_steward_routes_version',
+        );
+        const voters = await readMetric(
+          running.ip,
+          PORTS.stewardMetrics,
+          'chivewalk_steward_voters',
+        );
+        return version === this.site.version && voters === 3;
+      },
+      time,
+    );
+    assert.equal(running.child.exitCode, null);
+  },
+);
+
 When('it is started again', async function (this: PlatformWorld & { killed: string }) {
   await this.site.restartProcess(this.killed, true);
 });
--- /dev/null
+++ b/src/daemon/adapter.ts
@@ -0,0 +1,21 @@
+/** The interface between the roles that run on a platform and the adapter to that platform. */
+import type { Gateway, HeaderDialect } from '../gateway/index.js';
+import type { Settings } from '../settings/index.js';
+import type { Steward } from '../steward/index.js';
+
+/** Listeners that serve the protocol of the platform on which chivewalk runs. */
+export interface Listeners {
+  close(): void;
+}
+
+/** Adapts gateways and stewards to the platform on which chivewalk runs. */
+export interface PlatformAdapter {
+  readonly dialect: HeaderDialect;
+  readonly openGatewayListeners: (gateway: Gateway, settings: Settings) => Promise<Listeners>;
+  readonly openStewardListeners: (steward: Steward, settings: Settings) => Promise<Listeners>;
+}
+
+/** A role of this process that has started. */
+export interface RunningRole {
+  stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/daemon/steward.ts
@@ -0,0 +1,363 @@
+/**
+ * Runs a steward. Invariant: only one opening of the data folder is in use at a time, and its listeners close
+ * before the components that they call.
+ */
+import { existsSync, rmSync } from 'node:fs';
+import { rm, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  applyCommand,
+  decodeCatalog,
+  emptyCatalog,
+  encodeCatalog,
+  type Catalog,
+  type CatalogCommand,
+} from '../catalog/index.js';
+import {
+  openControl,
+  toAddress,
+  type ControlNode,
+  type StateMachine,
+  type Timings,
+} from '../control/index.js';
+import {
+  createPublisher,
+  FEED_CHANNEL,
+  type FeedMessage,
+  type GroupStatus,
+  type Publisher,
+} from '../feed/index.js';
+import type { Address, Duration } from '../model/index.js';
+import type { Settings } from '../settings/index.js';
+import { createSteward, type Steward } from '../steward/index.js';
+import { createLogger, standardOutput, type Metrics } from '../telemetry/index.js';
+import type { Mesh } from '../wire/index.js';
+import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
+import { listSeeds } from './seeds.js';
+
+const log = createLogger('daemon');
+
+/**
+ * Consensus timings of the stewards, in milliseconds. A lost leader is replaced within about a second, because
+ * orders have to be acknowledged within a few seconds.
+ */
+const STEWARD_TIMINGS: Timings = {
+  heartbeat: 120,
+  largeGroupHeartbeat: 120,
+  electionMin: 600,
+  electionMax: 1200,
+  firstElectionMax: 400,
+};
+/** Interval in milliseconds at which a steward asks the seeds for the members of its group. */
+const DISCOVERY_INTERVAL: Duration = 200;
+/** Milliseconds between attempts to write to a data folder that can't be written. */
+const OPEN_RETRY_INTERVAL: Duration = 500;
+/** Bytes written to find out whether a disk takes writes again; more than a batch of commands takes. */
+const TRIAL_BYTES = 64 * 1024;
+const TRIAL_FILE = 'trial.tmp';
+/** Milliseconds before the process exits, so that the last log lines are written. */
+const EXIT_DELAY: Duration = 100;
+
+const catalogMachine: StateMachine<Catalog> = {
+  initial: emptyCatalog,
+  apply: (state, command) => {
+    const { state: next, outcome } = applyCommand(state, command as CatalogCommand);
+    return { state: next, result: outcome };
+  },
+  encode: encodeCatalog,
+  decode: decodeCatalog,
+};
+
+/** Asks the seeds for the members of the group until one of them answers. */
+async function findMembers(mesh: Mesh, seeds: readonly Address[]): Promise<readonly Address[]> {
+  let found: readonly Address[] = [];
+  mesh.handle(FEED_CHANNEL, (_, message) => {
+    const answer = message as FeedMessage;
+    if (answer.kind === 'found' && answer.members.length > 0) found = answer.members;
+  });
+  while (found.length === 0) {
+    seeds
+      .filter((seed) => seed !== mesh.address)
+      .forEach((seed) => {
+        mesh.send(seed, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
+      });
+    await sleep(DISCOVERY_INTERVAL);
+  }
+  return found;
+}
+
+async function openNode(
+  { settings, mesh }: StewardContext,
+  onWriteFailed: () => void,
+): Promise<ControlNode<Catalog>> {
+  const seeds = listSeeds(settings.seeds, settings.steward_port);
+  const isFounder = settings.first_start === true && seeds.includes(mesh.address);
+  const hasStoredIdentity = existsSync(join(settings.data_folder, 'identity.json'));
+  const members = isFounder || hasStoredIdentity ? seeds : await findMembers(mesh, seeds);
+  try {
+    return await openControl<Catalog>({
+      address: mesh.address,
+      members: [...new Set([...members, mesh.address])],
+      join: !isFounder,
+      dataFolder: settings.data_folder,
+      mesh,
+      machine: catalogMachine,
+      timings: STEWARD_TIMINGS,
+      onProblem: ({ kind, message }) => {
+        log.warn(message, { kind });
+        if (kind === 'writeFailed') onWriteFailed();
+      },
+    });
+  } catch (error) {
+    log.warn('cannot open the data folder: free space on the disk or repair it', {
+      reason: String(error),
+    });
+    await sleep(OPEN_RETRY_INTERVAL);
+    return openNode({ settings, mesh }, onWriteFailed);
+  }
+}
+
+/** Waits until the disk takes and syncs a write. */
+async function waitForDisk(folder: string): Promise<void> {
+  const file = join(folder, TRIAL_FILE);
+  try {
+    await writeFile(file, Buffer.alloc(TRIAL_BYTES), { flush: true });
+    await rm(file);
+  } catch {
+    await rm(file, { force: true }).catch(() => undefined);
+    await sleep(OPEN_RETRY_INTERVAL);
+    await waitForDisk(folder);
+  }
+}
+
+/** What a steward needs besides its disk. */
+interface StewardContext {
+  readonly settings: NonNullable<Settings['steward']>;
+  readonly mesh: Mesh;
+}
+
+/** The components of a steward that use one opening of its data folder. */
+interface OpenSteward {
+  readonly node: ControlNode<Catalog>;
+  readonly publisher: Publisher;
+  close(): Promise<void>;
+}
+
+/**
+ * A steward of this process. A member whose write failed never writes again, as the write may be torn; once
+ * the disk takes writes, the data folder is read anew as after a restart. Until then the process answers that
+ * it can't serve orders and names the leader.
+ */
+class RunningSteward implements RunningRole {
+  readonly #context: StewardContext;
+  readonly #openListeners: (steward: Steward) => Promise<Listeners>;
+  #open: OpenSteward | undefined;
+  #isReopening = false;
+  #isStopping = false;
+
+  constructor(context: StewardContext, openListeners: (steward: Steward) => Promise<Listeners>) {
+    this.#context = context;
+    this.#openListeners = openListeners;
+  }
+
+  get node(): ControlNode<Catalog> | undefined {
+    return this.#open?.node;
+  }
+
+  get gateways(): number {
+    return this.#open?.publisher.entries.length ?? 0;
+  }
+
+  async start(): Promise<void> {
+    const { settings, mesh } = this.#context;
+    const now = (): number => performance.now();
+    const node = await openNode(this.#context, () => {
+      if (!this.#isReopening) void this.#reopen();
+    });
+    const seeds = listSeeds(settings.seeds, settings.steward_port);
+    const group = watchGroup(node, mesh, seeds, settings.data_folder);
+    const steward = createSteward({
+      control: node,
+      findLeader: group.findLeader,
+      announceInterval: settings.announce_interval_ms ?? 0,
+      now,
+      wallNow: Date.now,
+    });
+    const publisher = createPublisher({
+      mesh,
+      control: node,
+      now,
+      listCold: () => steward.listCold(),
+      onGroupFound: group.handleGroupStatus,
+      onEvidence: (rows) => {
+        steward.addEvidence(rows);
+      },
+    });
+    const listeners = await this.#openListeners(steward);
+    const roleTimer = watchRole(node);
+    this.#open = {
+      node,
+      publisher,
+      close: async () => {
+        listeners.close();
+        group.close();
+        clearInterval(roleTimer);
+        steward.close();
+        await node.close();
+        publisher.close();
+      },
+    };
+  }
+
+  async #reopen(): Promise<void> {
+    this.#isReopening = true;
+    await waitForDisk(this.#context.settings.data_folder);
+    await this.#open?.close();
+    this.#open = undefined;
+    if (!this.#isStopping) await this.start();
+    this.#isReopening = false;
+    log.info('the disk takes writes again: the data folder was opened anew');
+    if (this.node?.status.role === 'failed') await this.#reopen();
+  }
+
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    await this.#open?.close();
+  }
+}
+
+/** Starts a steward, which restarts its member by itself after a failure of the disk. */
+export async function startSteward(
+  settings: Settings,
+  mesh: Mesh,
+  metrics: Metrics,
+  adapter: PlatformAdapter,
+): Promise<RunningRole> {
+  const stewardSettings = settings.steward;
+  if (stewardSettings === undefined) throw new Error('settings have no section [steward]: add it');
+  const running = new RunningSteward({ settings: stewardSettings, mesh }, (steward) =>
+    adapter.openStewardListeners(steward, settings),
+  );
+  await running.start();
+  const gauges: readonly (readonly [string, string, () => number])[] = [
+    [
+      'chivewalk_steward_leader',
+      '1 while this steward leads.',
+      () => Number(running.node?.status.role === 'leader'),
+    ],
+    ['chivewalk_steward_term', 'Current term.', () => running.node?.status.term ?? 0],
+    [
+      'chivewalk_steward_commit_index',
+      'Newest committed entry.',
+      () => running.node?.status.commitIndex ?? 0,
+    ],
+    [
+      'chivewalk_steward_members',
+      'Members of the group.',
+      () => running.node?.status.members.length ?? 0,
+    ],
+    [
+      'chivewalk_steward_voters',
+      'Members that vote.',
+      () => running.node?.status.members.filter(({ voter }) => voter).length ?? 0,
+    ],
+    ['chivewalk_steward_gateways', 'Gateways that are alive.', () => running.gateways],
+    [
+      'chivewalk_steward_routes_version',
+      'Version of the routes.',
+      () => running.node?.applied.table?.version ?? 0,
+    ],
+  ];
+  gauges.forEach(([name, help, read]) => {
+    metrics.watchGauge(name, help, read);
+  });
+  return running;
+}
+
+/** Result of {@link watchGroup}. */
+interface GroupWatch {
+  readonly handleGroupStatus: (status: GroupStatus) => void;
+  /** Returns the leader that another process reported within {@link REPORTED_LEADER_TTL}. */
+  readonly findLeader: () => Address | undefined;
+  close(): void;
+}
+
+/**
+ * Queries the seeds and the known members about the group while this steward knows no leader. A member that
+ * was replaced while it was unreachable deletes its data and rejoins; it only accepts this from a group that has
+ * a leader without it. A steward that was never admitted waits to be admitted, and redirects calls to the
+ * leader in the meantime.
+ */
+function watchGroup(
+  node: ControlNode<Catalog>,
+  mesh: Mesh,
+  seeds: readonly Address[],
+  folder: string,
+): GroupWatch {
+  let leaderLastSeenAt = performance.now();
+  let reported: { readonly leader: Address | undefined; readonly receivedAt: number } | undefined;
+  const isForming = (): boolean => node.status.role === 'newborn';
+  const hasNoLeader = (): boolean => performance.now() - leaderLastSeenAt > LEADERLESS_TIMEOUT;
+  const timer = setInterval(() => {
+    if (node.status.leader !== undefined) leaderLastSeenAt = performance.now();
+    if (!hasNoLeader() && !isForming()) return;
+    const known = node.status.members.map(({ id }) => toAddress(id));
+    [...new Set([...seeds, ...known])]
+      .filter((address) => address !== mesh.address)
+      .forEach((address) => {
+        mesh.send(address, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
+      });
+  }, GROUP_QUERY_INTERVAL).unref();
+  return {
+    close: () => {
+      clearInterval(timer);
+    },
+    findLeader: () =>
+      reported !== undefined && performance.now() - reported.receivedAt < REPORTED_LEADER_TTL
+        ? reported.leader
+        : undefined,
+    handleGroupStatus: ({ members, healthy, leader }) => {
+      if (!healthy) return;
+      reported = { leader, receivedAt: performance.now() };
+      const known = node.status.members.map(({ id }) => toAddress(id));
+      const isWaitingForAdmission = isForming() && members.some((member) => known.includes(member));
+      if (isWaitingForAdmission || !hasNoLeader() || members.includes(mesh.address)) return;
+      log.warn('the group replaced this member: deleting its data folder to rejoin', {
+        members,
+      });
+      standardOutput.flush();
+      rmSync(folder, { recursive: true, force: true });
+      setTimeout(() => process.exit(1), EXIT_DELAY);
+    },
+  };
+}
+
+/** Milliseconds without a leader after which a member asks whether it still belongs to the group. */
+const LEADERLESS_TIMEOUT: Duration = 5000;
+/** Interval in milliseconds of the queries about the group. */
+const GROUP_QUERY_INTERVAL: Duration = 500;
+/** Milliseconds for which a leader reported by another process is used; a few query intervals. */
+const REPORTED_LEADER_TTL: Duration = 2000;
+
+/** Logs changes of this member's role, term, leader and group. */
+function watchRole(node: ControlNode<Catalog>): NodeJS.Timeout {
+  let lastDescription = '';
+  return setInterval(() => {
+    const { role, term, leader, commitIndex, members } = node.status;
+    const description = `${role} ${term} ${leader ?? ''} ${members.map(({ id, voter }) => `${id}${voter ? '' : '?'}`).join()}`;
+    if (description === lastDescription) return;
+    lastDescription = description;
+    const ids = members.map(({ id }) => id);
+    log.info('control role changed', {
+      role,
+      term,
+      leader: leader ?? '',
+      commitIndex,
+      members: ids,
+    });
+  }, ROLE_WATCH_INTERVAL).unref();
+}
+
+/** Interval in milliseconds at which the role of the member is checked for changes. */
+const ROLE_WATCH_INTERVAL: Duration = 250;
