Test the wait for the first routes with callers that have the time for it

Each failure was a 503 'no configuration has come yet': its callers have 1,000 ms, of which a gateway waits a third at most, and at that load gateways accept callers longer than 333 ms before a leader is elected. The refusal is what the invariant of startup.ts allows.

--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -30,6 +30,8 @@
 }
 
 const runFile = promisify(execFile);
+/** Time of callers for which a gateway waits as long as it may for its first routes. */
+const PATIENT_CALLER_MS = 6000;
 
 const safeRoute = {
   name: 'r-safe',
@@ -399,15 +401,19 @@
     await Promise.all(names.map((name) => site.endProcess(name, 'SIGKILL')));
     await Promise.all(names.map((name) => site.restartProcess(name, false)));
     this.answers = [];
+    const options = {
+      headers: { 'X-Deadline-Ms': String(PATIENT_CALLER_MS) },
+      timeout: PATIENT_CALLER_MS,
+    };
     const callUntilServed = async (ip: string): Promise<void> => {
       await waitUntil('the gateway accepts connections', async () => {
-        const probe = await site.call(ip, '/records/5').catch(() => undefined);
+        const probe = await site.call(ip, '/records/5', options).catch(() => undefined);
         if (probe !== undefined) this.answers.push(probe);
         return probe !== undefined;
       });
       const calls = Array.from({ length: 10 }, async (_, index) => {
         await sleep(index * 30);
-        this.answers.push(await site.call(ip, '/records/5'));
+        this.answers.push(await site.call(ip, '/records/5', options));
       });
       await Promise.all(calls);
     };
@@ -420,7 +426,7 @@
   function (this: PlatformWorld) {
     assert.equal(this.answers.length, 33);
     assert.deepEqual(
-      this.answers.map(({ status }) => status).filter((status) => status !== 200),
+      this.answers.filter(({ status }) => status !== 200).map(({ status, body }) => [status, body]),
       [],
     );
   },
