Reply with an error to calls that can't be handled, instead of ending the process

Cause: the directory and readiness listeners parsed the request target without a guard. One `GET // HTTP/1.1` threw ERR_INVALID_URL in the handler of node:http, and the gateway's process ended with all its requests.

Ruled out: a handler of uncaughtException, which would keep a process with half-applied state.

--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -2,14 +2,12 @@
  * Serves the metrics of a process that loads no web framework. Invariant: it serves a single path, `/metrics`,
  * and has no side effects.
  */
-import { createServer } from 'node:http';
-import { parseAddress, type Address } from '../model/index.js';
+import type { Address } from '../model/index.js';
+import { openHttpListener, type HttpListener } from '../wire/index.js';
+import { createLogger } from './log.js';
 import type { Metrics } from './metrics.js';
 
-/** A running listener for metrics. */
-export interface MetricsServer {
-  close(): void;
-}
+const log = createLogger('telemetry');
 
 /**
  * Opens the listener for metrics.
@@ -17,28 +15,19 @@
  * @example
  * await createMetricsServer('10.0.1.4:9464', metrics); // GET /metrics
  */
-export async function createMetricsServer(
-  listen: Address,
-  metrics: Metrics,
-): Promise<MetricsServer> {
-  const server = createServer((request, response) => {
-    if (request.url !== '/metrics') {
-      response.writeHead(404);
-      response.end();
-      return;
-    }
-    void metrics.renderText().then((text) => {
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
-      response.end(text);
-    });
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(parseAddress(listen), resolve);
-  });
-  return {
-    close: () => {
-      server.close();
+export function createMetricsServer(listen: Address, metrics: Metrics): Promise<HttpListener> {
+  return openHttpListener({
+    listen,
+    handle: async ({ url }) =>
+      url === '/metrics'
+        ? {
+            status: 200,
+            headers: { 'Content-Type': 'text/plain; version=0.0.4' },
+            body: await metrics.renderText(),
+          }
+        : { status: 404 },
+    onProblem: (target, error) => {
+      log.error('call failed', { path: target, reason: String(error) });
     },
-  };
+  });
 }
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -9,5 +9,5 @@
   type TraceContext,
 } from './trace.js';
 export { createPlatformServer, type PlatformServer, type PlatformState } from './platform.js';
-export { createMetricsServer, type MetricsServer } from './exposition.js';
+export { createMetricsServer } from './exposition.js';
 export { standardOutput } from './sink.js';
