Reject announcements that name no usable upstream before they reach the log

Cause: an announced port of 99999 passed the adapter's pattern, was committed, and `connect` threw ERR_SOCKET_BAD_PORT in the prober's timer of whichever gateway came first: its process ended, and so would the next one that probed, after each restart, as the catalog is durable. An id may also hold a line break by its percent code, which was sent to upstreams inside a header. A state or route kind named `constructor` was found in the prototype.

findInstanceProblem in the catalog says what an instance must be; the leader and its followers answer 400 with the reason. A pool never throws for an address: the attempt is unreachable, so that a catalog of an earlier build with such an instance ends no gateway either.

features/platform/malformed.feature, seven rows: a gateway ended on the code before (trial with the rows that the old stewards accepted); all rejected now, no process ends, all gateways serve.

--- a/src/catalog/instances.ts
+++ b/src/catalog/instances.ts
@@ -2,6 +2,7 @@
  * Registers and removes upstreams. Invariant: an instance that drains, left, or was replaced at its address never
  * becomes ready again with the same start time, and an address belongs to the instance that started there last.
  */
+import { isAddress } from '../model/index.js';
 import type { Catalog, CatalogCommand, Instance } from './types.js';
 
 /** Maximum number of ended instances that are remembered in order to ignore their late announcements. */
@@ -10,6 +11,35 @@
 type AnnounceCommand = Extract<CatalogCommand, { kind: 'announce' }>;
 type EndCommand = Extract<CatalogCommand, { kind: 'end' }>;
 
+/** Maximum characters of an id or a name, which travel in headers and in every copy of the catalog. */
+const MAX_NAME_LENGTH = 256;
+/** Maximum number of requests that an upstream may claim to run concurrently. */
+const MAX_SLOTS = 100_000;
+/** Visible ASCII characters: an id is sent in a header, where a line break would begin another one. */
+const VISIBLE = /^[\x21-\x7e]+$/;
+
+function isUsableName(name: string): boolean {
+  // Names are keys of plain objects; those of the object prototype would be found in an empty one.
+  return name.length > 0 && name.length <= MAX_NAME_LENGTH && !(name in Object.prototype);
+}
+
+/**
+ * Returns why an announced instance can't be used, or undefined if it can.
+ *
+ * @example
+ * findInstanceProblem({ ...instance, address: '10.0.1.4:99999' }) // 'the address is not an IPv4 address and port'
+ */
+export function findInstanceProblem(instance: Instance): string | undefined {
+  const { id, service, zone, version, address, slots, bornAt } = instance;
+  if (!isUsableName(id) || !VISIBLE.test(id)) return 'the id is not a name of visible characters';
+  if (![service, zone, version].every(isUsableName))
+    return 'the service, zone or version is empty, too long or reserved';
+  if (!isAddress(address)) return 'the address is not an IPv4 address and port';
+  if (!Number.isInteger(slots) || slots < 1 || slots > MAX_SLOTS)
+    return `the slots are not a number from 1 to ${MAX_SLOTS}`;
+  return Number.isSafeInteger(bornAt) ? undefined : 'the start time is not a whole number';
+}
+
 function hasEnded(state: Catalog, { id, bornAt }: Instance): boolean {
   return state.ended.some(([ended, at]) => ended === id && at >= bornAt);
 }
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -13,7 +13,7 @@
   type ReaderEvent,
   type ResponseHead,
 } from '../http1/index.js';
-import { parseAddress, type Address, type Duration } from '../model/index.js';
+import { isAddress, parseAddress, type Address, type Duration } from '../model/index.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
 import type { AttemptOutcome, HeaderDialect } from './types.js';
 
@@ -247,6 +247,18 @@
   }
 }
 
+/** Ends an attempt whose address can't be connected to, after the attempt was returned. */
+function refuseAddress(address: Address, listener: AttemptListener): Attempt {
+  const timer = setImmediate(() => {
+    listener.onEnd({ kind: 'unreachable', reason: `${address} is not an IPv4 address and port` });
+  });
+  return {
+    cancel: () => {
+      clearImmediate(timer);
+    },
+  };
+}
+
 /** The connections of one gateway to all upstreams. */
 export class ConnectionPool {
   readonly #dialect: HeaderDialect;
@@ -286,6 +298,7 @@
     listener: AttemptListener,
     isProbe: boolean,
   ): Attempt {
+    if (!isAddress(address)) return refuseAddress(address, listener);
     const idle = this.#takeIdle(address);
     if (idle === undefined) this.opened += 1;
     const socket = idle ?? connect({ ...parseAddress(address), noDelay: true });
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -138,6 +138,27 @@
   if (!condition) throw new InvariantError(message);
 }
 
+const ADDRESS = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/;
+const MAX_OCTET = 255;
+const MAX_PORT = 65_535;
+
+/**
+ * Returns whether the text is an IPv4 address and a port that can be connected to.
+ *
+ * @example
+ * isAddress('10.0.1.4:8080') // true
+ * isAddress('10.0.1.4:99999') // false
+ */
+export function isAddress(text: string): boolean {
+  const [, ...numbers] = ADDRESS.exec(text) ?? [];
+  const port = Number(numbers[4]);
+  return (
+    numbers.slice(0, 4).every((octet) => Number(octet) <= MAX_OCTET) &&
+    port >= 1 &&
+    port <= MAX_PORT
+  );
+}
+
 /**
  * Splits `ip:port` at the last colon.
  *
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -4,6 +4,7 @@
  * leader proposes, and an order is acknowledged only after it is committed.
  */
 import {
+  findInstanceProblem,
   isInstanceUpdate,
   type Catalog,
   type CatalogCommand,
@@ -167,6 +168,8 @@
 
   async announce({ instance, coldFor, sequence }: Announcement): Promise<OrderOutcome> {
     const { control, now } = this.#options;
+    const problem = findInstanceProblem(instance);
+    if (problem !== undefined) return { kind: 'invalid', reason: problem };
     if (control.status.role !== 'leader') return this.#redirectToLeader(control.status.leader);
     const known = this.#announcements.get(instance.id);
     const isOutdated =
