Keep the process running when a peer answers in another protocol or a handler fails

Cause: frames on a connection that this process had opened were read without a guard. An address that another program uses by now and that answers with HTTP is a frame of 1.2 GB by its first four bytes: the reader threw, and the process ended. A handler that failed on a message to the own process did the same, and one that failed on a peer's message closed the connection with the messages behind it.

Both directions read frames by one function; a failed handler is reported and costs its own message alone.

features/wire, 'An address that answers in another protocol, and a handler that fails': the test's process threw on the code before.

--- a/features/wire/frame.feature
+++ b/features/wire/frame.feature
@@ -16,3 +16,8 @@
     Given a mesh and a peer with another secret
     When the peer sends a message
     Then the message is not delivered
+
+  Scenario: An address that answers in another protocol, and a handler that fails
+    Given a mesh, a peer, and a server that answers each connection with "HTTP/1.1 400 Bad Request"
+    When the mesh sends a message to that server, to the peer and to itself, whose handlers fail once
+    Then the mesh reports 3 problems, and later messages to the peer and to itself are delivered
--- a/features/wire/frame.steps.ts
+++ b/features/wire/frame.steps.ts
@@ -1,5 +1,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createMesh, type Mesh } from '../../src/wire/index.js';
 import { encodeFrame, FrameReader } from '../../src/wire/frame.js';
 import { findFreePorts } from '../support/ports.js';
@@ -9,6 +11,8 @@
   received: readonly Buffer[];
   meshes: readonly Mesh[];
   delivered: unknown[];
+  server: Server;
+  problems: string[];
 }
 
 Given('frames of 0, 1, 5 and 70000 bytes', function (this: FrameWorld) {
@@ -56,3 +60,66 @@
   await Promise.all(this.meshes.map((mesh) => mesh.close()));
   assert.deepEqual(this.delivered, []);
 });
+
+function createFailingHandler(delivered: unknown[]): (from: string, message: unknown) => void {
+  let hasFailed = false;
+  return (_, message) => {
+    if (hasFailed) delivered.push(message);
+    else {
+      hasFailed = true;
+      throw new Error('the handler failed');
+    }
+  };
+}
+
+Given(
+  'a mesh, a peer, and a server that answers each connection with {string}',
+  async function (this: FrameWorld, answer: string) {
+    const [one, two, three = 0] = await findFreePorts(3);
+    this.delivered = [];
+    this.problems = [];
+    this.server = createServer((socket) => {
+      socket.on('error', () => socket.destroy());
+      socket.write(`${answer}\r\n\r\n`);
+    }).listen(three, '127.0.0.1');
+    this.meshes = await Promise.all(
+      [one, two].map((port) =>
+        createMesh({
+          address: `127.0.0.1:${port}`,
+          secret: 'the secret of the site',
+          onProblem: (_, problem) => this.problems.push(problem),
+        }),
+      ),
+    );
+    this.meshes.forEach((mesh) => {
+      mesh.handle('test', createFailingHandler(this.delivered));
+    });
+  },
+);
+
+When(
+  'the mesh sends a message to that server, to the peer and to itself, whose handlers fail once',
+  async function (this: FrameWorld) {
+    const [mesh, peer] = this.meshes;
+    const { port } = this.server.address() as { port: number };
+    assert.ok(mesh !== undefined && peer !== undefined);
+    [`127.0.0.1:${port}`, peer.address, mesh.address].forEach((address) => {
+      mesh.send(address, 'test', 'first');
+    });
+    await sleep(300);
+    [peer.address, mesh.address].forEach((address) => {
+      mesh.send(address, 'test', 'second');
+    });
+    await sleep(300);
+  },
+);
+
+Then(
+  'the mesh reports {int} problems, and later messages to the peer and to itself are delivered',
+  async function (this: FrameWorld, problems: number) {
+    this.server.close();
+    await Promise.all(this.meshes.map((mesh) => mesh.close()));
+    assert.equal(this.problems.length, problems, this.problems.join('; '));
+    assert.deepEqual(this.delivered, ['second', 'second']);
+  },
+);
--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -6,7 +6,7 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Packr } from 'msgpackr';
-import { parseAddress, type Address } from '../model/index.js';
+import { isAddress, parseAddress, type Address } from '../model/index.js';
 import { encodeFrame, FrameReader } from './frame.js';
 
 /** Options of {@link createMesh}. */
@@ -201,17 +201,14 @@
       keepaliveSentAt: now,
     };
     this.#outbound.set(to, connection);
-    const reader = new FrameReader();
-    socket.on('data', (chunk) => {
-      reader.addChunk(chunk).forEach((nonce) => {
-        connection.lastReceivedAt = performance.now();
-        connection.awaitsKeepalive = false;
-        if (connection.ready) return;
-        const proof = computeProof(this.#options.secret, nonce, this.#options.address);
-        socket.write(encodeFrame(packr.pack([this.#options.address, proof])));
-        connection.queuedFrames.splice(0).forEach((frame) => socket.write(frame));
-        connection.ready = true;
-      });
+    this.#readFrames(socket, to, (nonce) => {
+      connection.lastReceivedAt = performance.now();
+      connection.awaitsKeepalive = false;
+      if (connection.ready) return;
+      const proof = computeProof(this.#options.secret, nonce, this.#options.address);
+      socket.write(encodeFrame(packr.pack([this.#options.address, proof])));
+      connection.queuedFrames.splice(0).forEach((frame) => socket.write(frame));
+      connection.ready = true;
     });
     socket.on('error', (error) => {
       this.#options.onProblem?.(to, error.message);
@@ -227,30 +224,37 @@
     this.#inbound.add(socket);
     socket.setNoDelay(true);
     const nonce = randomBytes(NONCE_BYTES);
-    const reader = new FrameReader();
     let peer: Address | undefined;
     socket.write(encodeFrame(nonce));
+    this.#readFrames(socket, 'unknown', (frame) => {
+      if (peer === undefined) {
+        peer = this.#verifyPeer(nonce, frame);
+        // A peer that just connected is running, so the reconnect delay no longer applies.
+        this.#reconnectAfter.delete(peer);
+      } else if (frame.length === 0) socket.write(KEEPALIVE_FRAME);
+      else this.#deliver(peer, frame);
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.#inbound.delete(socket));
+  }
+
+  /** Handles the frames of a connection, and closes it at the first that can't be read. */
+  #readFrames(socket: Socket, peer: string, onFrame: (frame: Buffer) => void): void {
+    const reader = new FrameReader();
     socket.on('data', (chunk) => {
       try {
-        reader.addChunk(chunk).forEach((frame) => {
-          if (peer === undefined) {
-            peer = this.#verifyPeer(nonce, frame);
-            // A peer that just connected is running, so the reconnect delay no longer applies.
-            this.#reconnectAfter.delete(peer);
-          } else if (frame.length === 0) socket.write(KEEPALIVE_FRAME);
-          else this.#deliver(peer, frame);
-        });
+        reader.addChunk(chunk).forEach(onFrame);
       } catch (error) {
-        this.#options.onProblem?.(peer ?? 'unknown', String(error));
+        this.#options.onProblem?.(peer, String(error));
         socket.destroy();
       }
     });
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => this.#inbound.delete(socket));
   }
 
   #verifyPeer(nonce: Buffer, frame: Buffer): Address {
     const [address, proof] = packr.unpack(frame) as [string, Uint8Array];
+    if (!isAddress(address))
+      throw new Error('a peer named no address: set [peer] listen to an IPv4 address and port');
     const expected = computeProof(this.#options.secret, nonce, address);
     const matches = proof.length === expected.length && timingSafeEqual(expected, proof);
     if (!matches) {
@@ -268,7 +272,12 @@
       bytesReceived: this.#traffic.bytesReceived + frame.length,
     };
     const [channel, message] = packr.unpack(frame) as [string, unknown];
-    this.#handlers.get(channel)?.(from, message);
+    try {
+      this.#handlers.get(channel)?.(from, message);
+    } catch (error) {
+      // The sender repeats what matters; closing the connection would lose the messages behind this one.
+      this.#options.onProblem?.(from, `message on channel ${channel}: ${String(error)}`);
+    }
   }
 }
 
