Check the rows of load gossip before they reach a record

Cause: datagrams are not authenticated, and a row was used as it was decoded. A report "from later" (negative age) kept every true report out for good, as the latest one wins; a pace that is no number made the cost of an upstream no number, so that no upstream was close to the lowest one and requests were refused.

A row is five or more finite numbers from 0 up; another datagram is reported and dropped whole. Times are bounded at the receiver as they are at the sender. Load headers with negative counts are no reports, so no gateway sends such.

--- a/features/gateway/gossip.feature
+++ b/features/gateway/gossip.feature
@@ -39,3 +39,21 @@
     Then other zones are sent at most 5 rounds of reports, with all answers that were counted
     When an upstream becomes cold between two rounds
     Then the next round tells other zones of that upstream alone
+
+  Scenario Outline: A datagram with <fault> changes no record
+    Given a gateway that knows an upstream with 2 requests, from load gossip
+    When a datagram with <fault> is sent to it
+    Then it reports a problem, and the upstream's record is unchanged
+    When a load report of 4 requests is sent to it
+    Then the upstream's record shows 4 requests
+
+    Examples:
+      | fault                |
+      | a row of text        |
+      | a missing pace       |
+      | a pace of no number  |
+      | a report from later  |
+      | endless requests     |
+      | an unknown source    |
+      | no rows              |
+      | bytes of no encoding |
--- a/features/gateway/gossip.steps.ts
+++ b/features/gateway/gossip.steps.ts
@@ -1,6 +1,8 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { createSocket, type Socket } from 'node:dgram';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Packr } from 'msgpackr';
 import type { EntryRecord } from '../../src/feed/index.js';
 import { addCounts, addReport, UpstreamRegistry } from '../../src/gateway/registry.js';
 import { FarReports, type DueReports } from '../../src/gateway/farreports.js';
@@ -279,3 +281,103 @@
       gossip.close();
     });
 });
+
+interface DatagramWorld {
+  registry: UpstreamRegistry;
+  gossip: LoadGossip;
+  sender: Socket;
+  listen: string;
+  problems: string[];
+  before: string;
+}
+
+const packr = new Packr({ useRecords: false });
+
+async function sendDatagram({ sender, listen }: DatagramWorld, bytes: Buffer): Promise<void> {
+  const [host = '', port] = listen.split(':');
+  await new Promise((resolve) => {
+    sender.send(bytes, Number(port), host, resolve);
+  });
+  await sleep(50);
+}
+
+function getOnlyRecord({ registry }: DatagramWorld): UpstreamRecord {
+  const [record] = registry.records;
+  assert.ok(record);
+  return record;
+}
+
+function describeRecord(world: DatagramWorld): string {
+  const { report, reportedAt, unreachableUntil, coldUntil, good, bad } = getOnlyRecord(world);
+  return JSON.stringify({ report, reportedAt, unreachableUntil, coldUntil, good, bad });
+}
+
+Given(
+  'a gateway that knows an upstream with {int} requests, from load gossip',
+  async function (this: DatagramWorld, running: number) {
+    this.registry = new UpstreamRegistry();
+    this.registry.update(createCatalog(['u1']));
+    this.listen = `127.9.9.9:${20_000 + Math.floor(Math.random() * 20_000)}`;
+    this.problems = [];
+    this.sender = createSocket('udp4');
+    this.gossip = createLoadGossip({
+      listen: this.listen,
+      now: () => performance.now(),
+      listRecords: () => this.registry.records,
+      getRecord: (key) => this.registry.getByKey(key),
+      isProber: () => false,
+      getPlan: () => ({ kind: 'direct', peers: [], farPeers: [] }),
+      getFarInterval: () => 0,
+      onReport: ({ key, reportedAt, running: reported, waiting, pace, good, bad }) => {
+        const record = this.registry.getByKey(key);
+        if (record === undefined) return;
+        addReport(record, { running: reported, waiting, pace, slots: 6 }, reportedAt);
+        addCounts(record, good, bad, performance.now());
+      },
+      onProblem: (message) => this.problems.push(message),
+    });
+    const { key } = getOnlyRecord(this);
+    await sendDatagram(this, packr.pack(['gateway', [[key, running, 0, 100, 100]]]));
+    assert.equal(getOnlyRecord(this).report.running, running);
+  },
+);
+
+When(/^a datagram with (.*) is sent to it$/, async function (this: DatagramWorld, fault: string) {
+  const { key } = getOnlyRecord(this);
+  const datagrams: Readonly<Record<string, Buffer>> = {
+    'a row of text': packr.pack(['gateway', ['row']]),
+    'a missing pace': packr.pack(['gateway', [[key, 3, 0]]]),
+    'a pace of no number': packr.pack(['gateway', [[key, 3, 0, 'x', 0]]]),
+    'a report from later': packr.pack(['gateway', [[key, 3, 0, 100, -1e9]]]),
+    'endless requests': packr.pack(['gateway', [[key, Infinity, 0, 100, 0]]]),
+    'an unknown source': packr.pack(['stranger', [[key, 3, 0, 100, 0]]]),
+    'no rows': packr.pack(['gateway']),
+    'bytes of no encoding': Buffer.from([0xc1, 0xff]),
+  };
+  const bytes = datagrams[fault];
+  assert.ok(bytes);
+  this.before = describeRecord(this);
+  await sendDatagram(this, bytes);
+});
+
+Then(
+  "it reports a problem, and the upstream's record is unchanged",
+  function (this: DatagramWorld) {
+    assert.equal(this.problems.length, 1, this.problems.join('; '));
+    assert.equal(describeRecord(this), this.before);
+  },
+);
+
+When(
+  'a load report of {int} requests is sent to it',
+  async function (this: DatagramWorld, running: number) {
+    const { key } = getOnlyRecord(this);
+    await sendDatagram(this, packr.pack(['gateway', [[key, running, 0, 100, 0]]]));
+  },
+);
+
+Then("the upstream's record shows {int} requests", function (this: DatagramWorld, running: number) {
+  this.gossip.close();
+  this.sender.close();
+  assert.equal(getOnlyRecord(this).report.running, running);
+});
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -103,6 +103,30 @@
   return row.slice(0, Math.max(last + 1, 5)) as unknown as GossipRow;
 }
 
+const sources: ReadonlySet<unknown> = new Set<GossipSource>([
+  'gateway',
+  'follower',
+  'relay',
+  'own-relay',
+]);
+
+function isRow(value: unknown): value is GossipRow {
+  if (!Array.isArray(value) || value.length < 5) return false;
+  const numbers = value as readonly unknown[];
+  return numbers.every((number) => typeof number === 'number' && number >= 0 && number < Infinity);
+}
+
+/**
+ * Checks a decoded datagram, as datagrams are not authenticated and a wrong number would stay in an
+ * upstream's record.
+ */
+function decodeDatagram(value: unknown): readonly [GossipSource, readonly GossipRow[]] {
+  const [source, rows] = Array.isArray(value) ? (value as readonly unknown[]) : [];
+  if (!sources.has(source) || !Array.isArray(rows) || !rows.every(isRow))
+    throw new Error('a datagram is no load gossip: check what else sends to this address');
+  return [source as GossipSource, rows];
+}
+
 class LoadGossipSocket implements LoadGossip {
   readonly #options: LoadGossipOptions;
   readonly #socket: Socket;
@@ -291,7 +315,7 @@
 
   #receive(from: Address, message: Buffer): void {
     const now = this.#options.now();
-    const [source, rows] = packr.unpack(message) as readonly [GossipSource, readonly GossipRow[]];
+    const [source, rows] = decodeDatagram(packr.unpack(message));
     const counts: Counts = new Map(
       rows.map(([key, , , , , good = 0, bad = 0]) => [key, [good, bad] as const]),
     );
@@ -320,8 +344,8 @@
         reportedAt: now - age,
         good,
         bad,
-        coldFor,
-        unreachableFor,
+        coldFor: Math.min(coldFor, MAX_ROW_TIME),
+        unreachableFor: Math.min(unreachableFor, MAX_ROW_TIME),
       });
     });
   }
