Try a connection between processes again when its first packet was lost

Cause: after a loss of power on all VMs, gateways are up before the stewards' VMs take packets. A dial whose first packet is dropped by a VM that still starts is neither refused nor opened, and TCP repeats it after a second; the gateway's polls waited behind it until it gave the steward up, 700 ms after its start.

A connection that has not opened within 400 ms is closed, and the next message dials anew without the delay that follows a refused one.

Ruled out: a shorter keepalive limit, as a peer that has accepted may be slow to answer the challenge.

--- a/features/wire/frame.feature
+++ b/features/wire/frame.feature
@@ -21,3 +21,8 @@
     Given a mesh, a peer, and a server that answers each connection with "HTTP/1.1 400 Bad Request"
     When the mesh sends a message to that server, to the peer and to itself, whose handlers fail once
     Then the mesh reports 3 problems, and later messages to the peer and to itself are delivered
+
+  Scenario: A connection whose first packet is lost is tried again without waiting for TCP
+    Given an address that drops connection attempts
+    When a mesh keeps sending to that address, where a peer listens 100 ms later
+    Then the peer gets a message within 700 ms of the first one
--- a/features/wire/frame.steps.ts
+++ b/features/wire/frame.steps.ts
@@ -1,6 +1,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { createServer, type Server } from 'node:net';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { connect, createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createMesh, type Mesh } from '../../src/wire/index.js';
 import { encodeFrame, FrameReader } from '../../src/wire/frame.js';
@@ -13,6 +15,10 @@
   delivered: unknown[];
   server: Server;
   problems: string[];
+  blocker: ChildProcess;
+  fillers: readonly Socket[];
+  port: number;
+  elapsed: number;
 }
 
 Given('frames of 0, 1, 5 and 70000 bytes', function (this: FrameWorld) {
@@ -123,3 +129,60 @@
     assert.deepEqual(this.delivered, ['second', 'second']);
   },
 );
+
+/** Listens with a short queue of connections and never accepts one, so that the system drops the next ones. */
+const BLOCKING_PROGRAM = `
+  require('node:net').createServer().listen({ port: Number(process.argv[1]), host: '127.0.0.1', backlog: 1 }, () => {
+    require('node:fs').writeSync(1, 'listening');
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+  });`;
+const FILLING_CONNECTIONS = 4;
+
+Given('an address that drops connection attempts', async function (this: FrameWorld) {
+  const [port = 0] = await findFreePorts(1);
+  this.port = port;
+  this.blocker = spawn(process.execPath, ['-e', BLOCKING_PROGRAM, String(port)], {
+    env: { ...process.env, NODE_OPTIONS: '' },
+  });
+  assert.ok(this.blocker.stdout);
+  await once(this.blocker.stdout, 'data');
+  this.fillers = Array.from({ length: FILLING_CONNECTIONS }, () => {
+    const socket = connect({ host: '127.0.0.1', port });
+    socket.on('error', () => socket.destroy());
+    return socket;
+  });
+  await sleep(50);
+});
+
+When(
+  'a mesh keeps sending to that address, where a peer listens {int} ms later',
+  async function (this: FrameWorld, delay: number) {
+    const [own = 0] = await findFreePorts(1);
+    const secret = 'the secret of the site';
+    const mesh = await createMesh({ address: `127.0.0.1:${own}`, secret });
+    const since = performance.now();
+    const timer = setInterval(() => {
+      mesh.send(`127.0.0.1:${this.port}`, 'test', 'hello');
+    }, 50);
+    await sleep(delay);
+    this.blocker.kill('SIGKILL');
+    this.fillers.forEach((socket) => socket.destroy());
+    await once(this.blocker, 'exit');
+    const peer = await createMesh({ address: `127.0.0.1:${this.port}`, secret });
+    await new Promise<void>((resolve) => {
+      peer.handle('test', () => {
+        resolve();
+      });
+    });
+    this.elapsed = performance.now() - since;
+    clearInterval(timer);
+    await Promise.all([mesh.close(), peer.close()]);
+  },
+);
+
+Then(
+  'the peer gets a message within {int} ms of the first one',
+  function (this: FrameWorld, most: number) {
+    assert.ok(this.elapsed <= most, `${Math.round(this.elapsed)} ms`);
+  },
+);
--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -49,6 +49,11 @@
 const NONCE_BYTES = 16;
 /** Delay before reconnecting to a peer whose connection closed, in milliseconds. */
 const RECONNECT_DELAY = 200;
+/**
+ * Milliseconds within which a connection must open, for peers up to 200 ms away. The first packet to a VM that
+ * is still starting is lost, and TCP sends it again only after a second.
+ */
+const CONNECT_TIMEOUT = 400;
 /** Bytes buffered on one connection above which further messages to it are dropped. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
@@ -201,6 +206,14 @@
       keepaliveSentAt: now,
     };
     this.#outbound.set(to, connection);
+    const connectTimer = setTimeout(() => {
+      this.#options.onProblem?.(to, `no connection within ${CONNECT_TIMEOUT} ms`);
+      this.#outbound.delete(to);
+      socket.destroy();
+    }, CONNECT_TIMEOUT);
+    socket.once('connect', () => {
+      clearTimeout(connectTimer);
+    });
     this.#readFrames(socket, to, (nonce) => {
       connection.lastReceivedAt = performance.now();
       connection.awaitsKeepalive = false;
@@ -214,7 +227,10 @@
       this.#options.onProblem?.(to, error.message);
     });
     socket.on('close', () => {
-      if (this.#outbound.get(to) === connection) this.#outbound.delete(to);
+      clearTimeout(connectTimer);
+      // A connection that did not open in time was removed, and may be tried again at once.
+      if (this.#outbound.get(to) !== connection) return;
+      this.#outbound.delete(to);
       this.#reconnectAfter.set(to, performance.now() + RECONNECT_DELAY);
     });
     return connection;
