Poll control members more often until an entry has its first state

Cause: a gateway that starts polls every 250 ms. After a restart of all processes most polls reached a steward before it had a leader or after that by up to 250 ms, in which every request of the gateway waits.

Polls come every 100 ms until the first state, in the first 5 s of a process at most, so that a site without stewards is not polled by hundreds of gateways ten times a second.

Ruled out: polling all seeds at once, as each of them sends the whole list of gateways, 42 KB on the large site.

--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -63,3 +63,9 @@
     Then all entries follow "10.2.0.34:7200"
     When that member is silent for 1000 ms, while the list of entries changes
     Then none of the entries follows "10.2.0.34:7200"
+
+  Scenario: An entry without a state polls often, so that it serves soon after all processes restarted
+    Given an entry whose view is observed
+    Then it polls at least 6 times in 1000 ms
+    When an update adds the routes of version 1, takes the zone "a" out, and takes it back
+    Then it polls at most 5 times in 1000 ms
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -634,3 +634,25 @@
   });
   this.publisher?.close();
 });
+
+async function countPolls({ mesh }: FeedWorld, time: number): Promise<number> {
+  const before = mesh.sent.length;
+  await sleep(time);
+  return mesh.sent.slice(before).filter(([, { kind }]) => kind === 'follow').length;
+}
+
+Then(
+  'it polls at least {int} times in {int} ms',
+  async function (this: FeedWorld, least: number, time: number) {
+    const count = await countPolls(this, time);
+    assert.ok(count >= least, `${count} polls`);
+  },
+);
+
+Then(
+  'it polls at most {int} times in {int} ms',
+  async function (this: FeedWorld, most: number, time: number) {
+    const count = await countPolls(this, time);
+    assert.ok(count <= most, `${count} polls`);
+  },
+);
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -14,6 +14,10 @@
 
 /** Interval of polls to the followed control member, in milliseconds. */
 const POLL_INTERVAL: Duration = 250;
+/** Interval of polls while the entry has no state yet and can serve nobody, in milliseconds. */
+const STARTUP_POLL_INTERVAL: Duration = 100;
+/** Milliseconds after the start for which {@link STARTUP_POLL_INTERVAL} applies; an election takes less. */
+const STARTUP_TIME: Duration = 5000;
 /** Milliseconds without an answer after which the entry follows another control member. */
 const ANSWER_TIMEOUT: Duration = 700;
 
@@ -62,7 +66,8 @@
 
 class FeedFollower implements Follower {
   readonly #options: FollowerOptions;
-  readonly #timer: NodeJS.Timeout;
+  readonly #startedAt: Instant;
+  #timer: NodeJS.Timeout | undefined;
   #view: FeedView = { catalog: emptyCatalog, index: 0, entries: [] };
   readonly #fleet = new FleetCopy();
   #members: readonly Address[];
@@ -83,10 +88,9 @@
     options.mesh.handle(FEED_CHANNEL, (from, message) => {
       this.#receive(from, message as FeedMessage);
     });
-    this.#timer = setInterval(() => {
-      this.#poll();
-    }, POLL_INTERVAL);
+    this.#startedAt = options.now();
     this.pollNow();
+    this.#schedulePoll();
   }
 
   get view(): FeedView {
@@ -109,7 +113,7 @@
   }
 
   close(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   /**
@@ -137,6 +141,18 @@
     return this.#givenUpAt.get(member) ?? -Number.MAX_VALUE;
   }
 
+  #schedulePoll(): void {
+    const isStarting =
+      this.#view.index === 0 && this.#options.now() - this.#startedAt < STARTUP_TIME;
+    this.#timer = setTimeout(
+      () => {
+        this.#poll();
+        this.#schedulePoll();
+      },
+      isStarting ? STARTUP_POLL_INTERVAL : POLL_INTERVAL,
+    );
+  }
+
   #poll(): void {
     const now = this.#options.now();
     if (now - Math.max(this.#lastHealthyAnswerAt, this.#followedSince) > ANSWER_TIMEOUT)
