Let requests wait for the first routes for up to half of their caller's time

Cause: after a loss of power on all VMs, gateways accept callers 0.4 to 0.9 s before they know the routes.

A caller that waits is served at once when the routes come, and still has half of its time if they don't. The bound of a third was a guess at what callers need to go elsewhere; all gateways are in the same state then.

--- a/src/gateway/startup.ts
+++ b/src/gateway/startup.ts
@@ -16,7 +16,7 @@
 /** Maximum milliseconds that a request waits; the slowest election and the first poll after it. */
 const MAX_WAIT: Duration = 1200;
 /** Share of the caller's time that a request may wait, so that the caller can still go elsewhere. */
-const MAX_DEADLINE_SHARE = 1 / 3;
+const MAX_DEADLINE_SHARE = 1 / 2;
 /** Maximum number of waiting requests, which bounds their memory and the burst that follows. */
 const MAX_WAITING = 256;
 
