Probe upstreams less often where each of them gets few requests

Cause: each upstream was probed every 150 ms, whatever its requests. With 1.7 requests a second for each of 236 upstreams (large site) these are 3.9 probes a request beside the one to three on-demand probes that a request makes anyway, and load gossip spreads every result.

The interval now follows the rate of the service: 1.33 periodic probes a request, 150 to 600 ms. Services with five requests a second and upstream or more are probed as before.

Ruled out: no periodic probes, as reachability and the choice's first candidate depend on them; an interval from the work of requests, as VMs change their pace every 500 ms whatever the work.

Replay of 236 upstreams on VMs that are 7 times slower a quarter of the time: above 4 probes a request before, at most 3 now; below 1 in 100 requests began on a slow VM in both.

--- a/features/gateway/ondemand.feature
+++ b/features/gateway/ondemand.feature
@@ -42,3 +42,21 @@
     Given 4 gateways and 12 upstreams in each of the zones "a b c", and 6 upstreams in zone "d"
     When the gateways look for due probes
     Then each upstream is probed by exactly one gateway, which is in its zone if the zone has any
+
+  Scenario Outline: Replay of a large fleet, whose upstreams each get few requests
+    Given 236 upstreams on such VMs, each of which gets 1.7 requests a second from all gateways
+    When their load is probed at the interval for <interval>, and 3000 requests with 660 ms of work are sent
+    Then the probes for each request are <probes>
+    And the share that began on a slow VM is below 1 in 100
+
+    Examples:
+      | interval       | probes      |
+      | busy upstreams | more than 4 |
+      | that rate      | at most 3   |
+
+  Scenario: The interval between periodic probes follows the rate of requests
+    Then the probe interval for 17 requests a second is 150 ms
+    And the probe interval for 2 requests a second is 376 ms
+    And the probe interval for 0 requests a second is 600 ms
+    When a gateway gets 20 requests of a service, one every 750 ms
+    Then it reports 1.3 requests a second within 25 in 100, and none in the first 2 seconds
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -8,6 +8,7 @@
 import { isProbeWorthwhile } from '../../src/gateway/ondemand.js';
 import { BufferBudget } from '../../src/gateway/buffers.js';
 import { ConnectionPool } from '../../src/gateway/pool.js';
+import { computeProbeInterval, RequestRates } from '../../src/gateway/probing.js';
 import { createProber, type Prober } from '../../src/gateway/prober.js';
 import { RequestRun, type RunHost } from '../../src/gateway/run.js';
 import type {
@@ -38,6 +39,7 @@
 const EPOCH = 500;
 const SLOW_PACE = 7;
 const SLOW_SHARE = 0.25;
+const BASE_PROBE_INTERVAL = 150;
 
 function createDraw(seed: number): () => number {
   const random = xoroshiro128plus(seed);
@@ -169,6 +171,123 @@
   },
 );
 
+interface RareRequestsWorld extends OnDemandWorld {
+  interval: number;
+  probesPerRequest: number;
+}
+
+/** Milliseconds that load gossip takes to reach a gateway of a large fleet, at most. */
+const GOSSIP_DELAY = 300;
+
+Given(
+  '{int} upstreams on such VMs, each of which gets {float} requests a second from all gateways',
+  function (this: RareRequestsWorld, upstreams: number, rate: number) {
+    const draw = createDraw(SEED);
+    const registry = new UpstreamRegistry();
+    registry.update(createCatalog(Array.from({ length: upstreams }, (_, index) => `u${index}`)));
+    this.vms = registry.records.map((record) => new SharedVm(record, draw));
+    this.refillPerSecond = rate;
+  },
+);
+
+When(
+  /^their load is probed at the interval for (that rate|busy upstreams), and 3000 requests with 660 ms of work are sent$/,
+  function (this: RareRequestsWorld, interval: string) {
+    const rate = interval === 'that rate' ? this.refillPerSecond : undefined;
+    this.interval = computeProbeInterval(BASE_PROBE_INTERVAL, rate);
+    const draw = createDraw(SEED + 1);
+    const work = 660;
+    const excess = SLOW_SHARE * (SLOW_PACE - 1);
+    let onDemand = 0;
+    const paces = Array.from({ length: 3000 }, (_, index) => {
+      const now = 2000 + index * 15;
+      this.vms.forEach((vm) => {
+        const age = draw() * (this.interval + GOSSIP_DELAY);
+        // The report that this gateway has of the upstream, as old as the interval and the gossip make it.
+        vm.record.reportedAt = -Infinity;
+        vm.report(now - age);
+      });
+      let chosenPace = 0;
+      const find = (record: UpstreamRecord): SharedVm => {
+        const vm = this.vms.find((one) => one.record === record);
+        assert.ok(vm);
+        return vm;
+      };
+      const host: RunHost = {
+        now: () => now,
+        choose: (_request, tried, justProbed) =>
+          chooseUpstream(
+            this.vms.map(({ record }) => record).filter((record) => !tried.includes(record)),
+            {
+              ...{ now, work, timeLeft: 6000, targetTime: 1500, zone: 'a', isLarge: false },
+              ...{ deadlineShare: 0.8, random: draw(), justProbed },
+              ...{ canProbe: true, hasConnection: () => false },
+            },
+          ),
+        isProbeDue: (_request, { reportedAt }) => isProbeWorthwhile(work, excess, now - reportedAt),
+        probeOnDemand: (record, onEnd) => {
+          onDemand += 1;
+          record.reportedAt = -Infinity;
+          find(record).report(now);
+          onEnd(true);
+        },
+        send: (_request, record) => {
+          chosenPace = find(record).getPace(now);
+          return { cancel: () => undefined };
+        },
+        takeRetry: () => false,
+        recordAttempt: () => undefined,
+        recordDecision: () => undefined,
+      };
+      new RequestRun(host, createRequest('safe', now), () => undefined).cancel();
+      return chosenPace;
+    });
+    this.slowShare = paces.filter((pace) => pace > 1).length / paces.length;
+    const periodic = 1000 / this.interval / this.refillPerSecond;
+    this.probesPerRequest = periodic + onDemand / paces.length;
+  },
+);
+
+Then(
+  /^the probes for each request are (at most|more than) (\d+)$/,
+  function (this: RareRequestsWorld, side: string, bound: string) {
+    const isWithin =
+      side === 'at most'
+        ? this.probesPerRequest <= Number(bound)
+        : this.probesPerRequest > Number(bound);
+    assert.ok(isWithin, `${this.probesPerRequest} probes for each request`);
+  },
+);
+
+Then(
+  'the probe interval for {float} requests a second is {int} ms',
+  function (rate: number, interval: number) {
+    assert.equal(Math.round(computeProbeInterval(BASE_PROBE_INTERVAL, rate)), interval);
+  },
+);
+
+When(
+  'a gateway gets {int} requests of a service, one every {int} ms',
+  function (this: RareRequestsWorld, count: number, gap: number) {
+    const rates = new RequestRates();
+    const early: (number | undefined)[] = [];
+    Array.from({ length: count }, (_, index) => index * gap).forEach((now) => {
+      rates.addRequest('records', now);
+      if (now < 2000) early.push(rates.getRate('records', now));
+    });
+    assert.deepEqual([...new Set(early)], [undefined]);
+    this.probesPerSecond = rates.getRate('records', (count - 1) * gap) ?? 0;
+  },
+);
+
+Then(
+  'it reports {float} requests a second within {int} in 100, and none in the first 2 seconds',
+  function (this: RareRequestsWorld, rate: number, tolerance: number) {
+    const deviation = Math.abs(this.probesPerSecond - rate) / rate;
+    assert.ok(deviation <= tolerance / 100, `${this.probesPerSecond} requests a second`);
+  },
+);
+
 interface RandomRun {
   readonly kind: Route['kind'];
   readonly sent: number;
@@ -313,7 +432,8 @@
     const pool = new ConnectionPool(headerDialect, new BufferBudget(1_000_000));
     pool.close();
     this.prober = createProber({
-      ...{ pool, dialect: headerDialect, interval: 60_000, rate: 60, self: 'nobody' },
+      ...{ pool, dialect: headerDialect, rate: 60, self: 'nobody' },
+      getInterval: () => 60_000,
       now: () => performance.now(),
       listGateways: () => ['another'],
       listProbers: () => ['another'],
@@ -402,7 +522,8 @@
       ids.map((self) => ({
         zone,
         prober: createProber({
-          ...{ pool, dialect: headerDialect, interval: 60_000, rate: 60, self },
+          ...{ pool, dialect: headerDialect, rate: 60, self },
+          getInterval: () => 60_000,
           now: () => 0,
           listGateways: () => all,
           listProbers: (name) => gatewaysByZone.get(name) ?? all,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -53,6 +53,7 @@
 import { EvidenceCollector } from './evidence.js';
 import { isProbeWorthwhile } from './ondemand.js';
 import { ConnectionPool, type Attempt } from './pool.js';
+import { computeProbeInterval, RequestRates } from './probing.js';
 import { createProber, recordLoad, type Prober } from './prober.js';
 import { createLoadGossip, type ReceivedReport, type LoadGossip } from './gossip.js';
 import { planGossip, type GossipPlan } from './relays.js';
@@ -120,7 +121,7 @@
   readonly dialect: HeaderDialect;
   readonly retryBounds: RetryBounds;
   readonly coldBounds: ColdBounds;
-  /** Milliseconds after which an upstream's load report is stale and the upstream is probed again. */
+  /** Shortest time in milliseconds after which an upstream's load report is stale and it is probed again. */
   readonly probeInterval: Duration;
   /** Average number of probes per second and upstream that all gateways may make together. */
   readonly probeRate: number;
@@ -195,6 +196,7 @@
   readonly #versionSplitter = new VersionSplitter();
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #averageWork = new AverageWork();
+  readonly #requestRates = new RequestRates();
   readonly #evidence = new EvidenceCollector();
   #catalog: Catalog | undefined;
   #routes: RouteIndex = new Map();
@@ -262,7 +264,7 @@
     this.#prober = createProber({
       pool: this.#pool,
       dialect: options.dialect,
-      interval: options.probeInterval,
+      getInterval: (service) => this.#computeProbeInterval(service),
       rate: options.probeRate,
       now: this.now,
       self: options.id,
@@ -547,6 +549,7 @@
       deadline: arrivedAt + timeout,
     };
     this.#getRetryBudget(service).addRequest(this.#gateways.length);
+    this.#requestRates.addRequest(service, this.now());
     return new RequestRun(this, request, (answer) => {
       this.#recordAnswer(request, answer);
       onAnswer(answer);
@@ -565,6 +568,17 @@
     return this.#averageWork.get(service, route);
   }
 
+  /** Callers spread over all gateways, so that each of them gets about the same number of requests. */
+  #computeProbeInterval(service: string): Duration {
+    const ownRate = this.#requestRates.getRate(service, this.now());
+    const upstreams = this.#registry.listUsable(service, undefined).length;
+    const rate =
+      ownRate === undefined
+        ? undefined
+        : (ownRate * this.#gateways.length) / Math.max(1, upstreams);
+    return computeProbeInterval(this.#options.probeInterval, rate);
+  }
+
   takeRetry(service: string): boolean {
     return this.#getRetryBudget(service).takeRetry();
   }
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -46,8 +46,8 @@
 export interface ProberOptions {
   readonly pool: ConnectionPool;
   readonly dialect: HeaderDialect;
-  /** Milliseconds after which a load report is no longer fresh. */
-  readonly interval: Duration;
+  /** Returns the milliseconds after which a load report of the service's upstreams is no longer fresh. */
+  readonly getInterval: (service: string) => Duration;
   /** Average number of probes per second that all gateways together may make of one upstream. */
   readonly rate: number;
   readonly now: () => Instant;
@@ -272,8 +272,11 @@
 
   #isDue(record: UpstreamRecord, now: Instant): boolean {
     if (record.isProbing || record.service === undefined || record.instance.draining) return false;
-    const reportsLoad = this.#reportsLoad.get(record.instance.service) ?? true;
-    const normalInterval = reportsLoad ? this.#options.interval : UNREPORTED_PROBE_INTERVAL;
+    const { service } = record.instance;
+    const reportsLoad = this.#reportsLoad.get(service) ?? true;
+    const normalInterval = reportsLoad
+      ? this.#options.getInterval(service)
+      : UNREPORTED_PROBE_INTERVAL;
     const isUnhealthy = record.unreachableUntil > now || record.coldUntil > now;
     const interval = isUnhealthy ? Math.max(normalInterval, COLD_PROBE_INTERVAL) : normalInterval;
     const lastUpdateAt = reportsLoad
