--- a/src/catalog/routes.ts
+++ b/src/catalog/routes.ts
@@ -38,6 +38,9 @@
   return undefined;
 }
 
+/** A path of visible characters: it is sent in the request line of health checks. */
+const HEALTH_PATH = /^\/[\x21-\x7e]*$/;
+
 function findDuplicate(values: readonly string[]): string | undefined {
   const seen = new Set<string>();
   return values.find((value) => {
@@ -61,6 +64,8 @@
   if (location !== undefined) return `two routes share the place ${location}`;
   if (name !== undefined) return `two routes are named "${name}"`;
   if (service !== undefined) return `two services are named "${service}"`;
+  const probed = table.services.find(({ healthPath }) => !HEALTH_PATH.test(healthPath));
+  if (probed !== undefined) return `service "${probed.name}" has a health path that is no path`;
   return table.routes
     .map((route) => findRouteProblem(route, services))
     .find((problem) => problem !== undefined);
--- a/src/control/formats.ts
+++ b/src/control/formats.ts
@@ -19,16 +19,25 @@
   return packr.pack(record);
 }
 
+/** Returns the decoded payload, or undefined if it is no MessagePack. */
+function decodePayload(payload: Uint8Array): unknown {
+  try {
+    return packr.unpack(payload) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Decodes a log record. Returns undefined if the payload does not match the schema. */
 export function parseLogRecord(payload: Uint8Array): LogRecord | undefined {
-  const value: unknown = packr.unpack(payload);
+  const value = decodePayload(payload);
   return validateLogRecord(value) ? value : undefined;
 }
 
 /** Decodes the snapshot in a file. Returns undefined if the checksum or the schema does not match. */
 export function parseSnapshot(bytes: Buffer): Snapshot | undefined {
   const payload = readRecord(bytes, 0);
-  const value: unknown = payload === undefined ? undefined : packr.unpack(payload);
+  const value = payload === undefined ? undefined : decodePayload(payload);
   return validateSnapshot(value) ? value : undefined;
 }
 
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -10,6 +10,7 @@
 import type { Mesh } from '../wire/index.js';
 import { decodeCommands, decodeState, type IndexedCommands } from './codec.js';
 import { FleetCopy } from './fleet.js';
+import { decodeMessage } from './messages.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
 
 /** Interval of polls to the followed control member, in milliseconds. */
@@ -86,7 +87,7 @@
     this.#lastHealthyAnswerAt = options.now();
     this.#followed = this.#rankMembers()[0] ?? '';
     options.mesh.handle(FEED_CHANNEL, (from, message) => {
-      this.#receive(from, message as FeedMessage);
+      this.#receive(from, decodeMessage(message));
     });
     this.#startedAt = options.now();
     this.pollNow();
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -9,6 +9,7 @@
 import type { Mesh } from '../wire/index.js';
 import { encodeCommands, encodeState, type Payload, type IndexedCommands } from './codec.js';
 import { FleetCopy, FleetHistory, FleetTable } from './fleet.js';
+import { decodeMessage } from './messages.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage, type GroupStatus } from './types.js';
 
 /** Maximum number of recent commands kept for followers that lag; others get the whole state. */
@@ -78,7 +79,7 @@
       this.#recordCommand(index, command as CatalogCommand | undefined);
     });
     options.mesh.handle(FEED_CHANNEL, (from, message) => {
-      this.#receive(from, message as FeedMessage);
+      this.#receive(from, decodeMessage(message));
     });
     this.#timer = setInterval(() => {
       this.#shareWithMembers();
