Answer requests that are being sent while a gateway stops

Cause: at 0.6 of the stop time every connection without a served request was closed, also one on which an upload or a pipelined request had arrived in part, and one that a caller had just opened. What arrived a moment later was read and discarded.

A stopping gateway closes connections as they become idle: nothing read in part, and no request for 300 ms. Requests that end in time are answered, with `Connection: close`; the process still ends within its stop time, as before.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -69,3 +69,8 @@
     Then within 20000 ms the same process follows the group with the changed routes
     When all stewards are killed at once and started again
     Then the configuration reads back as it was sent
+
+  Scenario: Requests that are being sent while a gateway stops are answered
+    Given the platform's site serves two services
+    When a gateway gets SIGTERM while it is sent half an upload, half a pipelined request, and a late connection
+    Then each of these requests got a complete response, and the gateway ended in time
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -27,6 +27,7 @@
   answers: HttpResponse[];
   failures: string[];
   receivedBytes: number;
+  elapsed: number;
 }
 
 const runFile = promisify(execFile);
@@ -535,6 +536,82 @@
   },
 );
 
+/** Sends the parts of requests at the given milliseconds after `since` and returns all that is received. */
+async function sendParts(
+  ip: string,
+  since: number,
+  parts: readonly (readonly [at: number, text: string])[],
+): Promise<string> {
+  const wait = (at: number): Promise<void> => sleep(Math.max(0, since + at - performance.now()));
+  await wait(parts[0]?.[0] ?? 0);
+  const socket = connect(PORTS.front, ip);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  socket.on('error', () => socket.destroy());
+  const closed = once(socket, 'close');
+  await parts.reduce<Promise<void>>(async (before, [at, text]) => {
+    await before;
+    await wait(at);
+    socket.write(text);
+  }, Promise.resolve());
+  await closed;
+  return received;
+}
+
+function renderRequest(firstLine: string, more = ''): string {
+  const ids = `X-Attempt-Id: ${createId()}\r\nX-Deadline-Ms: 5000\r\n`;
+  return `${firstLine} HTTP/1.1\r\nHost: site.example\r\n${ids}${more}\r\n`;
+}
+
+When(
+  'a gateway gets SIGTERM while it is sent half an upload, half a pipelined request, and a late connection',
+  { timeout: 20_000 },
+  async function (this: PlatformWorld) {
+    const { site } = this;
+    const ip = site.ips[0] ?? '';
+    const child = site.processes.get('gateway-1')?.child;
+    assert.ok(child);
+    const get = renderRequest('GET /records/1');
+    const upload = renderRequest('POST /orders/1', 'Content-Length: 20\r\n');
+    // The gateway takes connections until 1,800 ms after the signal, and ends requests until 2,760 ms.
+    const signalAt = 300;
+    const since = performance.now();
+    const exited = once(child, 'exit');
+    const sent = [
+      sendParts(ip, since, [
+        [signalAt + 1650, `${upload}0123456789`],
+        [signalAt + 2100, '0123456789'],
+      ]),
+      sendParts(ip, since, [
+        [200, get + get.slice(0, 30)],
+        [signalAt + 2100, get.slice(30)],
+      ]),
+      sendParts(ip, since, [
+        [signalAt + 1700, ''],
+        [signalAt + 1900, get],
+      ]),
+    ];
+    await sleep(signalAt);
+    child.kill('SIGTERM');
+    const received = await Promise.all(sent);
+    this.failures = received.map((text) =>
+      (text.match(/HTTP\/1\.1 200 OK/g) ?? []).length.toString(),
+    );
+    await exited;
+    this.elapsed = performance.now() - since - signalAt;
+  },
+);
+
+Then(
+  'each of these requests got a complete response, and the gateway ended in time',
+  function (this: PlatformWorld) {
+    assert.deepEqual(this.failures, ['1', '2', '1']);
+    assert.ok(this.elapsed < 3000, `${Math.round(this.elapsed)} ms`);
+  },
+);
+
 interface DiskWorld extends PlatformWorld {
   full: string;
 }
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -124,13 +124,17 @@
   checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
     if (!this.isIdle || !this.#isReading) return;
     if (this.#partialSince !== undefined) {
-      if (now - this.#partialSince > headTimeout && !this.#reader.isInBody) this.closeIdle();
-    } else if (now - this.#idleSince > idleTimeout) this.closeIdle();
+      if (now - this.#partialSince > headTimeout && !this.#reader.isInBody) this.#close();
+    } else this.closeIdle(now, idleTimeout);
   }
 
-  /** Closes the connection unless a request is being served. */
-  closeIdle(): void {
-    if (!this.isIdle) return;
+  /** Closes the connection if no request is read or served and none was for `idleTime` milliseconds. */
+  closeIdle(now: Instant, idleTime: Duration): void {
+    const isUnused = this.isIdle && this.#isReading && !this.#reader.hasPartialMessage;
+    if (isUnused && now - this.#idleSince > idleTime) this.#close();
+  }
+
+  #close(): void {
     this.#socket.end();
     this.#linger();
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -752,9 +752,6 @@
     const startedAt = this.now();
     await wait(stopTime * LAME_DUCK_SHARE);
     this.#server.close();
-    this.#callers.forEach((caller) => {
-      caller.closeIdle();
-    });
     await this.#waitForCallers(startedAt + stopTime * DRAIN_SHARE);
     clearInterval(this.#timeoutTimer);
     this.#prober.close();
@@ -763,7 +760,11 @@
     this.#pool.close();
   }
 
+  /** Closes connections as they become idle, until there are none or the time is over. */
   async #waitForCallers(until: Instant): Promise<void> {
+    this.#callers.forEach((caller) => {
+      caller.closeIdle(this.now(), STOP_IDLE_TIME);
+    });
     if (this.#callers.size === 0 || this.now() >= until) return;
     await wait(DRAIN_POLL_INTERVAL);
     await this.#waitForCallers(until);
@@ -772,6 +773,11 @@
 
 /** Maximum length of the queue of connections waiting to be accepted. */
 const LISTEN_BACKLOG = 511;
+/**
+ * Milliseconds for which a connection without a request is kept while the gateway stops: a caller that has just
+ * connected is about to send, and its request would be cut off.
+ */
+const STOP_IDLE_TIME: Duration = 300;
 /** Interval at which the drain checks whether all callers have disconnected, in milliseconds. */
 const DRAIN_POLL_INTERVAL: Duration = 50;
 const DROPPED_RESPONSE_HEADERS: ReadonlySet<string> = new Set(['content-length']);
