--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -107,56 +107,79 @@
   },
 );
 
+/** What differs between the replays of one gateway. */
+interface ReplayOptions {
+  readonly vms: readonly SharedVm[];
+  readonly now: number;
+  readonly work: number;
+  readonly timeLeft: number;
+  readonly targetTime: number;
+  /** Whether the request probes upstreams on demand. */
+  readonly isProbing: boolean;
+  /** Whether connections to all upstreams are open, or to none. */
+  readonly isConnected: boolean;
+  readonly draw: () => number;
+  readonly onProbe: () => void;
+}
+
+/** Runs one request at a gateway and returns the pace of the VM on which it began. */
+function runReplayedRequest(options: ReplayOptions): number {
+  const { vms, now, work, timeLeft, targetTime, isProbing, isConnected, draw, onProbe } = options;
+  const excess = SLOW_SHARE * (SLOW_PACE - 1);
+  const find = (record: UpstreamRecord): SharedVm => {
+    const vm = vms.find((one) => one.record === record);
+    assert.ok(vm);
+    return vm;
+  };
+  let chosenPace = 0;
+  const host: RunHost = {
+    now: () => now,
+    choose: (_request, tried, justProbed) =>
+      chooseUpstream(
+        vms.map(({ record }) => record).filter((record) => !tried.includes(record)),
+        {
+          ...{ now, work, timeLeft, targetTime, zone: 'a', isLarge: false, deadlineShare: 0.8 },
+          ...{
+            random: draw(),
+            justProbed,
+            canProbe: !isConnected,
+            hasConnection: () => isConnected,
+          },
+        },
+      ),
+    isProbeDue: (_request, { reportedAt }) =>
+      isProbing && isProbeWorthwhile(work, excess, now - reportedAt),
+    probeOnDemand: (record, onEnd) => {
+      onProbe();
+      record.reportedAt = -Infinity;
+      find(record).report(now);
+      onEnd(true);
+    },
+    send: (_request, record) => {
+      chosenPace = find(record).getPace(now);
+      return { cancel: () => undefined };
+    },
+    takeRetry: () => false,
+    recordAttempt: () => undefined,
+    recordDecision: () => undefined,
+  };
+  new RequestRun(host, createRequest('safe', now), () => undefined).cancel();
+  return chosenPace;
+}
+
 When(
   '{int} requests with {int} ms of work are sent, one every {int} ms',
   function (this: OnDemandWorld, count: number, work: number, gap: number) {
     const draw = createDraw(SEED + 1);
-    const find = (record: UpstreamRecord): SharedVm => {
-      const vm = this.vms.find((one) => one.record === record);
-      assert.ok(vm);
-      return vm;
-    };
-    const excess = SLOW_SHARE * (SLOW_PACE - 1);
     const paces = Array.from({ length: count }, (_, index) => {
       const now = 1000 + index * gap;
       this.vms.forEach((vm) => {
         if (now - vm.record.reportedAt > 200) vm.report(now - 20);
       });
-      let chosenPace = 0;
-      const host: RunHost = {
-        now: () => now,
-        choose: (_request, tried, justProbed) =>
-          chooseUpstream(
-            this.vms.map(({ record }) => record).filter((record) => !tried.includes(record)),
-            {
-              ...{
-                now,
-                work,
-                timeLeft: 5000,
-                targetTime: 600,
-                zone: 'a',
-                isLarge: false,
-                deadlineShare: 0.8,
-              },
-              ...{ random: draw(), justProbed, canProbe: false, hasConnection: () => true },
-            },
-          ),
-        isProbeDue: (_request, { reportedAt }) =>
-          this.areProbesOn && isProbeWorthwhile(work, excess, now - reportedAt),
-        probeOnDemand: (record, onEnd) => {
-          find(record).report(now);
-          onEnd(true);
-        },
-        send: (_request, record) => {
-          chosenPace = find(record).getPace(now);
-          return { cancel: () => undefined };
-        },
-        takeRetry: () => false,
-        recordAttempt: () => undefined,
-        recordDecision: () => undefined,
-      };
-      new RequestRun(host, createRequest('safe', now), () => undefined).cancel();
-      return chosenPace;
+      return runReplayedRequest({
+        ...{ vms: this.vms, now, work, timeLeft: 5000, targetTime: 600, draw },
+        ...{ isProbing: this.areProbesOn, isConnected: true, onProbe: () => undefined },
+      });
     });
     this.slowShare = paces.filter((pace) => pace > 1).length / count;
   },
@@ -196,8 +219,6 @@
     const rate = interval === 'that rate' ? this.refillPerSecond : undefined;
     this.interval = computeProbeInterval(BASE_PROBE_INTERVAL, rate);
     const draw = createDraw(SEED + 1);
-    const work = 660;
-    const excess = SLOW_SHARE * (SLOW_PACE - 1);
     let onDemand = 0;
     const paces = Array.from({ length: 3000 }, (_, index) => {
       const now = 2000 + index * 15;
@@ -207,40 +228,13 @@
         vm.record.reportedAt = -Infinity;
         vm.report(now - age);
       });
-      let chosenPace = 0;
-      const find = (record: UpstreamRecord): SharedVm => {
-        const vm = this.vms.find((one) => one.record === record);
-        assert.ok(vm);
-        return vm;
-      };
-      const host: RunHost = {
-        now: () => now,
-        choose: (_request, tried, justProbed) =>
-          chooseUpstream(
-            this.vms.map(({ record }) => record).filter((record) => !tried.includes(record)),
-            {
-              ...{ now, work, timeLeft: 6000, targetTime: 1500, zone: 'a', isLarge: false },
-              ...{ deadlineShare: 0.8, random: draw(), justProbed },
-              ...{ canProbe: true, hasConnection: () => false },
-            },
-          ),
-        isProbeDue: (_request, { reportedAt }) => isProbeWorthwhile(work, excess, now - reportedAt),
-        probeOnDemand: (record, onEnd) => {
+      return runReplayedRequest({
+        ...{ vms: this.vms, now, work: 660, timeLeft: 6000, targetTime: 1500, draw },
+        ...{ isProbing: true, isConnected: false },
+        onProbe: () => {
           onDemand += 1;
-          record.reportedAt = -Infinity;
-          find(record).report(now);
-          onEnd(true);
         },
-        send: (_request, record) => {
-          chosenPace = find(record).getPace(now);
-          return { cancel: () => undefined };
-        },
-        takeRetry: () => false,
-        recordAttempt: () => undefined,
-        recordDecision: () => undefined,
-      };
-      new RequestRun(host, createRequest('safe', now), () => undefined).cancel();
-      return chosenPace;
+      });
     });
     this.slowShare = paces.filter((pace) => pace > 1).length / paces.length;
     const periodic = 1000 / this.interval / this.refillPerSecond;
