--- a/src/feed/messages.ts
+++ b/src/feed/messages.ts
@@ -25,7 +25,7 @@
   return Number.isSafeInteger(value) && Number(value) >= 0;
 }
 
-function isFinitePositive(value: unknown): value is number {
+function isNonNegative(value: unknown): value is number {
   return Number.isFinite(value) && Number(value) >= 0;
 }
 
@@ -42,7 +42,7 @@
     isObject(value) &&
     [value.id, value.zone].every((name) => isText(name) && name !== '') &&
     [value.callerAddress, value.peerAddress].every(isAddressText) &&
-    isFinitePositive(value.capacity) &&
+    isNonNegative(value.capacity) &&
     typeof value.ready === 'boolean'
   );
 }
@@ -52,7 +52,7 @@
     isObject(value) &&
     [value.service, value.version, value.route].every(isText) &&
     Object.values(value).every(
-      (field) => isText(field) || isFinitePositive(field) || isListOf(field, isFinitePositive),
+      (field) => isText(field) || isNonNegative(field) || isListOf(field, isNonNegative),
     )
   );
 }
@@ -72,7 +72,7 @@
 }
 
 function isSilentEntry(value: unknown): value is readonly [string, number] {
-  return Array.isArray(value) && isText(value[0]) && isFinitePositive(value[1]);
+  return Array.isArray(value) && isText(value[0]) && isNonNegative(value[1]);
 }
 
 function isBase(value: unknown): boolean {
@@ -100,7 +100,7 @@
         isCount(message.after) &&
         isOptional(message.commands, isPayload) &&
         isObject(message.cold) &&
-        Object.values(message.cold).every(isFinitePositive) &&
+        Object.values(message.cold).every(isNonNegative) &&
         isOptional(message.fleet, isFleetUpdate) &&
         isListOf(message.members, isAddressText)
       );
