Name the leader to callers on VMs whose steward has no disk, instead of ending at their settings

Cause: a share of 0.05 gives each zone of the large site three stewards, of which one VM has a disk. The small twins show none of it, as their zones have four VMs. docs/PLATFORM.md had it as an open question, and counting processes misled me at first: those that end aren't there when one counts.

A steward without a data folder takes part in no agreement: it asks seeds and members for the leader and redirects every call there. At the first start the seeds tell each other whether they have a disk, and those that have one found the group.

Ruled out: a share small enough for one steward a zone, as sites with two disks in a zone must bear the loss of both; members without disks, as nothing that they acknowledge survives.

Open: seeds of which none has a disk found no group.

features/platform/path.feature, 'A steward on a VM without a disk': the process ends at once on the code before; now the two others found the group, and it redirects reads, evacuations and leaves to their leader.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -74,3 +74,9 @@
     Given the platform's site serves two services
     When a gateway gets SIGTERM while it is sent half an upload, half a pipelined request, and a late connection
     Then each of these requests got a complete response, and the gateway ended in time
+
+  Scenario: A steward on a VM without a disk names the leader, also where it is one of the seeds
+    Given the platform's site of which VM 3 has no disk
+    When the routes are sent to any of the stewards
+    Then the group has the 2 stewards with a disk, and the third one redirects each call to their leader
+    And its process never ended
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -536,6 +536,48 @@
   },
 );
 
+Given(
+  "the platform's site of which VM {int} has no disk",
+  async function (this: PlatformWorld, vm: number) {
+    this.site = await Site.start([vm - 1]);
+  },
+);
+
+When(
+  'the routes are sent to any of the stewards',
+  { timeout: 30_000 },
+  async function (this: PlatformWorld) {
+    this.sentRoutes = [safeRoute, unsafeRoute];
+    const answer = await this.site.putRoutes(this.sentRoutes);
+    assert.equal(answer.status, 200, answer.body);
+  },
+);
+
+Then(
+  'the group has the {int} stewards with a disk, and the third one redirects each call to their leader',
+  { timeout: 20_000 },
+  async function (this: PlatformWorld, members: number) {
+    const { ips } = this.site;
+    const voters = await readMetric(ips[0] ?? '', PORTS.stewardMetrics, 'chivewalk_steward_voters');
+    assert.equal(voters, members);
+    const calls = [
+      { path: '/-/Config.Get' },
+      { path: '/-/Evacuation.Start/nowhere', method: 'POST' },
+      { path: '/-/Instances.Leave/nobody', method: 'POST' },
+    ];
+    await waitUntil('the third steward knows the leader', async () => {
+      const answers = await Promise.all(
+        calls.map((call) => sendHttpRequest(ips[2] ?? '', PORTS.control, call)),
+      );
+      return answers.every(({ status }) => status === 307);
+    });
+  },
+);
+
+Then('its process never ended', function (this: PlatformWorld) {
+  assert.equal(this.site.processes.get('steward-3')?.child.exitCode, null);
+});
+
 /** Sends the parts of requests at the given milliseconds after `since` and returns all that is received. */
 async function sendParts(
   ip: string,
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -259,13 +259,15 @@
     readonly folder: string,
     readonly net: number,
     readonly networkLock: Server,
+    readonly disklessVms: readonly number[],
   ) {
     this.ips = this.zones.map((_, index) => `127.${net}.${index + 1}.1`);
   }
 
-  static async start(): Promise<Site> {
+  /** Starts the site; `disklessVms` are the indices of VMs without a disk. */
+  static async start(disklessVms: readonly number[] = []): Promise<Site> {
     const folder = await mkdtemp(join(tmpdir(), 'chivewalk-platform-'));
-    const site = new Site(folder, ...(await claimNetwork()));
+    const site = new Site(folder, ...(await claimNetwork()), disklessVms);
     await Promise.all(
       site.ips.flatMap((ip, vmIndex) => [
         site.startProcess('steward', ip, vmIndex, true),
@@ -314,7 +316,7 @@
       'internal_port_range.0': String(PORTS.peer),
       'internal_port_range.1': String(PORTS.gateway),
       seeds: this.ips.map((seed) => `${seed}:${PORTS.control}`).join(','),
-      data_dir: join(this.folder, `vm-${vmIndex + 1}`),
+      data_dir: this.disklessVms.includes(vmIndex) ? '' : join(this.folder, `vm-${vmIndex + 1}`),
       bootstrap: String(isFirstStart),
       heartbeat: '400ms',
       'bounds.grace': `${GRACE_MS}ms`,
--- /dev/null
+++ b/src/daemon/referrer.ts
@@ -0,0 +1,117 @@
+/**
+ * Stands in for a steward on a VM without a disk. Invariant: it takes no order, answers no read and belongs to no
+ * group, as nothing that it acknowledged would be durable; it names the leader to callers, and the members to
+ * processes that look for them.
+ */
+import { decodeMessage, FEED_CHANNEL, type FeedMessage, type GroupStatus } from '../feed/index.js';
+import type { Address, Duration, Instant } from '../model/index.js';
+import type { OrderOutcome, ReadAnswer, Steward } from '../steward/index.js';
+import type { Mesh } from '../wire/index.js';
+
+/** Interval in milliseconds at which the seeds and the known members are asked for the leader. */
+const QUERY_INTERVAL: Duration = 300;
+/** Milliseconds for which a reported leader is named; a few query intervals. */
+const LEADER_TTL: Duration = 1500;
+
+/** Options of {@link createReferrer}. */
+export interface ReferrerOptions {
+  readonly mesh: Mesh;
+  /** Addresses at which members of the group may be found. */
+  readonly seeds: readonly Address[];
+  readonly now: () => Instant;
+}
+
+type Redirect = Extract<OrderOutcome & ReadAnswer, { kind: 'elsewhere' | 'unavailable' }>;
+
+class Referrer implements Steward {
+  readonly #options: ReferrerOptions;
+  readonly #timer: NodeJS.Timeout;
+  #members: readonly Address[] = [];
+  #leader: Address | undefined;
+  #reportedAt: Instant = -Infinity;
+
+  constructor(options: ReferrerOptions) {
+    this.#options = options;
+    options.mesh.handle(FEED_CHANNEL, (from, message) => {
+      this.#receive(from, decodeMessage(message));
+    });
+    this.#timer = setInterval(() => {
+      this.#query();
+    }, QUERY_INTERVAL);
+    this.#query();
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  #query(): void {
+    const { mesh, seeds } = this.#options;
+    [...new Set([...seeds, ...this.#members])]
+      .filter((address) => address !== mesh.address)
+      .forEach((address) => {
+        mesh.send(address, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
+      });
+  }
+
+  #receive(from: Address, message: FeedMessage): void {
+    if (message.kind === 'found') this.#recordStatus(message);
+    if (message.kind !== 'find') return;
+    // Not healthy: only a member may tell another one that the group has replaced it.
+    this.#options.mesh.send(from, FEED_CHANNEL, {
+      ...{ kind: 'found', hasDisk: false, members: this.#members, healthy: false },
+      leader: undefined,
+    } satisfies FeedMessage);
+  }
+
+  #recordStatus({ members, healthy, leader }: GroupStatus): void {
+    if (members.length > 0) this.#members = members;
+    if (!healthy || leader === undefined) return;
+    this.#leader = leader;
+    this.#reportedAt = this.#options.now();
+  }
+
+  #redirect(): Promise<Redirect> {
+    const isKnown = this.#options.now() - this.#reportedAt < LEADER_TTL;
+    return Promise.resolve(
+      this.#leader === undefined || !isKnown
+        ? { kind: 'unavailable', remedy: 'no leader is known here: ask another control member' }
+        : { kind: 'elsewhere', leader: this.#leader },
+    );
+  }
+
+  submit(): Promise<OrderOutcome> {
+    return this.#redirect();
+  }
+
+  announce(): Promise<OrderOutcome> {
+    return this.#redirect();
+  }
+
+  end(): Promise<OrderOutcome> {
+    return this.#redirect();
+  }
+
+  readCurrent(): Promise<ReadAnswer> {
+    return this.#redirect();
+  }
+
+  addEvidence(): void {
+    // Entries follow members only, so that none sends evidence here.
+  }
+
+  listCold(): Readonly<Record<string, Duration>> {
+    return {};
+  }
+}
+
+/**
+ * Starts naming the leader to callers.
+ *
+ * @example
+ * const referrer = createReferrer({ mesh, seeds: ['10.1.0.18:7200'], now: () => performance.now() });
+ * await referrer.submit(command); // { kind: 'elsewhere', leader: '10.2.0.34:7200' }
+ */
+export function createReferrer(options: ReferrerOptions): Steward {
+  return new Referrer(options);
+}
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -23,6 +23,7 @@
 } from '../control/index.js';
 import {
   createPublisher,
+  decodeMessage,
   FEED_CHANNEL,
   type FeedMessage,
   type GroupStatus,
@@ -34,6 +35,8 @@
 import { createLogger, standardOutput, type Metrics } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
+import { findFounders } from './founders.js';
+import { createReferrer } from './referrer.js';
 import { listSeeds } from './seeds.js';
 
 const log = createLogger('daemon');
@@ -73,7 +76,7 @@
 async function findMembers(mesh: Mesh, seeds: readonly Address[]): Promise<readonly Address[]> {
   let found: readonly Address[] = [];
   mesh.handle(FEED_CHANNEL, (_, message) => {
-    const answer = message as FeedMessage;
+    const answer = decodeMessage(message);
     if (answer.kind === 'found' && answer.members.length > 0) found = answer.members;
   });
   while (found.length === 0) {
@@ -87,14 +90,25 @@
   return found;
 }
 
+/** The addresses of the members with which a steward starts, and whether it is one of the founders. */
+interface StartMembers {
+  readonly members: readonly Address[];
+  readonly isFounder: boolean;
+}
+
+async function findStartMembers({ settings, mesh }: StewardContext): Promise<StartMembers> {
+  const seeds = listSeeds(settings.seeds, settings.steward_port);
+  const isFounder = settings.first_start === true && seeds.includes(mesh.address);
+  if (existsSync(join(settings.data_folder, 'identity.json'))) return { members: seeds, isFounder };
+  const find = isFounder ? findFounders : findMembers;
+  return { members: await find(mesh, seeds), isFounder };
+}
+
 async function openNode(
   { settings, mesh }: StewardContext,
+  { members, isFounder }: StartMembers,
   onWriteFailed: () => void,
 ): Promise<ControlNode<Catalog>> {
-  const seeds = listSeeds(settings.seeds, settings.steward_port);
-  const isFounder = settings.first_start === true && seeds.includes(mesh.address);
-  const hasStoredIdentity = existsSync(join(settings.data_folder, 'identity.json'));
-  const members = isFounder || hasStoredIdentity ? seeds : await findMembers(mesh, seeds);
   try {
     return await openControl<Catalog>({
       address: mesh.address,
@@ -114,7 +128,7 @@
       reason: String(error),
     });
     await sleep(OPEN_RETRY_INTERVAL);
-    return openNode({ settings, mesh }, onWriteFailed);
+    return openNode({ settings, mesh }, { members, isFounder }, onWriteFailed);
   }
 }
 
@@ -172,7 +186,8 @@
   async start(): Promise<void> {
     const { settings, mesh } = this.#context;
     const now = (): number => performance.now();
-    const node = await openNode(this.#context, () => {
+    const members = await findStartMembers(this.#context);
+    const node = await openNode(this.#context, members, () => {
       if (!this.#isReopening) void this.#reopen();
     });
     const seeds = listSeeds(settings.seeds, settings.steward_port);
@@ -227,6 +242,25 @@
   }
 }
 
+async function startReferrer(
+  { seeds, steward_port: port }: NonNullable<Settings['steward']>,
+  mesh: Mesh,
+  openListeners: (steward: Steward) => Promise<Listeners>,
+): Promise<RunningRole> {
+  const referrer = createReferrer({
+    ...{ mesh, seeds: listSeeds(seeds, port), now: () => performance.now() },
+  });
+  const listeners = await openListeners(referrer);
+  log.info('this VM has no disk: naming the leader to callers');
+  return {
+    stop: () => {
+      listeners.close();
+      referrer.close();
+      return Promise.resolve();
+    },
+  };
+}
+
 /** Starts a steward, which restarts its member by itself after a failure of the disk. */
 export async function startSteward(
   settings: Settings,
@@ -236,6 +270,10 @@
 ): Promise<RunningRole> {
   const stewardSettings = settings.steward;
   if (stewardSettings === undefined) throw new Error('settings have no section [steward]: add it');
+  if (stewardSettings.data_folder === '')
+    return startReferrer(stewardSettings, mesh, (steward) =>
+      adapter.openStewardListeners(steward, settings),
+    );
   const running = new RunningSteward({ settings: stewardSettings, mesh }, (steward) =>
     adapter.openStewardListeners(steward, settings),
   );
--- a/src/feed/messages.ts
+++ b/src/feed/messages.ts
@@ -115,6 +115,7 @@
     case 'found':
       return (
         typeof message.healthy === 'boolean' &&
+        typeof message.hasDisk === 'boolean' &&
         isOptional(message.leader, isAddressText) &&
         isListOf(message.members, isAddressText)
       );
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -148,7 +148,7 @@
       case 'find': {
         const { healthy, leader } = this.#options.control.status;
         const members = this.#listMembers();
-        const found: FeedMessage = { kind: 'found', members, healthy, leader };
+        const found: FeedMessage = { kind: 'found', hasDisk: true, members, healthy, leader };
         this.#options.mesh.send(from, FEED_CHANNEL, found);
         return;
       }
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -81,7 +81,7 @@
   | { readonly kind: 'evidence'; readonly rows: readonly EvidenceRow[] }
   /** A request for the members of the group, from a process without state. */
   | { readonly kind: 'find' }
-  | ({ readonly kind: 'found' } & GroupStatus);
+  | ({ readonly kind: 'found'; readonly hasDisk: boolean } & GroupStatus);
 
 /** The status of the group, as known to one control member. */
 export interface GroupStatus {
