--- a/features/gateway/gossip.steps.ts
+++ b/features/gateway/gossip.steps.ts
@@ -350,7 +350,7 @@
     'a pace of no number': packr.pack(['gateway', [[key, 3, 0, 'x', 0]]]),
     'a report from later': packr.pack(['gateway', [[key, 3, 0, 100, -1e9]]]),
     'endless requests': packr.pack(['gateway', [[key, Infinity, 0, 100, 0]]]),
-    'an unknown source': packr.pack(['stranger', [[key, 3, 0, 100, 0]]]),
+    'an unknown source': packr.pack(['unknown', [[key, 3, 0, 100, 0]]]),
     'no rows': packr.pack(['gateway']),
     'bytes of no encoding': Buffer.from([0xc1, 0xff]),
   };
