--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -477,7 +477,7 @@
     code = hasHeld ? 0 : 1;
     record(hasHeld ? 'the rule held' : 'THE RULE WAS BROKEN');
   } catch (error) {
-    record(`could not run: ${error.stack}`);
+    record(`could not run: ${error.message}`);
   }
   await site?.stop();
   process.exit(code);
