--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -158,9 +158,9 @@
   }
 
   #handle(request, response) {
-    const chunks = [];
+    let received = 0;
     request.on('error', () => undefined);
-    request.on('data', (chunk) => chunks.push(chunk));
+    request.on('data', (chunk) => (received += chunk.length));
     request.on('end', () => {
       const id = String(request.headers['x-attempt-id'] ?? '');
       if (request.url === '/health') {
@@ -171,17 +171,17 @@
         response.writeHead(421, { 'X-Attempt-Id': id, 'X-Not-Executed': '1' }).end();
         return;
       }
-      this.#run(id, request, response);
+      this.#run(id, received, request, response);
     });
   }
 
-  #run(id, request, response) {
+  #run(id, received, request, response) {
     const query = new URL(request.url, `http://${HOST}`).searchParams;
     const run = { id, target: request.url, upstream: this.id, startedAt: performance.now() };
     run.outcome = 'working';
     this.runs.push(run);
     this.#running += 1;
-    if (query.has('watch')) record(`${this.id} begins to run ${id}`);
+    if (query.has('watch')) record(`${this.id} begins to run ${id}, body of ${received} bytes`);
     const timer = setTimeout(
       () => {
         end('answered');
@@ -259,13 +259,14 @@
     this.endedAt ??= performance.now();
   }
 
+  /** Sends requests one behind the other; a body may be text or bytes. */
   send(requests) {
-    const text = requests.map(({ method = 'GET', path, id, deadline, body = '' }) => {
+    requests.forEach(({ method = 'GET', path, id, deadline, body = '' }) => {
       const length = method === 'GET' ? '' : `Content-Length: ${Buffer.byteLength(body)}\r\n`;
       const head = `${method} ${path} HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${id}\r\n`;
-      return `${head}X-Deadline-Ms: ${deadline}\r\n${length}\r\n${body}`;
+      this.socket.write(`${head}X-Deadline-Ms: ${deadline}\r\n${length}\r\n`);
+      if (body.length > 0) this.socket.write(body);
     });
-    this.socket.write(text.join(''));
   }
 
   #read(chunk) {
