--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -18,7 +18,8 @@
 const SENT_AFTER = 3400;
 const CALLERS = 3;
 
-await runCase(import.meta.dirname, async (site, isTroubled) => {
+await runCase(import.meta.dirname, async (site) => {
+  const isTroubled = process.env.TROUBLE !== '0';
   for (const zone of [0, 1, 2]) await site.addUpstream('orders', zone, 1);
   await site.putRoutes(['orders'], [ROUTE]);
   await site.waitUntilServed(['/holds/start']);
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -4,7 +4,14 @@
  */
 import { spawn } from 'node:child_process';
 import { randomBytes } from 'node:crypto';
-import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import {
+  appendFileSync,
+  existsSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import { createServer as createHttpServer, request as sendRequest } from 'node:http';
 import { connect, createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -24,6 +31,11 @@
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const REGION = 'region-1';
 export const HOST = 'site.example';
+const PROGRAM = 'target/chivewalk.mjs';
+/** Exit codes of a case. */
+const HELD = 0;
+const BROKEN = 1;
+const COULD_NOT_RUN = 2;
 
 const startedAt = performance.now();
 let recordFile;
@@ -468,18 +480,26 @@
  */
 export async function runCase(folder, play, delays) {
   openRecord(folder);
-  const isTroubled = process.env.TROUBLE !== '0';
-  record(isTroubled ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
+  record(
+    process.env.TROUBLE === '0' ? 'without the disruption (TROUBLE=0)' : 'with the disruption',
+  );
   let site;
-  let code = 2;
+  const finish = async (code, text) => {
+    record(text);
+    await site?.stop();
+    process.exit(code);
+  };
+  const abort = (reason) => void finish(COULD_NOT_RUN, `could not run: ${reason}`);
+  process.on('uncaughtException', ({ message }) => abort(message));
+  process.on('unhandledRejection', (reason) => abort(String(reason)));
+  ['SIGTERM', 'SIGINT'].forEach((signal) => process.on(signal, () => abort(signal)));
   try {
+    if (!existsSync(PROGRAM))
+      throw new Error(`${PROGRAM} is missing: run the build of the deploy file`);
     site = await Site.start(delays);
-    const hasHeld = await play(site, isTroubled);
-    code = hasHeld ? 0 : 1;
-    record(hasHeld ? 'the rule held' : 'THE RULE WAS BROKEN');
-  } catch (error) {
-    record(`could not run: ${error.message}`);
+    const hasHeld = await play(site);
+    await finish(hasHeld ? HELD : BROKEN, hasHeld ? 'the rule held' : 'THE RULE WAS BROKEN');
+  } catch ({ message }) {
+    await finish(COULD_NOT_RUN, `could not run: ${message}`);
   }
-  await site?.stop();
-  process.exit(code);
 }
