--- a/features/control/group.feature
+++ b/features/control/group.feature
@@ -47,6 +47,16 @@
     And the control group accepts 1 numbers
     Then every control member applies every accepted number
 
+  Scenario: Members that took over a snapshot elect a leader after all members restart at once
+    Given a control group of 3 that compacts after 260 entries
+    When the control group accepts 270 numbers
+    And control member 0 loses its disk and joins again
+    And control member 1 loses its disk and joins again
+    And all control members stop at the same time and start again
+    And the control group accepts 1 numbers
+    Then every control member applies every accepted number
+    And no control member reports damage
+
   Scenario: A member is added and another one is removed
     Given a control group of 4 founded by the first 3
     When the control group accepts 2 numbers
--- a/features/control/group.steps.ts
+++ b/features/control/group.steps.ts
@@ -292,6 +292,11 @@
   },
 );
 
+Then('no control member reports damage', function (this: GroupWorld) {
+  const kinds = getGroup(this).problems.map(({ kind }) => kind);
+  assert.ok(!kinds.includes('damaged'), kinds.join());
+});
+
 After(SLOW, async function (this: GroupWorld) {
   await this.group?.remove();
 });
--- a/features/control/storage.feature
+++ b/features/control/storage.feature
@@ -51,6 +51,16 @@
     Then the control folder holds 1 snapshot and 1 segment
     And the control folder reads back the snapshot at entry 6
 
+  Scenario: A folder that took over a snapshot from the leader opens without damage
+    Given a control folder with entries 1 to 6
+    When the control folder takes over a snapshot at entry 20, and 3 entries after it
+    Then the control folder reads back no damage and entries 21 to 23
+
+  Scenario: A folder whose base record holds more than a base, as earlier versions wrote it, opens without damage
+    Given a control folder with entries 1 to 6
+    When the control folder takes over a snapshot at entry 20, and 3 entries after it, by an earlier version
+    Then the control folder reads back no damage and entries 21 to 23
+
   Scenario: A member whose disk fails accepts nothing, and the others continue
     Given a control group of 3
     When the control group accepts 2 numbers
--- a/features/control/storage.steps.ts
+++ b/features/control/storage.steps.ts
@@ -3,9 +3,10 @@
 import { appendFile, mkdtemp, readdir, readFile, rm, truncate, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { Packr } from 'msgpackr';
 import { realFileSystem, StorageError, type FileSystem } from '../../src/control/files.js';
 import { getLastIndex } from '../../src/control/log.js';
-import { HEADER_BYTES, parseRecords } from '../../src/control/records.js';
+import { encodeRecord, HEADER_BYTES, parseRecords } from '../../src/control/records.js';
 import { Storage, type StoredState, type WriteEffect } from '../../src/control/storage.js';
 import type { LogEntry } from '../../src/generated/control.js';
 import { Group, waitFor } from './group.js';
@@ -121,6 +122,48 @@
   },
 );
 
+/** Writes a snapshot that doesn't continue the log, and entries after it. */
+async function writeTakeover(world: StorageWorld, index: number, count: number): Promise<void> {
+  const membership = { members: [], retired: [] };
+  const snapshot = { index, term: 2, membership, data: Buffer.from(`state ${index}`) };
+  await writeFolder(world, [
+    { kind: 'writeSnapshot', write: 1, snapshot, resetsLog: true },
+    { kind: 'writeEntries', write: 2, entries: createEntries(index + 1, count, 2) },
+  ]);
+}
+
+When(
+  'the control folder takes over a snapshot at entry {int}, and {int} entries after it',
+  SLOW,
+  async function (this: StorageWorld, index: number, count: number) {
+    await writeTakeover(this, index, count);
+  },
+);
+
+When(
+  'the control folder takes over a snapshot at entry {int}, and {int} entries after it, by an earlier version',
+  SLOW,
+  async function (this: StorageWorld, index: number, count: number) {
+    await writeTakeover(this, index, count);
+    const file = await findSegment(getFolder(this));
+    const [base = Buffer.alloc(0), ...entries] = parseRecords(await readFile(file)).payloads;
+    const decoded = new Packr({ useRecords: false }).unpack(base) as object;
+    const extra = { membership: { members: [], retired: [] }, data: Buffer.from('state') };
+    const earlier = new Packr({ useRecords: false }).pack({ ...decoded, ...extra });
+    await writeFile(file, Buffer.concat([earlier, ...entries].map(encodeRecord)));
+  },
+);
+
+Then(
+  'the control folder reads back no damage and entries {int} to {int}',
+  SLOW,
+  async function (this: StorageWorld, first: number, last: number) {
+    const { log, damage, vote } = await openFolder(getFolder(this));
+    assert.deepEqual([damage, vote.repairing], [undefined, false]);
+    assert.deepEqual([log.baseIndex + 1, getLastIndex(log)], [first, last]);
+  },
+);
+
 When(
   'the control folder suffers {string}',
   SLOW,
--- a/src/control/formats.ts
+++ b/src/control/formats.ts
@@ -28,9 +28,16 @@
   }
 }
 
+/** Drops the rest of the snapshot, which earlier versions added to a base record that follows one. */
+function dropSnapshotKeys(value: unknown): unknown {
+  if (typeof value !== 'object' || value === null || !('data' in value)) return value;
+  const { kind, index, term } = value as Readonly<Record<string, unknown>>;
+  return kind === 'base' ? { kind, index, term } : value;
+}
+
 /** Decodes a log record. Returns undefined if the payload does not match the schema. */
 export function parseLogRecord(payload: Uint8Array): LogRecord | undefined {
-  const value = decodePayload(payload);
+  const value = dropSnapshotKeys(decodePayload(payload));
   return validateLogRecord(value) ? value : undefined;
 }
 
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -277,14 +277,20 @@
     await this.#openSegment(base);
   }
 
-  async #openSegment(base: { readonly index: number; readonly term: number }): Promise<void> {
+  async #openSegment({
+    index,
+    term,
+  }: {
+    readonly index: number;
+    readonly term: number;
+  }): Promise<void> {
     const number = (this.#segments.at(-1)?.number ?? 0) + 1;
     this.#segmentHandle = await this.#files.open(join(this.#folder, toSegmentName(number)), 'a');
     const flags = constants.O_RDWR | constants.O_CREAT;
     this.#syncedHandle ??= await this.#files.open(join(this.#folder, SYNCED_FILE), flags);
-    this.#segments = [...this.#segments, { number, highestIndex: base.index }];
+    this.#segments = [...this.#segments, { number, highestIndex: index }];
     this.#segmentBytes = 0;
-    await this.#append([{ kind: 'base', ...base }]);
+    await this.#append([{ kind: 'base', index, term }]);
     await this.#sync();
     await syncFolder(this.#files, this.#folder);
   }
