Storage: entries that an opening reads back are synced before they count as durable

Callers would see: an acknowledged change lost after a loss of power on all VMs.

Cause: a write that fails between its append and its sync (disk full, or the process killed there) leaves valid records in the last segment that were never synced. The next opening read them back and counted them as durable, as they were read from the page cache; it synced only a segment that it truncated. The member then acknowledges them to the leader, they count in a majority, and a loss of power takes them without a report, as they lie behind the recorded synced position.

Fix: an opening syncs the segment in which the log ends; earlier ones were synced when they were last the end.

Whether real pages were lost in a failed sync (an error other than a full disk) isn't covered: the second sync may then report success.

--- a/features/control/storage.feature
+++ b/features/control/storage.feature
@@ -75,3 +75,7 @@
     And control member 0 stops, has a byte of its log flipped and starts again
     Then control member 0 reports the damage and then the repair
     And every control member applies every accepted number
+
+  Scenario: A disk that is full for a time damages nothing and loses nothing that was acknowledged
+    When a control folder is written while its disk is full from any operation on
+    Then it always opens again without damage, with each acknowledged write, all of it synced
--- a/src/control/segments.ts
+++ b/src/control/segments.ts
@@ -23,10 +23,11 @@
   readonly damage: StorageError | undefined;
   readonly tornBytes: number;
   /**
-   * Truncates the log after its last valid record. In case of damage, it first copies the damaged segment
-   * and renames the segments after it, each to a name with the prefix `damaged-`.
+   * Truncates the log after its last valid record and syncs what it keeps, which the member may acknowledge.
+   * In case of damage, it first copies the damaged segment and renames the segments after it, each to a name
+   * with the prefix `damaged-`.
    */
-  readonly dropInvalidTail: () => Promise<void>;
+  readonly settleTail: () => Promise<void>;
 }
 
 const SEGMENT_PATTERN = /^log-(\d+)\.seg$/;
@@ -95,8 +96,8 @@
     return readSegment(current, number, file, await files.readFile(file), isLast, syncedPosition);
   }, Promise.resolve(initial));
   const { log, segments, damage, tornBytes } = progress;
-  const dropInvalidTail = (): Promise<void> => dropInvalidRecords(files, folder, numbers, progress);
-  return { log, segments, damage, tornBytes, dropInvalidTail };
+  const settleTail = (): Promise<void> => settleLastSegment(files, folder, numbers, progress);
+  return { log, segments, damage, tornBytes, settleTail };
 }
 
 function readSegment(
@@ -133,7 +134,7 @@
   return { log, segments, damage, firstDamagedSegment, validEnd: offset, tornBytes };
 }
 
-async function dropInvalidRecords(
+async function settleLastSegment(
   files: FileSystem,
   folder: string,
   numbers: readonly number[],
@@ -141,7 +142,7 @@
 ): Promise<void> {
   const { validEnd, firstDamagedSegment } = progress;
   const last = progress.segments.at(-1);
-  if (validEnd === undefined || last === undefined) return;
+  if (last === undefined) return;
   const file = join(folder, toSegmentName(last.number));
   if (firstDamagedSegment !== undefined) {
     await files.copyFile(file, join(folder, `damaged-${toSegmentName(last.number)}`));
@@ -150,7 +151,7 @@
       later.map((name) => files.rename(join(folder, name), join(folder, `damaged-${name}`))),
     );
   }
-  await files.truncate(file, validEnd);
+  if (validEnd !== undefined) await files.truncate(file, validEnd);
   const handle = await files.open(file, 'r+');
   try {
     await handle.sync();
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -126,7 +126,7 @@
     const repairing = vote.repairing || damage !== undefined;
     if (repairing && !vote.repairing) await this.#saveVote({ ...vote, repairing });
     this.#lastPosition = { index: getLastIndex(log), term: getLastTerm(log) };
-    await loaded.dropInvalidTail();
+    await loaded.settleTail();
     if (snapshotDamage !== undefined) await this.#renameDamaged(snapshotDamage.file);
     await this.#openSegment(this.#lastPosition);
     return {
