Feed: a gateway takes its first state only from a control member that knows a leader

Callers saw: after a restart of all processes, requests were handled by a configuration older than one acknowledged seconds before (CONFIG), and proper requests got 404 (DENIED), for as long as no leader was elected.

Cause: the follower applied an update before it looked whether its sender was healthy. A gateway that runs never goes back, as indexes only rise, but one that has just started has no index to compare with.

The new scenario failed before: 'An entry doesn't start with the state of a control member that knows no leader', 1 !== 0 changes. features/feed: 14 passed, 0 failed after.

--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -33,6 +33,14 @@
     When an update adds the routes of version 1, takes the zone "b" out, and takes it back
     Then the entry saw 1 change, to routes of version 1 and no zone out
 
+  # A member without a leader may have restarted with a state from before the last acknowledged changes.
+  Scenario: An entry doesn't start with the state of a control member that knows no leader
+    Given an entry whose view is observed
+    When a control member without a leader sends it the routes of version 1 whole, and the route commands of version 1
+    Then the entry saw 0 changes
+    When a control member with a leader sends it the routes of version 2 whole
+    Then the entry saw 1 change, to routes of version 2 and no zone out
+
   Scenario Outline: Changes of entries are sent as a difference from the list that the follower has
     Given a feed publisher that knows 300 entries
     When <count> of the entries stop one after another, and the entry "10.4.0.20:7200" polls before and after
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -337,6 +337,40 @@
   },
 );
 
+/** Sends the observed entry the whole state at the index, with routes of the version. */
+function sendState(world: FeedWorld, healthy: boolean, index: number, version: number): void {
+  const state = encodeState({ ...emptyCatalog, table: { ...table, version } });
+  world.mesh.receive(world.seed, {
+    ...{ kind: 'news', healthy, base: { index, state }, after: 0, commands: undefined },
+    ...{ cold: {}, fleet: undefined, members: [world.seed] },
+  });
+}
+
+When(
+  'a control member without a leader sends it the routes of version {int} whole, and the route commands of version {int}',
+  function (this: FeedWorld, whole: number, commanded: number) {
+    sendState(this, false, 5, whole);
+    const commands = sendCommands([
+      { kind: 'replaceRoutes', base: 0, digest: 'd1', table: { ...table, version: commanded } },
+    ]);
+    this.mesh.receive(this.seed, {
+      ...{ kind: 'news', healthy: false, base: undefined, after: 0, commands },
+      ...{ cold: {}, fleet: undefined, members: [this.seed] },
+    });
+  },
+);
+
+When(
+  'a control member with a leader sends it the routes of version {int} whole',
+  function (this: FeedWorld, version: number) {
+    sendState(this, true, 7, version);
+  },
+);
+
+Then('the entry saw {int} changes', function (this: FeedWorld, changes: number) {
+  assert.equal(this.seen.length, changes);
+});
+
 Then(
   'the entry saw {int} change(s), to routes of version {int} and no zone out',
   function (this: FeedWorld, changes: number, version: number) {
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -1,7 +1,8 @@
 /**
  * Follows a control member on behalf of an entry and keeps a copy of the catalog. Invariant: commands are applied
  * in log order, each once; after a gap no command is applied until the whole state arrives. The commands of one
- * update become visible together, so that an entry that catches up never acts on a state from between them.
+ * update become visible together, so that an entry that catches up never acts on a state from between them. The
+ * first state comes from a member that knows a leader: another one may have restarted with an outdated state.
  */
 import { applyCommand, emptyCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
 import { parseAddress, type Address, type Duration, type Instant } from '../model/index.js';
@@ -71,6 +72,8 @@
   close(): void;
 }
 
+type NewsMessage = Extract<FeedMessage, { kind: 'news' }>;
+
 class FeedFollower implements Follower {
   readonly #options: FollowerOptions;
   readonly #startedAt: Instant;
@@ -231,8 +234,18 @@
     if (isNearKnown && !this.#isNear(this.#followed)) this.#followPreferred();
   }
 
-  #applyUpdate(update: Extract<FeedMessage, { kind: 'news' }>): void {
-    const { base, after, commands, cold, fleet } = update;
+  #applyUpdate(update: NewsMessage): void {
+    const { healthy, fleet } = update;
+    if (healthy || this.#view.index > 0) this.#applyCatalogUpdate(update);
+    // After a difference from another list, which crossed an update on its way, the next poll asks again.
+    if (fleet === undefined || !this.#fleet.apply(fleet)) return;
+    const { entries } = this.#fleet;
+    this.#view = { ...this.#view, entries };
+    this.#updateZoneHosts(entries);
+    this.#options.onChange(this.#view, { kind: 'fleet' });
+  }
+
+  #applyCatalogUpdate({ base, after, commands, cold }: NewsMessage): void {
     const { onChange, onCold } = this.#options;
     if (base !== undefined && base.index > this.#view.index) {
       this.#view = { ...this.#view, catalog: decodeState(base.state), index: base.index };
@@ -241,12 +254,6 @@
     }
     const hasGap = after > this.#view.index;
     if (commands !== undefined && !hasGap) this.#applyCommands(decodeCommands(commands));
-    // After a difference from another list, which crossed an update on its way, the next poll asks again.
-    if (fleet === undefined || !this.#fleet.apply(fleet)) return;
-    const { entries } = this.#fleet;
-    this.#view = { ...this.#view, entries };
-    this.#updateZoneHosts(entries);
-    onChange(this.#view, { kind: 'fleet' });
   }
 
   #applyCommands(received: IndexedCommands): void {
