Control: bound the log, the kept commands and the mesh's buffers in bytes

Cause: the log was compacted by the number of entries only (1,000), and commands were kept decoded for gateways that lag by their number only (512). 160 commands of 0.4 MB exceed a heap of 160 MB once decoded, and 64 MB of disk.

A restart replays no more than that. src/feed/kept.ts bounds the kept commands to 2 MB encoded; a gateway that lags further gets the whole state. The mesh counts frames that wait for a connection, and with 24 MB in all drops messages to peers that receive slowly.

--- a/features/control/disk.ts
+++ b/features/control/disk.ts
@@ -2,7 +2,14 @@
  * An in-memory disk for the simulation. Invariant: a crash keeps all synced writes and a prefix of the
  * others, the last of them possibly in part. With `loseSynced`, a crash violates this on purpose.
  */
-import { appendEntries, emptyLog, joinLog, type Log } from '../../src/control/log.js';
+import {
+  appendEntries,
+  createLog,
+  emptyLog,
+  joinLog,
+  dropEntriesAfter,
+  type Log,
+} from '../../src/control/log.js';
 import type { WriteEffect } from '../../src/control/storage.js';
 import type { LogEntry, Snapshot, Vote } from '../../src/generated/control.js';
 
@@ -60,7 +67,7 @@
 
   /** Drops all entries after the first `keptEntries`, and marks the member as under repair. */
   damage(keptEntries: number): void {
-    this.log = { ...this.log, entries: this.log.entries.slice(0, keptEntries) };
+    this.log = dropEntriesAfter(this.log, this.log.baseIndex + keptEntries);
     this.vote = { ...this.vote, repairing: true };
   }
 
@@ -83,7 +90,7 @@
         this.snapshot = effect.snapshot;
         if (effect.resetsLog) {
           const { index, term } = effect.snapshot;
-          this.log = { baseIndex: index, baseTerm: term, entries: [] };
+          this.log = createLog(index, term);
         }
     }
   }
--- a/features/feed/feed.feature
+++ b/features/feed/feed.feature
@@ -28,6 +28,12 @@
     When the control member applies 88 commands at once
     Then the entry is sent 1 message with 88 commands
 
+  Scenario: Large configurations kept for entries that lag do not exhaust the memory of a control member
+    Given a feed publisher that the entry "10.4.0.20:7200" follows
+    When the control member applies 300 configurations of 1400 routes
+    Then an entry that has the first configuration is sent the whole state
+    And the feed publisher keeps at most 4 MB of commands
+
   Scenario: An entry that catches up never acts on a state from between the commands of one update
     Given an entry whose view is observed
     When an update adds the routes of version 1, takes the zone "b" out, and takes it back
--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -1,5 +1,6 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { pack } from 'msgpackr';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -262,7 +263,7 @@
         {
           onApplied: (listener) => {
             this.applyCommand = (index, command) => {
-              listener(emptyCatalog, index, command);
+              listener(emptyCatalog, index, command, pack(command).length);
             };
           },
         },
@@ -304,6 +305,41 @@
   },
 );
 
+When(
+  'the control member applies {int} configurations of {int} routes',
+  function (this: FeedWorld, count: number, size: number) {
+    const routes = Array.from({ length: size }, (_, index) => createRoute(index + 1));
+    Array.from({ length: count }, (_, index) => index + 1).forEach((version) => {
+      this.applyCommand(version, {
+        ...{ kind: 'replaceRoutes', base: version - 1, digest: `d${version}` },
+        table: { ...table, version, routes },
+      });
+    });
+  },
+);
+
+Then(
+  'the feed publisher keeps at most {int} MB of commands',
+  function (this: FeedWorld, limit: number) {
+    const kept = this.publisher?.keptBytes;
+    assert.ok(kept !== undefined && kept <= limit * 1024 * 1024, `it keeps ${kept} bytes`);
+  },
+);
+
+Then(
+  'an entry that has the first configuration is sent the whole state',
+  function (this: FeedWorld) {
+    this.mesh.sent.length = 0;
+    this.mesh.receive(ENTRY.peerAddress, {
+      ...{ kind: 'follow', entry: ENTRY, index: 1, fleetRevision: '', evidence: [] },
+    });
+    const message = this.mesh.sent[0]?.[1];
+    assert.ok(message?.kind === 'news');
+    assert.ok(message.base !== undefined, 'the whole state is sent');
+    assert.equal(message.commands, undefined);
+  },
+);
+
 Given('an entry whose view is observed', function (this: FeedWorld) {
   this.seed = '10.1.0.18:7200';
   this.mesh = new TestMesh();
--- a/features/feed/silence.steps.ts
+++ b/features/feed/silence.steps.ts
@@ -84,7 +84,7 @@
     this.silencedConnections?.silence();
     const command: CatalogCommand = { kind: 'setZone', zone: 'b', out: true };
     this.listeners.forEach((listener) => {
-      listener({ ...emptyCatalog, zonesOut: ['b'] }, 1, command);
+      listener({ ...emptyCatalog, zonesOut: ['b'] }, 1, command, 0);
     });
   },
 );
--- a/features/steward/decisions.steps.ts
+++ b/features/steward/decisions.steps.ts
@@ -150,6 +150,7 @@
       leader: 'a',
       commitIndex: 1,
       lastIndex: 1,
+      logBytes: 0,
       members: members.split(' ').map((name) => ({
         id: `${name.replace('?', '')}#1`,
         voter: !name.endsWith('?'),
@@ -246,7 +247,7 @@
         },
         onApplied: (listener) => {
           notifyApplied = () => {
-            listener(applied, 1, undefined);
+            listener(applied, 1, undefined, 0);
           };
         },
       },
--- a/features/support/control.ts
+++ b/features/support/control.ts
@@ -16,7 +16,7 @@
   overrides: ControlOverrides = {},
 ): ControlNode<Catalog> {
   const fullStatus: ControlStatus = {
-    ...{ role: 'follower', term: 1, leader: undefined, commitIndex: 0, lastIndex: 0 },
+    ...{ role: 'follower', term: 1, leader: undefined, commitIndex: 0, lastIndex: 0, logBytes: 0 },
     ...{ members: [], silences: [], healthy: true, isVoter: true, problem: undefined },
     ...status,
   };
--- a/src/control/consensus.ts
+++ b/src/control/consensus.ts
@@ -31,6 +31,7 @@
   startRound,
   startTransfer,
 } from './leading.js';
+import { hasRoomFor, findPruneIndex } from './compaction.js';
 import { pruneLog, getLastIndex, getTermAt, type Log } from './log.js';
 import { handleJoinRequest, grantVoting, proposeMembership } from './members.js';
 import {
@@ -51,8 +52,6 @@
   Timings,
 } from './types.js';
 
-/** Entries kept before the snapshot, so that members that lag slightly need no snapshot transfer. */
-const TRAILING_ENTRIES = 256;
 /** The term of the first log entry of every group. */
 const FOUNDING_TERM = 1;
 
@@ -246,6 +245,9 @@
   if (role.kind !== 'leader' || role.transfer !== undefined) {
     return toStep(state, { kind: 'refused', proposal, reason: 'notLeader' });
   }
+  if (!hasRoomFor(state.log, state.commitIndex, command.length)) {
+    return toStep(state, { kind: 'refused', proposal, reason: 'overloaded' });
+  }
   const index = getLastIndex(state.log) + 1;
   return runSteps(
     state,
@@ -297,7 +299,7 @@
     membership: membership ?? { members: [], retired: [] },
     data,
   };
-  const log = pruneLog(state.log, index - TRAILING_ENTRIES);
+  const log = pruneLog(state.log, findPruneIndex(state.log, index));
   return writeSnapshot({ ...state, log, snapshot }, snapshot, false);
 }
 
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -5,6 +5,7 @@
 import type { Address, Duration, Instant } from '../model/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Member } from '../generated/control.js';
+import type { CompactionReason } from './compaction.js';
 import type { FileSystem } from './files.js';
 import type { Timings } from './types.js';
 
@@ -23,6 +24,17 @@
   readonly message: string;
 }
 
+/** A snapshot that a member saves, and why. */
+export interface SnapshotReport {
+  readonly reason: CompactionReason;
+  /** Index of the last entry that the snapshot covers. */
+  readonly index: number;
+  /** Bytes of the log before the snapshot. */
+  readonly logBytes: number;
+  /** Bytes of the snapshot. */
+  readonly stateBytes: number;
+}
+
 /** Options of {@link openControl}. */
 export interface ControlOptions<S> {
   readonly address: Address;
@@ -37,6 +49,8 @@
   /** Number of applied entries after which a snapshot is saved. */
   readonly compactAfter?: number;
   readonly onProblem?: (problem: ControlProblem) => void;
+  /** Called when a member begins to save a snapshot of its own state. */
+  readonly onSnapshot?: (snapshot: SnapshotReport) => void;
   /** A monotonic clock in milliseconds. */
   readonly clock?: () => Instant;
   /** Returns a number that is at least 0 and less than 1. */
@@ -81,6 +95,8 @@
   readonly leader: Address | undefined;
   readonly commitIndex: number;
   readonly lastIndex: number;
+  /** Bytes that the log takes in memory, approximately. */
+  readonly logBytes: number;
   readonly members: readonly Member[];
   /** On the leader: milliseconds since the start of the latest round that each other member answered. */
   readonly silences: readonly (readonly [member: Address, silence: Duration])[];
@@ -92,8 +108,11 @@
   readonly problem: string | undefined;
 }
 
-/** Called with each new state; `command` is undefined after a snapshot was restored. */
-export type AppliedListener<S> = (state: S, index: number, command: unknown) => void;
+/**
+ * Called with each new state; `command` is undefined after a snapshot was restored, and `bytes` is the size of the
+ * encoded command.
+ */
+export type AppliedListener<S> = (state: S, index: number, command: unknown, bytes: number) => void;
 
 /** Handle of the local control member. */
 export interface ControlNode<S> {
--- a/src/control/following.ts
+++ b/src/control/following.ts
@@ -6,7 +6,7 @@
 import type { Append, RepairReply, SnapshotChunk } from '../generated/control.js';
 import { enterFollower } from './election.js';
 import { advanceCommitTo } from './leading.js';
-import { pruneLog, findTermStart, getLastIndex, getTermAt } from './log.js';
+import { createLog, pruneLog, findTermStart, getLastIndex, getTermAt } from './log.js';
 import {
   listOthers,
   renewElectionTimer,
@@ -141,9 +141,7 @@
 function applySnapshot(state: ConsensusState, snapshot: Snapshot): Step {
   const { index, term } = snapshot;
   const continues = getTermAt(state.log, index) === term;
-  const log = continues
-    ? pruneLog(state.log, index)
-    : { baseIndex: index, baseTerm: term, entries: [] };
+  const log = continues ? pruneLog(state.log, index) : createLog(index, term);
   const durableIndex = continues
     ? state.durableIndex
     : Math.min(state.durableIndex, state.commitIndex);
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -9,6 +9,7 @@
   MemberChange,
   ProposeOutcome,
   ReadOutcome,
+  SnapshotReport,
   StateMachine,
 } from './control.js';
 export { StorageError } from './files.js';
--- a/src/control/log.ts
+++ b/src/control/log.ts
@@ -10,16 +10,40 @@
   readonly baseIndex: number;
   readonly baseTerm: number;
   readonly entries: readonly LogEntry[];
+  /** Bytes that the entries take, approximately. */
+  readonly bytes: number;
 }
 
-/** A log without entries. */
-export const emptyLog: Log = { baseIndex: 0, baseTerm: 0, entries: [] };
+/** Bytes that an entry takes in memory besides its command, approximately. */
+const ENTRY_OVERHEAD = 128;
 
 /** Maximum number of entries in one message. */
 const MAX_BATCH_ENTRIES = 512;
-/** Maximum bytes of commands in one message, unless its first entry alone is larger. */
+/** Maximum bytes of entries in one message, unless its first entry alone is larger. */
 const MAX_BATCH_BYTES = 256 * 1024;
 
+/** Returns the bytes that an entry takes, approximately. */
+export function measureEntry(entry: LogEntry): number {
+  return ENTRY_OVERHEAD + (entry.kind === 'command' ? entry.command.length : 0);
+}
+
+/** Returns the bytes that entries take, approximately. */
+export function measureEntries(entries: readonly LogEntry[]): number {
+  return entries.reduce((sum, entry) => sum + measureEntry(entry), 0);
+}
+
+/** Creates a log that continues the position of the base. */
+export function createLog(
+  baseIndex: number,
+  baseTerm: number,
+  entries: readonly LogEntry[] = [],
+): Log {
+  return { baseIndex, baseTerm, entries, bytes: measureEntries(entries) };
+}
+
+/** A log without entries. */
+export const emptyLog: Log = createLog(0, 0);
+
 /** Returns the index of the last entry, or of the base. */
 export function getLastIndex(log: Log): number {
   return log.baseIndex + log.entries.length;
@@ -46,10 +70,9 @@
 /** Returns the entries from `first` on that fit in one message. */
 export function getBatch(log: Log, first: number): readonly LogEntry[] {
   const candidates = getEntries(log, first, first + MAX_BATCH_ENTRIES - 1);
-  const sizes = candidates.map((entry) => (entry.kind === 'command' ? entry.command.length : 0));
   let bytes = 0;
-  const cut = sizes.findIndex((size, index) => {
-    bytes += size;
+  const cut = candidates.findIndex((entry, index) => {
+    bytes += measureEntry(entry);
     return index > 0 && bytes > MAX_BATCH_BYTES;
   });
   return cut === -1 ? candidates : candidates.slice(0, cut);
@@ -69,15 +92,25 @@
     kept >= 0 && kept <= log.entries.length,
     `entry ${first.index} does not follow the log that ends at ${getLastIndex(log)}`,
   );
-  const all = kept === log.entries.length ? log.entries : log.entries.slice(0, kept);
-  return { ...log, entries: [...all, ...entries] };
+  const prefix = dropEntriesAfter(log, first.index - 1);
+  return {
+    ...prefix,
+    entries: [...prefix.entries, ...entries],
+    bytes: prefix.bytes + measureEntries(entries),
+  };
+}
+
+/** Drops the entries after the index. */
+export function dropEntriesAfter(log: Log, index: number): Log {
+  if (index >= getLastIndex(log)) return log;
+  return createLog(log.baseIndex, log.baseTerm, log.entries.slice(0, index - log.baseIndex));
 }
 
 /** Drops the entries up to and including the index, which becomes the base. */
 export function pruneLog(log: Log, index: number): Log {
   const term = getTermAt(log, index);
   if (index <= log.baseIndex || term === undefined) return log;
-  return { baseIndex: index, baseTerm: term, entries: log.entries.slice(index - log.baseIndex) };
+  return createLog(index, term, log.entries.slice(index - log.baseIndex));
 }
 
 /** Returns the first index of the consecutive entries that have the same term as the entry at `index`. */
@@ -92,7 +125,7 @@
 /** Returns an empty log whose base is the snapshot. */
 export function toLogBase(snapshot: Snapshot | undefined): Log {
   if (snapshot === undefined) return emptyLog;
-  return { baseIndex: snapshot.index, baseTerm: snapshot.term, entries: [] };
+  return createLog(snapshot.index, snapshot.term);
 }
 
 /**
@@ -108,5 +141,5 @@
   const position = base.baseIndex - log.baseIndex;
   const term = position === 0 ? log.baseTerm : log.entries[position - 1]?.term;
   const entries = term === base.baseTerm ? log.entries.slice(position) : [];
-  return { log: { ...base, entries }, gap: false };
+  return { log: createLog(base.baseIndex, base.baseTerm, entries), gap: false };
 }
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -11,6 +11,7 @@
   LogEntry,
   MemberId,
 } from '../generated/control.js';
+import { findCompactionReason } from './compaction.js';
 import { createConsensus, decideConsensus, isKnownKind } from './consensus.js';
 import type {
   AppliedListener,
@@ -50,8 +51,6 @@
 const TICK_INTERVAL = 50;
 /** Milliseconds between two inputs beyond which the process counts as having been paused. */
 const PAUSE_THRESHOLD = 600;
-/** Default number of applied entries after which a snapshot is saved. */
-const COMPACT_AFTER = 1000;
 /** Milliseconds that a stopping leader waits for another member to take over. */
 const HANDOVER_LIMIT = 2000;
 /** Deadline of a membership change in milliseconds. */
@@ -64,6 +63,7 @@
 
 const refusalRemedies: Readonly<Record<Exclude<RefusalReason, 'notLeader'>, string>> = {
   changePending: 'another change of members is under way: try again in a moment',
+  overloaded: 'too many bytes of changes wait to be committed: try again in a moment',
   notMember: 'no such member: check the address',
   alreadyMember: 'this member already belongs to the group: nothing is to be done',
   tooMany: 'the group has as many members as it may have: remove one first',
@@ -378,24 +378,34 @@
       const result = entry.kind === 'command' ? this.#applyCommand(entry) : undefined;
       this.#settleProposal(entry, result);
     });
-    const since = this.#appliedIndex - (this.#consensus?.snapshot?.index ?? 0);
-    if (since >= (this.#options.compactAfter ?? COMPACT_AFTER)) {
-      const data = this.#options.machine.encode(this.#applied);
-      this.#inputs.push({ kind: 'compacted', index: this.#appliedIndex, data });
-    }
+    this.#compact();
+  }
+
+  /** Saves a snapshot if the log has grown beyond its bounds since the last one. */
+  #compact(): void {
+    if (this.#consensus === undefined) return;
+    const { log, snapshot } = this.#consensus;
+    const index = this.#appliedIndex;
+    const reason = findCompactionReason(log, index, snapshot, this.#options.compactAfter);
+    if (reason === undefined) return;
+    const data = this.#options.machine.encode(this.#applied);
+    this.#inputs.push({ kind: 'compacted', index, data });
+    this.#options.onSnapshot?.({
+      ...{ reason, index, logBytes: log.bytes, stateBytes: data.length },
+    });
   }
 
   #applyCommand(entry: Extract<LogEntry, { kind: 'command' }>): unknown {
     const command = decodeCommand(entry.command);
     const { state, result } = this.#options.machine.apply(this.#applied, command, entry.index);
     this.#applied = state;
-    this.#notify(command);
+    this.#notify(command, entry.command.length);
     return result;
   }
 
-  #notify(command?: unknown): void {
+  #notify(command?: unknown, bytes = 0): void {
     this.#listeners.forEach((listener) => {
-      listener(this.#applied, this.#appliedIndex, command);
+      listener(this.#applied, this.#appliedIndex, command, bytes);
     });
   }
 
@@ -517,6 +527,7 @@
       leader: leader === undefined ? undefined : toAddress(leader),
       commitIndex,
       lastIndex: getLastIndex(consensus.log),
+      logBytes: consensus.log.bytes,
       members: membership.members,
       silences: role.kind === 'leader' ? this.#listSilences(role) : [],
       healthy:
@@ -582,6 +593,7 @@
   leader: undefined,
   commitIndex: 0,
   lastIndex: 0,
+  logBytes: 0,
   silences: [],
   healthy: false,
   isVoter: false,
--- a/src/control/segments.ts
+++ b/src/control/segments.ts
@@ -7,7 +7,15 @@
 import type { LogRecord } from '../generated/control.js';
 import { StorageError, type FileSystem } from './files.js';
 import { parseDocument, parseLogRecord } from './formats.js';
-import { appendEntries, emptyLog, getLastIndex, getTermAt, type Log } from './log.js';
+import {
+  appendEntries,
+  createLog,
+  emptyLog,
+  getLastIndex,
+  getTermAt,
+  dropEntriesAfter,
+  type Log,
+} from './log.js';
 import { HEADER_BYTES, parseRecords } from './records.js';
 
 /** A log segment and the highest index that it ever held, including entries that were replaced later. */
@@ -58,8 +66,7 @@
 function addRecord(log: Log, record: LogRecord): Log | undefined {
   if (record.kind === 'base') {
     const { index, term } = record;
-    if (getTermAt(log, index) !== term) return { baseIndex: index, baseTerm: term, entries: [] };
-    return { ...log, entries: log.entries.slice(0, index - log.baseIndex) };
+    return getTermAt(log, index) === term ? dropEntriesAfter(log, index) : createLog(index, term);
   }
   const follows = record.index > log.baseIndex && record.index <= getLastIndex(log) + 1;
   return follows ? appendEntries(log, [record]) : undefined;
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -71,6 +71,7 @@
 /** Why a proposal was refused. A refused proposal is never applied. */
 export type RefusalReason =
   | 'notLeader'
+  | 'overloaded'
   | 'changePending'
   | 'notMember'
   | 'alreadyMember'
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -3,7 +3,12 @@
  * the operators' listener. Invariant: operators only receive answers that are based on committed state.
  */
 import { inject, injectable } from 'inversify';
-import { openControl, type ControlNode, type ControlProblem } from '../control/index.js';
+import {
+  openControl,
+  type ControlNode,
+  type ControlProblem,
+  type SnapshotReport,
+} from '../control/index.js';
 import {
   createConfigServer,
   type CommittedView,
@@ -49,6 +54,10 @@
   log.warn(message, { kind });
 }
 
+function reportSnapshot({ reason, index, logBytes, stateBytes }: SnapshotReport): void {
+  log.info('snapshot taken', { reason, index, logBytes, stateBytes });
+}
+
 /** Runs a control member as part of a process. */
 @injectable()
 export class ControlRole extends ProcessRole {
@@ -132,6 +141,7 @@
       mesh: this.#mesh,
       machine: createIntentMachine(),
       onProblem: reportProblem,
+      onSnapshot: reportSnapshot,
     });
   }
 
@@ -156,6 +166,7 @@
         'Newest committed entry of the log.',
         () => node.status.commitIndex,
       ],
+      ['chivewalk_control_log_bytes', 'Bytes of the log in memory.', () => node.status.logBytes],
       [
         'chivewalk_control_healthy',
         '1 while this member votes and knows a leader.',
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -122,6 +122,9 @@
         log.warn(message, { kind });
         if (kind === 'writeFailed') onWriteFailed();
       },
+      onSnapshot: ({ reason, index, logBytes, stateBytes }) => {
+        log.info('snapshot taken', { reason, index, logBytes, stateBytes });
+      },
     });
   } catch (error) {
     log.warn('cannot open the data folder: free space on the disk or repair it', {
@@ -179,6 +182,10 @@
     return this.#open?.node;
   }
 
+  get keptBytes(): number {
+    return this.#open?.publisher.keptBytes ?? 0;
+  }
+
   get gateways(): number {
     return this.#open?.publisher.entries.length ?? 0;
   }
@@ -300,6 +307,16 @@
       'Members that vote.',
       () => running.node?.status.members.filter(({ voter }) => voter).length ?? 0,
     ],
+    [
+      'chivewalk_steward_log_bytes',
+      'Bytes of the log in memory.',
+      () => running.node?.status.logBytes ?? 0,
+    ],
+    [
+      'chivewalk_steward_kept_bytes',
+      'Encoded bytes of the commands kept for gateways that lag.',
+      () => running.keptBytes,
+    ],
     ['chivewalk_steward_gateways', 'Gateways that are alive.', () => running.gateways],
     [
       'chivewalk_steward_routes_version',
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -9,11 +9,10 @@
 import type { Mesh } from '../wire/index.js';
 import { encodeCommands, encodeState, type Payload, type IndexedCommands } from './codec.js';
 import { FleetCopy, FleetHistory, FleetTable } from './fleet.js';
+import { addCommand, createKeptCommands, listCommandsAfter, type KeptCommands } from './kept.js';
 import { decodeMessage } from './messages.js';
 import { FEED_CHANNEL, type EntryRecord, type FeedMessage, type GroupStatus } from './types.js';
 
-/** Maximum number of recent commands kept for followers that lag; others get the whole state. */
-const MAX_KEPT_COMMANDS = 512;
 /** Interval in milliseconds at which followers and evidence are sent to other control members. */
 const SHARE_INTERVAL: Duration = 400;
 /** Milliseconds since its last poll from which a follower is listed as silent; longer than between two polls. */
@@ -37,6 +36,8 @@
 /** The feed of a control member. */
 export interface Publisher {
   readonly entries: readonly EntryRecord[];
+  /** Encoded bytes of the commands kept for followers that lag. */
+  readonly keptBytes: number;
   close(): void;
 }
 
@@ -57,9 +58,8 @@
   readonly #timer: NodeJS.Timeout;
   readonly #followers = new Map<Address, FollowerState>();
   #pendingUpdates: NodeJS.Immediate | undefined;
-  #commands: readonly (readonly [number, CatalogCommand])[] = [];
-  /** The log index after which {@link #commands} holds every command. */
-  #completeAfter: number;
+  /** Recent commands for followers that lag; those that lag further get the whole state. */
+  #commands: KeptCommands;
   readonly #fleet = new FleetTable();
   readonly #ownFollowers = new FleetTable();
   readonly #fleetHistory = new FleetHistory();
@@ -74,9 +74,9 @@
 
   constructor(options: PublisherOptions) {
     this.#options = options;
-    this.#completeAfter = options.control.appliedIndex;
-    options.control.onApplied((_, index, command) => {
-      this.#recordCommand(index, command as CatalogCommand | undefined);
+    this.#commands = createKeptCommands(options.control.appliedIndex);
+    options.control.onApplied((_, index, command, bytes) => {
+      this.#recordCommand(index, command as CatalogCommand | undefined, bytes);
     });
     options.mesh.handle(FEED_CHANNEL, (from, message) => {
       this.#receive(from, decodeMessage(message));
@@ -91,21 +91,20 @@
     return this.#fleet.entries;
   }
 
+  get keptBytes(): number {
+    return this.#commands.bytes;
+  }
+
   close(): void {
     clearInterval(this.#timer);
     if (this.#pendingUpdates !== undefined) clearImmediate(this.#pendingUpdates);
   }
 
-  #recordCommand(index: number, command: CatalogCommand | undefined): void {
-    if (command === undefined) {
-      this.#commands = [];
-      this.#completeAfter = index;
-    } else {
-      const all = [...this.#commands, [index, command] as const];
-      this.#commands = all.slice(-MAX_KEPT_COMMANDS);
-      this.#completeAfter =
-        all.length > MAX_KEPT_COMMANDS ? (all[0]?.[0] ?? index) : this.#completeAfter;
-    }
+  #recordCommand(index: number, command: CatalogCommand | undefined, bytes: number): void {
+    this.#commands =
+      command === undefined
+        ? createKeptCommands(index)
+        : addCommand(this.#commands, index, command, bytes);
     this.#scheduleUpdates();
   }
 
@@ -181,15 +180,18 @@
     const { control, mesh, listCold, now } = this.#options;
     this.#fleet.prune(now());
     this.#fleetHistory.setEntries(this.#fleet.entries);
-    const isBehind = follower.index < this.#completeAfter;
-    const commands = isBehind ? [] : this.#commands.filter(([index]) => index > follower.index);
-    const last = commands.at(-1)?.[0];
+    const commands = listCommandsAfter(this.#commands, follower.index);
+    const isBehind = commands === undefined;
+    const last = commands?.at(-1)?.[0];
     mesh.send(to, FEED_CHANNEL, {
       kind: 'news',
       healthy: control.status.healthy,
       base: isBehind ? { index: control.appliedIndex, state: this.#encodeState() } : undefined,
       after: follower.index,
-      commands: last === undefined ? undefined : this.#encodeCommands(commands, last),
+      commands:
+        commands === undefined || last === undefined
+          ? undefined
+          : this.#encodeCommands(commands, last),
       cold: isBehind ? listCold() : {},
       fleet: this.#fleetHistory.createUpdate(follower.fleetRevision),
       members: this.#listMembers(),
--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -56,6 +56,10 @@
 const CONNECT_TIMEOUT = 400;
 /** Bytes buffered on one connection above which further messages to it are dropped. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+/** Bytes buffered on all connections above which messages to those that receive slowly are dropped. */
+const MAX_TOTAL_BUFFERED_BYTES = 24 * 1024 * 1024;
+/** Bytes buffered on a connection that receives at its usual pace. */
+const USUAL_BUFFERED_BYTES = 512 * 1024;
 
 /** Interval of the periodic check of connections, in milliseconds. */
 const CHECK_INTERVAL = 100;
@@ -93,6 +97,11 @@
   keepaliveSentAt: number;
 }
 
+/** Returns the bytes that wait to be sent on a connection. */
+function countBufferedBytes({ socket, queuedFrames }: OutboundConnection): number {
+  return queuedFrames.reduce((sum, frame) => sum + frame.length, socket.writableLength);
+}
+
 function computeProof(secret: string, nonce: Buffer, from: Address): Buffer {
   return createHmac('sha256', secret).update(nonce).update(from).digest();
 }
@@ -141,6 +150,13 @@
     return this.#traffic;
   }
 
+  get #bufferedBytes(): number {
+    return [...this.#outbound.values()].reduce(
+      (sum, connection) => sum + countBufferedBytes(connection),
+      0,
+    );
+  }
+
   handle(channel: string, handler: MessageHandler): void {
     this.#handlers.set(channel, handler);
   }
@@ -156,7 +172,7 @@
     }
     const connection = this.#outbound.get(to) ?? this.#dial(to);
     if (connection === undefined) return;
-    if (connection.socket.writableLength > MAX_BUFFERED_BYTES) return;
+    if (this.#isFull(connection)) return;
     this.#traffic = {
       ...this.#traffic,
       messagesSent: this.#traffic.messagesSent + 1,
@@ -168,6 +184,13 @@
     else connection.queuedFrames.push(frame);
   }
 
+  /** Returns whether a connection takes no more messages, on its own account or because all hold too much. */
+  #isFull(connection: OutboundConnection): boolean {
+    const buffered = countBufferedBytes(connection);
+    if (buffered > MAX_BUFFERED_BYTES) return true;
+    return buffered > USUAL_BUFFERED_BYTES && this.#bufferedBytes > MAX_TOTAL_BUFFERED_BYTES;
+  }
+
   /** Sends a keepalive to each peer with unconfirmed frames and closes connections that have timed out. */
   #checkConnections(): void {
     const now = performance.now();
