Bench: what one gateway spends on a large site, by phase and function

`npm run bench -- gateway` runs a real gateway in a process of its own against a stand-in for the control members, 317 gateways and 718 upstreams: the start, normal operation, changes of the catalog and changes of the list of gateways. PROFILE=1 prints the functions by time.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
   decide: () => import('./decide.js'),
   policies: () => import('./policies.js'),
   scale: () => import('./scale.js'),
+  gateway: () => import('./gateway.js'),
 };
 
 const name = process.argv[2];
