Gateway: the registry updates only the upstreams that a command names

The registry now takes the commands of an update and looks at the instances that they name, and at the one that an announcement replaces at its address. Lists of usable upstreams, and of all, are built when they are next needed, once for any number of commands. A whole state is compared as before.

The bench's update is now a chain of restarts, on both sides, as a registry can only be told of commands since the last catalog.

--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -3,7 +3,13 @@
  * size of the list of gateways. Sizes are numbers of gateways, with 4 upstreams for each 3 of them.
  * Settings by environment: `SIZES`, a comma-separated list of numbers of gateways.
  */
-import { applyCommand, emptyCatalog, type Catalog, type Instance } from '../src/catalog/index.js';
+import {
+  applyCommand,
+  emptyCatalog,
+  type Catalog,
+  type CatalogCommand,
+  type Instance,
+} from '../src/catalog/index.js';
 import { chooseUpstream, type ChoiceContext } from '../src/gateway/choose.js';
 import { UpstreamRegistry } from '../src/gateway/registry.js';
 import { writeReport } from './stand/report.js';
@@ -74,19 +80,26 @@
   const registry = new UpstreamRegistry();
   registry.update(catalog);
   const usable = registry.listUsable('records', undefined);
-  const drain = (round: number): Catalog =>
-    applyCommand(catalog, {
-      kind: 'announce',
-      instance: { ...createInstance(round % upstreams), draining: true },
-      coldFor: 0,
-    }).state;
-  const changed = Array.from({ length: ROUNDS }, (_, round) => drain(round));
+  const createRestart = (round: number): CatalogCommand => ({
+    kind: 'announce',
+    instance: { ...createInstance(round % upstreams), bornAt: round + 2 },
+    coldFor: 0,
+  });
+  const commands = Array.from({ length: 2 * ROUNDS }, (_, round) => createRestart(round));
+  let state = catalog;
+  const changed = commands.map((command) => (state = applyCommand(state, command).state));
+  const steps = commands.map((command, round) => [changed[round] ?? catalog, command] as const);
+  let updates = steps;
   return {
     gateways,
     upstreams,
     choiceMicros: measure(() => chooseUpstream(usable, context)),
-    commandMicros: measure(drain),
-    updateMicros: measure((round) => registry.update(changed[round] ?? catalog)),
+    commandMicros: measure((round) => applyCommand(catalog, createRestart(round))),
+    updateMicros: measure(() => {
+      const [step] = updates;
+      updates = updates.slice(1);
+      if (step !== undefined) registry.update(step[0], [step[1]]);
+    }),
   };
 }
 
--- a/features/gateway/registry.feature
+++ b/features/gateway/registry.feature
@@ -7,6 +7,16 @@
     And each record was kept as long as its upstream was the same start at the same address
     And the addresses reported as unused are those that no upstream has any more
 
+  Scenario: A registry that is told of each change is equal to one that compares whole catalogs
+    Given 300 random changes of a catalog of 40 upstreams in 3 zones
+    When one registry is told of them in batches of 1 to 4 and another one compares the catalogs
+    Then both list the same upstreams after each batch, and report the same addresses as unused
+
+  Scenario: A change of one upstream reads no other upstream of the catalog
+    Given a catalog of 1000 upstreams that counts what is read of it
+    When 20 of its upstreams drain one after the other
+    Then the registry reads at most 1 upstream for each, and lists 980 as usable
+
   Scenario: A weighted choice reads each weight at most twice
     Given 1000 items of equal weight
     When one of them is chosen
--- a/features/gateway/registry.steps.ts
+++ b/features/gateway/registry.steps.ts
@@ -1,5 +1,6 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { isDeepStrictEqual } from 'node:util';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   applyCommand,
@@ -14,6 +15,11 @@
 
 interface RegistryWorld {
   catalogs: readonly Catalog[];
+  /** The commands of which each led to the next catalog. */
+  commands: readonly CatalogCommand[];
+  /** Batches after which the two registries differed. */
+  differences: readonly string[];
+  countedReads: number;
   stepwise: UpstreamRegistry;
   direct: UpstreamRegistry;
   /** Upstreams whose record was replaced or kept against the rule. */
@@ -66,7 +72,8 @@
   function (this: RegistryWorld, changes: number, upstreams: number) {
     const ids = Array.from({ length: upstreams }, (_, index) => `u${index}`);
     const first = { ...createCatalog(ids), table };
-    this.catalogs = createCommands(changes).reduce<readonly Catalog[]>(
+    this.commands = createCommands(changes);
+    this.catalogs = this.commands.reduce<readonly Catalog[]>(
       (states, command) => [...states, applyCommand(states.at(-1) ?? first, command).state],
       [first],
     );
@@ -151,6 +158,80 @@
   },
 );
 
+When(
+  'one registry is told of them in batches of 1 to 4 and another one compares the catalogs',
+  function (this: RegistryWorld) {
+    const told = new UpstreamRegistry();
+    const comparing = new UpstreamRegistry();
+    const differences: string[] = [];
+    const [first] = this.catalogs;
+    assert.ok(first);
+    [told, comparing].forEach((registry) => registry.update(first));
+    let done = 0;
+    while (done < this.commands.length) {
+      const batch = this.commands.slice(done, done + 1 + (done % 4));
+      done += batch.length;
+      const catalog = this.catalogs[done];
+      assert.ok(catalog);
+      const unused = told.update(catalog, batch);
+      assert.deepEqual([...new Set(unused)].sort(), [...new Set(comparing.update(catalog))].sort());
+      if (!isDeepStrictEqual(describe(told), describe(comparing))) differences.push(`to ${done}`);
+    }
+    Object.assign(this, { differences, stepwise: told, direct: comparing });
+  },
+);
+
+Then(
+  'both list the same upstreams after each batch, and report the same addresses as unused',
+  function (this: RegistryWorld) {
+    assert.deepEqual(this.differences, []);
+    assert.ok(this.stepwise.size > 10);
+  },
+);
+
+Given(
+  'a catalog of {int} upstreams that counts what is read of it',
+  function (this: RegistryWorld, upstreams: number) {
+    const ids = Array.from({ length: upstreams }, (_, index) => `u${index}`);
+    this.catalogs = [{ ...createCatalog(ids), table }];
+    this.countedReads = 0;
+  },
+);
+
+When(
+  '{int} of its upstreams drain one after the other',
+  function (this: RegistryWorld, count: number) {
+    const registry = new UpstreamRegistry();
+    const [first] = this.catalogs;
+    assert.ok(first);
+    registry.update(first);
+    const commands = Array.from({ length: count }, (_, index): CatalogCommand => {
+      const instance = { ...createInstance(`u${index}`), draining: true };
+      return { kind: 'announce', instance, coldFor: 0 };
+    });
+    commands.reduce((catalog, command) => {
+      const next = applyCommand(catalog, command).state;
+      const instances = new Proxy(next.instances, {
+        get: (target, key, receiver): unknown => {
+          this.countedReads += 1;
+          return Reflect.get(target, key, receiver);
+        },
+      });
+      registry.update({ ...next, instances }, [command]);
+      return next;
+    }, first);
+    this.stepwise = registry;
+  },
+);
+
+Then(
+  'the registry reads at most 1 upstream for each, and lists {int} as usable',
+  function (this: RegistryWorld, usable: number) {
+    assert.equal(this.stepwise.listUsable('records', undefined).length, usable);
+    assert.ok(this.countedReads <= 20, `${this.countedReads} upstreams were read`);
+  },
+);
+
 Given('{int} items of equal weight', function (this: RegistryWorld, count: number) {
   this.reads = 0;
   const weights = Array.from({ length: count }, () => 1);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -383,7 +383,8 @@
     const wasReady = this.isReady();
     if (catalog.table !== this.#catalog?.table) this.#applyTable(catalog);
     this.#catalog = catalog;
-    this.#registry.update(catalog).forEach((address) => {
+    const commands = change.kind === 'commands' ? change.commands : undefined;
+    this.#registry.update(catalog, commands).forEach((address) => {
       this.#pool.dropAddress(address);
     });
     previousZonesOut
@@ -391,17 +392,16 @@
       .forEach((zone) => {
         this.#registry.markZoneCold(zone, this.now(), this.#fleetShare);
       });
-    const commands = change.kind === 'commands' ? change.commands : [];
-    commands.forEach((command) => {
+    commands?.forEach((command) => {
       if (command.kind === 'announce')
         this.#markColdUpstreams({ [command.instance.id]: command.coldFor });
       if (command.kind === 'chill') this.#markColdUpstreams({ [command.id]: command.coldFor });
     });
     log.info('catalog changed', {
       index,
-      change: change.kind === 'commands' ? describeCommands(commands) : change.kind,
+      change: commands === undefined ? change.kind : describeCommands(commands),
       version: catalog.table?.version ?? 0,
-      upstreams: Object.keys(catalog.instances).length,
+      upstreams: this.#registry.size,
     });
     if (!wasReady && this.isReady()) this.#follower.pollNow();
     if (catalog.table !== undefined) this.#startWaiting();
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -7,6 +7,7 @@
   emptyCatalog,
   getVersionShare,
   type Catalog,
+  type CatalogCommand,
   type Instance,
   type Service,
   type VersionShare,
@@ -248,14 +249,24 @@
 export class UpstreamRegistry {
   readonly #records = new Map<string, UpstreamRecord>();
   readonly #byKey = new Map<number, UpstreamRecord>();
+  /** The upstreams by address, which the catalog gives to one instance at a time. */
+  readonly #byAddress = new Map<Address, UpstreamRecord>();
   #catalog: Catalog = emptyCatalog;
   #services: ReadonlyMap<string, Service> = new Map();
-  #allRecords: readonly UpstreamRecord[] = [];
+  /** All records as a list; undefined after a change. */
+  #allRecords: readonly UpstreamRecord[] | undefined;
   readonly #excessPace = new Map<string, MovingAverage>();
+  /** Usable upstreams by service; those of a changed service are missing until they are needed. */
   readonly #usable = new Map<string, readonly UpstreamRecord[]>();
-  #versions = new Map<string, VersionShare>();
 
+  /** Number of upstreams. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** All upstreams. The same list object is returned until the instances change. */
   get records(): readonly UpstreamRecord[] {
+    this.#allRecords ??= [...this.#records.values()];
     return this.#allRecords;
   }
 
@@ -273,62 +284,73 @@
 
   /**
    * Applies a new catalog and returns the addresses that no longer belong to an instance. Instances
-   * that are the same object as before keep their record and their place in the indexes.
+   * that are the same object as before keep their record and their place in the indexes. `commands`
+   * are those that led from the last catalog to this one; with them, the work depends on their
+   * number only.
    */
-  update(catalog: Catalog): readonly Address[] {
+  update(catalog: Catalog, commands?: readonly CatalogCommand[]): readonly Address[] {
     const previous = this.#catalog;
     this.#catalog = catalog;
     const areServicesChanged = catalog.table !== previous.table;
     if (areServicesChanged) this.#updateServices(catalog);
-    this.#versions = new Map(
-      [...this.#services.keys()].map((name) => [name, getVersionShare(catalog, name)]),
-    );
-    const { gone, changed } = this.#updateRecords(catalog.instances, previous.instances);
-    const isAnyUsableChanged = areServicesChanged || catalog.zonesOut !== previous.zonesOut;
-    const affected = new Set([...gone, ...changed].map(({ service }) => service));
-    [...this.#services.keys()]
-      .filter((name) => isAnyUsableChanged || affected.has(name))
-      .forEach((name) => this.#usable.set(name, this.#findUsable(name)));
-    return gone
-      .map(({ address }) => address)
-      .filter((address) => !this.#allRecords.some(({ instance }) => instance.address === address));
+    if (areServicesChanged || catalog.zonesOut !== previous.zonesOut) this.#usable.clear();
+    if (catalog.instances === previous.instances) return [];
+    const ids = commands === undefined ? this.#listAllIds() : this.#listTouchedIds(commands);
+    const gone = ids.flatMap((id) => this.#updateInstance(id, catalog.instances[id]));
+    return gone.filter((address) => !this.#byAddress.has(address));
   }
 
   #updateServices({ table }: Catalog): void {
     this.#services = new Map(table?.services.map((service) => [service.name, service]));
-    this.#usable.clear();
-    this.#allRecords.forEach((record) => {
+    this.#records.forEach((record) => {
       Object.assign(record, { service: this.#services.get(record.instance.service) });
     });
   }
 
-  /** Returns the instances that were removed or replaced, and those that were added or changed. */
-  #updateRecords(
-    instances: Catalog['instances'],
-    previous: Catalog['instances'],
-  ): Readonly<Record<'gone' | 'changed', readonly Instance[]>> {
-    if (instances === previous) return { gone: [], changed: [] };
-    const gone = Object.values(previous).filter(({ id }) => instances[id] !== previous[id]);
-    const changed = Object.values(instances).filter((instance) => {
-      return previous[instance.id] !== instance;
-    });
-    gone
-      .filter(({ id }) => instances[id] === undefined)
-      .forEach((instance) => {
-        this.#removeRecord(instance);
-      });
-    changed.forEach((instance) => {
-      this.#setRecord(instance);
+  #listAllIds(): readonly string[] {
+    return [...new Set([...this.#records.keys(), ...Object.keys(this.#catalog.instances)])];
+  }
+
+  /** Returns the ids of the instances that the commands may have added, changed or removed. */
+  #listTouchedIds(commands: readonly CatalogCommand[]): readonly string[] {
+    const ids = commands.flatMap((command): readonly string[] => {
+      switch (command.kind) {
+        case 'announce': {
+          // An announcement removes the earlier instance at its address.
+          const replaced = this.#byAddress.get(command.instance.address);
+          return [...(replaced === undefined ? [] : [replaced.instance.id]), command.instance.id];
+        }
+        case 'end':
+          return [command.id];
+        case 'chill':
+        case 'replaceRoutes':
+        case 'patchRoutes':
+        case 'startMove':
+        case 'stepMove':
+        case 'setZone':
+          return [];
+      }
     });
-    this.#allRecords = [...this.#records.values()];
-    return { gone, changed };
+    return [...new Set(ids)];
+  }
+
+  /** Updates the record of an instance, and returns its former address if it changed. */
+  #updateInstance(id: string, instance: Instance | undefined): readonly Address[] {
+    const before = this.#records.get(id)?.instance;
+    if (before === instance) return [];
+    if (before !== undefined) this.#removeIndexes(before);
+    if (instance === undefined) this.#records.delete(id);
+    else this.#setRecord(instance);
+    this.#allRecords = undefined;
+    return before === undefined ? [] : [before.address];
   }
 
-  #removeRecord({ id }: Instance): void {
+  #removeIndexes({ id, address, service }: Instance): void {
     const record = this.#records.get(id);
     if (record === undefined) return;
-    this.#records.delete(id);
     this.#byKey.delete(record.key);
+    if (this.#byAddress.get(address) === record) this.#byAddress.delete(address);
+    this.#usable.delete(service);
   }
 
   /** Keeps the state of an instance as long as it is the same start at the same address. */
@@ -341,16 +363,27 @@
         : createRecord(instance, service);
     this.#records.set(instance.id, record);
     this.#byKey.set(record.key, record);
+    this.#byAddress.set(instance.address, record);
+    this.#usable.delete(instance.service);
   }
 
   #findUsable(service: string): readonly UpstreamRecord[] {
+    if (!this.#services.has(service)) return [];
     const { zonesOut } = this.#catalog;
-    return this.#allRecords.filter(
+    return this.records.filter(
       ({ instance }) =>
         instance.service === service && !instance.draining && !zonesOut.includes(instance.zone),
     );
   }
 
+  #getUsable(service: string): readonly UpstreamRecord[] {
+    const known = this.#usable.get(service);
+    if (known !== undefined) return known;
+    const usable = this.#findUsable(service);
+    this.#usable.set(service, usable);
+    return usable;
+  }
+
   /** Adds the pace of one of the service's VMs to the average. */
   addPace(service: string, pace: number): void {
     const average =
@@ -368,7 +401,9 @@
   }
 
   getVersionShare(service: string): VersionShare {
-    return this.#versions.get(service) ?? { stable: undefined, next: undefined, share: 0 };
+    return this.#services.has(service)
+      ? getVersionShare(this.#catalog, service)
+      : { stable: undefined, next: undefined, share: 0 };
   }
 
   /**
@@ -377,7 +412,7 @@
    * serves its requests.
    */
   listUsable(service: string, version: string | undefined): readonly UpstreamRecord[] {
-    const all = this.#usable.get(service) ?? [];
+    const all = this.#getUsable(service);
     if (version === undefined) return all;
     const wanted = all.filter(({ instance }) => instance.version === version);
     const { stable, next } = this.getVersionShare(service);
