Settings are read line by line, or refused with the key and the remedy

Operators saw nothing: a settings file cut short in the line of a key started the process with that key as true (`first_start`, `join`), and a port given as `5s` as port 5000.

Cause: the INI format reads a key alone as true and keeps the last of two values; times with a unit were converted for every number, and `0x10` was one.

Fix: a line without a value and a second value of a key are refused by their name before the file is parsed; only settings whose name ends in `_ms` take a time with a unit; numbers are decimal.

Test: features/settings/keys.feature drops, doubles and mistypes each key of each role, by the schema.

--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -17,14 +17,55 @@
 
 /** A duration with its unit, `ms` or `s`; it is converted to milliseconds. */
 const DURATION = /^\s*(\d+(?:\.\d+)?)(ms|s)\s*$/;
+/** End of the names of the settings that are durations. */
+const DURATION_SUFFIX = '_ms';
+const DECIMAL = /^\s*-?\d+(?:\.\d+)?(?:e[+-]?\d+)?\s*$/i;
 const MS_PER_SECOND = 1000;
 
+/** A line that opens a section, with the name of the section. */
+const SECTION_LINE = /^\s*\[([^\]]*)\]\s*$/;
+/** A line that holds nothing, or a comment. */
+const EMPTY_LINE = /^\s*(?:[;#].*)?$/;
+/** A line with a key and its value, which may be empty. */
+const VALUE_LINE = /^\s*([^=]*?)\s*=/;
+
+interface LineScan {
+  readonly section: string;
+  readonly keys: readonly string[];
+  readonly problems: readonly SettingsProblem[];
+}
+
+/** Finds lines that the INI format would read as something else: a key alone as true, the last of two values as the only one. */
+function findLineProblems(file: string, text: string): readonly SettingsProblem[] {
+  const scan = text.split(/\r?\n/).reduce<LineScan>(
+    (before, line) => {
+      if (EMPTY_LINE.test(line)) return before;
+      const section = SECTION_LINE.exec(line)?.[1];
+      if (section !== undefined) return { ...before, section };
+      const name = VALUE_LINE.exec(line)?.[1];
+      const key = `${before.section}.${name ?? line.trim()}`;
+      const keys = [...before.keys, key];
+      const isDoubled = before.keys.includes(key) && !key.endsWith('[]');
+      if (name !== undefined && !isDoubled) return { ...before, keys };
+      const problem: SettingsProblem = {
+        ...{ kind: 'badValue', file, key },
+        found: name === undefined ? 'no value' : 'a second value',
+        allowed: 'one line KEY = VALUE',
+        remedy: name === undefined ? 'add the value or remove the line' : 'keep one of the lines',
+      };
+      return { ...before, keys, problems: [...before.problems, problem] };
+    },
+    { section: '', keys: [], problems: [] },
+  );
+  return scan.problems;
+}
+
 /** Converts text to the type in the schema, since all INI values are text. */
-function parseValue(schema: PropertySchema | undefined, value: unknown): unknown {
+function parseValue(schema: PropertySchema | undefined, value: unknown, key = ''): unknown {
   if (schema?.properties !== undefined && typeof value === 'object' && value !== null) {
-    const entries = Object.entries(value).map(([key, inner]) => [
-      key,
-      parseValue(schema.properties?.[key], inner),
+    const entries = Object.entries(value).map(([name, inner]) => [
+      name,
+      parseValue(schema.properties?.[name], inner, name),
     ]);
     return Object.fromEntries(entries) as unknown;
   }
@@ -37,9 +78,9 @@
         .filter((item) => item !== '');
     case 'integer':
     case 'number': {
-      const duration = DURATION.exec(value);
+      const duration = key.endsWith(DURATION_SUFFIX) ? DURATION.exec(value) : null;
       if (duration !== null) return Number(duration[1]) * (duration[2] === 's' ? MS_PER_SECOND : 1);
-      return value.trim() !== '' && Number.isFinite(Number(value)) ? Number(value) : value;
+      return DECIMAL.test(value) && Number.isFinite(Number(value)) ? Number(value) : value;
     }
     case 'boolean':
       return value === 'true' ? true : value === 'false' ? false : value;
@@ -124,6 +165,8 @@
   file: string,
   text: string,
 ): Result<Settings, readonly SettingsProblem[]> {
+  const lineProblems = findLineProblems(file, text);
+  if (lineProblems.length > 0) return Err(lineProblems);
   const raw: unknown = parse(text);
   const converted = parseValue(settingsSchema as PropertySchema, JSON.parse(JSON.stringify(raw)));
   if (!validateSettings(converted)) {
