Operators' calls are read in full: an id that is missing, and times of other forms

Operators saw: the status of a command that was asked for without an id came back as that of a command "undefined"; `--since 5` and `--by 5` were taken as May 2001.

Cause: the id of the call `ask` was converted by String(), and Date.parse takes more than the ISO 8601 times that the tool documents.

Fix: a call without its id is refused by name, and a time must be an ISO 8601 date with an optional time of day and offset.

--- a/features/cli/operators.feature
+++ b/features/cli/operators.feature
@@ -28,6 +28,7 @@
       | show upstreams                                                                                       |
       | show rivers                                                                                          |
       | log --since 2020-01-01T00:00:00Z                                                                     |
+      | log --since 5                                                                                        |
       | zone out cyberjaya --wait forever                                                                    |
       | zone out cyberjaya --token wrong-token-of-nobody                                                     |
     Then the outcomes of the operators' tool match the snapshot
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -34,9 +34,12 @@
   return { match: Object.fromEntries(pairs) };
 }
 
+/** An ISO 8601 date, with or without a time of day and an offset. */
+const ISO_TIME = /^\d{4}-\d{2}-\d{2}(?:T\d{2}:\d{2}(?::\d{2}(?:\.\d+)?)?(?:Z|[+-]\d{2}:\d{2})?)?$/;
+
 /** Parses an ISO 8601 time into milliseconds since the Unix epoch. */
 function parseTime(text: string, option: string): number {
-  const time = Date.parse(text);
+  const time = ISO_TIME.test(text) ? Date.parse(text) : Number.NaN;
   if (Number.isFinite(time)) return time;
   throw new UsageError(`${option} ${text}: give a time as 2026-12-04T12:00:00+08:00`);
 }
--- a/src/operators/router.ts
+++ b/src/operators/router.ts
@@ -57,6 +57,12 @@
   throw new CommandError(`give ${key} as a number`);
 }
 
+function readText(value: unknown, key: string): string {
+  const found = readField(value, key);
+  if (typeof found === 'string' && found !== '') return found;
+  throw new CommandError(`give ${key} as a text that is not empty`);
+}
+
 function readDeadline(value: unknown): number {
   return Math.min(Math.max(readNumber(value, 'deadlineMs'), 1), MAX_CALL_DEADLINE);
 }
@@ -225,7 +231,7 @@
     deadlineMs: readDeadline(value),
   }));
   const parseAsk = withBadRequestErrors((value) => ({
-    id: String(readField(value, 'id')),
+    id: readText(value, 'id'),
     deadlineMs: readDeadline(value),
   }));
   const parseShow = withBadRequestErrors((value) => ({ deadlineMs: readDeadline(value) }));
