Count an answer that is being sent as running until its caller has it

What callers saw: in a planned stop, an answer that a slow link took longer than the rest of the stop ended in its middle (LOST).

Cause: CallerConnection told its host that it was closed as soon as it had ended its socket, while most of the answer still waited in the process. A stop waits only for connections that its host knows, so that the process ended with it.

Now a connection ends when its caller has closed its end or is gone, and a stop waits for that, up to the grace. Input is still read and discarded until then, as closing a socket with unread input resets it. A caller that never closes its end is waited for 2 s after the kernel has the last byte (0.5 s before).

--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -5,6 +5,7 @@
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
+import { safeRoute, serveTwoServices, unsafeRoute } from './services.js';
 import {
   createId,
   LARGE_BYTES,
@@ -34,25 +35,6 @@
 /** Time of callers for which a gateway waits as long as it may for its first routes. */
 const PATIENT_CALLER_MS = 6000;
 
-const safeRoute = {
-  name: 'r-safe',
-  path_prefix: '/records/',
-  kind: 'safe',
-  timeout: '800ms',
-  target_latency: '200ms',
-  priority: 2,
-  service: 'records',
-  max_attempts: 2,
-};
-const unsafeRoute = {
-  ...safeRoute,
-  name: 'r-unsafe',
-  path_prefix: '/orders/',
-  kind: 'unsafe',
-  priority: 1,
-  service: 'orders',
-};
-
 After({ tags: 'not @no-site' }, async function (this: Partial<PlatformWorld>) {
   await this.site?.stop();
 });
@@ -62,38 +44,8 @@
   { timeout: 60_000 },
   async function (this: PlatformWorld) {
     this.site = await Site.start();
-    const placements = this.site.zones.flatMap((_, zoneIndex) => [
-      ['records', zoneIndex, 1] as const,
-      ['orders', zoneIndex, 2] as const,
-    ]);
-    await Promise.all(
-      placements.map(([service, zoneIndex, number]) =>
-        this.site.addUpstream(service, zoneIndex, number),
-      ),
-    );
     this.sentRoutes = [safeRoute, unsafeRoute];
-    const answer = await this.site.putRoutes(this.sentRoutes);
-    assert.equal(answer.status, 200, answer.body);
-    await waitUntil('all upstreams are acknowledged', () =>
-      this.site.upstreams.every(({ acknowledgedHeartbeats }) => acknowledgedHeartbeats > 0),
-    );
-    await waitUntil('all gateways are ready', async () => {
-      const ready = await Promise.all(this.site.ips.map((ip) => this.site.isReady(ip)));
-      return ready.every(Boolean);
-    });
-    await waitUntil('the directory names all gateways', async () => {
-      const known = await Promise.all(this.site.ips.map(() => this.site.resolve('nowhere')));
-      return known.every((addresses) => addresses.length === this.site.ips.length);
-    });
-    await waitUntil('each gateway serves both routes', async () => {
-      const answers = await Promise.all(
-        this.site.ips.flatMap((ip) => [
-          this.site.call(ip, '/records/0'),
-          this.site.call(ip, '/orders/0', { method: 'POST', body: 'x' }),
-        ]),
-      );
-      return answers.every(({ status }) => status === 200);
-    });
+    await serveTwoServices(this.site, this.sentRoutes);
   },
 );
 
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -77,7 +77,10 @@
   readonly receivedAt: number;
 }
 
-/** How an emulated upstream responds to requests. */
+/**
+ * How an emulated upstream responds to requests. A `timed` one works for the milliseconds and answers with the number
+ * of bytes that the query of the request names (`work`, `bytes`).
+ */
 export type Behaviour =
   | 'serve'
   | 'reset'
@@ -89,7 +92,8 @@
   | 'large'
   | 'leave'
   | 'turnAway'
-  | 'slow';
+  | 'slow'
+  | 'timed';
 
 /** Seconds for which an upstream that turns requests away wants none. */
 const RETRY_AFTER = '2.5';
@@ -165,6 +169,17 @@
               response.end(`served by ${id}`);
             }, SLOW_WORK);
             return;
+          case 'timed': {
+            const { searchParams } = new URL(request.url ?? '/', 'http://upstream');
+            setTimeout(
+              () => {
+                response.writeHead(200, seal);
+                response.end(Buffer.alloc(Number(searchParams.get('bytes') ?? 1)));
+              },
+              Number(searchParams.get('work') ?? 0),
+            );
+            return;
+          }
           case 'leave':
             response.writeHead(200, { ...seal, 'Server-Leaving': '1' });
             response.end(`served by ${id}`);
@@ -292,14 +307,18 @@
     readonly net: number,
     readonly networkLock: Server,
     readonly disklessVms: readonly number[],
+    readonly grace: number,
   ) {
     this.ips = this.zones.map((_, index) => `127.${net}.${index + 1}.1`);
   }
 
-  /** Starts the site; `disklessVms` are the indices of VMs without a disk. */
-  static async start(disklessVms: readonly number[] = []): Promise<Site> {
+  /**
+   * Starts the site; `disklessVms` are the indices of VMs without a disk, `grace` the milliseconds that a process
+   * may take to stop.
+   */
+  static async start(disklessVms: readonly number[] = [], grace = GRACE_MS): Promise<Site> {
     const folder = await mkdtemp(join(tmpdir(), 'chivewalk-platform-'));
-    const site = new Site(folder, ...(await claimNetwork()), disklessVms);
+    const site = new Site(folder, ...(await claimNetwork()), disklessVms, grace);
     await Promise.all(
       site.ips.flatMap((ip, vmIndex) => [
         site.startProcess('steward', ip, vmIndex, true),
@@ -351,7 +370,7 @@
       data_dir: this.disklessVms.includes(vmIndex) ? '' : join(this.folder, `vm-${vmIndex + 1}`),
       bootstrap: String(isFirstStart),
       heartbeat: '400ms',
-      'bounds.grace': `${GRACE_MS}ms`,
+      'bounds.grace': `${this.grace}ms`,
       'bounds.retry_budget_ratio': '0.2',
       'bounds.retry_slack': '64',
       'bounds.probes_per_s': '60',
@@ -454,8 +473,11 @@
     );
   }
 
-  /** Replaces the configuration with both services and these routes. */
-  async putRoutes(routes: readonly Readonly<Record<string, unknown>>[]): Promise<HttpResponse> {
+  /** Replaces the configuration with both services and these routes; `idleTimeout` is in milliseconds. */
+  async putRoutes(
+    routes: readonly Readonly<Record<string, unknown>>[],
+    idleTimeout = 15_000,
+  ): Promise<HttpResponse> {
     const base = this.version;
     const version = base + 3;
     const services = ['records', 'orders'].map((name) => ({
@@ -474,7 +496,7 @@
         max_header_bytes: 16384,
         max_body_bytes: 1048576,
         header_timeout: '3000ms',
-        idle_timeout: '15000ms',
+        idle_timeout: `${idleTimeout}ms`,
       },
       hosts: [{ host: 'site.example', paths: routes }],
     });
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -19,8 +19,11 @@
 
 /** Number of unanswered requests at which the connection is paused. */
 const MAX_PIPELINED_REQUESTS = 16;
-/** Milliseconds to keep reading after the answer is flushed, so that a TCP reset doesn't discard it at the caller. */
-const LINGER_TIME: Duration = 500;
+/**
+ * Milliseconds for which a caller may take to close its end once the kernel has the whole last answer. Until then input
+ * is read and discarded, as closing a socket with unread input resets it, which discards what waits to be sent.
+ */
+const LINGER_TIME: Duration = 2000;
 /** Milliseconds that a caller may take to receive its last answer; the largest take seconds on a slow link. */
 const MAX_LINGER_TIME: Duration = 30_000;
 
@@ -61,6 +64,7 @@
   /** Whether the gateway is stopping, so that connections are closed after the next answer. */
   isStopping(): boolean;
   renderProtocolError(error: ProtocolError): CallerAnswer;
+  /** Called when the connection has ended: its last answer was received, or its caller is gone. */
   onClose(connection: CallerConnection): void;
 }
 
@@ -88,7 +92,7 @@
   #pipeline: readonly PipelinedRequest[] = [];
   #headReadAt: Instant = 0;
   #isReading = true;
-  #isClosed = false;
+  #state: 'open' | 'closing' | 'closed' = 'open';
   /** When the connection was opened or its latest answer was written. */
   #idleSince: Instant;
   /** When the first byte of an unfinished request arrived. */
@@ -105,7 +109,8 @@
       this.#read(chunk);
     });
     socket.on('end', () => {
-      this.#handleClose();
+      // The socket closes itself once all output is flushed.
+      if (this.#state === 'open') this.#handleClose();
     });
     socket.on('error', () => {
       this.#handleClose();
@@ -147,7 +152,7 @@
       this.#handleEvent(event, now);
     });
     if (!this.#reader.hasPartialMessage) this.#partialSince = undefined;
-    if (!this.#isClosed) this.#buffers.update(this, this.#reader.heldBytes);
+    if (this.#state === 'open') this.#buffers.update(this, this.#reader.heldBytes);
   }
 
   handleBufferLimit(): void {
@@ -215,7 +220,7 @@
 
   /** Starts the requests that may start, and writes completed answers in request order. */
   #advance(): void {
-    if (this.#isClosed) return;
+    if (this.#state !== 'open') return;
     const first = this.#pipeline[0];
     const next = this.#pipeline.find(({ isStarted }) => !isStarted);
     const canStart =
@@ -267,13 +272,10 @@
     }
   }
 
-  /** Discards further input before closing, so that a TCP reset doesn't drop what was written. */
+  /** Reads and discards further input until the caller has received all output and closed its end. */
   #linger(): void {
-    this.#isReading = false;
-    this.#pipeline.forEach(({ served }) => served?.cancel());
-    this.#pipeline = [];
-    this.#isClosed = true;
-    this.#buffers.update(this, 0);
+    this.#dropRequests();
+    this.#state = 'closing';
     this.#socket.resume();
     const timer = setTimeout(() => this.#socket.destroy(), MAX_LINGER_TIME).unref();
     // Destroying the socket before all output is flushed would truncate the answer.
@@ -281,18 +283,21 @@
       clearTimeout(timer);
       setTimeout(() => this.#socket.destroy(), LINGER_TIME).unref();
     });
-    this.#host.onClose(this);
   }
 
   #handleClose(): void {
-    if (this.#isClosed) return;
-    this.#isClosed = true;
-    this.#buffers.update(this, 0);
+    if (this.#state === 'closed') return;
+    this.#dropRequests();
+    this.#state = 'closed';
+    this.#socket.destroy();
+    this.#host.onClose(this);
+  }
+
+  #dropRequests(): void {
     this.#isReading = false;
+    this.#buffers.update(this, 0);
     this.#pipeline.forEach(({ served }) => served?.cancel());
     this.#pipeline = [];
-    this.#socket.destroy();
-    this.#host.onClose(this);
   }
 }
 
