Keep unused connections until late in a stop, and close them without reading

What callers saw: a request on a connection that was kept open was read and dropped, and the connection ended without an answer. Behind other answers on a slow link the caller learned of it hundreds of milliseconds later (LOST, though it wasn't passed on).

Cause: from 0.6 of the stop time on, each connection that had been idle for 300 ms was ended; then input was read and discarded for 0.5 s, also where nothing had been sent that a reset could discard. The idle timeout did the same.

Now unused connections stay open until 0.8 of the stop time and answer their next request with `Connection: close`. The close of an unused connection, in a stop and after the idle timeout, is immediate in both directions: a request that crosses it stays unread and resets the connection, so that callers know that it was not run. Only behind a last answer is input still read and discarded. Idle time counts from when the kernel has all bytes of the latest answer.

The wait for callers moves from gateway.ts into callers.ts, its decision into stopping.ts (decideConnection).

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -9,3 +9,18 @@
     Given a site whose processes have 6000 ms to stop
     When a gateway gets SIGTERM right after it began to send 24 MB on a kept connection, received at 5 MB a second
     Then the caller gets the whole answer, and the gateway ended within 6000 ms
+
+  Scenario: A connection that is kept open is closed early in a planned stop, and its next request is read and dropped
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends its next request on a kept connection 1900 ms after SIGTERM
+    Then it gets status 200 and "Connection: close"
+
+  Scenario: A request that crosses the close of an idle connection is read and dropped
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends a request on a connection that was closed after its idle timeout of 1000 ms
+    Then the connection is reset within 200 ms
+
+  Scenario: A request that crosses the close of an unused connection in a planned stop is read and dropped
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends a request on a connection that was closed in a planned stop
+    Then the connection is reset within 200 ms
--- a/features/platform/stopping.steps.ts
+++ b/features/platform/stopping.steps.ts
@@ -194,9 +194,12 @@
   await caller.waitForEnd();
   const since = performance.now();
   caller.send(['POST /orders/crossing']);
-  await waitUntil('the connection is reset', () => caller.resetAt !== undefined, 2000).catch(
-    () => undefined,
-  );
+  // Only a further write shows a reset on a connection whose other end was closed.
+  const isReset = (): boolean => {
+    caller.socket.write('\r\n');
+    return caller.resetAt !== undefined;
+  };
+  await waitUntil('the connection is reset', isReset, 2000).catch(() => undefined);
   world.resetAfter = caller.resetAt === undefined ? undefined : caller.resetAt - since;
   caller.socket.destroy();
 }
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -16,6 +16,7 @@
 } from '../http1/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
+import type { ConnectionPhase } from './stopping.js';
 
 /** Number of unanswered requests at which the connection is paused. */
 const MAX_PIPELINED_REQUESTS = 16;
@@ -93,7 +94,7 @@
   #headReadAt: Instant = 0;
   #isReading = true;
   #state: 'open' | 'closing' | 'closed' = 'open';
-  /** When the connection was opened or its latest answer was written. */
+  /** When the connection was opened or the kernel had all bytes of its latest answer. */
   #idleSince: Instant;
   /** When the first byte of an unfinished request arrived. */
   #partialSince: Instant | undefined;
@@ -110,13 +111,13 @@
     });
     socket.on('end', () => {
       // The socket closes itself once all output is flushed.
-      if (this.#state === 'open') this.#handleClose();
+      if (this.#state === 'open') this.close();
     });
     socket.on('error', () => {
-      this.#handleClose();
+      this.close();
     });
     socket.on('close', () => {
-      this.#handleClose();
+      this.close();
     });
   }
 
@@ -125,23 +126,34 @@
     return this.#pipeline.length === 0;
   }
 
-  /** Closes the connection if it exceeded the idle timeout or the timeout for a request head. */
-  checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
-    if (!this.isIdle || !this.#isReading) return;
-    if (this.#partialSince !== undefined) {
-      if (now - this.#partialSince > headTimeout && !this.#reader.isInBody) this.#close();
-    } else this.closeIdle(now, idleTimeout);
+  /** What the connection is doing, for a stop. */
+  get phase(): ConnectionPhase {
+    if (this.#state !== 'open') return this.#socket.writableLength > 0 ? 'sending' : 'ending';
+    if (!this.isIdle) return 'serving';
+    if (this.#socket.writableLength > 0) return 'sending';
+    return this.#reader.hasPartialMessage ? 'reading' : 'unused';
   }
 
-  /** Closes the connection if no request is read or served and none was for `idleTime` milliseconds. */
-  closeIdle(now: Instant, idleTime: Duration): void {
-    const isUnused = this.isIdle && this.#isReading && !this.#reader.hasPartialMessage;
-    if (isUnused && now - this.#idleSince > idleTime) this.#close();
+  /** Closes the connection if it exceeded the idle timeout or the timeout for a request head. */
+  checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
+    const isHeadLate =
+      this.phase === 'reading' &&
+      !this.#reader.isInBody &&
+      now - (this.#partialSince ?? now) > headTimeout;
+    const isUnusedTooLong = this.phase === 'unused' && now - this.#idleSince > idleTimeout;
+    if (isHeadLate || isUnusedTooLong) this.close();
   }
 
-  #close(): void {
-    this.#socket.end();
-    this.#linger();
+  /**
+   * Closes the connection at once and cancels its requests. A request that crosses the close stays unread and resets
+   * the connection, which tells the caller that it was not run.
+   */
+  close(): void {
+    if (this.#state === 'closed') return;
+    this.#dropRequests();
+    this.#state = 'closed';
+    this.#socket.destroy();
+    this.#host.onClose(this);
   }
 
   #read(chunk: Buffer): void {
@@ -259,11 +271,14 @@
       ...(hasLength ? [['Content-Length', String(body.length)] as const] : []),
       ...(isClosing ? [['Connection', 'close'] as const] : []),
     ]);
+    const onSent = (): void => {
+      this.#idleSince = this.#host.now();
+    };
+    const hasBody = body.length > 0 && pipelined.request.head.method !== 'HEAD';
     this.#socket.cork();
-    this.#socket.write(head, 'latin1');
-    if (body.length > 0 && pipelined.request.head.method !== 'HEAD') this.#socket.write(body);
+    this.#socket.write(head, 'latin1', hasBody ? undefined : onSent);
+    if (hasBody) this.#socket.write(body, onSent);
     this.#socket.uncork();
-    this.#idleSince = this.#host.now();
     if (isClosing) {
       this.#socket.end();
       this.#linger();
@@ -285,14 +300,6 @@
     });
   }
 
-  #handleClose(): void {
-    if (this.#state === 'closed') return;
-    this.#dropRequests();
-    this.#state = 'closed';
-    this.#socket.destroy();
-    this.#host.onClose(this);
-  }
-
   #dropRequests(): void {
     this.#isReading = false;
     this.#buffers.update(this, 0);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -46,13 +46,14 @@
 } from './registry.js';
 import { BufferBudget } from './buffers.js';
 import { RetryBudget, type ColdBounds, type MovingAverage, type RetryBounds } from './budget.js';
-import {
+import type {
+  CallerAnswer,
   CallerConnection,
-  type CallerAnswer,
-  type CallerHost,
-  type CallerRequest,
-  type ServedRequest,
+  CallerHost,
+  CallerRequest,
+  ServedRequest,
 } from './caller.js';
+import { CallerConnections } from './callers.js';
 import { chooseUpstream, computePace, type Choice } from './choose.js';
 import { EvidenceCollector, judgeAttempt } from './evidence.js';
 import { isProbeWorthwhile } from './ondemand.js';
@@ -67,7 +68,7 @@
 import { decideStartupWait } from './startup.js';
 import { AverageWork } from './work.js';
 import { VersionSplitter } from './shares.js';
-import { isFinishedBeforeStop } from './stopping.js';
+import { buildStopPlan, isFinishedBeforeStop, type StopPlan } from './stopping.js';
 import type {
   AttemptOutcome,
   FinalAnswer,
@@ -101,10 +102,6 @@
 const MAX_FRESH_REPORT_AGE: Duration = 250;
 /** Multiple of the expected time beyond which a cancelled attempt counts against its upstream. */
 const OVERDUE_RATIO = 3;
-/** Share of the stop time during which new connections are accepted, as callers may hold address lists that old. */
-const LAME_DUCK_SHARE = 0.6;
-/** Share of the stop time after which unfinished requests are abandoned. */
-const DRAIN_SHARE = 0.92;
 
 /** Multiple of a service's shortest work after which a load report is sent to other zones again. */
 const FAR_WORK_RATIO = 2;
@@ -206,7 +203,7 @@
   readonly #prober: Prober;
   readonly #server: Server;
   readonly #timeoutTimer: NodeJS.Timeout;
-  readonly #callers = new Set<CallerConnection>();
+  readonly #callers: CallerConnections;
   readonly #routeSplitters = new Map<string, WeightedSplitter>();
   readonly #versionSplitter = new VersionSplitter();
   readonly #retryBudgets = new Map<string, RetryBudget>();
@@ -221,8 +218,8 @@
   #gateways: readonly string[];
   #gatewaysByZone: ReadonlyMap<ZoneId, readonly string[]> = new Map();
   #gossipPlan: GossipPlan = { kind: 'direct', peers: [], farPeers: [] };
-  /** When requests are cut off because the process ends; undefined unless it is stopping. */
-  #stopsAt: Instant | undefined;
+  /** Undefined unless the gateway is stopping. */
+  #stopPlan: StopPlan | undefined;
   /** Whether the update at hand is the first one of this process, whose commands may be of any age. */
   #isCatchingUp = true;
   /** Functions that start the requests that wait for the first route table. */
@@ -241,6 +238,7 @@
       'expect',
     ]);
     this.#gateways = [options.id];
+    this.#callers = new CallerConnections(this.now);
     this.#pool = new ConnectionPool(options.dialect, this.#buffers);
     this.#follower = createFollower({
       mesh: options.mesh,
@@ -304,9 +302,7 @@
     this.#server = server;
     this.#timeoutTimer = setInterval(() => {
       const { headTimeout, idleTimeout } = this.#limits;
-      this.#callers.forEach((caller) => {
-        caller.checkTimeouts(this.now(), headTimeout, idleTimeout);
-      });
+      this.#callers.checkTimeouts(headTimeout, idleTimeout);
     }, SWEEP_INTERVAL);
   }
 
@@ -341,7 +337,7 @@
   }
 
   isStopping(): boolean {
-    return this.#stopsAt !== undefined;
+    return this.#stopPlan !== undefined;
   }
 
   listAddresses(zone: ZoneId): readonly Address[] {
@@ -461,11 +457,11 @@
 
   #accept(socket: Socket): void {
     const { headBytes, bodyBytes } = this.#limits;
-    this.#callers.add(new CallerConnection(this, socket, { headBytes, bodyBytes }, this.#buffers));
+    this.#callers.add(this, socket, { headBytes, bodyBytes }, this.#buffers);
   }
 
   onClose(connection: CallerConnection): void {
-    this.#callers.delete(connection);
+    this.#callers.remove(connection);
   }
 
   isIdempotent(head: RequestHead): boolean {
@@ -597,10 +593,10 @@
   }
 
   #canFinish(request: GatewayRequest): boolean {
-    if (this.#stopsAt === undefined) return true;
+    if (this.#stopPlan === undefined) return true;
     const now = this.now();
     return isFinishedBeforeStop({
-      stopTimeLeft: this.#stopsAt - now,
+      stopTimeLeft: this.#stopPlan.endsAt - now,
       timeLeft: request.deadline - now,
       work: this.#getAverageWork(request).value,
     });
@@ -825,40 +821,22 @@
 
   async stop(): Promise<void> {
     if (this.isStopping()) return;
-    const { stopTime } = this.#options;
-    const stopsAt = this.now() + stopTime * DRAIN_SHARE;
-    this.#stopsAt = stopsAt;
+    const plan = buildStopPlan(this.now(), this.#options.stopTime);
+    this.#stopPlan = plan;
     this.#follower.pollNow();
-    await wait(stopTime * LAME_DUCK_SHARE);
+    await wait(plan.acceptsUntil - this.now());
     this.#server.close();
-    await this.#waitForCallers(stopsAt);
+    await this.#callers.drain(plan);
     clearInterval(this.#timeoutTimer);
     this.#prober.close();
     this.#loadGossip.close();
     this.#follower.close();
     this.#pool.close();
   }
-
-  /** Closes connections as they become idle, until there are none or the time is over. */
-  async #waitForCallers(until: Instant): Promise<void> {
-    this.#callers.forEach((caller) => {
-      caller.closeIdle(this.now(), STOP_IDLE_TIME);
-    });
-    if (this.#callers.size === 0 || this.now() >= until) return;
-    await wait(DRAIN_POLL_INTERVAL);
-    await this.#waitForCallers(until);
-  }
 }
 
 /** Maximum length of the queue of connections waiting to be accepted. */
 const LISTEN_BACKLOG = 511;
-/**
- * Milliseconds for which a connection without a request is kept while the gateway stops: a caller that has just
- * connected is about to send, and its request would be cut off.
- */
-const STOP_IDLE_TIME: Duration = 300;
-/** Interval at which the drain checks whether all callers have disconnected, in milliseconds. */
-const DRAIN_POLL_INTERVAL: Duration = 50;
 const DROPPED_RESPONSE_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
 /**
