Take a request late in a stop only if its deadline fits

Cause: a request was taken if four times its average work fitted into the rest of the stop, at any time of it. Work of six times the average is usual, and late in a stop there is no room for it.

Now that holds only in the first half of the stop time, 3 s at most. Later, a request is taken only if its deadline, the caller's or the route's timeout, fits before requests are cut off; all others get 503, not run, Retry-After and `Connection: close`. By the deadline from the start, routes of 6 to 20 s would be refused for as long as callers have the address, with a stop time of 6 or 10 s, and each refusal costs a caller one of its few retries.

Evidence: features/platform/stopping.feature, on: A request that may run once is taken late in a planned stop and cut off: statuses ['200'] instead of ['200', '503'] It passes now. "A request that is sent early in a planned stop ..." passes before and after.

Tests that change: the table in startup.feature held the old rule ("280 ms of work with 2000 ms left is taken 1200 ms before the end"), which is the fault; stopping.feature in the same folder has a table of the new rule with more rows. In "Requests that are being sent while a gateway stops are answered", the pipelined request was complete 2,100 ms after SIGTERM with a timeout of 800 ms, which ends after the 2,760 ms of that stop, so that it is refused now; it is complete after 1,900 ms, which is still after the 1,800 ms at which such requests were once dropped.

features/platform/stopping.feature, features/gateway/stopping.feature, startup.feature and both scenarios of path.feature that stop a gateway: 45 scenarios, 45 passed.

--- a/features/gateway/startup.feature
+++ b/features/gateway/startup.feature
@@ -14,14 +14,3 @@
       | 2500 | 3       | 6000 | wait 500  |
       | 3000 | 3       | 6000 | refuse    |
       | 400  | 256     | 6000 | refuse    |
-
-  Scenario Outline: Which requests a stopping gateway still takes
-    Then a request of <work> ms with <left> ms left is taken <stop> ms before the gateway ends: <taken>
-
-    Examples:
-      | work | left | stop | taken |
-      | 60   | 500  | 2500 | yes   |
-      | 280  | 2000 | 1200 | yes   |
-      | 280  | 2000 | 900  | no    |
-      | 280  | 800  | 900  | yes   |
-      | 60   | 500  | 0    | no    |
--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -17,3 +17,26 @@
       | sending | 5520 | cutOff   |
       | ending  | 5519 | keep     |
       | ending  | 5520 | close    |
+
+  Scenario Outline: A request in a stop of <stop> ms
+    Then <at> ms after SIGTERM of <stop> ms a request of usually <work> ms with <left> ms left is taken: <taken>
+
+    Examples: by its usual work in the first half of the stop, 3000 ms at most; later by its deadline
+      | stop  | at   | work | left  | taken |
+      | 6000  | 100  | 60   | 500   | yes   |
+      | 6000  | 100  | 690  | 20000 | yes   |
+      | 6000  | 100  | 1400 | 20000 | no    |
+      | 6000  | 100  | 1400 | 5000  | yes   |
+      | 6000  | 2900 | 600  | 8000  | yes   |
+      | 6000  | 2900 | 700  | 8000  | no    |
+      | 6000  | 3001 | 60   | 8000  | no    |
+      | 6000  | 3400 | 420  | 8000  | no    |
+      | 6000  | 3400 | 420  | 2000  | yes   |
+      | 6000  | 5520 | 60   | 500   | no    |
+      | 10000 | 2900 | 1000 | 20000 | yes   |
+      | 10000 | 3100 | 60   | 20000 | no    |
+      | 10000 | 3100 | 60   | 6000  | yes   |
+      | 3000  | 1400 | 280  | 2000  | yes   |
+      | 3000  | 1600 | 280  | 2000  | no    |
+      | 3000  | 1860 | 280  | 800   | yes   |
+      | 3000  | 2760 | 60   | 500   | no    |
--- a/features/gateway/stopping.steps.ts
+++ b/features/gateway/stopping.steps.ts
@@ -3,6 +3,7 @@
 import {
   buildStopPlan,
   decideConnection,
+  isTakenInStop,
   type ConnectionPhase,
 } from '../../src/gateway/stopping.js';
 
@@ -16,3 +17,12 @@
     assert.equal(decideConnection(phase as ConnectionPhase, plan, STOPPED_AT + at), decision);
   },
 );
+
+Then(
+  /^(\d+) ms after SIGTERM of (\d+) ms a request of usually (\d+) ms with (\d+) ms left is taken: (yes|no)$/,
+  function (at: number, stop: number, work: number, left: number, taken: string) {
+    const now = STOPPED_AT + at;
+    const plan = buildStopPlan(STOPPED_AT, stop);
+    assert.equal(isTakenInStop({ plan, now, deadline: now + left, work }), taken === 'yes');
+  },
+);
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -611,7 +611,8 @@
     assert.ok(child);
     const get = renderRequest('GET /records/1');
     const upload = renderRequest('POST /orders/1', 'Content-Length: 20\r\n');
-    // The gateway takes connections until 1,800 ms after the signal, and ends requests until 2,760 ms.
+    // The gateway takes connections until 1,800 ms after the signal, and ends requests until 2,760 ms. A request whose
+    // head is complete after 1,960 ms, less than the route's timeout before that, is refused.
     const signalAt = 300;
     const since = performance.now();
     const exited = once(child, 'exit');
@@ -622,7 +623,7 @@
       ]),
       sendParts(ip, since, [
         [200, get + get.slice(0, 30)],
-        [signalAt + 2100, get.slice(30)],
+        [signalAt + 1900, get.slice(30)],
       ]),
       sendParts(ip, since, [
         [signalAt + 1700, ''],
--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -24,3 +24,13 @@
     Given a site whose processes have 3000 ms to stop
     When a caller sends a request on a connection that was closed in a planned stop
     Then the connection is reset within 200 ms
+
+  Scenario: A request that may run once is taken late in a planned stop and cut off
+    Given a site whose processes have 6000 ms to stop
+    When callers send requests of 2500 ms with a deadline of 8000 ms on kept connections 3400 ms after SIGTERM
+    Then each of them gets status 503 and "Connection: close", and no upstream ran it
+
+  Scenario: A request that is sent early in a planned stop is served if its usual work fits
+    Given a site whose processes have 6000 ms to stop
+    When callers send requests of 400 ms with a deadline of 8000 ms on kept connections 1000 ms after SIGTERM
+    Then each of them gets status 200 and "Connection: close", and an upstream ran it once
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -68,7 +68,7 @@
 import { decideStartupWait } from './startup.js';
 import { AverageWork } from './work.js';
 import { VersionSplitter } from './shares.js';
-import { buildStopPlan, isFinishedBeforeStop, type StopPlan } from './stopping.js';
+import { buildStopPlan, isTakenInStop, type StopPlan } from './stopping.js';
 import type {
   AttemptOutcome,
   FinalAnswer,
@@ -594,12 +594,9 @@
 
   #canFinish(request: GatewayRequest): boolean {
     if (this.#stopPlan === undefined) return true;
-    const now = this.now();
-    return isFinishedBeforeStop({
-      stopTimeLeft: this.#stopPlan.endsAt - now,
-      timeLeft: request.deadline - now,
-      work: this.#getAverageWork(request).value,
-    });
+    const { value: work } = this.#getAverageWork(request);
+    const { deadline } = request;
+    return isTakenInStop({ plan: this.#stopPlan, now: this.now(), deadline, work });
   }
 
   #getRetryBudget(service: string): RetryBudget {
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -1,6 +1,7 @@
 /**
- * Decides what a stop does to callers' connections and requests. Invariant: a request is refused, which promises
- * that it will not run, rather than passed on and cut off when the process ends.
+ * Decides what a stop does to callers' connections and requests. Invariant: a request that is passed on in a stop ends
+ * before the gateway cuts requests off, by its deadline or, early in the stop, by a multiple of its average work; all
+ * others are refused, which promises that they will not run.
  */
 import type { Duration, Instant } from '../model/index.js';
 
@@ -10,11 +11,16 @@
 const UNUSED_SHARE = 0.8;
 /** Share of the stop time after which unfinished requests are cut off; the rest is for ending the process. */
 const DRAIN_SHARE = 0.92;
+/** Share of the stop time, and milliseconds, in which requests are taken by their average work. */
+const EARLY_SHARE = 0.5;
+const MAX_EARLY_TIME: Duration = 3000;
 /** Multiple of a request's average work that it may take on a slow VM. */
 const WORK_MARGIN = 4;
 
 /** The instants of a stop. */
 export interface StopPlan {
+  /** Until then, requests are taken by their average work; later ones by their deadline. */
+  readonly earlyUntil: Instant;
   readonly acceptsUntil: Instant;
   readonly keepsUnusedUntil: Instant;
   /** When unfinished requests are cut off. */
@@ -29,6 +35,7 @@
  */
 export function buildStopPlan(now: Instant, stopTime: Duration): StopPlan {
   return {
+    earlyUntil: now + Math.min(stopTime * EARLY_SHARE, MAX_EARLY_TIME),
     acceptsUntil: now + stopTime * ACCEPTING_SHARE,
     keepsUnusedUntil: now + stopTime * UNUSED_SHARE,
     endsAt: now + stopTime * DRAIN_SHARE,
@@ -74,22 +81,23 @@
   }
 }
 
-/** Inputs of {@link isFinishedBeforeStop}, in milliseconds. */
-export interface StopState {
-  /** Until the gateway cuts off what is still running. */
-  readonly stopTimeLeft: Duration;
-  /** Until the deadline of the request. */
-  readonly timeLeft: Duration;
-  /** Average work of such requests at normal pace. */
+/** Inputs of {@link isTakenInStop}. */
+export interface LateRequest {
+  readonly plan: StopPlan;
+  readonly now: Instant;
+  /** When its answer is due, by its caller and its route. */
+  readonly deadline: Instant;
+  /** Milliseconds of average work of such requests at normal pace. */
   readonly work: Duration;
 }
 
 /**
- * Returns whether a request will be answered before the gateway ends.
+ * Returns whether a request that was read in a stop is passed on; otherwise it is refused.
  *
  * @example
- * isFinishedBeforeStop({ stopTimeLeft: 900, timeLeft: 2000, work: 280 }) // false
+ * isTakenInStop({ plan: buildStopPlan(0, 6000), now: 3400, deadline: 11_400, work: 400 }) // false
  */
-export function isFinishedBeforeStop({ stopTimeLeft, timeLeft, work }: StopState): boolean {
-  return Math.min(timeLeft, work * WORK_MARGIN) <= stopTimeLeft;
+export function isTakenInStop({ plan, now, deadline, work }: LateRequest): boolean {
+  const end = now <= plan.earlyUntil ? Math.min(deadline, now + work * WORK_MARGIN) : deadline;
+  return end <= plan.endsAt;
 }
