--- /dev/null
+++ b/features/platform/stopping.feature
@@ -0,0 +1,36 @@
+Feature: A gateway that gets SIGTERM answers what it has taken
+
+  Scenario: A large answer is cut off in a planned stop
+    Given a site whose processes have 6000 ms to stop
+    When a gateway gets SIGTERM while a caller receives 24 MB at 5 MB a second
+    Then the caller gets the whole answer, and the gateway ended within 6000 ms
+
+  Scenario: A large answer on a kept connection is cut off in a planned stop
+    Given a site whose processes have 6000 ms to stop
+    When a gateway gets SIGTERM right after it began to send 24 MB on a kept connection, received at 5 MB a second
+    Then the caller gets the whole answer, and the gateway ended within 6000 ms
+
+  Scenario: A connection that is kept open is closed early in a planned stop, and its next request is read and dropped
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends its next request on a kept connection 1900 ms after SIGTERM
+    Then it gets status 200 and "Connection: close"
+
+  Scenario: A request that crosses the close of an idle connection is read and dropped
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends a request on a connection that was closed after its idle timeout of 1000 ms
+    Then the connection is reset within 200 ms
+
+  Scenario: A request that crosses the close of an unused connection in a planned stop is read and dropped
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends a request on a connection that was closed in a planned stop
+    Then the connection is reset within 200 ms
+
+  Scenario: A request that may run once is taken late in a planned stop and cut off
+    Given a site whose processes have 6000 ms to stop
+    When callers send requests of 2500 ms with a deadline of 8000 ms on kept connections 3400 ms after SIGTERM
+    Then each of them gets status 503 and "Connection: close", and no upstream ran it
+
+  Scenario: A request that is sent early in a planned stop is served if its usual work fits
+    Given a site whose processes have 6000 ms to stop
+    When callers send requests of 400 ms with a deadline of 8000 ms on kept connections 1000 ms after SIGTERM
+    Then each of them gets status 200 and "Connection: close", and an upstream ran it once
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -16,11 +16,15 @@
 } from '../http1/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
+import type { ConnectionPhase } from './stopping.js';
 
 /** Number of unanswered requests at which the connection is paused. */
 const MAX_PIPELINED_REQUESTS = 16;
-/** Milliseconds to keep reading after the answer is flushed, so that a TCP reset doesn't discard it at the caller. */
-const LINGER_TIME: Duration = 500;
+/**
+ * Milliseconds for which a caller may take to close its end once the kernel has the whole last answer. Until then input
+ * is read and discarded, as closing a socket with unread input resets it, which discards what waits to be sent.
+ */
+const LINGER_TIME: Duration = 2000;
 /** Milliseconds that a caller may take to receive its last answer; the largest take seconds on a slow link. */
 const MAX_LINGER_TIME: Duration = 30_000;
 
@@ -61,6 +65,7 @@
   /** Whether the gateway is stopping, so that connections are closed after the next answer. */
   isStopping(): boolean;
   renderProtocolError(error: ProtocolError): CallerAnswer;
+  /** Called when the connection has ended: its last answer was received, or its caller is gone. */
   onClose(connection: CallerConnection): void;
 }
 
@@ -88,8 +93,8 @@
   #pipeline: readonly PipelinedRequest[] = [];
   #headReadAt: Instant = 0;
   #isReading = true;
-  #isClosed = false;
-  /** When the connection was opened or its latest answer was written. */
+  #state: 'open' | 'closing' | 'closed' = 'open';
+  /** When the connection was opened or the kernel had all bytes of its latest answer. */
   #idleSince: Instant;
   /** When the first byte of an unfinished request arrived. */
   #partialSince: Instant | undefined;
@@ -105,13 +110,14 @@
       this.#read(chunk);
     });
     socket.on('end', () => {
-      this.#handleClose();
+      // The socket closes itself once all output is flushed.
+      if (this.#state === 'open') this.close();
     });
     socket.on('error', () => {
-      this.#handleClose();
+      this.close();
     });
     socket.on('close', () => {
-      this.#handleClose();
+      this.close();
     });
   }
 
@@ -120,23 +126,34 @@
     return this.#pipeline.length === 0;
   }
 
-  /** Closes the connection if it exceeded the idle timeout or the timeout for a request head. */
-  checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
-    if (!this.isIdle || !this.#isReading) return;
-    if (this.#partialSince !== undefined) {
-      if (now - this.#partialSince > headTimeout && !this.#reader.isInBody) this.#close();
-    } else this.closeIdle(now, idleTimeout);
+  /** What the connection is doing, for a stop. */
+  get phase(): ConnectionPhase {
+    if (this.#state !== 'open') return this.#socket.writableLength > 0 ? 'sending' : 'ending';
+    if (!this.isIdle) return 'serving';
+    if (this.#socket.writableLength > 0) return 'sending';
+    return this.#reader.hasPartialMessage ? 'reading' : 'unused';
   }
 
-  /** Closes the connection if no request is read or served and none was for `idleTime` milliseconds. */
-  closeIdle(now: Instant, idleTime: Duration): void {
-    const isUnused = this.isIdle && this.#isReading && !this.#reader.hasPartialMessage;
-    if (isUnused && now - this.#idleSince > idleTime) this.#close();
+  /** Closes the connection if it exceeded the idle timeout or the timeout for a request head. */
+  checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
+    const isHeadLate =
+      this.phase === 'reading' &&
+      !this.#reader.isInBody &&
+      now - (this.#partialSince ?? now) > headTimeout;
+    const isUnusedTooLong = this.phase === 'unused' && now - this.#idleSince > idleTimeout;
+    if (isHeadLate || isUnusedTooLong) this.close();
   }
 
-  #close(): void {
-    this.#socket.end();
-    this.#linger();
+  /**
+   * Closes the connection at once and cancels its requests. A request that crosses the close stays unread and resets
+   * the connection, which tells the caller that it was not run.
+   */
+  close(): void {
+    if (this.#state === 'closed') return;
+    this.#dropRequests();
+    this.#state = 'closed';
+    this.#socket.destroy();
+    this.#host.onClose(this);
   }
 
   #read(chunk: Buffer): void {
@@ -147,7 +164,7 @@
       this.#handleEvent(event, now);
     });
     if (!this.#reader.hasPartialMessage) this.#partialSince = undefined;
-    if (!this.#isClosed) this.#buffers.update(this, this.#reader.heldBytes);
+    if (this.#state === 'open') this.#buffers.update(this, this.#reader.heldBytes);
   }
 
   handleBufferLimit(): void {
@@ -215,7 +232,7 @@
 
   /** Starts the requests that may start, and writes completed answers in request order. */
   #advance(): void {
-    if (this.#isClosed) return;
+    if (this.#state !== 'open') return;
     const first = this.#pipeline[0];
     const next = this.#pipeline.find(({ isStarted }) => !isStarted);
     const canStart =
@@ -254,11 +271,14 @@
       ...(hasLength ? [['Content-Length', String(body.length)] as const] : []),
       ...(isClosing ? [['Connection', 'close'] as const] : []),
     ]);
+    const onSent = (): void => {
+      this.#idleSince = this.#host.now();
+    };
+    const hasBody = body.length > 0 && pipelined.request.head.method !== 'HEAD';
     this.#socket.cork();
-    this.#socket.write(head, 'latin1');
-    if (body.length > 0 && pipelined.request.head.method !== 'HEAD') this.#socket.write(body);
+    this.#socket.write(head, 'latin1', hasBody ? undefined : onSent);
+    if (hasBody) this.#socket.write(body, onSent);
     this.#socket.uncork();
-    this.#idleSince = this.#host.now();
     if (isClosing) {
       this.#socket.end();
       this.#linger();
@@ -267,13 +287,10 @@
     }
   }
 
-  /** Discards further input before closing, so that a TCP reset doesn't drop what was written. */
+  /** Reads and discards further input until the caller has received all output and closed its end. */
   #linger(): void {
-    this.#isReading = false;
-    this.#pipeline.forEach(({ served }) => served?.cancel());
-    this.#pipeline = [];
-    this.#isClosed = true;
-    this.#buffers.update(this, 0);
+    this.#dropRequests();
+    this.#state = 'closing';
     this.#socket.resume();
     const timer = setTimeout(() => this.#socket.destroy(), MAX_LINGER_TIME).unref();
     // Destroying the socket before all output is flushed would truncate the answer.
@@ -281,18 +298,13 @@
       clearTimeout(timer);
       setTimeout(() => this.#socket.destroy(), LINGER_TIME).unref();
     });
-    this.#host.onClose(this);
   }
 
-  #handleClose(): void {
-    if (this.#isClosed) return;
-    this.#isClosed = true;
-    this.#buffers.update(this, 0);
+  #dropRequests(): void {
     this.#isReading = false;
+    this.#buffers.update(this, 0);
     this.#pipeline.forEach(({ served }) => served?.cancel());
     this.#pipeline = [];
-    this.#socket.destroy();
-    this.#host.onClose(this);
   }
 }
 
