--- a/features/control/full.steps.ts
+++ b/features/control/full.steps.ts
@@ -140,6 +140,7 @@
       () => undefined,
     );
     if (opened === undefined) {
+      assert.equal(this.disk.openFiles, 0, 'an opening that failed left files open');
       return this.#open(possible);
     }
     this.#storage = opened.storage;
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -92,8 +92,13 @@
     options: StorageOptions,
   ): Promise<{ readonly storage: Storage; readonly stored: StoredState }> {
     const storage = new Storage(options.folder, options.files ?? realFileSystem);
-    const stored = await storage.#load(options);
-    return { storage, stored };
+    try {
+      const stored = await storage.#load(options);
+      return { storage, stored };
+    } catch (error) {
+      await storage.close();
+      throw error;
+    }
   }
 
   async #load({ address, repairable }: StorageOptions): Promise<StoredState> {
