Simulation: disks that are full in turn, and full disks among the random faults

A write that a full disk refuses makes the member fail, with any prefix of its unsynced writes on the disk; the member reads the disk anew at one of the checks, 500 ms apart, once there is room. The new scenarios run groups of 3, 4 and 5 whose disks are full in turn, twice round, for 0.2 to 5 s each with 50 ms to 3 s between two, while 5 to 100 commands are proposed in a second; 5 s after the last disk has room commands have to be accepted, every member votes, holds the same commands, and the run is linearizable.

--- a/features/control/disk.ts
+++ b/features/control/disk.ts
@@ -1,6 +1,7 @@
 /**
  * An in-memory disk for the simulation. Invariant: a crash keeps all synced writes and a prefix of the
- * others, the last of them possibly in part. With `loseSynced`, a crash violates this on purpose.
+ * others, the last of them possibly in part. With `loseSynced`, a crash violates this on purpose. A disk that
+ * is full refuses writes, which has the same result for those that were not synced.
  */
 import { appendEntries, emptyLog, joinLog, type Log } from '../../src/control/log.js';
 import type { WriteEffect } from '../../src/control/storage.js';
@@ -15,6 +16,8 @@
   vote: Vote = { term: 0, repairing: false };
   log: Log = emptyLog;
   snapshot: Snapshot | undefined;
+  /** Until when the disk has no room for writes, by the time of the simulation in milliseconds. */
+  fullUntil = 0;
   #pending: readonly PendingWrite[] = [];
   /** The content before the latest sync. A crash that loses synced writes restores it. */
   #beforeLastSync: Pick<Disk, 'vote' | 'log' | 'snapshot'> = this.#copy();
@@ -40,6 +43,11 @@
     return due.at(-1)?.effect.write;
   }
 
+  /** Returns whether a write is due that the disk has no room for. */
+  isRefusing(now: number): boolean {
+    return now < this.fullUntil && this.#pending.some((write) => write.dueAt <= now);
+  }
+
   /**
    * Drops the writes that were not synced, except for the first `kept` ones and, if `partial` is set, the
    * first entry of the next one. With `loseSynced`, drops these and the latest synced writes instead.
--- a/features/control/simulation.feature
+++ b/features/control/simulation.feature
@@ -1,5 +1,5 @@
 Feature: Control members under random faults
-  Seeded runs of the real core with crashes, lost and damaged disks, partitions, freezes, stopped clocks, lost,
+  Seeded runs of the real core with crashes, lost, damaged and full disks, partitions, freezes, stopped clocks, lost,
   duplicated and reordered messages, concurrent proposals, membership changes. SEEDS and STEPS extend them.
 
   Scenario: Accepted commands are not lost, duplicated or reordered, and the group converges afterwards
@@ -10,3 +10,13 @@
   Scenario: The checks detect disks that lose synced writes
     When control members run on disks that lose synced writes
     Then a control run failed a check
+
+  Scenario Outline: Disks that are full in turn don't stop a group of <size> for good
+    When the disks of <size> control members are full in turn, twice round
+    Then every control run was linearizable and converged
+
+    Examples:
+      | size |
+      | 3    |
+      | 4    |
+      | 5    |
--- a/features/control/simulation.steps.ts
+++ b/features/control/simulation.steps.ts
@@ -1,6 +1,7 @@
 import { Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { Simulation } from './simulation.js';
+import fc from 'fast-check';
+import { Simulation, type FullDisk } from './simulation.js';
 
 interface SimulationWorld {
   failures: string[];
@@ -9,8 +10,13 @@
 
 const SEEDS = Number(process.env.SEEDS ?? 12);
 const STEPS = Number(process.env.STEPS ?? 20_000);
+const SEED = Number(process.env.SEED ?? 33);
+/** Runs of a group whose disks are full in turn. */
+const FULL_DISK_RUNS = Number(process.env.RUNS ?? 10);
 const FAULTS = [
   'crash',
+  'disk full',
+  'write refused',
   'freeze',
   'partition',
   'disk lost',
@@ -50,6 +56,42 @@
   },
 );
 
+/** Each disk is full once in a round, in any order and for 0.2 to 5 s, with 50 ms to 3 s between two disks. */
+function createFullDisks(size: number): fc.Arbitrary<readonly FullDisk[]> {
+  const members = Array.from({ length: size }, (_, member) => member);
+  const round = fc.shuffledSubarray(members, { minLength: size });
+  const times = fc.record({
+    duration: fc.integer({ min: 200, max: 5000 }),
+    gap: fc.integer({ min: 50, max: 3000 }),
+  });
+  return fc
+    .tuple(round, round, fc.array(times, { minLength: 2 * size, maxLength: 2 * size }))
+    .map(([first, second, all]) =>
+      all.map((time, at) => ({ member: [...first, ...second][at] ?? 0, ...time })),
+    );
+}
+
+When(
+  'the disks of {int} control members are full in turn, twice round',
+  { timeout: -1 },
+  function (this: SimulationWorld, size: number) {
+    this.failures = [];
+    const run = fc.record({
+      seed: fc.integer({ min: 1, max: 1_000_000 }),
+      proposalSteps: fc.integer({ min: 2, max: 40 }),
+      disks: createFullDisks(size),
+    });
+    const found = fc.check(
+      fc.property(run, ({ seed, proposalSteps, disks }) => {
+        const options = { seed, steps: 0, loseSyncedWrites: false, founders: size, proposalSteps };
+        new Simulation(options).runFullDisks(disks);
+      }),
+      { numRuns: FULL_DISK_RUNS, seed: SEED, endOnFailure: true, includeErrorInReport: true },
+    );
+    if (found.failed) this.failures.push(fc.defaultReportMessage(found) ?? 'failed');
+  },
+);
+
 Then('every control run was linearizable and converged', function (this: SimulationWorld) {
   assert.deepEqual(this.failures, []);
 });
--- a/features/control/simulation.ts
+++ b/features/control/simulation.ts
@@ -31,7 +31,12 @@
 const COMPACT_AFTER_ENTRIES = 12;
 /** Time without faults in which the group has to converge at the end of a run. */
 const SETTLE_MS = 30_000;
+/** Time within which a group accepts commands again after the last full disk has room. */
+const RECOVERY_MS = 5000;
+/** Interval at which a member with a full disk checks whether it has room again. */
+const REOPEN_INTERVAL_MS = 500;
 const FOUNDERS = 3;
+const PROPOSAL_STEPS = 12;
 
 /** Options of {@link Simulation}. */
 export interface SimulationOptions {
@@ -39,6 +44,17 @@
   readonly steps: number;
   /** Whether a crash also loses writes that the disk reported as synced. */
   readonly loseSyncedWrites: boolean;
+  /** The number of members that found the group, out of at least five; 3 by default. */
+  readonly founders?: number;
+  /** Mean number of simulation steps from one proposal to the next. */
+  readonly proposalSteps?: number;
+}
+
+/** A disk that is full for a time, in milliseconds. The next one is full after the gap. */
+export interface FullDisk {
+  readonly member: number;
+  readonly duration: number;
+  readonly gap: number;
 }
 
 interface Packet {
@@ -63,6 +79,8 @@
   /** Milliseconds by which its clock is behind, because it stopped while the VM was frozen. */
   clockLag: number;
   downUntil: number;
+  /** When the member, whose write was refused, reads its disk again. */
+  reopenAt: number | undefined;
   lastInputAt: number;
   nextTick: number;
   applied: readonly number[];
@@ -87,18 +105,20 @@
   #nextRead = 1;
   #nextIncarnation = 1;
   #faults = true;
+  #isProposing = true;
   #unanswered: readonly number[] = [];
 
   constructor(options: SimulationOptions) {
     this.#options = options;
     this.#random = xoroshiro128plus(options.seed);
+    const founderCount = options.founders ?? FOUNDERS;
     this.#members = Array.from({ length: 5 }, (_, index) => this.#createMember(index));
-    const founders = this.#members.slice(0, FOUNDERS);
+    const founders = this.#members.slice(0, founderCount);
     founders.forEach((member) => {
       this.#start(member);
       this.#handle(member, { kind: 'founded', founders: founders.map(({ id }) => id) });
     });
-    this.#members.slice(FOUNDERS).forEach((member) => {
+    this.#members.slice(founderCount).forEach((member) => {
       member.joining = true;
       this.#start(member);
     });
@@ -132,6 +152,7 @@
       frozenUntil: 0,
       clockLag: 0,
       downUntil: 0,
+      reopenAt: undefined,
       lastInputAt: 0,
       nextTick: 0,
       applied: [],
@@ -151,6 +172,7 @@
       nonce: String(this.#now),
       ...stored,
     });
+    member.reopenAt = undefined;
     member.lastInputAt = this.#now - member.clockLag;
     member.proposals = [];
     member.reads.clear();
@@ -158,6 +180,50 @@
     member.appliedIndex = stored.snapshot?.index ?? 0;
   }
 
+  /**
+   * Runs a group in which one disk after another is full, and no other faults. Checks that the group accepts
+   * commands from `RECOVERY_MS` after the last disk has room again, and that all of its members vote.
+   */
+  runFullDisks(disks: readonly FullDisk[]): void {
+    this.#faults = false;
+    this.#advanceBy(RECOVERY_MS);
+    disks.forEach(({ member, duration, gap }) => {
+      this.#fillDisk(this.#getMember(member), duration);
+      this.#advanceBy(duration + gap);
+    });
+    this.#advanceBy(RECOVERY_MS);
+    const before = this.counts.get('command accepted') ?? 0;
+    this.#advanceBy(RECOVERY_MS);
+    const accepted = (this.counts.get('command accepted') ?? 0) - before;
+    assert.ok(accepted > 0, `nothing was accepted after the last full disk: ${this.#describe()}`);
+    this.#members.forEach(({ id, consensus, joining }) => {
+      const isVoting =
+        consensus !== undefined && !consensus.failed && consensus.repair === undefined;
+      assert.ok(joining || isVoting, `${id} does not vote: ${this.#describe()}`);
+    });
+    this.#isProposing = false;
+    this.#advanceBy(RECOVERY_MS);
+    this.#checkSettled();
+    const [longest = 0, ...others] = this.#members
+      .filter(({ joining }) => !joining)
+      .map(({ applied }) => applied.length);
+    assert.ok(
+      others.every((length) => length === longest),
+      `a member did not catch up: ${this.#describe()}`,
+    );
+  }
+
+  #advanceBy(duration: number): void {
+    const end = this.#now + duration;
+    while (this.#now < end) this.#advance();
+  }
+
+  #getMember(index: number): Member {
+    const found = this.#members[index];
+    assert.ok(found !== undefined);
+    return found;
+  }
+
   /** Runs all steps, then ends all faults and checks that the group converges. */
   run(): void {
     for (let step = 0; step < this.#options.steps; step += 1) this.#advance();
@@ -166,9 +232,9 @@
     this.#members.forEach((member) => {
       if (member.frozenUntil > this.#now) member.frozenUntil = this.#now;
       member.downUntil = Math.min(member.downUntil, this.#now);
+      member.disk.fullUntil = Math.min(member.disk.fullUntil, this.#now);
     });
-    const end = this.#now + SETTLE_MS;
-    while (this.#now < end) this.#advance();
+    this.#advanceBy(SETTLE_MS);
     this.#checkSettled();
   }
 
@@ -178,7 +244,8 @@
     this.#members.forEach((member) => {
       this.#stepMember(member);
     });
-    if (this.#oneIn(12)) this.#propose();
+    if (this.#isProposing && this.#oneIn(this.#options.proposalSteps ?? PROPOSAL_STEPS))
+      this.#propose();
     if (this.#oneIn(25)) this.#read();
     if (this.#oneIn(50)) this.#requestJoin();
     if (this.#faults) this.#injectFaults();
@@ -190,10 +257,21 @@
 
   #stepMember(member: Member): void {
     if (member.consensus === undefined) {
-      if (member.downUntil <= this.#now) this.#start(member);
+      if (member.downUntil <= this.#now) this.#reopen(member);
       return;
     }
     if (!this.#isRunning(member)) return;
+    if (member.reopenAt !== undefined) {
+      if (member.reopenAt <= this.#now) this.#reopen(member);
+      return;
+    }
+    if (member.disk.isRefusing(this.#now)) {
+      this.#count('write refused');
+      member.disk.crash(this.#randomInt(3), this.#oneIn(2), false);
+      member.reopenAt = this.#now + this.#randomInt(REOPEN_INTERVAL_MS);
+      this.#handle(member, { kind: 'storageFailed' });
+      return;
+    }
     const write = member.disk.sync(this.#now);
     if (write !== undefined) this.#handle(member, { kind: 'synced', write });
     if (member.nextTick > this.#now) return;
@@ -201,6 +279,15 @@
     this.#handle(member, { kind: 'ticked' });
   }
 
+  /** Reads the disk again once it has room. */
+  #reopen(member: Member): void {
+    if (this.#now < member.disk.fullUntil) {
+      member.reopenAt = this.#now + REOPEN_INTERVAL_MS;
+      return;
+    }
+    this.#start(member);
+  }
+
   #deliver(): void {
     const due = this.#packets.filter((packet) => packet.dueAt <= this.#now);
     this.#packets = this.#packets.filter((packet) => packet.dueAt > this.#now);
@@ -385,6 +472,7 @@
 
   #injectFaults(): void {
     if (this.#oneIn(400)) this.#crash();
+    if (this.#oneIn(800)) this.#fillDisk(this.#pickMember(), this.#randomInt(6000));
     if (this.#oneIn(600)) this.#freeze();
     if (this.#oneIn(300)) this.#partition();
     if (this.#oneIn(1500)) this.#loseDisk();
@@ -394,9 +482,7 @@
   }
 
   #pickMember(): Member {
-    const found = this.#members[this.#randomInt(this.#members.length)];
-    assert.ok(found !== undefined);
-    return found;
+    return this.#getMember(this.#randomInt(this.#members.length));
   }
 
   #stop(member: Member): void {
@@ -405,6 +491,11 @@
     member.disk.crash(this.#randomInt(3), this.#oneIn(2), this.#options.loseSyncedWrites);
   }
 
+  #fillDisk(member: Member, duration: number): void {
+    this.#count('disk full');
+    member.disk.fullUntil = this.#now + duration;
+  }
+
   #crash(): void {
     const member = this.#pickMember();
     if (member.consensus === undefined) return;
@@ -502,8 +593,17 @@
 
   #describe(): string {
     const members = this.#members.map(({ id, joining, consensus }) => {
-      const { role, term, log, membership, repair } = consensus ?? {};
-      return { id, joining, role, term, last: log && getLastIndex(log), membership, repair };
+      const { role, term, log, membership, repair, failed } = consensus ?? {};
+      return {
+        id,
+        joining,
+        role,
+        term,
+        last: log && getLastIndex(log),
+        membership,
+        repair,
+        failed,
+      };
     });
     return JSON.stringify(members, null, 1);
   }
