Platform: changes are acknowledged after the disks of all stewards were full in turn

Afterwards a change is acknowledged within 5 s, every steward holds it and counts three voters, no process ended, none reported damage, and the configuration survives a kill of all stewards.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -77,6 +77,14 @@
     When all stewards are killed at once and started again
     Then the configuration reads back as it was sent
 
+  Scenario: Changes are acknowledged after the disks of all stewards were full in turn, twice round
+    Given the platform's site serves two services
+    When the disks of all stewards refuse writes in turn for 1200 ms, twice round, while routes are changed every 200 ms
+    Then within 5000 ms a change is acknowledged, and within 5000 ms every steward follows the group with it
+    And no steward's process ended, and none reported damage
+    When all stewards are killed at once and started again
+    Then the configuration reads back as it was sent
+
   Scenario: Requests that are being sent while a gateway stops are answered
     Given the platform's site serves two services
     When a gateway gets SIGTERM while it is sent half an upload, half a pipelined request, and a late connection
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -769,6 +769,75 @@
   },
 );
 
+/** Milliseconds from when a disk takes writes again until the next one refuses them, in turn. */
+const DISK_GAPS = [50, 1500, 400, 2600, 50, 800];
+const CHANGE_INTERVAL = 200;
+
+/** Changes the routes at an interval until `isDone`; a change that isn't acknowledged in time is sent again. */
+async function sendRouteChanges(world: PlatformWorld, isDone: () => boolean): Promise<void> {
+  for (let number = 1; !isDone(); number += 1) {
+    const routes = [{ ...safeRoute, timeout: `${800 + (number % 90)}ms` }, unsafeRoute];
+    const answer = await world.site.putRoutes(routes);
+    assert.equal(answer.status, 200, answer.body);
+    world.sentRoutes = routes;
+    await sleep(CHANGE_INTERVAL);
+  }
+}
+
+When(
+  'the disks of all stewards refuse writes in turn for {int} ms, twice round, while routes are changed every 200 ms',
+  { timeout: 90_000 },
+  async function (this: PlatformWorld, duration: number) {
+    let isDone = false;
+    const changing = sendRouteChanges(this, () => isDone);
+    const turns = ['steward-1', 'steward-2', 'steward-3', 'steward-3', 'steward-2', 'steward-1'];
+    for (const [at, name] of turns.entries()) {
+      const pid = this.site.processes.get(name)?.child.pid;
+      await applyFileSizeLimit(pid, '64');
+      await sleep(duration);
+      await applyFileSizeLimit(pid, 'unlimited');
+      await sleep(DISK_GAPS[at] ?? 0);
+    }
+    isDone = true;
+    await changing;
+  },
+);
+
+Then(
+  'within {int} ms a change is acknowledged, and within {int} ms every steward follows the group with it',
+  { timeout: 40_000 },
+  async function (this: PlatformWorld, changeTime: number, followTime: number) {
+    const start = performance.now();
+    this.sentRoutes = [{ ...safeRoute, timeout: '950ms' }, unsafeRoute];
+    const answer = await this.site.putRoutes(this.sentRoutes);
+    assert.equal(answer.status, 200, answer.body);
+    const elapsed = performance.now() - start;
+    assert.ok(elapsed < changeTime, `the change took ${Math.round(elapsed)} ms`);
+    await waitUntil(
+      'every steward holds the change and counts 3 voters',
+      async () => {
+        const versions = await Promise.all(
+          this.site.ips.map((ip) =>
+            readMetric(ip, PORTS.stewardMetrics, 'chivewalk_steward_routes_version'),
+          ),
+        );
+        const { version } = this.site;
+        return versions.every((held) => held === version) && (await this.site.hasVoters(3));
+      },
+      followTime,
+    );
+  },
+);
+
+Then("no steward's process ended, and none reported damage", function (this: PlatformWorld) {
+  const stewards = [...this.site.processes.values()].filter(({ role }) => role === 'steward');
+  stewards.forEach(({ child, output }) => {
+    assert.equal(child.exitCode, null);
+    assert.match(output, /the data folder was opened anew/);
+    assert.doesNotMatch(output, /a synced record is damaged/);
+  });
+});
+
 When('its disk takes writes again', async function (this: DiskWorld) {
   await applyFileSizeLimit(this.site.processes.get(this.full)?.child.pid, 'unlimited');
 });
