--- a/features/control/full.steps.ts
+++ b/features/control/full.steps.ts
@@ -3,7 +3,7 @@
 import { mkdtemp, readdir, rm, stat } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { appendEntries, emptyLog, joinLog, type Log } from '../../src/control/log.js';
+import { appendEntries, emptyLog, joinLog, toLogBase, type Log } from '../../src/control/log.js';
 import { Storage, type StoredState, type WriteEffect } from '../../src/control/storage.js';
 import type { LogEntry, Snapshot, Vote } from '../../src/generated/control.js';
 import { FullDisk } from './full.js';
@@ -72,8 +72,7 @@
       return { ...state, log: appendEntries(state.log, effect.entries) };
     case 'writeSnapshot': {
       const { snapshot, resetsLog } = effect;
-      const { index: baseIndex, term: baseTerm } = snapshot;
-      const log = resetsLog ? { baseIndex, baseTerm, entries: [] } : state.log;
+      const log = resetsLog ? toLogBase(snapshot) : state.log;
       return { ...state, snapshot, log };
     }
   }
@@ -140,6 +139,7 @@
       () => undefined,
     );
     if (opened === undefined) {
+      assert.equal(this.disk.openFiles, 0, 'an opening that failed left files open');
       return this.#open(possible);
     }
     this.#storage = opened.storage;
