Control: a follower that caught up past the base of the log gets the entries that it lost afterwards

Callers saw: a follower that held no change any more for as long as its leader led, although it answered heartbeats, was taken for healthy and served its state to gateways. While another member's disk is full (group of 3), or with two such followers, changes stay unanswered; the leader keeps its quorum contact, so no election ends this.

If entries that were under way brought the follower past the base of the log first, the leader went on with entries and kept the record; when those were lost (the follower's disk was full, or its connection was closed), each reply that reported this was ignored for good.

The new scenario of core.feature failed before with "nothing was sent".

--- a/features/control/core.feature
+++ b/features/control/core.feature
@@ -40,3 +40,10 @@
     Given a control core that is a follower among 3 members
     When the control core receives a heartbeat that makes it a learner, and then no messages for 5 seconds
     Then the control core knows no leader and sent no request for votes
+
+  Scenario: A follower that needs no snapshot any more is sent the entries that it lost
+    Given a control core that is the leader among 3 members
+    When the control core compacts its log while member 2 lacks the entries from 11 on
+    Then the control core sends member 2 a snapshot
+    When the entries up to 60 after the base of its log, which were under way, reach member 2, and no later ones
+    Then the control core sends member 2 the entries from 61 after that base on again
--- a/features/control/core.steps.ts
+++ b/features/control/core.steps.ts
@@ -8,6 +8,7 @@
   type ConsensusEffect,
   type ConsensusInput,
   type ConsensusState,
+  type ControlMessage,
   type MemberId,
 } from '../../src/control/types.js';
 
@@ -224,3 +225,57 @@
     decide(this, { kind: 'proposed', proposal: 1, command: Buffer.from('x') });
   },
 );
+
+/** Delivers a reply of member 2 about its log up to the index. */
+function sendLogReply(world: CoreWorld, matches: boolean, index: number): void {
+  const { term, role } = world.state;
+  const round = role.kind === 'leader' ? role.round : 0;
+  const message = { kind: 'appendReply', term, matches, index, round } as const;
+  decide(world, { kind: 'messageArrived', from: toMember(2), message });
+}
+
+function findMessagesTo(world: CoreWorld, to: MemberId): readonly ControlMessage[] {
+  return world.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.to === to ? [effect.message] : [],
+  );
+}
+
+When(
+  'the control core compacts its log while member 2 lacks the entries from {int} on',
+  function (this: CoreWorld, first: number) {
+    Array.from({ length: 400 }).forEach((_, proposal) => {
+      decide(this, { kind: 'proposed', proposal, command: new Uint8Array([1]) });
+    });
+    syncAll(this);
+    sendAcknowledgement(this, toMember(1));
+    const data = new Uint8Array([1]);
+    decide(this, { kind: 'compacted', index: this.state.commitIndex, data });
+    assert.ok(this.state.log.baseIndex > first && this.state.log.baseIndex < 200);
+    syncAll(this);
+    sendLogReply(this, false, first - 1);
+  },
+);
+
+Then('the control core sends member 2 a snapshot', function (this: CoreWorld) {
+  const kinds = findMessagesTo(this, toMember(2)).map(({ kind }) => kind);
+  assert.deepEqual(kinds, ['snapshotChunk']);
+});
+
+When(
+  'the entries up to {int} after the base of its log, which were under way, reach member 2, and no later ones',
+  function (this: CoreWorld, last: number) {
+    const reached = this.state.log.baseIndex + last;
+    sendLogReply(this, true, reached);
+    assert.equal(findMessagesTo(this, toMember(2))[0]?.kind, 'append');
+    sendLogReply(this, false, reached);
+  },
+);
+
+Then(
+  'the control core sends member 2 the entries from {int} after that base on again',
+  function (this: CoreWorld, first: number) {
+    const [message] = findMessagesTo(this, toMember(2));
+    assert.ok(message?.kind === 'append', 'nothing was sent');
+    assert.equal(message.entries[0]?.index, this.state.log.baseIndex + first);
+  },
+);
--- a/src/control/leading.ts
+++ b/src/control/leading.ts
@@ -181,11 +181,12 @@
     `${from} acknowledged entry ${reply.index}, which was never sent`,
   );
   const matchIndex = Math.max(found.matchIndex, reply.index);
-  const finished = found.snapshot !== undefined && matchIndex >= found.snapshot.index;
+  const nextIndex = Math.max(found.nextIndex, matchIndex + 1);
+  const needsSnapshot = nextIndex <= state.log.baseIndex;
   const known = withProgress(updated, from, {
     matchIndex,
-    nextIndex: Math.max(found.nextIndex, matchIndex + 1),
-    snapshot: finished ? undefined : found.snapshot,
+    nextIndex,
+    snapshot: needsSnapshot ? found.snapshot : undefined,
   });
   return runSteps(known, advanceCommit, settleReads, finishTransfer, (next) =>
     sendRemainingEntries(next, from),
