Answer pipelined requests that run when a stop begins, and start none behind them

Requests that came behind a running one in a stop were passed on, too, and cancelled by the first answer.

Cause: all safe requests of a connection are started at once, but in a stop each answer closed its connection.

Now an answer closes its connection in a stop only if no request behind it was started, and no request is started behind another one once the stop has begun. What waits behind the answer that closes counts as not read, and was not passed on. The two decisions are isLastInStop and isStartedInStop in stopping.ts.

--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -40,3 +40,23 @@
       | 3000  | 1600 | 280  | 2000  | no    |
       | 3000  | 1860 | 280  | 800   | yes   |
       | 3000  | 2760 | 60   | 500   | no    |
+
+  Scenario Outline: A pipelined request in a stop
+    Then behind requests that are "<earlier>" it is started in a stop: <started>
+
+    Examples:
+      | earlier         | started |
+      |                 | yes     |
+      | started         | no      |
+      | waiting         | no      |
+      | started started | no      |
+
+  Scenario Outline: An answer in a stop
+    Then an answer before requests that are "<later>" closes its connection in a stop: <closes>
+
+    Examples:
+      | later           | closes |
+      |                 | yes    |
+      | waiting         | yes    |
+      | started         | no     |
+      | started waiting | no     |
--- a/features/gateway/stopping.steps.ts
+++ b/features/gateway/stopping.steps.ts
@@ -3,13 +3,23 @@
 import {
   buildStopPlan,
   decideConnection,
+  isLastInStop,
+  isStartedInStop,
   isTakenInStop,
   type ConnectionPhase,
+  type PipelinedState,
 } from '../../src/gateway/stopping.js';
 
 /** Any instant; the decisions depend on differences only. */
 const STOPPED_AT = 1000;
 
+function parsePipeline(text: string): readonly PipelinedState[] {
+  return text
+    .split(' ')
+    .filter((word) => word !== '')
+    .map((word) => ({ isStarted: word === 'started' }));
+}
+
 Then(
   '{int} ms after SIGTERM a connection that is {word} gets the decision {string}',
   function (at: number, phase: string, decision: string) {
@@ -26,3 +36,17 @@
     assert.equal(isTakenInStop({ plan, now, deadline: now + left, work }), taken === 'yes');
   },
 );
+
+Then(
+  /^behind requests that are "([^"]*)" it is started in a stop: (yes|no)$/,
+  function (earlier: string, started: string) {
+    assert.equal(isStartedInStop(parsePipeline(earlier)), started === 'yes');
+  },
+);
+
+Then(
+  /^an answer before requests that are "([^"]*)" closes its connection in a stop: (yes|no)$/,
+  function (later: string, closes: string) {
+    assert.equal(isLastInStop(parsePipeline(later)), closes === 'yes');
+  },
+);
--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -34,3 +34,13 @@
     Given a site whose processes have 6000 ms to stop
     When callers send requests of 400 ms with a deadline of 8000 ms on kept connections 1000 ms after SIGTERM
     Then each of them gets status 200 and "Connection: close", and an upstream ran it once
+
+  Scenario: Pipelined requests that upstreams run are cut off in a planned stop
+    Given a site whose processes have 3000 ms to stop
+    When a gateway gets SIGTERM while upstreams run 3 pipelined requests of 500 ms each
+    Then all 3 of them are answered in order, the last one with "Connection: close"
+
+  Scenario: A pipelined request is passed on in a planned stop behind an answer that closes the connection
+    Given a site whose processes have 3000 ms to stop
+    When a caller sends a request 200 ms after SIGTERM behind one that an upstream runs for 500 ms
+    Then the first one gets status 200 and "Connection: close", and no upstream ran the second one
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -16,7 +16,7 @@
 } from '../http1/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
-import type { ConnectionPhase } from './stopping.js';
+import { isLastInStop, isStartedInStop, type ConnectionPhase } from './stopping.js';
 
 /** Number of unanswered requests at which the connection is paused. */
 const MAX_PIPELINED_REQUESTS = 16;
@@ -235,13 +235,7 @@
     if (this.#state !== 'open') return;
     const first = this.#pipeline[0];
     const next = this.#pipeline.find(({ isStarted }) => !isStarted);
-    const canStart =
-      next !== undefined &&
-      (next === first ||
-        this.#pipeline
-          .slice(0, this.#pipeline.indexOf(next) + 1)
-          .every((pipelined) => pipelined.isIdempotent));
-    if (canStart) {
+    if (next !== undefined && this.#canStart(next)) {
       this.#startRequest(next);
       return;
     }
@@ -251,6 +245,14 @@
     this.#advance();
   }
 
+  #canStart(pipelined: PipelinedRequest): boolean {
+    const earlier = this.#pipeline.slice(0, this.#pipeline.indexOf(pipelined));
+    if (this.#host.isStopping() && !isStartedInStop(earlier)) return false;
+    return (
+      earlier.length === 0 || [...earlier, pipelined].every(({ isIdempotent }) => isIdempotent)
+    );
+  }
+
   #startRequest(pipelined: PipelinedRequest): void {
     pipelined.isStarted = true;
     const served = this.#host.serve(pipelined.request, (answer) => {
@@ -264,7 +266,8 @@
 
   #write(pipelined: PipelinedRequest, answer: CallerAnswer): void {
     const { status, reason, headers, body, isUnframed } = answer;
-    const isClosing = pipelined.isLast || isUnframed || this.#host.isStopping();
+    const isClosing =
+      pipelined.isLast || isUnframed || (this.#host.isStopping() && isLastInStop(this.#pipeline));
     const hasLength = !isUnframed && status !== 204 && status !== 304;
     const head = renderHead(`HTTP/1.1 ${status} ${reason}`, [
       ...headers,
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -101,3 +101,28 @@
   const end = now <= plan.earlyUntil ? Math.min(deadline, now + work * WORK_MARGIN) : deadline;
   return end <= plan.endsAt;
 }
+
+/** A request on a connection, as far as {@link isStartedInStop} and {@link isLastInStop} look at it. */
+export interface PipelinedState {
+  readonly isStarted: boolean;
+}
+
+/**
+ * Returns whether a request may be started in a stop: not behind another one, whose answer will close the connection.
+ *
+ * @example
+ * isStartedInStop([{ isStarted: true }]) // false
+ */
+export function isStartedInStop(earlier: readonly PipelinedState[]): boolean {
+  return earlier.length === 0;
+}
+
+/**
+ * Returns whether an answer closes its connection in a stop: no request behind it was started.
+ *
+ * @example
+ * isLastInStop([{ isStarted: true }, { isStarted: false }]) // false
+ */
+export function isLastInStop(later: readonly PipelinedState[]): boolean {
+  return !later.some(({ isStarted }) => isStarted);
+}
