Log and count what the end of a stop cuts off

The incident reports said that requests ended without an answer; neither logs nor metrics of a gateway told a request that ran from an answer that was being sent or one that was never read.

Gauges for callers' connections and running requests, a counter for what was cut off.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -44,3 +44,8 @@
     Given a site whose processes have 3000 ms to stop
     When a caller sends a request 200 ms after SIGTERM behind one that an upstream runs for 500 ms
     Then the first one gets status 200 and "Connection: close", and no upstream ran the second one
+
+  Scenario: A request that a gateway could not end in its stop is logged and counted
+    Given a site whose processes have 3000 ms to stop
+    When a gateway gets SIGTERM while an upstream runs a request for 5000 ms and a caller receives nothing of 24 MB
+    Then the gateway's log names both with the bytes that it could not send, and the numbers at both ends of the stop
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -75,6 +75,21 @@
       'Connections to upstreams opened.',
       () => gateway.openedConnections,
     ],
+    [
+      'chivewalk_gateway_caller_connections',
+      "Callers' connections that are open.",
+      () => gateway.callers.size,
+    ],
+    [
+      'chivewalk_gateway_running_requests',
+      'Requests that are being served.',
+      () => gateway.callers.running,
+    ],
+    [
+      'chivewalk_gateway_requests_cut_off_total',
+      'Requests and answers cut off by the end of a stop.',
+      () => gateway.callers.cutOff,
+    ],
     [
       'chivewalk_log_lines_dropped',
       'Log lines dropped and not yet told of.',
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -79,6 +79,14 @@
   answer: CallerAnswer | undefined;
 }
 
+/** A request whose answer the caller has not received completely. */
+export interface UnfinishedRequest {
+  readonly head: RequestHead;
+  readonly cause: 'running' | 'sending';
+  /** Bytes of answers that wait in the process. */
+  readonly unsentBytes: number;
+}
+
 function hasConnectionClose(head: RequestHead): boolean {
   const tokens = (getHeader(head.headers, 'connection') ?? '').toLowerCase();
   return tokens.includes('close') || (head.minorVersion === 0 && !tokens.includes('keep-alive'));
@@ -91,6 +99,8 @@
   readonly #reader: MessageReader<RequestHead>;
   readonly #buffers: BufferBudget;
   #pipeline: readonly PipelinedRequest[] = [];
+  /** Requests of whose answers bytes wait in the process. */
+  #sending: readonly RequestHead[] = [];
   #headReadAt: Instant = 0;
   #isReading = true;
   #state: 'open' | 'closing' | 'closed' = 'open';
@@ -134,6 +144,22 @@
     return this.#reader.hasPartialMessage ? 'reading' : 'unused';
   }
 
+  /** Number of requests that are being served. */
+  get running(): number {
+    return this.#pipeline.filter(({ served }) => served !== undefined).length;
+  }
+
+  /** Returns the requests that a close at this instant would cut off. */
+  listUnfinished(): readonly UnfinishedRequest[] {
+    const unsentBytes = this.#socket.writableLength;
+    return [
+      ...this.#sending.map((head) => ({ head, cause: 'sending' as const, unsentBytes })),
+      ...this.#pipeline
+        .filter(({ isStarted }) => isStarted)
+        .map(({ request }) => ({ head: request.head, cause: 'running' as const, unsentBytes })),
+    ];
+  }
+
   /** Closes the connection if it exceeded the idle timeout or the timeout for a request head. */
   checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
     const isHeadLate =
@@ -274,10 +300,13 @@
       ...(hasLength ? [['Content-Length', String(body.length)] as const] : []),
       ...(isClosing ? [['Connection', 'close'] as const] : []),
     ]);
+    const requestHead = pipelined.request.head;
+    this.#sending = [...this.#sending, requestHead];
     const onSent = (): void => {
+      this.#sending = this.#sending.filter((unsent) => unsent !== requestHead);
       this.#idleSince = this.#host.now();
     };
-    const hasBody = body.length > 0 && pipelined.request.head.method !== 'HEAD';
+    const hasBody = body.length > 0 && requestHead.method !== 'HEAD';
     this.#socket.cork();
     this.#socket.write(head, 'latin1', hasBody ? undefined : onSent);
     if (hasBody) this.#socket.write(body, onSent);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -53,7 +53,7 @@
   CallerRequest,
   ServedRequest,
 } from './caller.js';
-import { CallerConnections } from './callers.js';
+import { CallerConnections, type CallerCounts } from './callers.js';
 import { chooseUpstream, computePace, type Choice } from './choose.js';
 import { EvidenceCollector, judgeAttempt } from './evidence.js';
 import { isProbeWorthwhile } from './ondemand.js';
@@ -146,6 +146,7 @@
   readonly view: FeedView;
   /** Total number of connections opened to upstreams. */
   readonly openedConnections: number;
+  readonly callers: CallerCounts;
   /** Drains the gateway: reports it as not ready, waits for running requests, then closes. */
   stop(): Promise<void>;
 }
@@ -238,7 +239,7 @@
       'expect',
     ]);
     this.#gateways = [options.id];
-    this.#callers = new CallerConnections(this.now);
+    this.#callers = new CallerConnections(this.now, options.dialect.requestId);
     this.#pool = new ConnectionPool(options.dialect, this.#buffers);
     this.#follower = createFollower({
       mesh: options.mesh,
@@ -327,6 +328,10 @@
     return this.#pool.opened;
   }
 
+  get callers(): CallerCounts {
+    return this.#callers;
+  }
+
   get #fleetShare(): FleetShare {
     const { id, coldBounds } = this.#options;
     return { self: id, gateways: this.#gateways, bounds: coldBounds };
@@ -820,6 +825,7 @@
     if (this.isStopping()) return;
     const plan = buildStopPlan(this.now(), this.#options.stopTime);
     this.#stopPlan = plan;
+    this.#callers.logState('gateway drain started');
     this.#follower.pollNow();
     await wait(plan.acceptsUntil - this.now());
     this.#server.close();
