Catalog: instances are a map, which is copied at each command

Each announcement and each end copies the instances of the catalog, at every gateway and steward. Objects of some hundred properties are copied entry by entry, several times as slowly as a map: with 717 upstreams a command took 0.6 to 0.9 ms.

Copying a map is still linear, but 0.1 ms. Nothing else leaves the process.

Run: features/catalog, steward, gateway, feed, platform, control. No test counts this work: a copy of a map can't be observed from outside.

--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -91,7 +91,7 @@
     extra: {},
     limits: { ...limits, source: undefined },
   };
-  const instances = Object.fromEntries(
+  const instances = new Map(
     Array.from({ length: UPSTREAMS }, (_, index) => {
       const instance = createInstance(index);
       return [instance.id, instance];
--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -38,7 +38,7 @@
     ...{ version: 1, routes: [], services, extra: {} },
     limits: { headBytes: 1, bodyBytes: 1, headTimeout: 1, idleTimeout: 1, source: undefined },
   };
-  const instances = Object.fromEntries(
+  const instances = new Map(
     Array.from({ length: upstreams }, (_, index) => createInstance(index)).map((instance) => [
       instance.id,
       instance,
--- a/features/catalog/catalog.feature
+++ b/features/catalog/catalog.feature
@@ -65,3 +65,8 @@
     Given a catalog with route version 5
     When the upstream events "a@1 ready, b@3 draining" are applied
     Then the catalog is the same after a snapshot
+
+  Scenario: Builds that keep upstreams in a map and in an object read each other's snapshots
+    Given an empty catalog
+    When the upstream events "a@1 ready, b@2 draining" are applied
+    Then a snapshot holds the upstreams as an object, and is read from one
--- a/features/catalog/catalog.steps.ts
+++ b/features/catalog/catalog.steps.ts
@@ -1,5 +1,6 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
+import { Packr } from 'msgpackr';
 import {
   applyCommand,
   decodeCatalog,
@@ -142,7 +143,7 @@
 );
 
 Then('the catalog lists {string}', function (this: CatalogWorld, wanted: string) {
-  const listed = Object.values(this.catalog.instances).map(
+  const listed = [...this.catalog.instances.values()].map(
     ({ id, bornAt, draining }) => `${id}@${bornAt}${draining ? ' draining' : ''}`,
   );
   assert.equal(listed.join(', '), wanted);
@@ -159,3 +160,14 @@
 Then('the catalog is the same after a snapshot', function (this: CatalogWorld) {
   assert.deepEqual(decodeCatalog(encodeCatalog(this.catalog)), this.catalog);
 });
+
+Then(
+  'a snapshot holds the upstreams as an object, and is read from one',
+  function (this: CatalogWorld) {
+    const packr = new Packr({ useRecords: false });
+    const instances = Object.fromEntries(this.catalog.instances);
+    const encoded = packr.unpack(encodeCatalog(this.catalog)) as Record<string, unknown>;
+    assert.deepEqual(encoded.instances, instances);
+    assert.deepEqual(decodeCatalog(packr.pack({ ...this.catalog, instances })), this.catalog);
+  },
+);
--- a/features/gateway/catalog.ts
+++ b/features/gateway/catalog.ts
@@ -11,6 +11,6 @@
 export function createCatalog(ids: readonly string[]): Catalog {
   return {
     ...emptyCatalog,
-    instances: Object.fromEntries(ids.map((id) => [id, createInstance(id)])),
+    instances: new Map(ids.map((id) => [id, createInstance(id)])),
   };
 }
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -422,7 +422,7 @@
     const registry = new UpstreamRegistry();
     const catalog = createCatalog(['u1', 'u2', 'u3']);
     const other = { ...createInstance('u3'), service: 'orders' };
-    registry.update({ ...catalog, instances: { ...catalog.instances, u3: other } });
+    registry.update({ ...catalog, instances: new Map(catalog.instances).set('u3', other) });
     this.upstreamRecords = registry.records;
     const pool = new ConnectionPool(headerDialect, new BufferBudget(1_000_000));
     pool.close();
@@ -508,7 +508,7 @@
     const registry = new UpstreamRegistry();
     registry.update({
       ...createCatalog([]),
-      instances: Object.fromEntries(instances.map((instance) => [instance.id, instance])),
+      instances: new Map(instances.map((instance) => [instance.id, instance])),
     });
     this.upstreamRecords = registry.records;
     const all = [...gatewaysByZone.values()].flat();
--- a/features/gateway/registry.steps.ts
+++ b/features/gateway/registry.steps.ts
@@ -81,7 +81,7 @@
 );
 
 function listAddresses({ instances }: Catalog): readonly string[] {
-  return Object.values(instances).map(({ address }) => address);
+  return [...instances.values()].map(({ address }) => address);
 }
 
 function findUnused(previous: Catalog, next: Catalog): readonly string[] {
@@ -104,7 +104,7 @@
       }
       registry.records.forEach((record) => {
         const { id, bornAt, address } = record.instance;
-        const last = previous?.instances[id];
+        const last = previous?.instances.get(id);
         const isSame = last?.bornAt === bornAt && last.address === address;
         if (isSame !== (before.get(id) === record)) wronglyKept.push(id);
       });
@@ -212,9 +212,11 @@
     commands.reduce((catalog, command) => {
       const next = applyCommand(catalog, command).state;
       const instances = new Proxy(next.instances, {
-        get: (target, key, receiver): unknown => {
-          this.countedReads += 1;
-          return Reflect.get(target, key, receiver);
+        get: (target, key): unknown => {
+          // A list of the upstreams reads all of them.
+          this.countedReads += key === 'get' ? 1 : target.size;
+          const method: unknown = Reflect.get(target, key);
+          return typeof method === 'function' ? method.bind(target) : method;
         },
       });
       registry.update({ ...next, instances }, [command]);
--- a/features/platform/fuzz.steps.ts
+++ b/features/platform/fuzz.steps.ts
@@ -110,7 +110,7 @@
 function applyEverywhere(catalog: Catalog, command: CatalogCommand): Catalog {
   const { state } = applyCommand(catalog, command);
   const restored = decodeCatalog(encodeCatalog(state));
-  assert.deepEqual(Object.keys(restored.instances), Object.keys(state.instances));
+  assert.deepEqual([...restored.instances.keys()], [...state.instances.keys()]);
   return restored;
 }
 
--- a/features/steward/decisions.steps.ts
+++ b/features/steward/decisions.steps.ts
@@ -126,10 +126,7 @@
 Given(
   'a move beside {int} slots of the old version and {int} of the new one',
   function (this: StewardWorld, old: number, own: number) {
-    const instances = Object.fromEntries([
-      ...buildInstance('v1', old),
-      ...buildInstance('v2', own),
-    ]);
+    const instances = new Map([...buildInstance('v1', old), ...buildInstance('v2', own)]);
     this.maxShare = computeCapacityShare({ ...emptyCatalog, instances }, buildMove(14_000, 0.05));
   },
 );
@@ -231,7 +228,7 @@
     const move = buildMove(duration, 0);
     const catalog = { ...emptyCatalog, moves: { [move.service]: move } };
     const instance = { ...createInstance('u1'), version: 'v2' };
-    const applied = { ...catalog, instances: { u1: instance } };
+    const applied = { ...catalog, instances: new Map([['u1', instance]]) };
     let wallNow = 0;
     const proposed: CatalogCommand[] = [];
     const startedAt = performance.now();
--- a/src/catalog/instances.ts
+++ b/src/catalog/instances.ts
@@ -44,13 +44,13 @@
   return state.ended.some(([ended, at]) => ended === id && at >= bornAt);
 }
 
-function dropInstances(
-  instances: Readonly<Record<string, Instance>>,
-  removed: readonly Instance[],
-): Readonly<Record<string, Instance>> {
+type Instances = Catalog['instances'];
+
+function dropInstances(instances: Instances, removed: readonly Instance[]): Instances {
   if (removed.length === 0) return instances;
-  const ids = new Set(removed.map(({ id }) => id));
-  return Object.fromEntries(Object.entries(instances).filter(([id]) => !ids.has(id)));
+  const kept = new Map(instances);
+  removed.forEach(({ id }) => kept.delete(id));
+  return kept;
 }
 
 function appendEnded(state: Catalog, removed: readonly Instance[]): Catalog['ended'] {
@@ -61,7 +61,7 @@
 
 /** Returns whether an announcement differs from the state and is not outdated. */
 export function isInstanceUpdate(state: Catalog, instance: Instance): boolean {
-  const known = state.instances[instance.id];
+  const known = state.instances.get(instance.id);
   if (hasEnded(state, instance)) return false;
   if (known === undefined || known.bornAt < instance.bornAt) return true;
   if (known.bornAt > instance.bornAt) return false;
@@ -78,16 +78,16 @@
 /** Applies an announcement, unless a later start at the same address or with the same id is known. */
 export function applyAnnounce(state: Catalog, { instance }: AnnounceCommand): Catalog {
   if (!isInstanceUpdate(state, instance)) return state;
-  const others = Object.values(state.instances).filter(
+  const others = [...state.instances.values()].filter(
     ({ id, address }) => id !== instance.id && address === instance.address,
   );
   if (others.some(({ bornAt }) => bornAt > instance.bornAt)) return state;
-  const known = state.instances[instance.id];
+  const known = state.instances.get(instance.id);
   const isSameStart = known?.bornAt === instance.bornAt;
   const merged = { ...instance, draining: instance.draining || (isSameStart && known.draining) };
   return {
     ...state,
-    instances: { ...dropInstances(state.instances, others), [instance.id]: merged },
+    instances: new Map(dropInstances(state.instances, others)).set(instance.id, merged),
     ended: appendEnded(state, others),
     versions: { [instance.service]: instance.version, ...state.versions },
   };
@@ -95,7 +95,7 @@
 
 /** Removes an instance. A silent one may announce the same start again; one that left may not. */
 export function applyEnd(state: Catalog, { id, bornAt, cause }: EndCommand): Catalog {
-  const known = state.instances[id];
+  const known = state.instances.get(id);
   const isKnown = known?.bornAt === bornAt;
   const instances = isKnown ? dropInstances(state.instances, [known]) : state.instances;
   switch (cause) {
--- a/src/catalog/machine.ts
+++ b/src/catalog/machine.ts
@@ -6,7 +6,7 @@
 import { applyAnnounce, applyEnd } from './instances.js';
 import { applyStartMove, applyStepMove } from './moves.js';
 import { applyRoutes, type CatalogTransition } from './routes.js';
-import type { Catalog, CatalogCommand } from './types.js';
+import type { Catalog, CatalogCommand, Instance } from './types.js';
 
 const packr = new Packr({ useRecords: false });
 
@@ -14,7 +14,7 @@
 export const emptyCatalog: Catalog = {
   table: undefined,
   accepted: [],
-  instances: {},
+  instances: new Map(),
   ended: [],
   moves: {},
   versions: {},
@@ -50,6 +50,11 @@
   }
 }
 
+/** A catalog as it is read from a snapshot, where a map is an object. */
+type EncodedCatalog = Omit<Catalog, 'instances'> & {
+  readonly instances?: Readonly<Record<string, Instance>>;
+};
+
 /** Encodes the state for a snapshot. */
 export function encodeCatalog(state: Catalog): Uint8Array {
   return packr.pack(state);
@@ -57,6 +62,9 @@
 
 /** Decodes the state of a snapshot. */
 export function decodeCatalog(bytes: Uint8Array): Catalog {
-  const { table, ...rest } = packr.unpack(bytes) as Catalog;
-  return { ...emptyCatalog, ...rest, table: table ?? undefined };
+  const { table, instances, ...rest } = packr.unpack(bytes) as EncodedCatalog;
+  return {
+    ...{ ...emptyCatalog, ...rest, table: table ?? undefined },
+    instances: new Map(Object.entries(instances ?? {})),
+  };
 }
--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -118,7 +118,8 @@
   readonly table: RouteTable | undefined;
   /** Versions and digests of the accepted changes, newest last. */
   readonly accepted: readonly (readonly [version: number, digest: string])[];
-  readonly instances: Readonly<Record<string, Instance>>;
+  /** The upstreams by id. Copying a map is several times faster than copying an object of this size. */
+  readonly instances: ReadonlyMap<string, Instance>;
   /** Ids and start times of ended instances, newest last; their late announcements are ignored. */
   readonly ended: readonly (readonly [id: string, bornAt: number])[];
   readonly moves: Readonly<Record<string, TrafficMove>>;
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -67,7 +67,7 @@
     [
       'chivewalk_gateway_upstreams',
       'Upstreams that are known.',
-      () => Object.keys(gateway.view.catalog.instances).length,
+      () => gateway.view.catalog.instances.size,
     ],
     ['chivewalk_gateway_peers', 'Gateways that are alive.', () => gateway.view.entries.length],
     [
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -296,7 +296,7 @@
     if (areServicesChanged || catalog.zonesOut !== previous.zonesOut) this.#usable.clear();
     if (catalog.instances === previous.instances) return [];
     const ids = commands === undefined ? this.#listAllIds() : this.#listTouchedIds(commands);
-    const gone = ids.flatMap((id) => this.#updateInstance(id, catalog.instances[id]));
+    const gone = ids.flatMap((id) => this.#updateInstance(id, catalog.instances.get(id)));
     return gone.filter((address) => !this.#byAddress.has(address));
   }
 
@@ -308,7 +308,7 @@
   }
 
   #listAllIds(): readonly string[] {
-    return [...new Set([...this.#records.keys(), ...Object.keys(this.#catalog.instances)])];
+    return [...new Set([...this.#records.keys(), ...this.#catalog.instances.keys()])];
   }
 
   /** Returns the ids of the instances that the commands may have added, changed or removed. */
--- a/src/steward/moves.ts
+++ b/src/steward/moves.ts
@@ -49,7 +49,7 @@
   service: string,
   matches: (version: string) => boolean,
 ): number {
-  return Object.values(catalog.instances)
+  return [...catalog.instances.values()]
     .filter((instance) => instance.service === service && !instance.draining)
     .filter(({ zone, version }) => !catalog.zonesOut.includes(zone) && matches(version))
     .reduce((sum, { slots }) => sum + slots, 0);
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -197,7 +197,7 @@
   }
 
   async end(id: string, bornAt: number | undefined, cause: EndCause): Promise<OrderOutcome> {
-    const born = bornAt ?? this.#options.control.applied.instances[id]?.bornAt;
+    const born = bornAt ?? this.#options.control.applied.instances.get(id)?.bornAt;
     return born === undefined
       ? { kind: 'done' }
       : this.submit({ kind: 'end', id, bornAt: born, cause });
@@ -254,7 +254,7 @@
       this.#lastLedTerm = term;
       this.#evaluations.clear();
       // Only the leader receives announcements, so the records of a former follower can't show silence.
-      Object.values(control.applied.instances).forEach(({ id, bornAt }) => {
+      control.applied.instances.forEach(({ id, bornAt }) => {
         const known = this.#announcements.get(id);
         const same = known?.bornAt === bornAt ? known : undefined;
         const { sequence, coldUntil } = same ?? { sequence: 0, coldUntil: 0 };
@@ -269,7 +269,7 @@
   #removeSilent(): void {
     const { control, announceInterval, now } = this.#options;
     const limit = announceInterval * MAX_MISSED_ANNOUNCEMENTS;
-    Object.values(control.applied.instances).forEach(({ id, bornAt }) => {
+    control.applied.instances.forEach(({ id, bornAt }) => {
       const last = this.#announcements.get(id);
       if (last === undefined || now() - last.receivedAt <= limit) return;
       this.#announcements.delete(id);
