Gateway: a list of gateways is hashed once, not for each cold upstream

While a gateway applied a catalog or a list of gateways, it hashed the ids of all gateways anew for each upstream that is cold or has a limit, and for each request to one: gateways times cold upstreams for one event, most of all after a restart or while half of the upstreams are replaced.

The hashes are kept with the list object, which doesn't change. The ranks are the same. The list of gateways, the clock and the share are also read once, not for each upstream, when the gateways change.

--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -1,6 +1,6 @@
 /**
  * Measures how the work of one gateway grows with the site: the choice of an upstream, one catalog change, and the
- * size of the list of gateways. Sizes are numbers of gateways, with 4 upstreams for each 3 of them.
+ * share of a gateway in the rate of one cold upstream. Sizes are numbers of gateways, with 4 upstreams for each 3 of them.
  * Settings by environment: `SIZES`, a comma-separated list of numbers of gateways.
  */
 import {
@@ -10,6 +10,7 @@
   type CatalogCommand,
   type Instance,
 } from '../src/catalog/index.js';
+import { computeColdRate, computeSharedInterval } from '../src/gateway/budget.js';
 import { chooseUpstream, type ChoiceContext } from '../src/gateway/choose.js';
 import { UpstreamRegistry } from '../src/gateway/registry.js';
 import { writeReport } from './stand/report.js';
@@ -72,6 +73,7 @@
   readonly choiceMicros: number;
   readonly commandMicros: number;
   readonly updateMicros: number;
+  readonly shareMicros: number;
 }
 
 function measureSize(gateways: number): Row {
@@ -86,6 +88,8 @@
     coldFor: 0,
   });
   const commands = Array.from({ length: 2 * ROUNDS }, (_, round) => createRestart(round));
+  const ids = Array.from({ length: gateways }, (_, index) => `gateway-${index}`);
+  const coldRate = computeColdRate(2, { factor: 1.5, slack: 10 });
   let state = catalog;
   const changed = commands.map((command) => (state = applyCommand(state, command).state));
   const steps = commands.map((command, round) => [changed[round] ?? catalog, command] as const);
@@ -100,11 +104,14 @@
       updates = updates.slice(1);
       if (step !== undefined) registry.update(step[0], [step[1]]);
     }),
+    shareMicros: measure((round) =>
+      computeSharedInterval(`upstream-${round}`, ids[0] ?? '', ids, coldRate),
+    ),
   };
 }
 
 function formatRow({ gateways, upstreams, ...times }: Row): string {
-  const cells = [times.choiceMicros, times.commandMicros, times.updateMicros];
+  const cells = [times.choiceMicros, times.commandMicros, times.updateMicros, times.shareMicros];
   return `| ${gateways} | ${upstreams} | ${cells.map((micros) => micros.toFixed(0)).join(' | ')} |`;
 }
 
@@ -113,8 +120,8 @@
   const sizes = (process.env.SIZES ?? DEFAULT_SIZES).split(',').map(Number);
   const rows = sizes.map(measureSize);
   const head = [
-    '| gateways | upstreams | choice, us | command applied, us | registry updated, us |',
-    '| --- | --- | --- | --- | --- |',
+    '| gateways | upstreams | choice, us | command applied, us | registry updated, us | share of a rate, us |',
+    '| --- | --- | --- | --- | --- | --- |',
   ];
   console.log([...head, ...rows.map(formatRow)].join('\n'));
   writeReport('scale', rows);
--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -58,3 +58,8 @@
       | 200    | Server-Leaving: 1  | never |
       | 503    | Server-Leaving: 1  | never |
       | 200    | Server-Leaving: 0  | 1000  |
+
+  Scenario: A list of gateways is read once, however many upstreams share a rate among its gateways
+    Given a list of 300 gateways that counts what is read of it
+    When 700 upstreams become cold
+    Then at most 600 gateways were read of the list
--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -9,6 +9,7 @@
   claimSlot,
   isRateShared,
   isTurningAway,
+  markCold,
   renewSlot,
   UpstreamRegistry,
   type FleetShare,
@@ -34,6 +35,11 @@
   limitGossips: readonly LoadGossip[] | undefined;
 }
 
+interface SharedListWorld {
+  sharedList: readonly string[];
+  gatewaysRead: number;
+}
+
 const DURATION = 24_000;
 const TICK = 10;
 const WINDOW = 4000;
@@ -255,3 +261,38 @@
     gossip.close();
   });
 });
+
+Given(
+  'a list of {int} gateways that counts what is read of it',
+  function (this: SharedListWorld, count: number) {
+    this.gatewaysRead = 0;
+    const ids = Array.from({ length: count }, (_, index) => `gateway-${index}`);
+    this.sharedList = new Proxy(ids, {
+      get: (target, key, receiver): unknown => {
+        if (typeof key === 'string' && /^\d+$/.test(key)) this.gatewaysRead += 1;
+        return Reflect.get(target, key, receiver);
+      },
+    });
+  },
+);
+
+When('{int} upstreams become cold', function (this: SharedListWorld, count: number) {
+  const registry = new UpstreamRegistry();
+  registry.update(createCatalog(Array.from({ length: count }, (_, index) => `u${index}`)));
+  const share: FleetShare = {
+    self: 'gateway-0',
+    gateways: this.sharedList,
+    bounds: { factor: 1.5, slack: 10 },
+  };
+  registry.records.forEach((record) => {
+    markCold(record, 3000, 0, share);
+  });
+  assert.ok(registry.records.some(({ nextSlotAt }) => Number.isFinite(nextSlotAt)));
+});
+
+Then(
+  'at most {int} gateways were read of the list',
+  function (this: SharedListWorld, bound: number) {
+    assert.ok(this.gatewaysRead <= bound, `${this.gatewaysRead} gateways were read`);
+  },
+);
--- a/src/gateway/budget.ts
+++ b/src/gateway/budget.ts
@@ -4,7 +4,7 @@
  * gateways join, leave or restart.
  */
 import type { Duration, Instant } from '../model/index.js';
-import { computeRank, hashText } from '../routing/index.js';
+import { computeRank, hashIds } from '../routing/index.js';
 
 /** Limits on retries of requests. */
 export interface RetryBounds {
@@ -117,9 +117,10 @@
   { rate, maxParticipants }: SharedRate,
 ): Duration | undefined {
   const participants = Math.max(1, Math.min(gateways.length, maxParticipants));
-  const ownIndex = gateways.indexOf(self);
-  const hashes = gateways.map(hashText);
-  if (ownIndex < 0 || computeRank(upstream, ownIndex, hashes) >= participants) return undefined;
+  const { hashes, indexes } = hashIds(gateways);
+  const ownIndex = indexes.get(self);
+  if (ownIndex === undefined || computeRank(upstream, ownIndex, hashes) >= participants)
+    return undefined;
   return (1000 * participants) / Math.max(rate, MIN_SHARED_RATE);
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -373,8 +373,10 @@
       this.#gateways = ids.includes(this.#options.id) ? ids : [...ids, this.#options.id].sort();
       this.#gatewaysByZone = listByZone(entries);
       this.#gossipPlan = planGossip(this.#options.mesh.address, this.#options.zone, entries);
+      const now = this.now();
+      const share = this.#fleetShare;
       this.#registry.records.forEach((record) => {
-        renewSlot(record, this.now(), this.#fleetShare);
+        renewSlot(record, now, share);
       });
       return;
     }
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -4,7 +4,7 @@
  */
 import { getHeader, type HeaderList } from '../http1/index.js';
 import type { Duration, Instant, ZoneId } from '../model/index.js';
-import { computeRank, hashText } from '../routing/index.js';
+import { computeRank, hashIds, hashText } from '../routing/index.js';
 import { addReport, isTurningAway } from './registry.js';
 import { TokenBucket } from './budget.js';
 import type { ConnectionPool } from './pool.js';
@@ -244,10 +244,9 @@
     const zones = [...new Set(records.map(({ instance }) => instance.zone))];
     return new Map(
       zones.flatMap((zone) => {
-        const probers = listProbers(zone);
-        const ownIndex = probers.indexOf(self);
-        if (ownIndex < 0) return [];
-        const hashes = probers.map(hashText);
+        const { hashes, indexes } = hashIds(listProbers(zone));
+        const ownIndex = indexes.get(self);
+        if (ownIndex === undefined) return [];
         return [[zone, (id: string) => computeRank(id, ownIndex, hashes)] as const];
       }),
     );
--- a/src/routing/hash.ts
+++ b/src/routing/hash.ts
@@ -51,3 +51,30 @@
     return otherHash < ownHash || (otherHash === ownHash && index < selfIndex);
   }).length;
 }
+
+/** The hashes of a list of ids, and the place of each id in it. */
+export interface HashedIds {
+  readonly hashes: readonly number[];
+  readonly indexes: ReadonlyMap<string, number>;
+}
+
+const hashedLists = new WeakMap<readonly string[], HashedIds>();
+
+/**
+ * Hashes the ids of a list for {@link computeRank}. A list object is hashed once, as hundreds of keys are ranked
+ * over the same list; it must not be changed afterwards.
+ *
+ * @example
+ * const { hashes, indexes } = hashIds(gateways);
+ * computeRank('upstream-1', indexes.get('gateway-2') ?? -1, hashes)
+ */
+export function hashIds(ids: readonly string[]): HashedIds {
+  const known = hashedLists.get(ids);
+  if (known !== undefined) return known;
+  const hashed: HashedIds = {
+    hashes: ids.map(hashText),
+    indexes: new Map(ids.map((id, index) => [id, index])),
+  };
+  hashedLists.set(ids, hashed);
+  return hashed;
+}
