--- a/features/platform/fuzz.steps.ts
+++ b/features/platform/fuzz.steps.ts
@@ -120,7 +120,7 @@
 function applyEverywhere(catalog: Catalog, command: CatalogCommand): Catalog {
   const { state } = applyCommand(catalog, command);
   const restored = decodeCatalog(encodeCatalog(state));
-  assert.deepEqual(Object.keys(restored.instances), Object.keys(state.instances));
+  assert.deepEqual([...restored.instances.keys()], [...state.instances.keys()]);
   return restored;
 }
 
