--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -49,3 +49,8 @@
     Given a site whose processes have 3000 ms to stop
     When a gateway gets SIGTERM while an upstream runs a request for 5000 ms and a caller receives nothing of 24 MB
     Then the gateway's log names both with the bytes that it could not send, and the numbers at both ends of the stop
+
+  Scenario: A caller that keeps its end open keeps a gateway from ending in its stop
+    Given a site whose processes have 3000 ms to stop
+    When a gateway gets SIGTERM, one caller leaves its connection unused, and one never closes after its last answer
+    Then both connections were closed without a reset, and the gateway ended within 3000 ms
--- a/features/platform/stopping.steps.ts
+++ b/features/platform/stopping.steps.ts
@@ -327,6 +327,36 @@
   },
 );
 
+When(
+  'a gateway gets SIGTERM, one caller leaves its connection unused, and one never closes after its last answer',
+  { timeout: 20_000 },
+  async function (this: StoppingWorld) {
+    const unused = await openKeptCaller(this);
+    const answered = await openKeptCaller(this);
+    this.callers = [unused, answered];
+    const stopped = stopGateway(this);
+    await sleep(1500);
+    answered.send(['GET /records/last']);
+    this.elapsed = await stopped;
+    await Promise.all(this.callers.map((caller) => caller.waitForEnd()));
+    this.callers.forEach(({ socket }) => socket.destroy());
+  },
+);
+
+Then(
+  'both connections were closed without a reset, and the gateway ended within {int} ms',
+  function (this: StoppingWorld, limit: number) {
+    assert.deepEqual(
+      this.callers.map(({ statuses, resetAt }) => [statuses.length, resetAt]),
+      [
+        [1, undefined],
+        [2, undefined],
+      ],
+    );
+    assert.ok(this.elapsed < limit, `ended after ${Math.round(this.elapsed)} ms`);
+  },
+);
+
 When(
   'a gateway gets SIGTERM while an upstream runs a request for {int} ms and a caller receives nothing of {int} MB',
   { timeout: 20_000 },
