--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -65,6 +65,8 @@
   /** Whether the gateway is stopping, so that connections are closed after the next answer. */
   isStopping(): boolean;
   renderProtocolError(error: ProtocolError): CallerAnswer;
+  /** Renders the refusal of a request whose body there is no room for. */
+  renderNoRoom(head: RequestHead): CallerAnswer;
   /** Called when the connection has ended: its last answer was received, or its caller is gone. */
   onClose(connection: CallerConnection): void;
 }
@@ -102,6 +104,8 @@
   /** Requests of whose answers bytes wait in the process. */
   #sending: readonly RequestHead[] = [];
   #headReadAt: Instant = 0;
+  /** Length of the body that is being read, if its head names one. */
+  #announcedBytes = 0;
   #isReading = true;
   #state: 'open' | 'closing' | 'closed' = 'open';
   /** When the connection was opened or the kernel had all bytes of its latest answer. */
@@ -179,6 +183,7 @@
     this.#dropRequests();
     this.#state = 'closed';
     this.#socket.destroy();
+    this.#buffers.remove(this);
     this.#host.onClose(this);
   }
 
@@ -190,27 +195,41 @@
       this.#handleEvent(event, now);
     });
     if (!this.#reader.hasPartialMessage) this.#partialSince = undefined;
-    if (this.#state === 'open') this.#buffers.update(this, this.#reader.heldBytes);
+    this.#updateBuffers();
   }
 
   handleBufferLimit(): void {
     if (!this.#isReading) return;
     const reason = 'too many bytes of incomplete requests are held';
-    this.#refuseInput({ kind: 'protocolError', status: 413, reason });
+    this.#refuseInput(
+      this.#host.renderProtocolError({ kind: 'protocolError', status: 413, reason }),
+    );
   }
 
-  /** Answers the request that is being read after all earlier ones, and reads no further. */
-  #refuseInput(error: ProtocolError): void {
+  /** Counts what is read, what is served and what is not flushed yet. */
+  #updateBuffers(): void {
+    const read = this.#isReading ? this.#reader.heldBytes : 0;
+    const requests = this.#pipeline.reduce((sum, { request }) => sum + request.body.length, 0);
+    const answers = this.#pipeline.reduce((sum, { answer }) => sum + (answer?.body.length ?? 0), 0);
+    this.#buffers.update(this, {
+      requests: requests + (this.#isReading ? Math.max(read, this.#announcedBytes) : 0),
+      answers: answers + (this.#socket.destroyed ? 0 : this.#socket.writableLength),
+      unbounded: this.#announcedBytes > 0 ? 0 : read,
+    });
+  }
+
+  /** Gives the answer after those to all earlier requests, and reads no further. */
+  #refuseInput(answer: CallerAnswer): void {
     const arrivedAt = this.#host.now();
     this.#isReading = false;
-    this.#buffers.update(this, 0);
+    this.#reader.discard();
     this.#addToPipeline({
       request: { head: PLACEHOLDER_HEAD, body: EMPTY_BODY, hasBody: false, arrivedAt },
       isIdempotent: true,
       isLast: true,
       served: undefined,
       isStarted: true,
-      answer: this.#host.renderProtocolError(error),
+      answer,
     });
   }
 
@@ -219,11 +238,17 @@
     switch (event.kind) {
       case 'head':
         this.#headReadAt = now;
+        this.#announcedBytes = event.framing.kind === 'length' ? event.framing.bytes : 0;
+        if (!this.#buffers.admitRequest(this.#announcedBytes)) {
+          this.#refuseInput(this.#host.renderNoRoom(event.head));
+          return;
+        }
         if (getHeader(event.head.headers, 'expect')?.toLowerCase() === '100-continue') {
           this.#socket.write('HTTP/1.1 100 Continue\r\n\r\n');
         }
         return;
       case 'message':
+        this.#announcedBytes = 0;
         this.#addRequest({
           head: event.head,
           body: event.body,
@@ -232,7 +257,7 @@
         });
         return;
       case 'protocolError':
-        this.#refuseInput(event);
+        this.#refuseInput(this.#host.renderProtocolError(event));
         return;
     }
   }
@@ -285,6 +310,7 @@
       pipelined.answer = answer;
       pipelined.served = undefined;
       this.#advance();
+      this.#updateBuffers();
     });
     if (pipelined.answer === undefined) pipelined.served = served;
     this.#advance();
@@ -305,6 +331,7 @@
     const onSent = (): void => {
       this.#sending = this.#sending.filter((unsent) => unsent !== requestHead);
       this.#idleSince = this.#host.now();
+      this.#updateBuffers();
     };
     const hasBody = body.length > 0 && requestHead.method !== 'HEAD';
     this.#socket.cork();
@@ -334,9 +361,10 @@
 
   #dropRequests(): void {
     this.#isReading = false;
-    this.#buffers.update(this, 0);
     this.#pipeline.forEach(({ served }) => served?.cancel());
     this.#pipeline = [];
+    this.#reader.discard();
+    this.#updateBuffers();
   }
 }
 
