A call that comes before an upstream's first announcement waits for it

Callers saw: the first call of the quick start, and the first calls after a restart of the only entry of a zone's site, were refused with `noUpstream` although an upstream ran and announced itself a moment later.

Cause: an entry opens its listener once it has joined the other entries. Where none of these knows an upstream, it opens before the first announcement, and the routing decisions refuse a call for a service without upstreams at once.

Not being ready until an upstream is known was weighed: a site that starts before its upstreams would never become ready, and a call to one service would still come before its own announcement.

--- a/bench/stand/vm.ts
+++ b/bench/stand/vm.ts
@@ -98,7 +98,7 @@
   const { id, zone, capacity, callerListen, seeds } = options;
   const gateway = await openGateway({
     ...{ id, zone, capacity, callerListen, mesh, seeds, dialect: standDialect },
-    ...{ probeInterval: 150, probeRate: 60, stopTime: 2000 },
+    ...{ probeInterval: 150, probeRate: 60, stopTime: 2000, memory: 250 },
     retryBounds: { ratio: 0.2, slack: 440 },
     coldBounds: { factor: 1.5, slack: 10 },
     recordCall: () => undefined,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -35,6 +35,7 @@
 import { sendProbe } from './probe.js';
 import { refuseMalformed } from './reject.js';
 import { writeRefusal } from './refusal.js';
+import { decideFirstWait } from './startup.js';
 import { attachStrictSockets, StrictSocket } from './strict.js';
 import { UpstreamPools } from './upstreams.js';
 
@@ -73,6 +74,12 @@
   readonly stop: () => Promise<void>;
 }
 
+/** A call that waits for the first upstream of its service. */
+interface WaitingCall {
+  readonly call: CallRun;
+  readonly proceed: () => void;
+}
+
 class RunningEntry implements Entry {
   readonly #options: EntryOptions;
   readonly #server: Server;
@@ -82,6 +89,9 @@
   readonly #responses = new WeakMap<Duplex, ServerResponse>();
   readonly #context: CallContext;
   readonly #getRandom: () => number;
+  readonly #startedAt = performance.now();
+  /** Calls that wait for the first upstream of their service. */
+  readonly #waitingCalls = new Set<WaitingCall>();
   #ticker: NodeJS.Timeout | undefined;
   #nextCallId = 1;
   #leaseHeld = true;
@@ -205,6 +215,39 @@
     const rosterSize = config.config.roster.members.length;
     this.#pools.update(upstreams, Math.max(rosterSize, members.entries().length));
     this.dispatch({ kind: 'discovered', upstreams, now: performance.now() });
+    [...this.#waitingCalls]
+      .filter(({ call }) => this.#knowsService(call.head.target.service))
+      .forEach(({ proceed }) => {
+        proceed();
+      });
+  }
+
+  #knowsService(service: string): boolean {
+    return this.#options.members.upstreams().some((upstream) => upstream.service === service);
+  }
+
+  /** Proceeds with a call once an upstream of its service is known, or the call may wait no longer. */
+  #waitForService(call: CallRun, onProceed: () => void): void {
+    const now = performance.now();
+    const state = {
+      ...{ startedAt: this.#startedAt, now, waiting: this.#waitingCalls.size },
+      knowsUpstreams: this.#options.members.upstreams().length > 0,
+    };
+    const decision = this.#knowsService(call.head.target.service)
+      ? ({ kind: 'proceed' } as const)
+      : decideFirstWait(state, call.deadline - now);
+    if (decision.kind === 'proceed') {
+      onProceed();
+      return;
+    }
+    const proceed = (): void => {
+      clearTimeout(timer);
+      this.#waitingCalls.delete(waitingCall);
+      if (!call.hasEnded) onProceed();
+    };
+    const timer = setTimeout(proceed, decision.time);
+    const waitingCall: WaitingCall = { call, proceed };
+    this.#waitingCalls.add(waitingCall);
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -278,12 +321,14 @@
     const proceed = (): void => {
       call.enterRouting(computeFingerprint(head, body));
     };
-    if (head.key === undefined) {
-      proceed();
-      return;
-    }
-    const digest = computeDigest(head, body);
-    void claimCall(this.#options.claims, call, head.key, digest, response, proceed);
+    this.#waitForService(call, () => {
+      if (head.key === undefined) {
+        proceed();
+        return;
+      }
+      const digest = computeDigest(head, body);
+      void claimCall(this.#options.claims, call, head.key, digest, response, proceed);
+    });
   }
 
   #apply(effect: RoutingEffect): void {
