Gateway: a caller that stops reading on a kept connection is let go, and the end of a stop is always logged

Callers would see a gateway killed for its memory: since unused connections are told from those with unsent bytes, an answer that its caller never read was held for good on a kept connection (up to 64 MB each, on VMs with 250 MB).

A connection none of whose unsent bytes are taken for 30 s is closed. The check looks at progress, not at the time since the answer began, as large answers take minutes on slow links.

The line 'gateway drain ended' was missing if the plan closed the last connections, which is the usual case.

--- a/features/gateway/memory.feature
+++ b/features/gateway/memory.feature
@@ -20,6 +20,14 @@
     When the caller reads its answer
     Then the budget holds nothing
 
+  Scenario: A caller that stops reading its answer on a kept connection is let go
+    Given a gateway connection host with a budget of 64 MB
+    When a caller asks for an answer of 24 MB and does not read it
+    And its timeouts are checked after 0, 29000 ms
+    Then the budget counts at least 16 MB
+    When its timeouts are checked after 31000 ms
+    Then the budget holds nothing
+
   Scenario Outline: Requests leave room for the answers of what runs, and large ones for small ones
     Then with a limit of 100 MB, <requests> MB of requests and <answers> MB of answers, a request of <size> KB is "<decision>"
 
--- a/features/gateway/memory.steps.ts
+++ b/features/gateway/memory.steps.ts
@@ -39,6 +39,7 @@
   statuses: readonly number[];
   outcomes: readonly AttemptOutcome[];
   caller: Socket;
+  connection: CallerConnection | undefined;
 }
 
 function createAnswer(status: number, bytes: number): CallerAnswer {
@@ -102,7 +103,7 @@
     const limits = { headBytes: 16 * KB, bodyBytes: 64 * MB };
     const host = createHost(this);
     this.port = await startListening(this, (socket) => {
-      new CallerConnection(host, socket, limits, this.budget);
+      this.connection = new CallerConnection(host, socket, limits, this.budget);
     });
   },
 );
@@ -228,6 +229,13 @@
   assert.ok(this.budget.total >= least * MB, `it counts ${this.budget.total} bytes`);
 });
 
+When(/^its timeouts are checked after ([\d, ]+) ms$/, function (this: MemoryWorld, times: string) {
+  const now = performance.now();
+  times.split(', ').forEach((after) => {
+    this.connection?.checkTimeouts(now + Number(after), 3000, 15_000);
+  });
+});
+
 When('the caller reads its answer', function (this: MemoryWorld) {
   this.caller.on('data', () => undefined);
   this.caller.resume();
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -31,7 +31,7 @@
   type FoundingEvent,
   type FoundingState,
 } from './founding.js';
-import { getLastIndex } from './log.js';
+import { getLastIndex, getTermAt } from './log.js';
 import { PendingCalls } from './pending.js';
 import { Storage, type StoredState } from './storage.js';
 import { toAddress } from './steps.js';
@@ -530,8 +530,14 @@
       logBytes: consensus.log.bytes,
       members: membership.members,
       silences: role.kind === 'leader' ? this.#listSilences(role) : [],
+      // Until an entry of the leader's term is committed here, acknowledged entries of earlier terms may be missing.
       healthy:
-        leader !== undefined && repair === undefined && !failed && !this.#halted && !this.#closed,
+        leader !== undefined &&
+        getTermAt(consensus.log, commitIndex) === term &&
+        repair === undefined &&
+        !failed &&
+        !this.#halted &&
+        !this.#closed,
       isVoter:
         membershipIndex <= commitIndex &&
         membership.members.some(({ id, voter }) => id === this.#self && voter),
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -27,6 +27,8 @@
 const LINGER_TIME: Duration = 2000;
 /** Milliseconds that a caller may take to receive its last answer; the largest take seconds on a slow link. */
 const MAX_LINGER_TIME: Duration = 30_000;
+/** Milliseconds for which a caller may take none of the bytes of an answer before its connection is closed. */
+const MAX_STALL_TIME: Duration = 30_000;
 
 /** An answer as it is sent to the caller. */
 export interface CallerAnswer {
@@ -112,6 +114,8 @@
   #idleSince: Instant;
   /** When the first byte of an unfinished request arrived. */
   #partialSince: Instant | undefined;
+  /** The bytes that waited to be sent at the latest check, and since when there are as many. */
+  #stall: { readonly unsentBytes: number; readonly since: Instant } | undefined;
 
   constructor(host: CallerHost, socket: Socket, limits: MessageLimits, buffers: BufferBudget) {
     this.#host = host;
@@ -171,7 +175,15 @@
       !this.#reader.isInBody &&
       now - (this.#partialSince ?? now) > headTimeout;
     const isUnusedTooLong = this.phase === 'unused' && now - this.#idleSince > idleTimeout;
-    if (isHeadLate || isUnusedTooLong) this.close();
+    if (isHeadLate || isUnusedTooLong || this.#isStalled(now)) this.close();
+  }
+
+  /** Whether the caller has taken no byte of what waits to be sent for too long. */
+  #isStalled(now: Instant): boolean {
+    const unsentBytes = this.phase === 'sending' ? this.#socket.writableLength : 0;
+    if (unsentBytes === 0) this.#stall = undefined;
+    else if (this.#stall?.unsentBytes !== unsentBytes) this.#stall = { unsentBytes, since: now };
+    return this.#stall !== undefined && now - this.#stall.since > MAX_STALL_TIME;
   }
 
   /**
--- a/src/gateway/callers.ts
+++ b/src/gateway/callers.ts
@@ -77,11 +77,15 @@
   /** Closes connections as the plan says, until all have ended or the plan ends. */
   async drain(plan: StopPlan): Promise<void> {
     const now = this.#now();
-    if (this.size === 0 || now >= plan.endsAt) this.#recordEnd();
+    const isOver = now >= plan.endsAt;
+    if (isOver) this.#recordEnd();
     this.#connections.forEach((connection) => {
       if (decideConnection(connection.phase, plan, now) !== 'keep') connection.close();
     });
-    if (this.size === 0) return;
+    if (this.size === 0) {
+      if (!isOver) this.#recordEnd();
+      return;
+    }
     await wait(DRAIN_POLL_INTERVAL);
     await this.drain(plan);
   }
