--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -178,6 +178,7 @@
         ['id', 'entry-1'],
         ['zone', 'cyberjaya'],
         ['region', 'klang-valley'],
+        ['memory_mb', '350'],
         ['roles', roles],
       ],
     };
