--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -79,7 +79,8 @@
 
 /**
  * How an emulated upstream responds to requests. A `timed` one works for the milliseconds and answers with the number
- * of bytes that the query of the request names (`work`, `bytes`).
+ * of bytes that the query of the request names (`work`, `bytes`). A `fragile` one ends after that time if the path of
+ * the request has the segment `crash`, unless the connection closes before.
  */
 export type Behaviour =
   | 'serve'
@@ -93,7 +94,8 @@
   | 'leave'
   | 'turnAway'
   | 'slow'
-  | 'timed';
+  | 'timed'
+  | 'fragile';
 
 /** Seconds for which an upstream that turns requests away wants none. */
 const RETRY_AFTER = '2.5';
@@ -101,6 +103,9 @@
 /** Milliseconds that a slow upstream takes, below the timeout of its routes. */
 const SLOW_WORK = 550;
 
+/** Milliseconds that a fragile upstream takes unless the request names another time. */
+const FRAGILE_WORK = 80;
+
 /** An emulated upstream. */
 export class Upstream {
   readonly receivedRequests: ReceivedRequest[] = [];
@@ -112,6 +117,8 @@
   /** The remaining slow start that it announces; its health responses report none. */
   coldLeft = '0ms';
   acknowledgedHeartbeats = 0;
+  /** When a request or a fault ended it, by `performance.now()`. */
+  crashedAt: number | undefined;
   readonly born = Date.now();
   #sequence = 0;
   #server: Server;
@@ -180,6 +187,24 @@
             );
             return;
           }
+          case 'fragile': {
+            const { pathname, searchParams } = new URL(request.url ?? '/', 'http://upstream');
+            const timer = setTimeout(
+              () => {
+                if (pathname.includes('/crash/')) {
+                  this.crash();
+                  return;
+                }
+                response.writeHead(200, seal);
+                response.end(`served by ${id}`);
+              },
+              Number(searchParams.get('work') ?? FRAGILE_WORK),
+            );
+            response.once('close', () => {
+              clearTimeout(timer);
+            });
+            return;
+          }
           case 'leave':
             response.writeHead(200, { ...seal, 'Server-Leaving': '1' });
             response.end(`served by ${id}`);
@@ -228,6 +253,13 @@
     this.#server.closeAllConnections();
   }
 
+  /** Ends as a process does that crashes. */
+  crash(): void {
+    if (this.crashedAt !== undefined) return;
+    this.crashedAt = performance.now();
+    this.stop();
+  }
+
   /** Sends a heartbeat to a control address and follows redirects. */
   async sendHeartbeat(ips: readonly string[], redirectsLeft = 3): Promise<boolean> {
     this.#sequence += 1;
@@ -447,6 +479,19 @@
     return upstream;
   }
 
+  /** Starts an upstream that crashed again, under a new id at the same address. */
+  async restartUpstream(crashed: Upstream): Promise<Upstream> {
+    const { id, address, service, zone, version, behaviour } = crashed;
+    const [base = '', starts = '0'] = id.split('+');
+    const upstream = new Upstream(
+      ...([`${base}+${Number(starts) + 1}`, address, service, zone, version] as const),
+    );
+    upstream.behaviour = behaviour;
+    await upstream.start();
+    this.upstreams.push(upstream);
+    return upstream;
+  }
+
   /** Sends an order to control addresses until one of them handles it. */
   async sendOrder(options: HttpRequestOptions): Promise<HttpResponse> {
     const deadline = performance.now() + 15_000;
