Observability: a gateway tells which requests were in flight on an upstream that crashed

Nothing told the hypotheses of the incident apart: a lost attempt was logged only if the request was sent again, and not whether the upstream had ended.

A gateway now checks an upstream whose connection closed under a request, by one or two connections that write nothing, and logs whether it has ended and the fingerprints of the requests that were in flight there; chivewalk_gateway_upstream_crashes_total counts them. Outcomes tell a connection that was closed at the other end from one that the gateway gave up.

--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -114,7 +114,7 @@
 function toOutcome(word: string): AttemptOutcome {
   switch (word) {
     case 'lost':
-      return { kind: 'lost', reason: 'reset' };
+      return { kind: 'lost', reason: 'reset', isDisconnected: true };
     case 'notRun':
       return { kind: 'notRun', isMisdirected: false };
     case 'unreachable':
--- a/features/gateway/evidence.steps.ts
+++ b/features/gateway/evidence.steps.ts
@@ -16,8 +16,9 @@
     case 'cancelled':
       return undefined;
     case 'lost':
+      return { kind: 'lost', reason: 'test', isDisconnected: true };
     case 'unreachable':
-      return { kind: end, reason: 'test' };
+      return { kind: 'unreachable', reason: 'test' };
     case 'notRun':
       return { kind: 'notRun', isMisdirected: false };
     default:
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -296,7 +296,7 @@
 
 function createOutcome(draw: () => number): AttemptOutcome {
   const kinds: readonly AttemptOutcome[] = [
-    { kind: 'lost', reason: 'reset' },
+    { kind: 'lost', reason: 'reset', isDisconnected: true },
     { kind: 'notRun', isMisdirected: false },
     { kind: 'unreachable', reason: 'refused' },
     {
@@ -307,7 +307,13 @@
       },
     },
   ];
-  return kinds[Math.floor(draw() * kinds.length)] ?? { kind: 'lost', reason: 'reset' };
+  return (
+    kinds[Math.floor(draw() * kinds.length)] ?? {
+      kind: 'lost',
+      reason: 'reset',
+      isDisconnected: true,
+    }
+  );
 }
 
 /** Runs a request and ends its on-demand probes and attempts one at a time, in random order. */
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -107,6 +107,11 @@
       'Requests and answers cut off by the end of a stop.',
       () => gateway.callers.cutOff,
     ],
+    [
+      'chivewalk_gateway_upstream_crashes_total',
+      'Upstreams that crashed while requests of this gateway were in flight there.',
+      () => gateway.crashChecks.crashes,
+    ],
     [
       'chivewalk_log_lines_dropped',
       'Log lines dropped and not yet told of.',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -56,6 +56,7 @@
 } from './caller.js';
 import { CallerConnections, type CallerCounts } from './callers.js';
 import { chooseUpstream, computePace, type Choice } from './choose.js';
+import { CrashChecks } from './crashes.js';
 import { EvidenceCollector, judgeAttempt } from './evidence.js';
 import { createCollector, type Collector } from './collector.js';
 import { isProbeWorthwhile } from './ondemand.js';
@@ -153,6 +154,7 @@
   readonly callers: CallerCounts;
   /** The bytes of the messages that the gateway holds. */
   readonly buffers: BufferBudget;
+  readonly crashChecks: CrashChecks;
   /** Drains the gateway: reports it as not ready, waits for running requests, then closes. */
   stop(): Promise<void>;
 }
@@ -218,6 +220,7 @@
   readonly #averageWork = new AverageWork();
   readonly #requestRates = new RequestRates();
   readonly #evidence = new EvidenceCollector();
+  readonly crashChecks = new CrashChecks(() => this.now());
   #catalog: Catalog | undefined;
   #routes: RouteIndex = new Map();
   #limits = INITIAL_LIMITS;
@@ -773,6 +776,8 @@
     const pace = computePace(record, now);
     const latency = (now - sentAt) / pace;
     this.#countOutcome(request, record, now - sentAt, outcome);
+    if (outcome?.kind === 'lost' && outcome.isDisconnected)
+      this.crashChecks.addLoss(request, record);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
     if (isGood) this.#getAverageWork(request).addSample((now - sentAt) / slowdown);
     const isMoving = this.#registry.getVersionShare(request.service).next !== undefined;
@@ -798,7 +803,7 @@
     const expected = this.#getAverageWork(request).value * computePace(record, now);
     if (outcome !== undefined) addOutcome(record, outcome, now);
     else if (elapsed > expected * OVERDUE_RATIO) {
-      addOutcome(record, { kind: 'lost', reason: 'no answer in time' }, now);
+      addOutcome(record, { kind: 'lost', reason: 'no answer in time', isDisconnected: false }, now);
     }
   }
 
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -116,13 +116,13 @@
     });
     socket.on('end', () => {
       this.#handleEvents(this.#reader.finish());
-      this.#fail('the upstream closed the connection');
+      this.#fail('the upstream closed the connection', true);
     });
     socket.on('error', (error) => {
-      this.#fail(error.message);
+      this.#fail(error.message, true);
     });
     socket.on('close', () => {
-      this.#fail('the connection was closed');
+      this.#fail('the connection was closed', true);
     });
     if (isOpen) {
       this.#send();
@@ -208,10 +208,12 @@
     this.#listener.onEnd(outcome);
   }
 
-  #fail(reason: string): void {
+  #fail(reason: string, isDisconnected = false): void {
     if (this.#isOver) return;
     this.#socket.destroy();
-    this.#settle(this.#isSent ? { kind: 'lost', reason } : { kind: 'unreachable', reason });
+    this.#settle(
+      this.#isSent ? { kind: 'lost', reason, isDisconnected } : { kind: 'unreachable', reason },
+    );
   }
 
   #handleEvents(events: readonly ReaderEvent<ResponseHead>[]): void {
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -341,7 +341,10 @@
     );
     const timer = setTimeout(() => {
       attempt.cancel();
-      end({ kind: 'lost', reason: `no answer within ${PROBE_TIMEOUT} ms` });
+      end({
+        ...{ kind: 'lost', reason: `no answer within ${PROBE_TIMEOUT} ms` },
+        isDisconnected: false,
+      });
     }, PROBE_TIMEOUT);
   }
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -45,7 +45,12 @@
   /** The connection could not be established, so nothing was sent. */
   | { readonly kind: 'unreachable'; readonly reason: string }
   /** The connection closed or the response was unusable; the request may have run. */
-  | { readonly kind: 'lost'; readonly reason: string };
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      /** Whether the connection was closed or reset at the other end, as by an upstream that crashes. */
+      readonly isDisconnected: boolean;
+    };
 
 /** A complete response of an upstream. */
 export interface UpstreamAnswer {
