Quarantine: one rule for both call paths, which tells requests apart that strike together

The rule by which entries refuse requests that crash upstreams stood in src/routing and src/membership, out of reach of gateways, and decided neither of two requests with the same crashes: two that always strike together went on for ever. It also condemned a request for three crashes in the middle of others that had nothing to do with it.

src/quarantine has it now, with its state and decideQuarantine for processes that exchange evidence: - Requests that were in flight at the same crashes are all quarantined from one crash more than needed. - Upstreams that crash at the same time without any such request ask for more crashes, two at most. - What is known to be quarantined explains its crashes at once; a request left over beside it is found by its first crash alone. - A quarantine takes a minute instead of ten, then four times as long each time that the first request after it crashes an upstream again: a wrong verdict costs less, a right one no more than an upstream for each time. A verdict carries the time of its last crash, so that a success since then lifts it even if the success becomes known first.

Entries behave as before but for these points; they still don't pass verdicts on (docs/MEMBERSHIP.md).

--- a/features/routing/quarantine.steps.ts
+++ b/features/routing/quarantine.steps.ts
@@ -1,6 +1,6 @@
 import { Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { defaultQuarantineLimits, findQuarantined } from '../../src/routing/index.js';
+import { defaultQuarantineLimits, findQuarantined } from '../../src/quarantine/index.js';
 
 interface QuarantineWorld {
   quarantined: readonly string[];
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -4,7 +4,11 @@
  */
 import type { Address, Instant, Transition, Upstream } from '../model/index.js';
 import type { MembershipMessage } from '../generated/membership.js';
-import { emptyQuarantineState, updateQuarantine, listSuspectedFingerprints } from './quarantine.js';
+import {
+  emptyQuarantineState,
+  listSuspectedFingerprints,
+  updateQuarantine,
+} from '../quarantine/index.js';
 import {
   advanceProbe,
   advanceSuspicions,
@@ -412,11 +416,11 @@
   now: Instant,
 ): readonly MembershipEffect[] {
   if (before === after) return [];
-  const added = [...after.quarantinedUntil].filter(([key]) => !before.quarantinedUntil.has(key));
-  const lifted = [...before.quarantinedUntil.keys()].filter(
-    (key) => !after.quarantinedUntil.has(key),
+  const added = [...after.verdicts].filter(
+    ([key, verdict]) => before.verdicts.get(key) !== verdict,
   );
-  const quarantineEffects: readonly MembershipEffect[] = added.map(([fingerprint, until]) => ({
+  const lifted = [...before.verdicts.keys()].filter((key) => !after.verdicts.has(key));
+  const quarantineEffects: readonly MembershipEffect[] = added.map(([fingerprint, { until }]) => ({
     ...{ kind: 'condemned', fingerprints: [fingerprint], until },
   }));
   const liftEffects: readonly MembershipEffect[] =
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -11,7 +11,6 @@
   KeyStamp,
   UpstreamRecord,
 } from '../generated/membership.js';
-import { addClearance, addSuspicion, listSuspectedFingerprints } from './quarantine.js';
 import {
   computeRetransmitLimit,
   formatEntryStamp,
@@ -22,7 +21,12 @@
 } from './entries.js';
 import { hashText, pickRandom } from './random.js';
 import type { MembershipEffect, MembershipState } from './types.js';
-import type { Suspicion } from '../routing/index.js';
+import {
+  addClearance,
+  addSuspicion,
+  listSuspectedFingerprints,
+  type Suspicion,
+} from '../quarantine/index.js';
 import {
   formatUpstreamStamp,
   findEndedAt,
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -4,7 +4,7 @@
  */
 import type { Address, Duration, EntryId, Instant, Upstream, ZoneId } from '../model/index.js';
 import type { EntryRecord, MembershipMessage, UpstreamRecord } from '../generated/membership.js';
-import type { QuarantineState } from './quarantine.js';
+import type { QuarantineState } from '../quarantine/index.js';
 
 /** Intervals and timeouts of the protocol in milliseconds. */
 export interface MembershipIntervals {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -8,10 +8,3 @@
 export { defaultOptions, type RoutingOptions } from './options.js';
 export { createRoutingState, type RoutingState } from './state.js';
 export type { AttemptFailure, Call, RefusalReason, RoutingEffect, RoutingEvent } from './types.js';
-export {
-  defaultQuarantineLimits,
-  findQuarantined,
-  type Clearance,
-  type QuarantineOptions,
-  type Suspicion,
-} from './quarantine.js';
