Quarantine: a first verdict lasts a second, and one more crash makes it a minute

A verdict costs an innocent caller all its service, and three upstreams that crash one after another under the same request prove little while many crash.

Now the first verdict takes a second. Then the request is tried: an answer lifts the verdict, another crash makes it a minute, then four times as long each time; while upstreams crash without any such request it only doubles, and the first verdict needs one crash more. Short verdicts explain no crashes. Processes release a fingerprint spread over 1.5 s, so that few try at a time.

--- a/features/routing/quarantine.feature
+++ b/features/routing/quarantine.feature
@@ -20,8 +20,8 @@
       | Crashes older than the window don't count           | old:k a2:k a3:k               |         |             |
       | Two that keep together one crash longer are both quarantined | a1:k,x a2:k,x a3:k,x a4:k,x |  | k,x |
       | Three that keep together as well                    | a1:k,x,z a2:k,x,z a3:k,x,z a4:k,x,z |  | k,x,z |
-      | A crash without it asks for one more                | a1:k a2:k a3:k b1:x           |         |             |
-      | Four beside one crash without it are enough         | a1:k a2:k a3:k a4:k b1:x      |         | k           |
-      | Five beside many crashes without it are enough      | a1:k a2:k a3:k a4:k a5:k b1:x b2:y b3:z b4:v |  | k |
-      | Two that crash upstreams at the same time excuse each other | a1:k a2:k a3:k b1:l b2:l |      |             |
+      | Beside a crash without it, one more is needed | a1:k a2:k a3:k b1:x |  |  |
+      | Four beside many crashes without it are enough, but uncertain | a1:k a2:k a3:k a4:k b1:x b2:y b3:z |  | k? |
+      | Two that crash upstreams at the same time are certain together | a1:k a2:k a3:k b1:l b2:l b3:l |  | k,l |
+      | Before the second one is known, the first one needs one more | a1:k a2:k a3:k b1:l b2:l |  |  |
       | One left over beside a known one is quarantined     | a1:k,x a2:k,x a3:k,x a4:k a5:x |        | k,x         |
--- a/features/routing/quarantine.steps.ts
+++ b/features/routing/quarantine.steps.ts
@@ -23,7 +23,9 @@
     const clearances = cleared.split(',').map((fingerprint) => ({ fingerprint, at: NOW }));
     const hasCrashed = (upstreamId: string): boolean => upstreamId !== 'up';
     const options = { ...defaultQuarantineLimits, hasCrashed };
-    this.quarantined = findQuarantined(suspicions, clearances, options, NOW);
+    this.quarantined = findQuarantined(suspicions, clearances, options, NOW).map(
+      ({ fingerprint, isCertain }) => (isCertain ? fingerprint : `${fingerprint}?`),
+    );
   },
 );
 
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -5,6 +5,7 @@
 import type { Address, Instant, Transition, Upstream } from '../model/index.js';
 import type { MembershipMessage } from '../generated/membership.js';
 import {
+  computeRelease,
   emptyQuarantineState,
   listSuspectedFingerprints,
   updateQuarantine,
@@ -412,7 +413,7 @@
 
 function listQuarantineEffects(
   { quarantine: before }: MembershipState,
-  { quarantine: after }: MembershipState,
+  { quarantine: after, self }: MembershipState,
   now: Instant,
 ): readonly MembershipEffect[] {
   if (before === after) return [];
@@ -420,8 +421,9 @@
     ([key, verdict]) => before.verdicts.get(key) !== verdict,
   );
   const lifted = [...before.verdicts.keys()].filter((key) => !after.verdicts.has(key));
-  const quarantineEffects: readonly MembershipEffect[] = added.map(([fingerprint, { until }]) => ({
-    ...{ kind: 'condemned', fingerprints: [fingerprint], until },
+  const quarantineEffects: readonly MembershipEffect[] = added.map(([fingerprint, verdict]) => ({
+    ...{ kind: 'condemned', fingerprints: [fingerprint] },
+    until: computeRelease(verdict, fingerprint, self),
   }));
   const liftEffects: readonly MembershipEffect[] =
     lifted.length > 0 ? [{ kind: 'condemned', fingerprints: lifted, until: now }] : [];
--- a/src/quarantine/decide.ts
+++ b/src/quarantine/decide.ts
@@ -62,8 +62,8 @@
     case 'success':
       return addClearance(state, evidence.fingerprint, evidence.at);
     case 'verdict': {
-      const { fingerprint, at, until, count } = evidence;
-      return addVerdict(state, fingerprint, { at, until, count });
+      const { fingerprint, at, until, count, duration } = evidence;
+      return addVerdict(state, fingerprint, { at, until, count, duration });
     }
   }
 }
--- a/src/quarantine/rule.ts
+++ b/src/quarantine/rule.ts
@@ -25,13 +25,13 @@
   readonly at: Instant;
 }
 
-/** What an earlier verdict on a fingerprint means now. */
+/** What earlier verdicts on a fingerprint mean now. */
 export type Standing =
-  | 'none'
-  /** The fingerprint is quarantined: it explains the crashes in which it was in flight. */
-  | 'quarantined'
-  /** Its quarantine has ended by time, so that one more crash is enough. */
-  | 'released';
+  | { readonly kind: 'none' }
+  /** The fingerprint is quarantined on certain evidence: it explains the crashes in which it was in flight. */
+  | { readonly kind: 'quarantined' }
+  /** Its last quarantine ended at an instant, so that one crash since then is enough. */
+  | { readonly kind: 'released'; readonly at: Instant };
 
 /** Options of {@link findQuarantined}. */
 export interface QuarantineOptions {
@@ -48,14 +48,19 @@
   readonly getStanding?: (fingerprint: string) => Standing;
 }
 
+/** A fingerprint to quarantine. */
+export interface Finding {
+  readonly fingerprint: string;
+  /**
+   * Whether no upstream crashed at the same time without any such request. While upstreams crash for another reason,
+   * a request that is sent again and again may be there by chance.
+   */
+  readonly isCertain: boolean;
+}
+
 /** Default limits of {@link QuarantineOptions}; `window` is in milliseconds. */
 export const defaultQuarantineLimits = { crashThreshold: 3, window: 60_000 } as const;
 
-/**
- * Maximum number of further crashes that a fingerprint needs while upstreams crash without it, so that a request
- * that crashes upstreams can't go on beside such a failure.
- */
-const MAX_EXTRA_CRASHES = 2;
 /** Milliseconds before the first crash of a fingerprint from which other crashes count as coincident. */
 const COINCIDENCE_TIME: Duration = 1000;
 
@@ -64,9 +69,14 @@
 
 interface Suspect {
   readonly fingerprint: string;
+  readonly standing: Standing;
+  /** Number of crashes from which the fingerprint may be a culprit. */
+  readonly threshold: number;
   readonly crashes: Crashes;
 }
 
+const NO_STANDING: Standing = { kind: 'none' };
+
 function getCrashKey({ upstreamId, incarnation }: Suspicion): string {
   return `${upstreamId}#${incarnation}`;
 }
@@ -83,64 +93,75 @@
   );
 }
 
-function buildSuspects(suspicions: readonly Suspicion[]): readonly Suspect[] {
-  const groups = new Map<string, Map<string, Instant>>();
-  suspicions.forEach((suspicion) => {
-    const crashes = groups.get(suspicion.fingerprint) ?? new Map<string, Instant>();
-    const key = getCrashKey(suspicion);
-    crashes.set(key, Math.min(suspicion.at, crashes.get(key) ?? Infinity));
-    groups.set(suspicion.fingerprint, crashes);
-  });
-  return [...groups].map(([fingerprint, crashes]) => ({ fingerprint, crashes }));
+function buildSuspect(
+  fingerprint: string,
+  crashes: Crashes,
+  { crashThreshold, getStanding }: QuarantineOptions,
+): Suspect {
+  const standing = getStanding?.(fingerprint) ?? NO_STANDING;
+  const threshold = standing.kind === 'released' ? 1 : crashThreshold;
+  return { fingerprint, standing, threshold, crashes };
 }
 
 /** Returns the suspects without the crashes after which a request with the fingerprint succeeded. */
 function listSuspects(
   confirmed: readonly Suspicion[],
   clearances: readonly Clearance[],
+  options: QuarantineOptions,
 ): readonly Suspect[] {
   const clearedAt = new Map<string, Instant>();
   clearances.forEach(({ fingerprint, at }) => {
     clearedAt.set(fingerprint, Math.max(at, clearedAt.get(fingerprint) ?? -Infinity));
   });
-  return buildSuspects(
-    confirmed.filter(({ fingerprint, at }) => at > (clearedAt.get(fingerprint) ?? -Infinity)),
-  );
+  const groups = new Map<string, Map<string, Instant>>();
+  confirmed
+    .filter(({ fingerprint, at }) => at > (clearedAt.get(fingerprint) ?? -Infinity))
+    .forEach((suspicion) => {
+      const crashes = groups.get(suspicion.fingerprint) ?? new Map<string, Instant>();
+      const key = getCrashKey(suspicion);
+      crashes.set(key, Math.min(suspicion.at, crashes.get(key) ?? Infinity));
+      groups.set(suspicion.fingerprint, crashes);
+    });
+  return [...groups].map(([fingerprint, crashes]) => buildSuspect(fingerprint, crashes, options));
 }
 
-/** Counts the crashes in the time of a suspect's crashes in which no likely culprit was in flight. */
-function countCoincident({ crashes }: Suspect, unexplained: Crashes): number {
-  const times = [...crashes.values()];
-  const from = Math.min(...times) - COINCIDENCE_TIME;
-  const to = Math.max(...times);
-  return [...unexplained.values()].filter((at) => at >= from && at <= to).length;
+/** Returns when the crashes happened that count against the suspect: after a release, only those since then. */
+function listTimes({ standing, crashes }: Suspect): readonly Instant[] {
+  const since = standing.kind === 'released' ? standing.at : -Infinity;
+  return [...crashes.values()].filter((at) => at > since);
 }
 
-/** Returns the number of crashes from which each suspect that may be a culprit is quarantined. */
-function computeThresholds(
-  suspects: readonly Suspect[],
-  confirmed: readonly Suspicion[],
-  { crashThreshold, getStanding }: QuarantineOptions,
-): ReadonlyMap<string, number> {
-  const isLikely = ({ fingerprint, crashes }: Suspect): boolean =>
-    crashes.size >= crashThreshold || (getStanding?.(fingerprint) ?? 'none') !== 'none';
-  const likely = suspects.filter(isLikely);
-  const explained = new Set(likely.flatMap(({ crashes }) => [...crashes.keys()]));
-  const unexplained = new Map(
-    confirmed
-      .filter((suspicion) => !explained.has(getCrashKey(suspicion)))
-      .map((suspicion) => [getCrashKey(suspicion), suspicion.at]),
+function isLikely(suspect: Suspect): boolean {
+  return listTimes(suspect).length >= suspect.threshold;
+}
+
+/** Returns the crashes in which no likely culprit was in flight. */
+function listUnexplained(suspects: readonly Suspect[], confirmed: readonly Suspicion[]): Crashes {
+  const likely = suspects.filter(
+    (suspect) => suspect.standing.kind !== 'none' || isLikely(suspect),
   );
+  const explained = new Set(likely.flatMap(({ crashes }) => [...crashes.keys()]));
   return new Map(
-    likely.map((suspect) => {
-      const { fingerprint } = suspect;
-      const extra = Math.min(MAX_EXTRA_CRASHES, countCoincident(suspect, unexplained));
-      const isReleased = getStanding?.(fingerprint) === 'released';
-      return [fingerprint, isReleased ? 1 : crashThreshold + extra];
-    }),
+    confirmed
+      .map((suspicion) => [getCrashKey(suspicion), suspicion.at] as const)
+      .filter(([crash]) => !explained.has(crash)),
   );
 }
 
+/** Returns whether an unexplained crash happened in the time of the suspect's crashes. */
+function hasCoincidence(suspect: Suspect, unexplained: Crashes): boolean {
+  const times = listTimes(suspect);
+  const from = Math.min(...times) - COINCIDENCE_TIME;
+  const to = Math.max(...times);
+  return [...unexplained.values()].some((at) => at >= from && at <= to);
+}
+
+/** Asks for one crash more of a suspect without a verdict while upstreams crash for another reason. */
+function addCoincidence(suspect: Suspect, unexplained: Crashes): Suspect {
+  const isRaised = suspect.standing.kind === 'none' && hasCoincidence(suspect, unexplained);
+  return isRaised ? { ...suspect, threshold: suspect.threshold + 1 } : suspect;
+}
+
 /** Returns the suspects without the crashes that the culprits explain. */
 function removeExplained(
   suspects: readonly Suspect[],
@@ -149,9 +170,9 @@
   const explained = new Set(culprits.flatMap(({ crashes }) => [...crashes.keys()]));
   return suspects
     .filter((suspect) => !culprits.includes(suspect))
-    .map(({ fingerprint, crashes }) => ({
-      fingerprint,
-      crashes: new Map([...crashes].filter(([crash]) => !explained.has(crash))),
+    .map((suspect) => ({
+      ...suspect,
+      crashes: new Map([...suspect.crashes].filter(([crash]) => !explained.has(crash))),
     }));
 }
 
@@ -166,16 +187,14 @@
  */
 function findCulprits(
   suspects: readonly Suspect[],
-  thresholds: ReadonlyMap<string, number>,
-  countAll: (fingerprint: string) => number,
+  hasMoreThanNeeded: (suspect: Suspect) => boolean,
 ): readonly Suspect[] {
   const ranked = suspects
-    .filter(({ fingerprint, crashes }) => crashes.size > 0 && thresholds.has(fingerprint))
+    .filter((suspect) => listTimes(suspect).length > 0)
     .sort((left, right) => right.crashes.size - left.crashes.size);
   const culprits = ranked.map((suspect) => {
-    const threshold = thresholds.get(suspect.fingerprint) ?? Infinity;
-    const isOverdue = countAll(suspect.fingerprint) > threshold;
-    if (suspect.crashes.size < threshold && !isOverdue) return [];
+    const isOverdue = hasMoreThanNeeded(suspect);
+    if (!isLikely(suspect) && !isOverdue) return [];
     const rivals = suspects.filter((other) => other !== suspect && hasAllCrashes(other, suspect));
     if (rivals.length === 0) return [suspect];
     const areEqual = rivals.every(({ crashes }) => crashes.size === suspect.crashes.size);
@@ -195,22 +214,28 @@
   clearances: readonly Clearance[],
   options: QuarantineOptions,
   now: Instant,
-): readonly string[] {
+): readonly Finding[] {
   const confirmed = listConfirmed(suspicions, options, now);
-  const all = listSuspects(confirmed, clearances);
-  const thresholds = computeThresholds(all, confirmed, options);
-  const counts = new Map(all.map(({ fingerprint, crashes }) => [fingerprint, crashes.size]));
-  const countAll = (fingerprint: string): number => counts.get(fingerprint) ?? 0;
-  const known = all.filter(
-    ({ fingerprint }) => options.getStanding?.(fingerprint) === 'quarantined',
-  );
-  const quarantined: string[] = [];
+  const counted = listSuspects(confirmed, clearances, options);
+  const unexplained = listUnexplained(counted, confirmed);
+  const all = counted.map((suspect) => addCoincidence(suspect, unexplained));
+  const byFingerprint = new Map(all.map((suspect) => [suspect.fingerprint, suspect]));
+  const hasMoreThanNeeded = ({ fingerprint, threshold }: Suspect): boolean => {
+    const suspect = byFingerprint.get(fingerprint);
+    return suspect !== undefined && listTimes(suspect).length > threshold;
+  };
+  const known = all.filter(({ standing }) => standing.kind === 'quarantined');
+  const findings: Finding[] = [];
   let suspects = removeExplained(all, known);
-  let culprits = findCulprits(suspects, thresholds, countAll);
+  let culprits = findCulprits(suspects, hasMoreThanNeeded);
   while (culprits.length > 0) {
-    quarantined.push(...culprits.map(({ fingerprint }) => fingerprint));
+    culprits.forEach(({ fingerprint }) => {
+      const suspect = byFingerprint.get(fingerprint);
+      const isCertain = suspect !== undefined && !hasCoincidence(suspect, unexplained);
+      findings.push({ fingerprint, isCertain });
+    });
     suspects = removeExplained(suspects, culprits);
-    culprits = findCulprits(suspects, thresholds, countAll);
+    culprits = findCulprits(suspects, hasMoreThanNeeded);
   }
-  return quarantined;
+  return findings;
 }
--- a/src/quarantine/state.ts
+++ b/src/quarantine/state.ts
@@ -4,14 +4,27 @@
  * report and every verdict expires.
  */
 import type { Duration, Instant } from '../model/index.js';
+import { generateRandom, hashText } from '../routing/index.js';
 import { defaultQuarantineLimits, findQuarantined, type Standing, type Suspicion } from './rule.js';
 
-/** Milliseconds of the first quarantine of a fingerprint. */
+/**
+ * Milliseconds of the first quarantine of a fingerprint. It is short, as one more request shows whether the verdict is
+ * right; one that isn't costs a caller little.
+ */
+const FIRST_PAUSE: Duration = 1000;
+/** Ratio of the next quarantine to the last one while upstreams crash for other reasons too. */
+const PAUSE_GROWTH = 2;
+/** Milliseconds of the next quarantine on certain evidence. */
 const FIRST_QUARANTINE: Duration = 60_000;
-/** Ratio of the next quarantine to the last one, as each release may cost one more upstream. */
+/** Ratio of the next quarantine on certain evidence to the last one, as each release may cost one more upstream. */
 const QUARANTINE_GROWTH = 4;
-/** Maximum number of times that the quarantine grows; the longest one takes some 64 minutes. */
-const MAX_GROWTHS = 3;
+/** Maximum milliseconds of a quarantine. */
+const MAX_QUARANTINE: Duration = 3_600_000;
+/**
+ * Milliseconds over which the processes of a fleet release a fingerprint, so that few of them send a request before
+ * the first one's crash is known.
+ */
+const RELEASE_SPREAD: Duration = 1500;
 /** Milliseconds after the end of a quarantine for which one crash is enough for the next one. */
 const RELEASED_TIME: Duration = 3_600_000;
 /** Maximum number of crash reports that are kept; the oldest are dropped first. */
@@ -26,6 +39,8 @@
   readonly until: Instant;
   /** The number of verdicts on the fingerprint in a row, from 1 on. */
   readonly count: number;
+  /** How long the quarantine takes in milliseconds. */
+  readonly duration: Duration;
 }
 
 /** Crash suspicions, clearances and verdicts that have not expired. */
@@ -43,8 +58,22 @@
   verdicts: new Map(),
 };
 
-function computeDuration(count: number): Duration {
-  return FIRST_QUARANTINE * QUARANTINE_GROWTH ** Math.min(count - 1, MAX_GROWTHS);
+function computeDuration(previous: Verdict | undefined, isCertain: boolean): Duration {
+  if (previous === undefined) return FIRST_PAUSE;
+  const { duration } = previous;
+  if (!isCertain) return Math.min(MAX_QUARANTINE, duration * PAUSE_GROWTH);
+  if (duration < FIRST_QUARANTINE) return FIRST_QUARANTINE;
+  return Math.min(MAX_QUARANTINE, duration * QUARANTINE_GROWTH);
+}
+
+function createVerdict(
+  previous: Verdict | undefined,
+  isCertain: boolean,
+  at: Instant,
+  now: Instant,
+): Verdict {
+  const duration = computeDuration(previous, isCertain);
+  return { at, until: now + duration, count: (previous?.count ?? 0) + 1, duration };
 }
 
 /**
@@ -105,14 +134,13 @@
 }
 
 function getStanding(verdict: Verdict | undefined, now: Instant): Standing {
-  if (verdict === undefined) return 'none';
-  return verdict.until > now ? 'quarantined' : 'released';
+  if (verdict === undefined) return { kind: 'none' };
+  const { until, duration } = verdict;
+  if (until <= now) return { kind: 'released', at: until };
+  return duration < FIRST_QUARANTINE ? { kind: 'none' } : { kind: 'quarantined' };
 }
 
-/**
- * Drops expired evidence and quarantines fingerprints by {@link findQuarantined}. Of a fingerprint whose quarantine
- * has ended, only crashes since then count.
- */
+/** Drops expired evidence and quarantines fingerprints by {@link findQuarantined}. */
 export function updateQuarantine(
   state: QuarantineState,
   hasCrashed: (upstreamId: string, incarnation: number) => boolean,
@@ -126,14 +154,25 @@
     hasCrashed,
     getStanding: (fingerprint: string) => getStanding(pruned.verdicts.get(fingerprint), now),
   };
-  const suspicions = pruned.suspicions.filter(({ fingerprint, at }) => {
-    const until = pruned.verdicts.get(fingerprint)?.until ?? Infinity;
-    return until > now || at > until;
-  });
-  return findQuarantined(suspicions, clearances, options, now).reduce((next, fingerprint) => {
-    const count = (next.verdicts.get(fingerprint)?.count ?? 0) + 1;
-    return addVerdict(next, fingerprint, { at: now, until: now + computeDuration(count), count });
-  }, pruned);
+  return findQuarantined(pruned.suspicions, clearances, options, now)
+    .filter(({ fingerprint }) => (pruned.verdicts.get(fingerprint)?.until ?? -Infinity) <= now)
+    .reduce((next, { fingerprint, isCertain }) => {
+      const crashes = pruned.suspicions.filter((known) => known.fingerprint === fingerprint);
+      const at = Math.max(...crashes.map((suspicion) => suspicion.at));
+      const verdict = createVerdict(next.verdicts.get(fingerprint), isCertain, at, now);
+      return addVerdict(next, fingerprint, verdict);
+    }, pruned);
+}
+
+/**
+ * Returns when a process may serve a request with the fingerprint again. Processes with different ids differ, so that
+ * few of them try at the same time.
+ *
+ * @example
+ * computeRelease(verdict, 'q83vEjRW', 'gateway-3') // up to 1.5 s after verdict.until
+ */
+export function computeRelease({ until }: Verdict, fingerprint: string, self: string): Instant {
+  return until + generateRandom(hashText(fingerprint) / 2 ** 32, hashText(self)) * RELEASE_SPREAD;
 }
 
 function pruneExpired(state: QuarantineState, now: Instant): QuarantineState {
