Gateway: a response to a health check is read up to 128 KB

Only the head of such a response is used. A probe ends as lost after 16 KB of head, 64 KB of body or 128 KB in all.

--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -37,6 +37,22 @@
       | answers to another request     |
       | no HTTP                        |
 
+  Scenario Outline: An upstream answers a health check with <bytes> without end
+    Given an upstream that sends "<bytes>" without end
+    When it is probed
+    Then the probe ends as "lost" within 400 ms, and the upstream wrote at most 12 MB
+
+    Examples:
+      | bytes                          |
+      | a head                         |
+      | interim heads                  |
+      | empty lines                    |
+      | a body that ends by closing    |
+      | a body in chunks of one byte   |
+      | a trailer                      |
+      | answers to another request     |
+      | no HTTP                        |
+
   Scenario: Of several endless bodies and a whole one, the whole one is delivered
     Given an upstream that sends "a body that ends by closing" without end
     When 4 requests are sent to it while another upstream answers requests
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -26,6 +26,7 @@
   healthyOutcomes: AttemptOutcome[];
   mostHeld: number;
   status: number;
+  elapsed: number;
 }
 
 async function startServer(
@@ -62,20 +63,27 @@
   return `HTTP/1.1 ${status} X\r\n${name}${fields}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
-function sendRequest(world: UpstreamsWorld, id: string, address: string): Promise<AttemptOutcome> {
+function sendRequest(
+  world: UpstreamsWorld,
+  id: string,
+  address: string,
+  isProbe = false,
+): Promise<AttemptOutcome> {
   return new Promise((resolve, reject) => {
     const headers = [[ID_HEADER, id]] as const;
     const request = { id, method: 'GET', target: '/a', headers, body: Buffer.alloc(0) };
     const timer = setTimeout(() => {
       reject(new Error(`no outcome within ${ATTEMPT_LIMIT} ms`));
     }, ATTEMPT_LIMIT);
-    world.pool.send(address, request, {
+    const listener = {
       onHead: () => undefined,
-      onEnd: (outcome) => {
+      onEnd: (outcome: AttemptOutcome) => {
         clearTimeout(timer);
         resolve(outcome);
       },
-    });
+    };
+    if (isProbe) world.pool.sendProbe(address, request, listener);
+    else world.pool.send(address, request, listener);
   });
 }
 
@@ -245,6 +253,25 @@
   },
 );
 
+When('it is probed', STEP, async function (this: UpstreamsWorld) {
+  const sentAt = performance.now();
+  this.outcomes = [await sendRequest(this, 'probe', this.address, true)];
+  this.elapsed = performance.now() - sentAt;
+});
+
+Then(
+  'the probe ends as {string} within {int} ms, and the upstream wrote at most {int} MB',
+  function (this: UpstreamsWorld, kind: string, limit: number, megabytes: number) {
+    assert.deepEqual(
+      this.outcomes.map((outcome) => outcome.kind),
+      [kind],
+    );
+    const written = this.sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0);
+    assert.ok(written <= megabytes * 1024 * 1024, `${written} bytes were written`);
+    assert.ok(this.elapsed <= limit, `it ended after ${this.elapsed} ms`);
+  },
+);
+
 When(
   '{int} requests are sent to it while another upstream answers requests',
   STEP,
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -29,6 +29,11 @@
 export const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 const RESPONSE_LIMITS: MessageLimits = { headBytes: 64 * 1024, bodyBytes: MAX_RESPONSE_BYTES };
 
+/** Bounds of a response to a probe, of which only the head is used. */
+const PROBE_LIMITS: MessageLimits = { headBytes: 16 * 1024, bodyBytes: 64 * 1024 };
+/** Bytes that may arrive for a probe in all, whatever they are. */
+const MAX_PROBE_BYTES = 128 * 1024;
+
 /** Bytes that may arrive on a connection before the response to its request, such as a late copy of another. */
 const MAX_STRAY_BYTES = 2 * 1024 * 1024;
 
@@ -109,7 +114,8 @@
     this.#dialect = dialect;
     this.#listener = listener;
     this.#release = release;
-    this.#reader = new MessageReader(createResponseGrammar(request.method), RESPONSE_LIMITS);
+    const limits = isProbe ? PROBE_LIMITS : RESPONSE_LIMITS;
+    this.#reader = new MessageReader(createResponseGrammar(request.method), limits);
     socket.removeAllListeners();
     socket.on('data', (chunk: Buffer) => {
       this.#read(chunk);
@@ -181,6 +187,10 @@
       this.#fail(`over ${MAX_STRAY_BYTES} bytes came before the response`);
       return;
     }
+    if (this.#isProbe && this.#receivedBytes > MAX_PROBE_BYTES) {
+      this.#fail(`over ${MAX_PROBE_BYTES} bytes came for a probe`);
+      return;
+    }
     this.#waitForRoom();
     this.#updateBuffers();
   }
