--- a/features/gateway/evidence.steps.ts
+++ b/features/gateway/evidence.steps.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import { judgeAttempt } from '../../src/gateway/evidence.js';
 import { RequestRun } from '../../src/gateway/run.js';
+import { noQuarantine } from './runhost.js';
 import type { AttemptOutcome, GatewayRequest, UpstreamRecord } from '../../src/gateway/types.js';
 
 interface EvidenceWorld {
@@ -61,6 +62,7 @@
           this.ends.push(onEnd);
           return { cancel: () => undefined };
         },
+        ...noQuarantine,
         takeRetry: () => true,
         recordAttempt: () => undefined,
         recordDecision: () => undefined,
--- a/features/gateway/gossip.steps.ts
+++ b/features/gateway/gossip.steps.ts
@@ -6,10 +6,11 @@
 import type { EntryRecord } from '../../src/feed/index.js';
 import { addCounts, addReport, UpstreamRegistry } from '../../src/gateway/registry.js';
 import { FarReports, type DueReports } from '../../src/gateway/farreports.js';
-import { createLoadGossip, type LoadGossip } from '../../src/gateway/gossip.js';
+import type { LoadGossip } from '../../src/gateway/gossip.js';
 import { planGossip, type GossipPlan } from '../../src/gateway/relays.js';
 import type { UpstreamRecord } from '../../src/gateway/types.js';
 import { createCatalog } from './catalog.js';
+import { openLoadGossip } from './loadgossip.js';
 
 interface GossipMember {
   readonly entry: EntryRecord;
@@ -89,7 +90,7 @@
     assert.ok(record);
     const now = (): number => performance.now();
     const plan = planGossip(entry.peerAddress, entry.zone, entries);
-    const gossip = createLoadGossip({
+    const gossip = openLoadGossip({
       listen: entry.peerAddress,
       now,
       listRecords: () => registry.records,
@@ -320,7 +321,7 @@
     this.listen = `127.9.9.9:${20_000 + Math.floor(Math.random() * 20_000)}`;
     this.problems = [];
     this.sender = createSocket('udp4');
-    this.gossip = createLoadGossip({
+    this.gossip = openLoadGossip({
       listen: this.listen,
       now: () => performance.now(),
       listRecords: () => this.registry.records,
--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { headerDialect } from '../../platform/headers.js';
-import { createLoadGossip, type LoadGossip } from '../../src/gateway/gossip.js';
+import type { LoadGossip } from '../../src/gateway/gossip.js';
 import { parseLimit, recordTurningAway } from '../../src/gateway/notices.js';
 import {
   addLimit,
@@ -18,6 +18,7 @@
 import { computeRank, hashText } from '../../src/routing/index.js';
 import { findFreePorts } from '../support/ports.js';
 import { createCatalog } from './catalog.js';
+import { openLoadGossip } from './loadgossip.js';
 
 interface Sender {
   readonly id: string;
@@ -175,7 +176,7 @@
       const record = this.records[index];
       assert.ok(record);
       const peers = addresses.filter((address) => address !== listen);
-      return createLoadGossip({
+      return openLoadGossip({
         ...{ listen, now: () => performance.now(), listRecords: () => [record] },
         ...{ getRecord: () => record, isProber: () => false, getFarInterval: () => 0 },
         getPlan: () => ({ kind: 'direct', peers, farPeers: [] }),
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -1,6 +1,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { noQuarantine } from './runhost.js';
 import type { Route } from '../../src/catalog/index.js';
 import { addReport, UpstreamRegistry } from '../../src/gateway/registry.js';
 import { TokenBucket } from '../../src/gateway/budget.js';
@@ -161,6 +162,7 @@
       chosenPace = find(record).getPace(now);
       return { cancel: () => undefined };
     },
+    ...noQuarantine,
     takeRetry: () => false,
     recordAttempt: () => undefined,
     recordDecision: () => undefined,
@@ -319,6 +321,7 @@
 /** Runs a request and ends its on-demand probes and attempts one at a time, in random order. */
 function runRandom(draw: () => number, records: readonly UpstreamRecord[]): RandomRun {
   const kind = draw() < 0.5 ? 'unsafe' : 'safe';
+  let isQuarantined = false;
   const pendingCallbacks: (() => void)[] = [];
   const answers: FinalAnswer[] = [];
   let sent = 0;
@@ -349,6 +352,12 @@
       });
       return { cancel: () => undefined };
     },
+    getQuarantineTime: () => (isQuarantined ? 1000 : 0),
+    isSuspected: () => draw() < 0.3,
+    waitForCrashCheck: (_request, _record, onEnd) => {
+      if (draw() < 0.5) onEnd();
+      else pendingCallbacks.push(onEnd);
+    },
     takeRetry: () => draw() < 0.8,
     recordAttempt: () => undefined,
     recordDecision: () => undefined,
@@ -359,6 +368,10 @@
   while (pendingCallbacks.length > 0 && answers.length === 0) {
     // A hedge may be sent between any two events.
     if (draw() < 0.3) run.sendHedge();
+    if (draw() < 0.05) {
+      isQuarantined = true;
+      run.handleQuarantine();
+    }
     const at = Math.floor(draw() * pendingCallbacks.length);
     pendingCallbacks.splice(at, 1)[0]?.();
   }
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -110,7 +110,12 @@
     [
       'chivewalk_gateway_upstream_crashes_total',
       'Upstreams that crashed while requests of this gateway were in flight there.',
-      () => gateway.crashChecks.crashes,
+      () => gateway.quarantine.crashes,
+    ],
+    [
+      'chivewalk_gateway_quarantined',
+      'Requests that are refused because they crashed upstreams, counted by fingerprint.',
+      () => gateway.quarantine.size,
     ],
     [
       'chivewalk_log_lines_dropped',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
   type Instant,
   type ZoneId,
 } from '../model/index.js';
+import { hasProcessEnded } from '../quarantine/index.js';
 import { createLogger } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import {
@@ -56,19 +57,21 @@
 } from './caller.js';
 import { CallerConnections, type CallerCounts } from './callers.js';
 import { chooseUpstream, computePace, type Choice } from './choose.js';
-import { CrashChecks } from './crashes.js';
 import { EvidenceCollector, judgeAttempt } from './evidence.js';
 import { createCollector, type Collector } from './collector.js';
 import { isProbeWorthwhile } from './ondemand.js';
 import { ConnectionPool, MAX_RESPONSE_BYTES, type Attempt } from './pool.js';
 import { computeProbeInterval, RequestRates } from './probing.js';
 import { createProber, recordLoad, type Prober } from './prober.js';
+import { createCrashGossip, type CrashGossip } from './crashgossip.js';
 import { createLoadGossip, type ReceivedReport, type LoadGossip } from './gossip.js';
 import { parseLimit, recordTurningAway } from './notices.js';
+import { RequestQuarantine } from './quarantine.js';
 import { planGossip, type GossipPlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
 import { decideStartupWait } from './startup.js';
+import { createTransport, type GossipTransport } from './transport.js';
 import { AverageWork } from './work.js';
 import { VersionSplitter } from './shares.js';
 import { buildStopPlan, isTakenInStop, type StopPlan } from './stopping.js';
@@ -154,7 +157,8 @@
   readonly callers: CallerCounts;
   /** The bytes of the messages that the gateway holds. */
   readonly buffers: BufferBudget;
-  readonly crashChecks: CrashChecks;
+  /** The requests that are refused because they crash upstreams. */
+  readonly quarantine: RequestQuarantine;
   /** Drains the gateway: reports it as not ready, waits for running requests, then closes. */
   stop(): Promise<void>;
 }
@@ -209,7 +213,11 @@
   readonly #collector: Collector;
   readonly #pool: ConnectionPool;
   readonly #follower: Follower;
+  readonly #transport: GossipTransport;
   readonly #loadGossip: LoadGossip;
+  readonly #crashGossip: CrashGossip;
+  readonly quarantine: RequestQuarantine;
+  readonly #runs = new Map<GatewayRequest, RequestRun>();
   readonly #prober: Prober;
   readonly #server: Server;
   readonly #timeoutTimer: NodeJS.Timeout;
@@ -220,7 +228,6 @@
   readonly #averageWork = new AverageWork();
   readonly #requestRates = new RequestRates();
   readonly #evidence = new EvidenceCollector();
-  readonly crashChecks = new CrashChecks(() => this.now());
   #catalog: Catalog | undefined;
   #routes: RouteIndex = new Map();
   #limits = INITIAL_LIMITS;
@@ -233,6 +240,8 @@
   #stopPlan: StopPlan | undefined;
   /** Whether the update at hand is the first one of this process, whose commands may be of any age. */
   #isCatchingUp = true;
+  /** Whether the gateway has been able to serve. */
+  #isServing = false;
   /** Functions that start the requests that wait for the first route table. */
   readonly #waitingForTable = new Set<() => void>();
   readonly #startedAt: Instant = performance.now();
@@ -285,8 +294,35 @@
         log.info(`control member ${state}`, { member });
       },
     });
-    this.#loadGossip = createLoadGossip({
+    this.#transport = createTransport({
       listen: options.mesh.address,
+      onProblem: (message) => {
+        log.warn('gossip error', { reason: message });
+      },
+    });
+    this.quarantine = new RequestQuarantine({
+      ...{ now: this.now, self: options.id, hasProcessEnded },
+      isRunning: (request, fingerprint) => this.#isRunning(request, fingerprint),
+      onShare: (evidence, origin) => {
+        this.#crashGossip.share(evidence, origin);
+      },
+      onQuarantine: (fingerprint) => {
+        this.#endQuarantined(fingerprint);
+      },
+    });
+    this.#crashGossip = createCrashGossip({
+      ...{ transport: this.#transport, now: this.now },
+      getPlan: () => this.#gossipPlan,
+      getState: () => this.quarantine.state,
+      onEvidence: (evidence) => {
+        this.quarantine.receive(evidence);
+      },
+      onSynced: () => {
+        this.#startServing();
+      },
+    });
+    this.#loadGossip = createLoadGossip({
+      transport: this.#transport,
       now: this.now,
       listRecords: () => this.#registry.records,
       getRecord: (key) => this.#registry.getByKey(key),
@@ -300,9 +336,6 @@
       onReport: (report) => {
         this.#applyReport(report);
       },
-      onProblem: (message) => {
-        log.warn('load gossip error', { reason: message });
-      },
     });
     this.#prober = createProber({
       pool: this.#pool,
@@ -332,6 +365,7 @@
     this.#timeoutTimer = setInterval(() => {
       const { headTimeout, idleTimeout } = this.#limits;
       this.#callers.checkTimeouts(headTimeout, idleTimeout);
+      this.quarantine.pruneExpired();
     }, SWEEP_INTERVAL);
   }
 
@@ -366,7 +400,12 @@
   }
 
   isReady(): boolean {
-    return !this.isStopping() && this.#catalog?.table !== undefined;
+    return !this.isStopping() && this.#canServe;
+  }
+
+  /** Whether the gateway knows the routes, and which requests crash upstreams. */
+  get #canServe(): boolean {
+    return this.#catalog?.table !== undefined && this.#crashGossip.isSynced;
   }
 
   isStopping(): boolean {
@@ -401,7 +440,10 @@
       const ids = entries.map(({ id }) => id);
       this.#gateways = ids.includes(this.#options.id) ? ids : [...ids, this.#options.id].sort();
       this.#gatewaysByZone = listByZone(entries);
-      this.#gossipPlan = planGossip(this.#options.mesh.address, this.#options.zone, entries);
+      const { address } = this.#options.mesh;
+      this.#gossipPlan = planGossip(address, this.#options.zone, entries);
+      const peers = entries.map(({ peerAddress }) => peerAddress);
+      this.#crashGossip.setPeers(peers.filter((peer) => peer !== address));
       const now = this.now();
       const share = this.#fleetShare;
       this.#registry.records.forEach((record) => {
@@ -411,7 +453,6 @@
     }
     this.#isCatchingUp = this.#catalog === undefined;
     const previousZonesOut = this.#catalog?.zonesOut ?? [];
-    const wasReady = this.isReady();
     if (catalog.table !== this.#catalog?.table) this.#applyTable(catalog);
     this.#catalog = catalog;
     const commands = change.kind === 'commands' ? change.commands : undefined;
@@ -434,11 +475,16 @@
       version: catalog.table?.version ?? 0,
       upstreams: this.#registry.size,
     });
-    if (!wasReady && this.isReady()) this.#follower.pollNow();
-    if (catalog.table !== undefined) this.#startWaiting();
+    if (catalog.table === undefined) return;
+    this.#crashGossip.waitForSync();
+    this.#startServing();
   }
 
-  #startWaiting(): void {
+  /** Reports the gateway as ready and serves the requests that wait for it, once it can serve. */
+  #startServing(): void {
+    if (!this.#canServe) return;
+    if (!this.#isServing) this.#follower.pollNow();
+    this.#isServing = true;
     [...this.#waitingForTable].forEach((start) => {
       start();
     });
@@ -529,10 +575,11 @@
     const { head } = request;
     const id = getHeader(head.headers, this.#dialect.requestId) ?? '';
     const idHeaders: HeaderList = id === '' ? [] : [[this.#dialect.requestId, id]];
-    if (this.#catalog?.table === undefined) return this.#waitForTable(request, id, onAnswer);
+    if (!this.#canServe) return this.#waitForTable(request, id, onAnswer);
     const route = this.#findRoute(head);
     if (route === undefined) {
-      log.info('request refused', { id, cause: 'noRoute', version: this.#catalog.table.version });
+      const version = this.#catalog?.table?.version ?? 0;
+      log.info('request refused', { id, cause: 'noRoute', version });
       onAnswer(buildLocalAnswer(404, 'no route matches this host and path', idHeaders));
       return undefined;
     }
@@ -629,10 +676,54 @@
     }
     this.#getRetryBudget(service).addRequest(this.#gateways.length);
     this.#requestRates.addRequest(service, this.now());
-    return new RequestRun(this, request, (answer) => {
+    return this.#startRun(request, onAnswer);
+  }
+
+  #startRun(
+    request: GatewayRequest,
+    onAnswer: (answer: FinalAnswer) => void,
+  ): ServedRequest | undefined {
+    const run = new RequestRun(this, request, (answer) => {
+      this.#runs.delete(request);
       this.#recordAnswer(request, answer);
       onAnswer(answer);
     });
+    if (run.isOver) return undefined;
+    this.#runs.set(request, run);
+    return {
+      cancel: () => {
+        this.#runs.delete(request);
+        run.cancel();
+      },
+    };
+  }
+
+  /** Whether a request with the fingerprint is being served, other than this one. */
+  #isRunning(request: GatewayRequest, fingerprint: string): boolean {
+    return [...this.#runs.keys()].some(
+      (other) => other !== request && this.quarantine.getFingerprint(other) === fingerprint,
+    );
+  }
+
+  /** Ends the requests with the fingerprint, so that no upstream begins to run them. */
+  #endQuarantined(fingerprint: string): void {
+    [...this.#runs]
+      .filter(([request]) => this.quarantine.getFingerprint(request) === fingerprint)
+      .forEach(([, run]) => {
+        run.handleQuarantine();
+      });
+  }
+
+  getQuarantineTime(request: GatewayRequest): Duration {
+    return Math.max(0, this.quarantine.getRefusedUntil(request) - this.now());
+  }
+
+  isSuspected(request: GatewayRequest): boolean {
+    return this.quarantine.isSuspected(request);
+  }
+
+  waitForCrashCheck(request: GatewayRequest, record: UpstreamRecord, onEnd: () => void): void {
+    this.quarantine.waitForCheck(request, record, onEnd);
   }
 
   #canFinish(request: GatewayRequest): boolean {
@@ -776,8 +867,7 @@
     const pace = computePace(record, now);
     const latency = (now - sentAt) / pace;
     this.#countOutcome(request, record, now - sentAt, outcome);
-    if (outcome?.kind === 'lost' && outcome.isDisconnected)
-      this.crashChecks.addLoss(request, record);
+    this.#recordSurvival(request, record, outcome);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
     if (isGood) this.#getAverageWork(request).addSample((now - sentAt) / slowdown);
     const isMoving = this.#registry.getVersionShare(request.service).next !== undefined;
@@ -792,6 +882,18 @@
     this.#evidence.addAttempt(service, version, request.route.name, finding === 'failed', latency);
   }
 
+  /** Records whether the upstream may have crashed under the request. One that crashes may end an unframed answer. */
+  #recordSurvival(
+    request: GatewayRequest,
+    record: UpstreamRecord,
+    outcome: AttemptOutcome | undefined,
+  ): void {
+    if (outcome?.kind === 'lost' && outcome.isDisconnected)
+      this.quarantine.addLoss(request, record);
+    if (outcome?.kind === 'answered' && !outcome.answer.isUnframed)
+      this.quarantine.addSuccess(request);
+  }
+
   /** Counts the outcome of an attempt; one cancelled long after its expected end counts as lost. */
   #countOutcome(
     request: GatewayRequest,
@@ -874,6 +976,8 @@
     this.#collector.close();
     this.#prober.close();
     this.#loadGossip.close();
+    this.#crashGossip.close();
+    this.#transport.close();
     this.#follower.close();
     this.#pool.close();
   }
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -2,15 +2,12 @@
  * Load gossip: gateways exchange load reports of upstreams over UDP. Invariant: the latest report
  * of an upstream wins, regardless of its sender and route, and a row is forwarded at most twice.
  */
-import { createSocket, type Socket } from 'node:dgram';
-import { Packr } from 'msgpackr';
-import { parseAddress, type Address, type Duration, type Instant } from '../model/index.js';
+import type { Address, Duration, Instant } from '../model/index.js';
 import { FarReports, mergeCounts, NO_COUNTS, type Counts } from './farreports.js';
 import type { GossipPlan } from './relays.js';
+import type { GossipTransport } from './transport.js';
 import type { UpstreamRecord } from './types.js';
 
-const packr = new Packr({ useRecords: false });
-
 /**
  * Minimum milliseconds between two rounds of direct gossip. The pace of a VM changes about every
  * 500 ms.
@@ -102,7 +99,7 @@
 
 /** Options of {@link createLoadGossip}. */
 export interface LoadGossipOptions {
-  readonly listen: Address;
+  readonly transport: GossipTransport;
   readonly now: () => Instant;
   readonly listRecords: () => readonly UpstreamRecord[];
   readonly getRecord: (key: number) => UpstreamRecord | undefined;
@@ -112,7 +109,6 @@
   /** Returns the milliseconds between two reports of an upstream to other zones. */
   readonly getFarInterval: (record: UpstreamRecord) => Duration;
   readonly onReport: (report: ReceivedReport) => void;
-  readonly onProblem: (message: string) => void;
 }
 
 /** Sends and receives load gossip until it is closed. */
@@ -125,12 +121,7 @@
   return row.slice(0, Math.max(last + 1, 5)) as unknown as GossipRow;
 }
 
-const sources: ReadonlySet<unknown> = new Set<GossipSource>([
-  'gateway',
-  'follower',
-  'relay',
-  'own-relay',
-]);
+const sources: readonly GossipSource[] = ['gateway', 'follower', 'relay', 'own-relay'];
 
 function isRow(value: unknown): value is GossipRow {
   if (!Array.isArray(value) || value.length < 5) return false;
@@ -139,19 +130,17 @@
 }
 
 /**
- * Checks a decoded datagram, as datagrams are not authenticated and a wrong number would stay in an
+ * Checks the rows of a datagram, as datagrams are not authenticated and a wrong number would stay in an
  * upstream's record.
  */
-function decodeDatagram(value: unknown): readonly [GossipSource, readonly GossipRow[]] {
-  const [source, rows] = Array.isArray(value) ? (value as readonly unknown[]) : [];
-  if (!sources.has(source) || !Array.isArray(rows) || !rows.every(isRow))
+function decodeRows(rows: unknown): readonly GossipRow[] {
+  if (!Array.isArray(rows) || !rows.every(isRow))
     throw new Error('a datagram is no load gossip: check what else sends to this address');
-  return [source as GossipSource, rows];
+  return rows;
 }
 
-class LoadGossipSocket implements LoadGossip {
+class RunningLoadGossip implements LoadGossip {
   readonly #options: LoadGossipOptions;
-  readonly #socket: Socket;
   readonly #followers = new Map<Address, Instant>();
   #timer: NodeJS.Timeout | undefined;
   #lastSentAt: Instant = -Infinity;
@@ -174,25 +163,16 @@
       getInterval: options.getFarInterval,
     });
     this.#relayLastReceivedAt = options.now();
-    this.#socket = createSocket('udp4');
-    this.#socket.on('message', (message, { address, port }) => {
-      try {
-        this.#receive(`${address}:${port}`, message);
-      } catch (error) {
-        options.onProblem(String(error));
-      }
-    });
-    this.#socket.on('error', (error) => {
-      options.onProblem(error.message);
+    sources.forEach((source) => {
+      options.transport.handle(source, (from, [rows]) => {
+        this.#receive(from, source, decodeRows(rows));
+      });
     });
-    const { host, port } = parseAddress(options.listen);
-    this.#socket.bind(port, host);
     this.#schedule();
   }
 
   close(): void {
     clearTimeout(this.#timer);
-    this.#socket.close();
   }
 
   #schedule(): void {
@@ -323,23 +303,15 @@
   ): void {
     if (peers.length === 0 || (rows.length === 0 && !sendEmpty)) return;
     const count = Math.max(1, Math.ceil(rows.length / MAX_ROWS_PER_DATAGRAM));
-    const datagrams = Array.from({ length: count }, (_, index) =>
-      packr.pack([
-        source,
-        rows.slice(index * MAX_ROWS_PER_DATAGRAM, (index + 1) * MAX_ROWS_PER_DATAGRAM),
-      ]),
-    );
-    peers.forEach((peer) => {
-      const { host, port } = parseAddress(peer);
-      datagrams.forEach((datagram) => {
-        this.#socket.send(datagram, port, host);
-      });
+    Array.from({ length: count }, (_, index) =>
+      rows.slice(index * MAX_ROWS_PER_DATAGRAM, (index + 1) * MAX_ROWS_PER_DATAGRAM),
+    ).forEach((part) => {
+      this.#options.transport.send(peers, [source, part]);
     });
   }
 
-  #receive(from: Address, message: Buffer): void {
+  #receive(from: Address, source: GossipSource, rows: readonly GossipRow[]): void {
     const now = this.#options.now();
-    const [source, rows] = decodeDatagram(packr.unpack(message));
     const counts: Counts = new Map(
       rows.map(([key, , , , , good = 0, bad = 0]) => [key, [good, bad] as const]),
     );
@@ -376,7 +348,7 @@
   }
 }
 
-/** Opens the UDP socket and starts to send load gossip. */
+/** Starts to send load gossip, and to receive it. The transport stays open when it is closed. */
 export function createLoadGossip(options: LoadGossipOptions): LoadGossip {
-  return new LoadGossipSocket(options);
+  return new RunningLoadGossip(options);
 }
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -48,6 +48,12 @@
     record: UpstreamRecord,
     onEnd: (outcome: AttemptOutcome) => void,
   ): Attempt;
+  /** Returns the milliseconds for which requests like this one are refused because they crash upstreams, or 0. */
+  getQuarantineTime(request: GatewayRequest): Duration;
+  /** Whether a request like this one was in flight on an upstream that crashed. */
+  isSuspected(request: GatewayRequest): boolean;
+  /** Calls the function once it is known whether a suspected request crashed the upstream, or at once. */
+  waitForCrashCheck(request: GatewayRequest, record: UpstreamRecord, onEnd: () => void): void;
   /** Takes one retry from the service's retry budget; returns false if none is left. */
   takeRetry(service: string): boolean;
   /** Records the outcome of an attempt; `undefined` if the attempt was cancelled. */
@@ -112,6 +118,11 @@
     this.#sendFirst();
   }
 
+  /** Whether the request was answered or cancelled. */
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
   /** Cancels the request because its caller disconnected; no answer is given. */
   cancel(): void {
     if (this.#isOver) return;
@@ -124,6 +135,23 @@
     this.#finish();
   }
 
+  /** Ends the request because requests like it crash upstreams, and cancels its attempts. */
+  handleQuarantine(): void {
+    if (this.#isOver) return;
+    const { mayHaveRun, pending } = this.#retryState;
+    if (mayHaveRun + pending === 0) this.#refuseAsQuarantined();
+    else this.#answer(finishRequest(this.#retryState));
+  }
+
+  #refuseAsQuarantined(): void {
+    const retryAfter = this.#host.getQuarantineTime(this.#request);
+    this.#answer({ kind: 'refused', cause: 'quarantined', retryAfter });
+  }
+
+  #isQuarantined(): boolean {
+    return this.#host.getQuarantineTime(this.#request) > 0;
+  }
+
   /** Selects an upstream, probing candidates on demand if their load reports may be outdated. */
   #selectUpstream(
     onSelected: (choice: Choice) => void,
@@ -167,6 +195,10 @@
   }
 
   #sendFirst(): void {
+    if (this.#isQuarantined()) {
+      this.#refuseAsQuarantined();
+      return;
+    }
     this.#selectUpstream((choice) => {
       this.#handleFirstChoice(choice);
     });
@@ -212,6 +244,7 @@
   /** Sends the request to a second upstream because the first one takes longer than expected. */
   sendHedge(): void {
     if (this.#isOver || !isHedgeable(this.#retryState)) return;
+    if (this.#host.isSuspected(this.#request)) return;
     this.#selectUpstream((choice) => {
       const isAllowed = !this.#isOver && isHedgeable(this.#retryState) && choice.kind === 'chosen';
       if (!isAllowed || !this.#host.takeRetry(this.#request.service)) return;
@@ -240,7 +273,9 @@
       case 'wait':
         return;
       case 'repeat':
-        this.#sendRetry(outcome, decision.isCharged);
+        this.#host.waitForCrashCheck(this.#request, pending.record, () => {
+          if (!this.#isOver) this.#sendRetry(outcome, decision.isCharged);
+        });
         return;
     }
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -78,7 +78,9 @@
   /** None of the upstreams that were tried was reachable. */
   | 'unreachable'
   /** The gateway ends before the request could be answered. */
-  | 'stopping';
+  | 'stopping'
+  /** Requests like this one crashed several upstreams. */
+  | 'quarantined';
 
 /** Why a request that may have run ended without a response from an upstream. */
 export type FailureCause = 'lost' | 'timedOut';
