Soak: requests that crash each upstream that runs them

A fault of the soak sends such a request at 1 to 50 a second for 0.4 to 5.4 s, beside all other faults; upstreams that crash are back after 1.5 s, with their links.

--- a/features/platform/crashing.steps.ts
+++ b/features/platform/crashing.steps.ts
@@ -156,7 +156,7 @@
   'it crashed at least {int} and at most {int} upstreams, and at most {int} of its sendings reached one later than {int} ms after the third',
   function (this: CrashingWorld, least: number, most: number, mostLate: number, contact: number) {
     clearInterval(this.restartTimer);
-    const crashed = listCrashed(this);
+    const crashed = listCrashed(this).filter(({ crashedBy }) => crashedBy === CRASHING_PATH);
     const thirdCrashedAt = crashed[2]?.crashedAt ?? Infinity;
     const sendings = this.site.upstreams.flatMap(({ receivedRequests }) =>
       receivedRequests.filter(({ target }) => target === CRASHING_PATH),
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -79,8 +79,9 @@
 
 /**
  * How an emulated upstream responds to requests. A `timed` one works for the milliseconds and answers with the number
- * of bytes that the query of the request names (`work`, `bytes`). A `fragile` one ends after that time if the path of
- * the request has the segment `crash`, unless the connection closes before.
+ * of bytes that the query of the request names (`work`, `bytes`). Whatever its behaviour, a request whose path has the
+ * segment `crash` ends it after {@link FRAGILE_WORK} unless the connection closes before; a `fragile` one takes as long
+ * for other requests.
  */
 export type Behaviour =
   | 'serve'
@@ -103,7 +104,7 @@
 /** Milliseconds that a slow upstream takes, below the timeout of its routes. */
 const SLOW_WORK = 550;
 
-/** Milliseconds that a fragile upstream takes unless the request names another time. */
+/** Milliseconds that a fragile upstream takes, and after which any crashes under a request that crashes it. */
 const FRAGILE_WORK = 80;
 
 /** An emulated upstream. */
@@ -119,6 +120,9 @@
   acknowledgedHeartbeats = 0;
   /** When a request or a fault ended it, by `performance.now()`. */
   crashedAt: number | undefined;
+  /** The target of the request that ended it, if one did. */
+  crashedBy: string | undefined;
+  onCrash: () => void = () => undefined;
   readonly born = Date.now();
   #sequence = 0;
   #server: Server;
@@ -159,6 +163,15 @@
           deadline: Number(request.headers['x-deadline-ms']),
           receivedAt: performance.now(),
         });
+        if ((request.url ?? '').includes('/crash/')) {
+          const timer = setTimeout(() => {
+            this.crash(request.url);
+          }, FRAGILE_WORK);
+          response.once('close', () => {
+            clearTimeout(timer);
+          });
+          return;
+        }
         const seal = { ...load, 'X-Attempt-Id': attempt, 'X-Server-Seal': `seal-${attempt}` };
         const socket = request.socket;
         switch (this.behaviour) {
@@ -187,24 +200,12 @@
             );
             return;
           }
-          case 'fragile': {
-            const { pathname, searchParams } = new URL(request.url ?? '/', 'http://upstream');
-            const timer = setTimeout(
-              () => {
-                if (pathname.includes('/crash/')) {
-                  this.crash();
-                  return;
-                }
-                response.writeHead(200, seal);
-                response.end(`served by ${id}`);
-              },
-              Number(searchParams.get('work') ?? FRAGILE_WORK),
-            );
-            response.once('close', () => {
-              clearTimeout(timer);
-            });
+          case 'fragile':
+            setTimeout(() => {
+              response.writeHead(200, seal);
+              response.end(`served by ${id}`);
+            }, FRAGILE_WORK);
             return;
-          }
           case 'leave':
             response.writeHead(200, { ...seal, 'Server-Leaving': '1' });
             response.end(`served by ${id}`);
@@ -254,10 +255,12 @@
   }
 
   /** Ends as a process does that crashes. */
-  crash(): void {
+  crash(target?: string): void {
     if (this.crashedAt !== undefined) return;
     this.crashedAt = performance.now();
+    this.crashedBy = target;
     this.stop();
+    this.onCrash();
   }
 
   /** Sends a heartbeat to a control address and follows redirects. */
@@ -487,6 +490,7 @@
       ...([`${base}+${Number(starts) + 1}`, address, service, zone, version] as const),
     );
     upstream.behaviour = behaviour;
+    upstream.announcedAddress = crashed.announcedAddress;
     await upstream.start();
     this.upstreams.push(upstream);
     return upstream;
--- a/features/soak/faults.ts
+++ b/features/soak/faults.ts
@@ -22,6 +22,8 @@
       readonly ms: number;
     }
   | { readonly kind: 'drain'; readonly upstream: number }
+  /** A request that crashes each upstream that runs it, at a rate in requests a second. */
+  | { readonly kind: 'crashingRequest'; readonly rate: number; readonly ms: number }
   | { readonly kind: 'changeRoutes' }
   | { readonly kind: 'zoneOut'; readonly vm: number; readonly ms: number };
 
@@ -51,8 +53,9 @@
   ...(['killGateway', 'stopGateway', 'pauseGateway', 'killSteward', 'pauseSteward'] as const),
   ...(['wipeSteward', 'killAllStewards', 'misbehave', 'misbehave', 'resetLink'] as const),
   ...(['delayLink', 'silenceLink', 'cutOneWay', 'drain', 'changeRoutes', 'changeRoutes'] as const),
-  'zoneOut',
+  ...(['zoneOut', 'crashingRequest'] as const),
 ] as const;
+const CRASHING_RATES = [1, 4, 20, 50] as const;
 const BEHAVIOURS: readonly Behaviour[] = ['reset', 'refuse', 'fail', 'cut', 'stray'];
 /** Range in milliseconds of the random part of a fault's duration; 200 ms are added to it. */
 const FAULT_TIME_RANGE = 2500;
@@ -82,6 +85,8 @@
     case 'silenceLink':
     case 'cutOneWay':
       return { kind, upstream, ms };
+    case 'crashingRequest':
+      return { kind, rate: CRASHING_RATES[random.below(CRASHING_RATES.length)] ?? 4, ms: ms * 2 };
     case 'killAllStewards':
     case 'changeRoutes':
       return { kind };
--- a/features/soak/soak.ts
+++ b/features/soak/soak.ts
@@ -56,6 +56,12 @@
 const CONFIG_BOUND = 2000;
 /** Milliseconds after the last fault within which all gateways must serve callers again. */
 const RECOVERY_BOUND = 15_000;
+/** Milliseconds after which an upstream that crashed is back. */
+const UPSTREAM_RESTART_TIME = 1500;
+/** Maximum number of upstreams that one request that crashes them may end. */
+const MAX_CRASHES = 8;
+/** Maximum number of its sendings that may reach an upstream later than {@link STABILIZATION_TIME} after the third. */
+const MAX_LATE_SENDINGS = 3;
 /** Milliseconds to wait, after the callers have stopped, for late requests to reach upstreams. */
 const SETTLE_TIME = 1500;
 /** Requests, sent at once to a gateway, that must all be answered with 200 before it counts as serving. */
@@ -77,7 +83,11 @@
   readonly #seed: number;
   readonly #site: Site;
   readonly #callers: readonly Caller[];
-  readonly #links: readonly Link[];
+  readonly #links: Link[];
+  /** Number of requests that crash upstreams so far. */
+  #crashingRequests = 0;
+  /** Upstreams that are being started again. */
+  readonly #restarts = new Set<Promise<void>>();
   /** Intervals in which time-bound guarantees may be broken. */
   readonly #disturbances: Disturbance[] = [];
   readonly #drained: DrainedUpstream[] = [];
@@ -94,7 +104,10 @@
   private constructor(seed: number, site: Site, links: readonly Link[]) {
     this.#seed = seed;
     this.#site = site;
-    this.#links = links;
+    this.#links = [...links];
+    site.upstreams.forEach((upstream, index) => {
+      this.#watchCrash(upstream, index);
+    });
     this.#callers = [...site.zones, ...site.zones].map((zone) => new Caller(site, zone));
   }
 
@@ -126,12 +139,7 @@
   }
 
   async run(duration: number): Promise<SoakReport> {
-    const faults = planFaults(
-      this.#seed,
-      duration,
-      this.#site.ips.length,
-      this.#site.upstreams.length,
-    );
+    const faults = planFaults(this.#seed, duration, this.#site.ips.length, this.#links.length);
     this.#callers.forEach((caller) => {
       caller.start();
     });
@@ -143,7 +151,7 @@
         await this.#inject(fault);
       }),
     );
-    await Promise.all([this.#stewardFaults, this.#orders]);
+    await Promise.all([this.#stewardFaults, this.#orders, ...this.#restarts]);
     this.#links.forEach((link) => {
       link.setFault({ kind: 'none' });
     });
@@ -155,6 +163,7 @@
     await this.#checkReadBack();
     this.#checkResults();
     this.#checkArrivals();
+    this.#checkCrashes();
     const results = this.#callers.flatMap(({ results: seen }) => seen);
     return {
       seed: this.#seed,
@@ -196,7 +205,7 @@
           this.#restart(['steward-1', 'steward-2', 'steward-3'], 'SIGKILL', false),
         );
       case 'misbehave': {
-        const upstream = this.#site.upstreams[fault.upstream];
+        const upstream = this.#findUpstream(fault.upstream);
         if (upstream === undefined) return;
         upstream.behaviour = fault.how;
         await sleep(fault.ms);
@@ -222,6 +231,41 @@
         return this.#queueOrder(() => this.#changeRoutes());
       case 'zoneOut':
         return this.#queueOrder(() => this.#evacuateZone(fault.vm, fault.ms));
+      case 'crashingRequest':
+        return this.#sendCrashing(fault.rate, fault.ms);
+    }
+  }
+
+  /** Closes the link of an upstream that crashes, and starts both again after a time. */
+  #watchCrash(upstream: Upstream, index: number): void {
+    upstream.onCrash = () => {
+      this.#links[index]?.close();
+      const restart = sleep(UPSTREAM_RESTART_TIME).then(async () => {
+        const restarted = await this.#site.restartUpstream(upstream);
+        this.#watchCrash(restarted, index);
+        this.#links[index] = await Link.open(
+          upstream.announcedAddress ?? upstream.address,
+          upstream.address,
+        );
+      });
+      this.#restarts.add(restart);
+    };
+  }
+
+  /** Returns the upstream behind a link, as it was last started. */
+  #findUpstream(index: number): Upstream | undefined {
+    const address = this.#site.upstreams[index]?.address;
+    return this.#site.upstreams.findLast((upstream) => upstream.address === address);
+  }
+
+  async #sendCrashing(rate: number, ms: number): Promise<void> {
+    this.#crashingRequests += 1;
+    const path = `/records/crash/${this.#crashingRequests}`;
+    const until = performance.now() + ms;
+    while (performance.now() < until) {
+      const [ip = ''] = this.#site.shuffleIps();
+      void this.#site.call(ip, path).catch(() => undefined);
+      await sleep(1000 / rate);
     }
   }
 
@@ -284,7 +328,7 @@
 
   /** Drains the upstream, unless one of its service is draining already: the service must keep upstreams. */
   async #drain(at: number): Promise<void> {
-    const upstream = this.#site.upstreams[at];
+    const upstream = this.#findUpstream(at);
     const isServiceDraining = this.#drained.some(
       (one) => one.upstream.service === upstream?.service,
     );
@@ -392,6 +436,27 @@
       });
   }
 
+  /** Checks how many upstreams each request ended that crashes them, and how often it was sent afterwards. */
+  #checkCrashes(): void {
+    Array.from({ length: this.#crashingRequests }, (_, index) => index + 1).forEach((number) => {
+      const path = `/records/crash/${number}`;
+      const sendings = this.#site.upstreams.flatMap(({ receivedRequests }) =>
+        receivedRequests.filter(({ target }) => target === path),
+      );
+      const crashes = this.#site.upstreams
+        .filter(({ crashedBy }) => crashedBy === path)
+        .map(({ crashedAt = 0 }) => crashedAt)
+        .sort((one, two) => one - two);
+      const third = crashes[2] ?? Infinity;
+      const late = sendings.filter(({ receivedAt }) => receivedAt > third + STABILIZATION_TIME);
+      if (crashes.length > MAX_CRASHES || late.length > MAX_LATE_SENDINGS) {
+        this.#violations.push(
+          `${path} ended ${crashes.length} upstreams, ${late.length} of ${sendings.length} sendings came late`,
+        );
+      }
+    });
+  }
+
   /** Returns whether no disturbance was under way at the time or had ended within STABILIZATION_TIME before it. */
   #isStable(at: number): boolean {
     return this.#disturbances.every(
