Test: the work for callers that leave ends within half a second

Callers of safe and unsafe requests leave after 150 of 700 ms; no upstream works for one of them half a second later.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -19,6 +19,11 @@
     And a response that ends by closing its connection is forwarded in the same way
     And requests to upstreams that send an extra response each get their own response
 
+  Scenario: The work for callers that leave ends
+    Given the platform's site serves two services
+    When 9 callers of each kind of request leave after 150 of 700 ms
+    Then no upstream works for any of them 500 ms later
+
   Scenario: A caller that reads a large last response slowly gets all of it
     Given the platform's site serves two services
     When a caller requests a 24 MB response on its last request and reads nothing for 1500 ms
--- a/features/platform/path.steps.ts
+++ b/features/platform/path.steps.ts
@@ -29,6 +29,7 @@
   failures: string[];
   receivedBytes: number;
   elapsed: number;
+  leftAt: number;
 }
 
 const runFile = promisify(execFile);
@@ -80,6 +81,45 @@
   );
 });
 
+When(
+  '{int} callers of each kind of request leave after {int} of {int} ms',
+  async function (this: PlatformWorld, count: number, patience: number, work: number) {
+    const { site } = this;
+    applyBehaviour(this, 'timed');
+    const leave = async (path: string, method: string): Promise<void> => {
+      const [ip = ''] = site.shuffleIps();
+      const socket = connect(PORTS.front, ip);
+      socket.on('error', () => undefined);
+      const id = `left-${createId()}`;
+      const fields = `Host: site.example\r\nX-Attempt-Id: ${id}\r\nContent-Length: 0`;
+      socket.write(`${method} ${path}?work=${work} HTTP/1.1\r\n${fields}\r\n\r\n`);
+      await sleep(patience);
+      socket.destroy();
+    };
+    await Promise.all(
+      Array.from({ length: count }, () => [
+        leave('/records/1', 'GET'),
+        leave('/orders/1', 'POST'),
+      ]).flat(),
+    );
+    this.leftAt = performance.now();
+  },
+);
+
+Then(
+  'no upstream works for any of them {int} ms later',
+  async function (this: PlatformWorld, limit: number) {
+    await sleep(limit);
+    const left = this.site.upstreams.flatMap(({ receivedRequests, abandonedAt }) =>
+      receivedRequests
+        .filter(({ id }) => id.startsWith('left-'))
+        .map(({ id }) => (abandonedAt.get(id) ?? Infinity) - this.leftAt),
+    );
+    assert.ok(left.length >= 18, `${left.length} requests ran`);
+    assert.ok(Math.max(...left) <= limit, `work ended up to ${Math.max(...left)} ms later`);
+  },
+);
+
 /** Milliseconds within which a site must serve again after all stewards were lost; the platform's `recovery` bound. */
 const RECOVERY_TIME = 15_000;
 
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -110,6 +110,8 @@
 /** An emulated upstream. */
 export class Upstream {
   readonly receivedRequests: ReceivedRequest[] = [];
+  /** When the connections of requests closed before their responses ended, by the requests' ids. */
+  readonly abandonedAt = new Map<string, number>();
   behaviour: Behaviour = 'serve';
   state: 'ready' | 'draining' = 'ready';
   /** The address that it announces if that differs from its own. */
@@ -163,6 +165,9 @@
           deadline: Number(request.headers['x-deadline-ms']),
           receivedAt: performance.now(),
         });
+        response.once('close', () => {
+          if (!response.writableEnded) this.abandonedAt.set(attempt, performance.now());
+        });
         if ((request.url ?? '').includes('/crash/')) {
           const timer = setTimeout(() => {
             this.crash(request.url);
