Quarantine: only the first success after a crash is told, and nothing is sent after a stop

A request that was in flight at a crash counted as suspected for a minute even after it had succeeded. Each of its successes was told to all gateways, and it was never hedged: a caller that repeats one request four times a second made its gateways send 240 times to all others after one crash.

A fingerprint is suspected until its next success, or while a verdict stands on it. features/gateway/quarantine failed before (20 successes told instead of 1). The transport of datagrams drops what a check that ends during a stop still sends, as a closed socket throws; and a check that fails is logged.

--- a/src/gateway/quarantine.ts
+++ b/src/gateway/quarantine.ts
@@ -8,7 +8,7 @@
   countCrashes,
   decideQuarantine,
   emptyQuarantineState,
-  listSuspectedFingerprints,
+  listOpenFingerprints,
   type Evidence,
   type QuarantineEffect,
   type QuarantineEvent,
@@ -97,7 +97,7 @@
     return this.#options.isRunning(request, fingerprint) ? now + TRIAL_TIME : -Infinity;
   }
 
-  /** Returns whether a request like this one was in flight on an upstream that crashed. */
+  /** Returns whether a request like this one crashed an upstream or was there by chance, and none succeeded since. */
   isSuspected(request: GatewayRequest): boolean {
     return this.#suspected.size > 0 && this.#suspected.has(this.getFingerprint(request));
   }
@@ -112,13 +112,19 @@
     }
     const check: RunningCheck = { losses: [loss], onEnd: [] };
     this.#checks.set(record, check);
-    void this.#options.hasProcessEnded(record.instance.address).then((hasEnded) => {
-      this.#checks.delete(record);
-      this.#handleCheck(record, check.losses, hasEnded);
-      check.onEnd.forEach((handle) => {
-        handle();
+    void this.#options
+      .hasProcessEnded(record.instance.address)
+      .catch((error: unknown) => {
+        log.warn('check of an upstream failed', { reason: String(error) });
+        return false;
+      })
+      .then((hasEnded) => {
+        this.#checks.delete(record);
+        this.#handleCheck(record, check.losses, hasEnded);
+        check.onEnd.forEach((handle) => {
+          handle();
+        });
       });
-    });
   }
 
   /** Calls the function once it is known whether a suspected request crashed the upstream, or at once. */
@@ -167,7 +173,7 @@
     const { state, effects } = decideQuarantine(this.#state, event);
     if (state === this.#state) return;
     this.#state = state;
-    this.#suspected = new Set([...listSuspectedFingerprints(state), ...state.verdicts.keys()]);
+    this.#suspected = new Set(listOpenFingerprints(state));
     effects.forEach((effect) => {
       this.#handleEffect(effect);
     });
--- a/src/gateway/transport.ts
+++ b/src/gateway/transport.ts
@@ -18,7 +18,7 @@
 export interface GossipTransport {
   /** Sets the handler of a kind of datagrams. */
   handle(kind: string, handler: DatagramHandler): void;
-  /** Sends a datagram to each peer. It may be lost. */
+  /** Sends a datagram to each peer. It may be lost, and is after the transport was closed. */
   send(peers: readonly Address[], datagram: Datagram): void;
   close(): void;
 }
@@ -59,12 +59,13 @@
   });
   const { host, port } = parseAddress(listen);
   socket.bind(port, host);
+  let isClosed = false;
   return {
     handle: (kind, handler) => {
       handlers.set(kind, handler);
     },
     send: (peers, datagram) => {
-      if (peers.length === 0) return;
+      if (isClosed || peers.length === 0) return;
       const message = packr.pack(datagram);
       peers.forEach((peer) => {
         const { host: peerHost, port: peerPort } = parseAddress(peer);
@@ -72,6 +73,7 @@
       });
     },
     close: () => {
+      isClosed = true;
       socket.close();
     },
   };
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -25,6 +25,7 @@
   computeRelease,
   emptyQuarantineState,
   hasSuspicion,
+  listOpenFingerprints,
   listSuspectedFingerprints,
   updateQuarantine,
   type QuarantineState,
--- a/src/quarantine/state.ts
+++ b/src/quarantine/state.ts
@@ -58,6 +58,21 @@
   verdicts: new Map(),
 };
 
+/**
+ * Returns the fingerprints whose next success matters: those under a verdict, and those that have not succeeded since
+ * their last crash.
+ */
+export function listOpenFingerprints({
+  suspicions,
+  clearedAt,
+  verdicts,
+}: QuarantineState): readonly string[] {
+  const open = suspicions
+    .filter(({ fingerprint, at }) => at > (clearedAt.get(fingerprint) ?? -Infinity))
+    .map(({ fingerprint }) => fingerprint);
+  return [...new Set([...open, ...verdicts.keys()])];
+}
+
 function computeDuration(previous: Verdict | undefined, isCertain: boolean): Duration {
   if (previous === undefined) return FIRST_PAUSE;
   const { duration } = previous;
