Quarantine: an entry's first verdict takes a minute again

A short first verdict is right where one request at a time is tried after it, as gateways do. Entries have no such trial: each of them lets the request through, with its retries. Their first quarantine takes a minute, so they differ from gateways in this alone.

--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -128,24 +128,22 @@
     And the fingerprint "popular" crashes upstreams "a b" as reported by entry 1
     And the fingerprint "popular" crashes upstreams "c d" as reported by entry 2
     And the fingerprint "rare" crashes upstreams "a b" as reported by entry 1
-    And 500 ms of membership pass
+    And 1000 ms of membership pass
     And a request with the fingerprint "popular" succeeds at entry 5
-    And 400 ms of membership pass
+    And 1000 ms of membership pass
     Then every entry refuses "killer"
     And no entry refuses "popular"
     And no entry refuses "rare"
 
-  Scenario: A quarantine is short at first, and a minute long after the next crash
+  Scenario: A quarantine takes a minute, and longer after the next crash
     Given 6 entries in 3 zones
     When the fingerprint "killer" crashes upstreams "a b c" as reported by entry 1
-    And 900 ms of membership pass
+    And 59000 ms of membership pass
     Then every entry refuses "killer"
-    When 2000 ms of membership pass
+    When 4000 ms of membership pass
     Then no entry refuses "killer"
     When the fingerprint "killer" crashes upstreams "d" as reported by entry 3
-    And 1000 ms of membership pass
-    Then every entry refuses "killer"
-    When 58000 ms of membership pass
+    And 200000 ms of membership pass
     Then every entry refuses "killer"
 
   Scenario: Lost connections to upstreams that keep running quarantine no request
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -7,6 +7,7 @@
 import {
   computeRelease,
   emptyQuarantineState,
+  FIRST_QUARANTINE,
   listSuspectedFingerprints,
   updateQuarantine,
 } from '../quarantine/index.js';
@@ -407,7 +408,8 @@
     const record = state.upstreams.get(id)?.record;
     return record === undefined || record.lapsed || record.upstream.incarnation > incarnation;
   };
-  const quarantine = updateQuarantine(state.quarantine, hasCrashed, now);
+  // Entries don't try one request at a time, so that each release costs upstreams.
+  const quarantine = updateQuarantine(state.quarantine, hasCrashed, now, FIRST_QUARANTINE);
   return quarantine === state.quarantine ? state : { ...state, quarantine };
 }
 
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -24,6 +24,7 @@
   addVerdict,
   computeRelease,
   emptyQuarantineState,
+  FIRST_QUARANTINE,
   hasSuspicion,
   listOpenFingerprints,
   listSuspectedFingerprints,
--- a/src/quarantine/state.ts
+++ b/src/quarantine/state.ts
@@ -15,7 +15,7 @@
 /** Ratio of the next quarantine to the last one while upstreams crash for other reasons too. */
 const PAUSE_GROWTH = 2;
 /** Milliseconds of the next quarantine on certain evidence. */
-const FIRST_QUARANTINE: Duration = 60_000;
+export const FIRST_QUARANTINE: Duration = 60_000;
 /** Ratio of the next quarantine on certain evidence to the last one, as each release may cost one more upstream. */
 const QUARANTINE_GROWTH = 4;
 /** Maximum milliseconds of a quarantine. */
@@ -73,8 +73,12 @@
   return [...new Set([...open, ...verdicts.keys()])];
 }
 
-function computeDuration(previous: Verdict | undefined, isCertain: boolean): Duration {
-  if (previous === undefined) return FIRST_PAUSE;
+function computeDuration(
+  previous: Verdict | undefined,
+  isCertain: boolean,
+  firstDuration: Duration,
+): Duration {
+  if (previous === undefined) return firstDuration;
   const { duration } = previous;
   if (!isCertain) return Math.min(MAX_QUARANTINE, duration * PAUSE_GROWTH);
   if (duration < FIRST_QUARANTINE) return FIRST_QUARANTINE;
@@ -84,10 +88,11 @@
 function createVerdict(
   previous: Verdict | undefined,
   isCertain: boolean,
+  firstDuration: Duration,
   at: Instant,
   now: Instant,
 ): Verdict {
-  const duration = computeDuration(previous, isCertain);
+  const duration = computeDuration(previous, isCertain, firstDuration);
   return { at, until: now + duration, count: (previous?.count ?? 0) + 1, duration };
 }
 
@@ -155,11 +160,15 @@
   return duration < FIRST_QUARANTINE ? { kind: 'none' } : { kind: 'quarantined' };
 }
 
-/** Drops expired evidence and quarantines fingerprints by {@link findQuarantined}. */
+/**
+ * Drops expired evidence and quarantines fingerprints by {@link findQuarantined}. The first quarantine of a fingerprint is
+ * short only for processes that try one request at a time after it.
+ */
 export function updateQuarantine(
   state: QuarantineState,
   hasCrashed: (upstreamId: string, incarnation: number) => boolean,
   now: Instant,
+  firstDuration: Duration = FIRST_PAUSE,
 ): QuarantineState {
   if (state.suspicions.length === 0 && state.verdicts.size === 0) return state;
   const pruned = pruneExpired(state, now);
@@ -174,7 +183,13 @@
     .reduce((next, { fingerprint, isCertain }) => {
       const crashes = pruned.suspicions.filter((known) => known.fingerprint === fingerprint);
       const at = Math.max(...crashes.map((suspicion) => suspicion.at));
-      const verdict = createVerdict(next.verdicts.get(fingerprint), isCertain, at, now);
+      const verdict = createVerdict(
+        next.verdicts.get(fingerprint),
+        isCertain,
+        firstDuration,
+        at,
+        now,
+      );
       return addVerdict(next, fingerprint, verdict);
     }, pruned);
 }
