Gateway observability: lines tell the state's index, version, age and source

A gateway refused a request with noRoute by an old version; its line told neither how old its state was nor whom it followed, so the hypotheses 1, 3 and 4 of docs/incidents/2026-12-06-config-drain.md could not be told apart.

The lines "request refused", "catalog changed", "control member lost" and "regained" and all lines about a decision tell index, version, stateAgeMs and member; the gauge chivewalk_gateway_state_age_ms tells the age.

--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -70,6 +70,11 @@
       'Upstreams that are known.',
       () => gateway.view.catalog.instances.size,
     ],
+    [
+      'chivewalk_gateway_state_age_ms',
+      'Milliseconds since the last answer of the followed steward while it was healthy.',
+      () => Math.round(gateway.stateAge),
+    ],
     ['chivewalk_gateway_peers', 'Gateways that are alive.', () => gateway.view.entries.length],
     [
       'chivewalk_gateway_upstream_connections_total',
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -67,6 +67,8 @@
   readonly view: FeedView;
   /** Milliseconds since the last answer of the followed member while it was healthy. */
   readonly age: Duration;
+  /** The control member that is asked now; empty if none is known. */
+  readonly followed: Address;
   /** Polls the followed member immediately, for example before stopping. */
   pollNow(): void;
   close(): void;
@@ -111,6 +113,10 @@
     return this.#options.now() - this.#lastHealthyAnswerAt;
   }
 
+  get followed(): Address {
+    return this.#followed;
+  }
+
   pollNow(): void {
     if (this.#followed !== '') this.#sendPoll(this.#followed, this.#options.collectEvidence());
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { getHeapStatistics } from 'node:v8';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { Catalog, CatalogCommand, Route } from '../catalog/index.js';
+import type { Catalog, Route } from '../catalog/index.js';
 import {
   createFollower,
   type EntryRecord,
@@ -71,6 +71,7 @@
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
 import { decideStartupWait } from './startup.js';
+import { describeCommands, describeState } from './statelines.js';
 import { createTransport, type GossipTransport } from './transport.js';
 import { AverageWork } from './work.js';
 import { VersionSplitter } from './shares.js';
@@ -143,6 +144,8 @@
   readonly stopTime: Duration;
   /** Records the metrics of a finished request. */
   readonly recordCall: (service: string, outcome: string, latency: Duration) => void;
+  /** Starts following the control members; {@link createFollower} unless a test replaces it. */
+  readonly follow?: typeof createFollower;
 }
 
 /** A running gateway. */
@@ -152,6 +155,8 @@
   /** Returns the addresses of ready gateways for callers in the zone. */
   listAddresses(zone: ZoneId): readonly Address[];
   readonly view: FeedView;
+  /** Milliseconds since the last answer of the followed control member while it was healthy. */
+  readonly stateAge: Duration;
   /** Total number of connections opened to upstreams. */
   readonly openedConnections: number;
   readonly callers: CallerCounts;
@@ -199,11 +204,6 @@
   );
 }
 
-/** Returns the distinct kinds of the commands, for a log line. */
-function describeCommands(commands: readonly CatalogCommand[]): string {
-  return [...new Set(commands.map(({ kind }) => kind))].join(' ');
-}
-
 class RunningGateway implements Gateway, RunHost, CallerHost {
   readonly #options: GatewayOptions;
   readonly #dialect: HeaderDialect;
@@ -278,7 +278,7 @@
     const problem = findMemoryProblem(options.memory, heapBytes, MAX_RESPONSE_BYTES);
     if (problem !== undefined) log.warn('the memory is too small', { reason: problem });
     this.#pool = new ConnectionPool(options.dialect, this.buffers);
-    this.#follower = createFollower({
+    this.#follower = (options.follow ?? createFollower)({
       mesh: options.mesh,
       seeds: options.seeds,
       now: this.now,
@@ -291,7 +291,7 @@
         this.#markColdUpstreams(cold);
       },
       onDependency: (state, member) => {
-        log.info(`control member ${state}`, { member });
+        log.info(`control member ${state}`, { ...describeState(this.#follower), member });
       },
     });
     this.#transport = createTransport({
@@ -386,6 +386,10 @@
     return this.#follower.view;
   }
 
+  get stateAge(): Duration {
+    return this.#follower.age;
+  }
+
   get openedConnections(): number {
     return this.#pool.opened;
   }
@@ -434,7 +438,7 @@
     };
   }
 
-  #applyChange({ catalog, entries, index }: FeedView, change: FeedChange): void {
+  #applyChange({ catalog, entries }: FeedView, change: FeedChange): void {
     if (change.kind === 'fleet') {
       this.#entries = entries;
       const ids = entries.map(({ id }) => id);
@@ -470,9 +474,8 @@
       if (command.kind === 'chill') this.#markColdUpstreams({ [command.id]: command.coldFor });
     });
     log.info('catalog changed', {
-      index,
+      ...describeState(this.#follower),
       change: commands === undefined ? change.kind : describeCommands(commands),
-      version: catalog.table?.version ?? 0,
       upstreams: this.#registry.size,
     });
     if (catalog.table === undefined) return;
@@ -578,8 +581,7 @@
     if (!this.#canServe) return this.#waitForTable(request, id, onAnswer);
     const route = this.#findRoute(head);
     if (route === undefined) {
-      const version = this.#catalog?.table?.version ?? 0;
-      log.info('request refused', { id, cause: 'noRoute', version });
+      log.info('request refused', { id, cause: 'noRoute', ...describeState(this.#follower) });
       onAnswer(buildLocalAnswer(404, 'no route matches this host and path', idHeaders));
       return undefined;
     }
@@ -627,7 +629,7 @@
   }
 
   #refuseUntilReady(id: string, onAnswer: (answer: CallerAnswer) => void): void {
-    log.info('request refused', { id, cause: 'notReady', index: this.view.index });
+    log.info('request refused', { id, cause: 'notReady', ...describeState(this.#follower) });
     const idHeaders: HeaderList = id === '' ? [] : [[this.#dialect.requestId, id]];
     onAnswer(
       buildLocalAnswer(503, 'no configuration has come yet', [
@@ -915,6 +917,7 @@
     record: UpstreamRecord | undefined,
     reason: string,
   ): void {
+    const { index: catalogIndex, version, stateAgeMs, member } = describeState(this.#follower);
     log.info(decision, {
       id: request.id,
       route: request.route.name,
@@ -923,7 +926,7 @@
       reason,
       elapsedMs: Math.round(this.now() - request.arrivedAt),
       leftMs: Math.round(request.deadline - this.now()),
-      catalogIndex: this.view.index,
+      ...{ catalogIndex, version, stateAgeMs, member },
     });
   }
 
