Test: stewards that are replaced beside gateways that stand still, with real processes; known red

The scenarios start real stewards and gateways on loopback; a replacement is a steward with an empty folder at an address that wasn't used before.

Site: VMs added during a run, a list of control addresses that changes, settings files written again, voters read from the stewards' disks. Nothing is started once the site was stopped, so a scenario that failed leaves no process.

Not built: a gateway that is cut off from the stewards only. Loopback processes can't be parted without a proxy between them; the feed's own scenarios have to cover it.

--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -4,11 +4,15 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { randomBytes } from 'node:crypto';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readdir, readFile, rm, writeFile } from 'node:fs/promises';
 import { createServer, request as sendRequest, type Server } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { parseLogRecord } from '../../src/control/formats.js';
+import { toAddress } from '../../src/control/index.js';
+import { parseRecords } from '../../src/control/records.js';
+import { parseAddress } from '../../src/model/index.js';
 
 export const PORTS = {
   front: 8381,
@@ -310,11 +314,25 @@
 interface RunningProcess {
   readonly role: 'gateway' | 'steward';
   readonly ip: string;
+  readonly vmIndex: number;
   readonly zone: string;
   child: ChildProcess;
   output: string;
 }
 
+/** The voters of the group from a log index on. */
+export interface GroupVoters {
+  readonly index: number;
+  /** Sorted. */
+  readonly ips: readonly string[];
+}
+
+/** Returns the list rotated by a random number of places. */
+export function pickRotation(ips: readonly string[]): readonly string[] {
+  const start = Math.floor(Math.random() * ips.length);
+  return [...ips.slice(start), ...ips.slice(0, start)];
+}
+
 /** Port that a running site keeps open on its network, so that no other site uses the same network. */
 const NETWORK_LOCK_PORT = 7999;
 
@@ -333,14 +351,20 @@
   return isFree ? [net, lock] : claimNetwork();
 }
 
-/** A site of three VMs in three zones, each with a steward and a gateway. */
+/** A site of three VMs in three zones, each with a steward and a gateway; further VMs may be added. */
 export class Site {
   readonly processes = new Map<string, RunningProcess>();
   readonly upstreams: Upstream[] = [];
   readonly ips: readonly string[];
   readonly zones = ['cyberjaya', 'putrajaya', 'shah-alam'] as const;
   version = 0;
+  /** The operators' list of the VMs that serve control: upstreams and operators use it, and settings name it as seeds. */
+  controlIps: readonly string[];
+  /** The VMs that serve the directory. */
+  gatewayIps: readonly string[];
   #heartbeatTimer: NodeJS.Timeout | undefined;
+  #addedVms = 0;
+  #isStopped = false;
 
   private constructor(
     readonly folder: string,
@@ -350,6 +374,8 @@
     readonly grace: number,
   ) {
     this.ips = this.zones.map((_, index) => `127.${net}.${index + 1}.1`);
+    this.controlIps = this.ips;
+    this.gatewayIps = this.ips;
   }
 
   /**
@@ -369,15 +395,79 @@
       site.upstreams
         .filter(({ sendsHeartbeats }) => sendsHeartbeats)
         .forEach((upstream) => {
-          void upstream.sendHeartbeat(site.shuffleIps());
+          void upstream.sendHeartbeat(pickRotation(site.controlIps));
         });
     }, 400);
     return site;
   }
 
   shuffleIps(): readonly string[] {
-    const start = Math.floor(Math.random() * this.ips.length);
-    return [...this.ips.slice(start), ...this.ips.slice(0, start)];
+    return pickRotation(this.ips);
+  }
+
+  /** Adds a VM at an address that the site hasn't used, without any process, and returns its index. */
+  addVm(): number {
+    this.#addedVms += 1;
+    return this.ips.length + this.#addedVms - 1;
+  }
+
+  getIp(vmIndex: number): string {
+    return `127.${this.net}.${vmIndex + 1}.1`;
+  }
+
+  #getZone(vmIndex: number): string {
+    return this.zones[vmIndex % this.zones.length] ?? '';
+  }
+
+  /** Starts a gateway on a VM of its own and returns its name. */
+  async addGateway(seeds = this.controlIps): Promise<string> {
+    const vmIndex = this.addVm();
+    const ip = this.getIp(vmIndex);
+    this.gatewayIps = [...this.gatewayIps, ip];
+    await this.startProcess('gateway', ip, vmIndex, false, seeds);
+    return `gateway-${vmIndex + 1}`;
+  }
+
+  /** Starts a steward with an empty data folder on a VM of its own and returns its name. */
+  async addSteward(seeds = this.controlIps): Promise<string> {
+    const vmIndex = this.addVm();
+    await this.startProcess('steward', this.getIp(vmIndex), vmIndex, false, seeds);
+    return `steward-${vmIndex + 1}`;
+  }
+
+  /** Writes the settings file of a running process again with other seeds. */
+  async rewriteSettings(name: string, seeds: readonly string[]): Promise<void> {
+    const { role, ip, vmIndex } = this.getProcess(name);
+    await this.#writeSettings(role, ip, vmIndex, false, seeds);
+  }
+
+  getProcess(name: string): RunningProcess {
+    const running = this.processes.get(name);
+    if (running === undefined) throw new Error(`the site has no process ${name}`);
+    return running;
+  }
+
+  /**
+   * Returns the voters' addresses by the newest membership on the disk of a steward, with the entry's index; undefined
+   * if no log segment there holds one.
+   */
+  async readVoters(name: string): Promise<GroupVoters | undefined> {
+    const folder = join(this.folder, `vm-${this.getProcess(name).vmIndex + 1}`);
+    const files = await readdir(folder).catch(() => []);
+    const segments = files.filter((file) => /^log-\d+\.seg$/.test(file)).sort();
+    const contents = await Promise.all(
+      segments.map((file) => readFile(join(folder, file)).catch(() => Buffer.alloc(0))),
+    );
+    return contents
+      .flatMap((bytes) => parseRecords(bytes).payloads)
+      .flatMap((payload) => {
+        const record = parseLogRecord(payload);
+        if (record?.kind !== 'membership') return [];
+        const voters = record.membership.members.filter(({ voter }) => voter);
+        const ips = voters.map(({ id }) => parseAddress(toAddress(id)).host).sort();
+        return [{ index: record.index, ips }];
+      })
+      .at(-1);
   }
 
   /** Renders the settings from the template as the platform does. */
@@ -386,6 +476,7 @@
     ip: string,
     vmIndex: number,
     isFirstStart: boolean,
+    seeds: readonly string[],
   ): Promise<string> {
     const template = await readFile('deploy/settings.ini', 'utf8');
     const listen: Readonly<Record<string, string>> =
@@ -399,14 +490,14 @@
     const values: Readonly<Record<string, string>> = {
       ...Object.fromEntries(Object.entries(listen).map(([key, value]) => [`listen.${key}`, value])),
       node: `vm-${vmIndex + 1}`,
-      zone: this.zones[vmIndex] ?? '',
+      zone: this.#getZone(vmIndex),
       region: 'klang-valley',
       role,
       ip,
       'limits.cpu_share': '0.54',
       'internal_port_range.0': String(PORTS.peer),
       'internal_port_range.1': String(PORTS.gateway),
-      seeds: this.ips.map((seed) => `${seed}:${PORTS.control}`).join(','),
+      seeds: seeds.map((seed) => `${seed}:${PORTS.control}`).join(','),
       data_dir: this.disklessVms.includes(vmIndex) ? '' : join(this.folder, `vm-${vmIndex + 1}`),
       bootstrap: String(isFirstStart),
       heartbeat: '400ms',
@@ -427,14 +518,28 @@
       .replace(/\{\{([\w.]+)\}\}/g, (_, key: string) => values[key] ?? '');
   }
 
+  async #writeSettings(
+    role: 'gateway' | 'steward',
+    ip: string,
+    vmIndex: number,
+    isFirstStart: boolean,
+    seeds: readonly string[],
+  ): Promise<string> {
+    const file = join(this.folder, `${role}-${vmIndex + 1}.ini`);
+    await writeFile(file, await this.#renderSettings(role, ip, vmIndex, isFirstStart, seeds));
+    return file;
+  }
+
   async startProcess(
     role: 'gateway' | 'steward',
     ip: string,
     vmIndex: number,
     isFirstStart: boolean,
+    seeds: readonly string[] = this.controlIps,
   ): Promise<void> {
-    const file = join(this.folder, `${role}-${vmIndex + 1}.ini`);
-    await writeFile(file, await this.#renderSettings(role, ip, vmIndex, isFirstStart));
+    const file = await this.#writeSettings(role, ip, vmIndex, isFirstStart, seeds);
+    // A scenario that failed may still be starting processes.
+    if (this.#isStopped) throw new Error('the site was stopped');
     const child = spawn(process.execPath, [PROGRAM], {
       env: { ...process.env, NODE_OPTIONS: '', CHIVEWALK_BOOT: file },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -442,7 +547,8 @@
     const running: RunningProcess = {
       role,
       ip,
-      zone: this.zones[vmIndex] ?? '',
+      vmIndex,
+      zone: this.#getZone(vmIndex),
       child,
       output: '',
     };
@@ -466,7 +572,7 @@
   async restartProcess(name: string, wipesData: boolean): Promise<void> {
     const running = this.processes.get(name);
     if (running === undefined) return;
-    const vmIndex = this.ips.indexOf(running.ip);
+    const { vmIndex } = running;
     if (wipesData)
       await rm(join(this.folder, `vm-${vmIndex + 1}`), { recursive: true, force: true });
     await this.startProcess(running.role, running.ip, vmIndex, false);
@@ -504,8 +610,8 @@
   /** Sends an order to control addresses until one of them handles it. */
   async sendOrder(options: HttpRequestOptions): Promise<HttpResponse> {
     const deadline = performance.now() + 15_000;
-    while (performance.now() < deadline) {
-      const [ip = ''] = this.shuffleIps();
+    while (performance.now() < deadline && !this.#isStopped) {
+      const [ip = ''] = pickRotation(this.controlIps);
       const answer = await this.#sendFollowingRedirects(ip, options, 2).catch(() => undefined);
       if (answer !== undefined && answer.status < 500 && answer.status !== 307) return answer;
       await sleep(50);
@@ -562,7 +668,7 @@
 
   /** Looks up gateway addresses as callers do; returns none if the lookup fails. */
   async resolve(zone: string): Promise<readonly string[]> {
-    const [ip = ''] = this.shuffleIps();
+    const [ip = ''] = pickRotation(this.gatewayIps);
     const path = `/-/resolve?name=site.example&region=klang-valley&zone=${zone}`;
     const answer = await sendHttpRequest(ip, PORTS.directory, { path, timeout: 1000 }).catch(
       () => undefined,
@@ -618,6 +724,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#isStopped = true;
     clearInterval(this.#heartbeatTimer);
     this.upstreams.forEach((upstream) => {
       upstream.stop();
