Control: the leader takes the vote of a silent member while three others vote, and gives it back

Cause: a dead member stayed a voter until it was removed, up to 15 s, so that the next loss left no majority.

grantVoting becomes assignVotes. A learner votes once it holds every committed entry and answered within the minimum election timeout (before, the answer could be of any age). A voter that is silent for longer than an election takes becomes a learner while at least three others vote; it keeps its identity and is sent entries, and votes again once it answers. Both follow from the log and from present silence, so a new leader decides as the former one. One voter a step, without a pending change, and only if a majority of the new voters answers, as before. Seven bounds the voters; twelve bounds the members.

--- a/features/control/core.feature
+++ b/features/control/core.feature
@@ -58,3 +58,95 @@
     Then the control core is up to date: true
     Given a control core that is the leader among 3 members
     Then the control core is up to date: true
+
+  # A voter that is gone for good would count in majorities until an operator removed it.
+  Scenario Outline: A silent member loses its vote after <limit> ms, but three members always vote
+    Given a control core that is the leader among <size> members
+    When for <early> ms only members "<answering>" answer the control core
+    Then members "<all>" of the control core vote, and "" do not
+    When for <late> ms only members "<answering>" answer the control core
+    Then members "<voters>" of the control core vote, and "<learners>" do not
+    When for 20000 ms only members "<answering>" answer the control core
+    Then members "<voters>" of the control core vote, and "<learners>" do not
+
+    Examples:
+      | size | answering | early | late | limit | all         | voters    | learners |
+      | 3    | 1         | 2400  | 100  | 2400  | 0 1 2       | 0 1 2     |          |
+      | 4    | 1 2       | 2400  | 100  | 2400  | 0 1 2 3     | 0 1 2     | 3        |
+      | 5    | 1 2       | 2400  | 150  | 2400  | 0 1 2 3 4   | 0 1 2     | 3 4      |
+      | 5    | 1 2 4     | 2400  | 100  | 2400  | 0 1 2 3 4   | 0 1 2 4   | 3        |
+
+  Scenario: A member that lost its vote gets it again once it answers and holds every committed entry
+    Given a control core that is the leader among 4 members
+    When for 3000 ms only members "1 2" answer the control core
+    Then members "0 1 2" of the control core vote, and "3" do not
+    When member 3 answers the control core
+    Then members "0 1 2 3" of the control core vote, and "" do not
+
+  Scenario: A member that answers now and then keeps its vote
+    Given a control core that is the leader among 4 members
+    When for 60000 ms all 4 members answer the control core, member 3 only each 1500 ms
+    Then members "0 1 2 3" of the control core vote, and "" do not
+    And the control core wrote 0 changes of members since its founding
+
+  Scenario: A new member takes the vote of one that is gone
+    Given a control core that is the leader among 3 members
+    When the control core is asked to admit a new member 7
+    And for 3000 ms only members "1 7" answer the control core
+    Then members "0 1 7" of the control core vote, and "2" do not
+
+  Scenario: A new member that lacks a committed entry gets no vote
+    Given a control core that is the leader among 3 members
+    When the control core is asked to admit a new member 7
+    And for 50 ms only members "1 2" answer the control core
+    And for 2000 ms members "1 2 7" answer the control core, but lack its last entry
+    Then members "0 1 2" of the control core vote, and "7" do not
+    When member 7 answers the control core
+    Then members "0 1 2 7" of the control core vote, and "" do not
+
+  Scenario: A new member that held every entry but has fallen silent gets no vote
+    Given a control core that is the leader among 3 members
+    When the control core is asked to admit a new member 7
+    And member 7 answers the control core
+    And for 1300 ms members "1 2" answer the control core, but lack its last entry
+    And for 500 ms only members "1 2" answer the control core
+    Then members "0 1 2" of the control core vote, and "7" do not
+    When member 7 answers the control core
+    Then members "0 1 2 7" of the control core vote, and "" do not
+
+  Scenario: No vote is taken while another change is pending
+    Given a control core that is the leader among 4 members
+    When for 2000 ms only members "1 2" answer the control core
+    And the control core is asked to admit a new member 7
+    And for 2000 ms members "1 2" answer the control core, but lack its last entry
+    Then members "0 1 2 3" of the control core vote, and "7" do not
+    And the control core wrote 1 changes of members since its founding
+    When for 100 ms only members "1 2" answer the control core
+    Then members "0 1 2" of the control core vote, and "3 7" do not
+
+  Scenario: A leader that was paused takes no votes by its own silence
+    Given a control core that is the leader among 4 members
+    When for 1000 ms only members "1 2 3" answer the control core
+    And the control core is paused for 5000 ms and gets an answer of member 1 to its latest round
+    Then the control core wrote 0 changes of members since its founding
+
+  Scenario: Seven members vote, and a further one only in the place of another
+    Given a control core that is the leader among 7 members
+    When the control core is asked to admit a new member 8
+    Then the control core accepts the change
+    When for 5000 ms only members "1 2 3 4 5 6 8" answer the control core
+    Then members "0 1 2 3 4 5 6" of the control core vote, and "8" do not
+    When for 3000 ms only members "1 2 3 5 6 8" answer the control core
+    Then members "0 1 2 3 5 6 8" of the control core vote, and "4" do not
+    When for 5000 ms only members "1 2 3 4 5 6 8" answer the control core
+    Then members "0 1 2 3 5 6 8" of the control core vote, and "4" do not
+
+  Scenario Outline: A group has at most twelve members
+    Given a control core that is the leader among <size> members
+    When the control core is asked to admit a new member 20
+    Then the control core refuses with "tooMany"
+
+    Examples:
+      | size |
+      | 12   |
+      | 13   |
--- a/features/control/core.steps.ts
+++ b/features/control/core.steps.ts
@@ -76,13 +76,19 @@
     this.now = defaultTimings.electionMax;
     decide(this, { kind: 'ticked' });
     const grant = { kind: 'voteReply', term: 1, asked: 2, granted: true } as const;
-    const from = toMember(1);
-    decide(this, { kind: 'messageArrived', from, message: { ...grant, preVote: true } });
+    const needed = Array.from({ length: Math.floor(size / 2) }, (_, index) => toMember(index + 1));
+    needed.forEach((from) => {
+      decide(this, { kind: 'messageArrived', from, message: { ...grant, preVote: true } });
+    });
     syncAll(this);
     const vote = { ...grant, term: 2, preVote: false };
-    decide(this, { kind: 'messageArrived', from, message: vote });
+    needed.forEach((from) => {
+      decide(this, { kind: 'messageArrived', from, message: vote });
+    });
     syncAll(this);
-    sendAcknowledgement(this, from);
+    needed.forEach((from) => {
+      sendAcknowledgement(this, from);
+    });
     assert.equal(this.state.role.kind, 'leader');
     assert.equal(this.state.commitIndex, 2);
   },
@@ -314,3 +320,118 @@
     assert.equal(hasCommittedInTerm(this.state), expected === 'true');
   },
 );
+
+function toMembers(indexes: string): readonly MemberId[] {
+  return indexes.split(' ').map((index) => toMember(Number(index)));
+}
+
+/** Delivers a reply of each member: to the latest round, and about its log up to the index. */
+function sendReplies(world: CoreWorld, from: readonly MemberId[], index?: number): void {
+  from.forEach((member) => {
+    const { role, term, log } = world.state;
+    if (role.kind !== 'leader' || !role.progress.has(member)) return;
+    const { round } = role;
+    const reply = { term, matches: true, index: index ?? getLastIndex(log), round };
+    const message = { kind: 'appendReply', ...reply } as const;
+    decide(world, { kind: 'messageArrived', from: member, message });
+    syncAll(world);
+  });
+}
+
+function passTime(world: CoreWorld, ms: number, reply: () => void): void {
+  const end = world.now + ms;
+  while (world.now < end) {
+    world.now += 50;
+    decide(world, { kind: 'ticked' });
+    syncAll(world);
+    reply();
+  }
+}
+
+When(
+  'the control core is asked to admit a new member {int}',
+  function (this: CoreWorld, index: number) {
+    const change = { kind: 'admit', id: toMember(index) } as const;
+    decide(this, { kind: 'membershipProposed', proposal: 1, change });
+    const { effects } = this;
+    syncAll(this);
+    this.effects = effects;
+  },
+);
+
+When(
+  'for {int} ms only members {string} answer the control core',
+  function (this: CoreWorld, ms: number, answering: string) {
+    passTime(this, ms, () => {
+      sendReplies(this, toMembers(answering));
+    });
+  },
+);
+
+When(
+  'for {int} ms members {string} answer the control core, but lack its last entry',
+  function (this: CoreWorld, ms: number, answering: string) {
+    const last = getLastIndex(this.state.log);
+    passTime(this, ms, () => {
+      sendReplies(this, toMembers(answering), last - 1);
+    });
+  },
+);
+
+When(
+  'for {int} ms all {int} members answer the control core, member {int} only each {int} ms',
+  function (this: CoreWorld, ms: number, size: number, slow: number, interval: number) {
+    const others = Array.from({ length: size }, (_, index) => index).filter(
+      (index) => index !== 0 && index !== slow,
+    );
+    const end = this.now + ms;
+    while (this.now < end) {
+      passTime(this, interval, () => {
+        sendReplies(
+          this,
+          others.map((index) => toMember(index)),
+        );
+      });
+      sendReplies(this, [toMember(slow)]);
+    }
+  },
+);
+
+When('member {int} answers the control core', function (this: CoreWorld, index: number) {
+  sendReplies(this, [toMember(index)]);
+});
+
+When(
+  'the control core is paused for {int} ms and gets an answer of member {int} to its latest round',
+  function (this: CoreWorld, ms: number, index: number) {
+    this.now += ms;
+    decide(this, { kind: 'woke' });
+    sendReplies(this, [toMember(index)]);
+  },
+);
+
+Then(
+  'members {string} of the control core vote, and {string} do not',
+  function (this: CoreWorld, voters: string, learners: string) {
+    const { members } = this.state.membership;
+    const listIndexes = (voter: boolean): string =>
+      members
+        .filter((member) => member.voter === voter)
+        .map(({ id }) => /\.(\d+):/.exec(id)?.[1] ?? '')
+        .sort((one, other) => Number(one) - Number(other))
+        .join(' ');
+    assert.deepEqual([listIndexes(true), listIndexes(false)], [voters, learners]);
+  },
+);
+
+Then(
+  'the control core wrote {int} changes of members since its founding',
+  function (this: CoreWorld, count: number) {
+    const changes = this.state.log.entries.filter(({ kind }) => kind === 'membership');
+    assert.equal(changes.length - 1, count);
+  },
+);
+
+Then('the control core accepts the change', function (this: CoreWorld) {
+  assert.ok(this.effects.some(({ kind }) => kind === 'accepted'));
+});
--- a/src/control/consensus.ts
+++ b/src/control/consensus.ts
@@ -33,7 +33,7 @@
 } from './leading.js';
 import { hasRoomFor, findPruneIndex } from './compaction.js';
 import { pruneLog, getLastIndex, getTermAt, type Log } from './log.js';
-import { handleJoinRequest, grantVoting, proposeMembership } from './members.js';
+import { assignVotes, handleJoinRequest, proposeMembership } from './members.js';
 import {
   renewElectionTimer,
   runSteps,
@@ -128,7 +128,7 @@
     case 'woke':
       return handleWake(state);
     case 'messageArrived':
-      return runSteps(state, (next) => handleMessage(next, event.from, event.message), grantVoting);
+      return runSteps(state, (next) => handleMessage(next, event.from, event.message), assignVotes);
     case 'proposed':
       return handleProposal(state, event.proposal, event.command);
     case 'membershipProposed':
@@ -223,7 +223,7 @@
   return runSteps(
     current,
     (next) => (next.now >= role.heartbeatDue ? startRound(next) : toStep(next)),
-    grantVoting,
+    assignVotes,
   );
 }
 
@@ -275,7 +275,7 @@
     countOwnVote,
     advanceCommit,
     settleReads,
-    grantVoting,
+    assignVotes,
   );
 }
 
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -14,6 +14,6 @@
 } from './control.js';
 export { StorageError } from './files.js';
 export { openControl } from './node.js';
-export { MAX_VOTERS } from './members.js';
+export { MAX_MEMBERS, MAX_VOTERS } from './members.js';
 export { toAddress } from './steps.js';
 export { defaultTimings, type Timings } from './types.js';
--- a/src/control/members.ts
+++ b/src/control/members.ts
@@ -1,16 +1,28 @@
 /**
  * Membership changes, one at a time. Invariant: a change starts only after the previous change and an entry
- * of the leader's own term are committed, and it adds or removes at most one voter.
+ * of the leader's own term are committed, and it adds or removes at most one voter. The leader takes a vote
+ * by itself only from a silent member, and only while at least three other voters remain.
  */
 import type { LogEntry, Membership } from '../generated/control.js';
 import { hasQuorumContact } from './election.js';
 import { appendAndReplicate, hasCommittedOwnTerm, startTransfer } from './leading.js';
 import { getLastIndex } from './log.js';
 import { listVoters, runSteps, toAddress, toStep } from './steps.js';
-import type { ConsensusState, MemberId, MembershipChange, RefusalReason, Step } from './types.js';
+import type {
+  ConsensusState,
+  LeaderRole,
+  MemberId,
+  MembershipChange,
+  RefusalReason,
+  Step,
+} from './types.js';
 
-/** Maximum number of members in a group, including learners. */
+/** Maximum number of voters in a group. */
 export const MAX_VOTERS = 7;
+/** Maximum number of members in a group: the voters, and learners that caught up or fell silent. */
+export const MAX_MEMBERS = 12;
+/** Minimum number of voters that the leader leaves: with three, two form a majority without the third. */
+const MIN_VOTERS = 3;
 /** Number of removed identities that stay recorded, so that they can't rejoin. */
 const MAX_RETIRED = 32;
 
@@ -56,7 +68,7 @@
   state: ConsensusState,
   membership: Membership,
 ): RefusalReason | undefined {
-  if (membership.members.length > MAX_VOTERS) return 'tooMany';
+  if (membership.members.length > MAX_MEMBERS) return 'tooMany';
   return hasReachableMajority(state, membership) ? undefined : 'fewAnswer';
 }
 
@@ -124,17 +136,44 @@
     : toStep(state);
 }
 
-/** Promotes a learner to voter once it holds every committed entry. */
-export function grantVoting(state: ConsensusState): Step {
+/** Returns a learner that answered lately and holds every committed entry, and so may vote. */
+function findPromotable(state: ConsensusState, { progress }: LeaderRole): MemberId | undefined {
+  if (listVoters(state.membership).length >= MAX_VOTERS) return undefined;
+  const oldest = state.now - state.timings.electionMin;
+  return state.membership.members.find(({ id, voter }) => {
+    const { matchIndex, lastContactAt } = progress.get(id) ?? unknownProgress;
+    return !voter && matchIndex >= state.commitIndex && lastContactAt > oldest;
+  })?.id;
+}
+
+/** Returns the voter that has been silent for the longest time, if it is longer than an election takes. */
+function findDemotable(state: ConsensusState, { progress }: LeaderRole): MemberId | undefined {
+  const voters = listVoters(state.membership);
+  if (voters.length <= MIN_VOTERS) return undefined;
+  const oldest = state.now - state.timings.electionMax;
+  return voters
+    .flatMap((id) => {
+      const lastContactAt = progress.get(id)?.lastContactAt ?? Infinity;
+      return lastContactAt < oldest ? [{ id, lastContactAt }] : [];
+    })
+    .sort((one, other) => one.lastContactAt - other.lastContactAt)[0]?.id;
+}
+
+const unknownProgress = { matchIndex: 0, lastContactAt: -Infinity };
+
+/**
+ * Gives a vote to a learner that is up to date, or else takes the vote of a silent member, which stays a
+ * learner: a member that is gone must not count in majorities when the next one is lost. Both are decided
+ * from the log and from present silence, so that a new leader decides as the former one did.
+ */
+export function assignVotes(state: ConsensusState): Step {
   const { role } = state;
   if (role.kind !== 'leader' || hasPendingChange(state)) return toStep(state);
-  const ready = state.membership.members.find(
-    (member) =>
-      !member.voter && (role.progress.get(member.id)?.matchIndex ?? 0) >= state.commitIndex,
-  );
-  if (ready === undefined) return toStep(state);
+  const promoted = findPromotable(state, role);
+  const changed = promoted ?? findDemotable(state, role);
+  if (changed === undefined) return toStep(state);
   const members = state.membership.members.map((member) =>
-    member === ready ? { ...member, voter: true } : member,
+    member.id === changed ? { ...member, voter: changed === promoted } : member,
   );
   const membership = { ...state.membership, members };
   return hasReachableMajority(state, membership)
