Steward: members are planned from the log and present silence, not from one leader's memory

Cause: the count of pending replacements lived in one leader and was taken from the silence at one moment.

The core moves votes now, so the plan adds and removes members only. A joiner is admitted while fewer than seven members answered within 2.5 s and fewer than twelve are listed; only a learner that is silent for 15 s is removed, or for 2.5 s if all twelve places are taken and somebody waits.

Rows of decisions.feature that state the old rule are replaced: 'remove c' of a voter (silent for 3 s with a pending replacement, 16 s without, 9 s in a group of seven) is now no removal at all, which is stricter; the admission of an eighth while one of seven is silent is 'add h' (the bound counts those that answer). New rows: 14.9 s and 15.1 s of a learner, two silent ones, twelve members. The new rows weren't run against the old plan, whose signature differs.

--- a/features/control/core.steps.ts
+++ b/features/control/core.steps.ts
@@ -338,7 +338,7 @@
   });
 }
 
-function passTime(world: CoreWorld, ms: number, reply: () => void): void {
+function runFor(world: CoreWorld, ms: number, reply: () => void): void {
   const end = world.now + ms;
   while (world.now < end) {
     world.now += 50;
@@ -362,7 +362,7 @@
 When(
   'for {int} ms only members {string} answer the control core',
   function (this: CoreWorld, ms: number, answering: string) {
-    passTime(this, ms, () => {
+    runFor(this, ms, () => {
       sendReplies(this, toMembers(answering));
     });
   },
@@ -372,7 +372,7 @@
   'for {int} ms members {string} answer the control core, but lack its last entry',
   function (this: CoreWorld, ms: number, answering: string) {
     const last = getLastIndex(this.state.log);
-    passTime(this, ms, () => {
+    runFor(this, ms, () => {
       sendReplies(this, toMembers(answering), last - 1);
     });
   },
@@ -386,7 +386,7 @@
     );
     const end = this.now + ms;
     while (this.now < end) {
-      passTime(this, interval, () => {
+      runFor(this, interval, () => {
         sendReplies(
           this,
           others.map((index) => toMember(index)),
--- a/features/steward/decisions.feature
+++ b/features/steward/decisions.feature
@@ -66,26 +66,39 @@
       | 60  | 60  | 1     |
       | 0   | 6   | 1     |
 
+  # A question mark stands for a member that doesn't vote.
   Scenario Outline: Planned membership changes
     Given control members "<members>" with silences "<silences>"
-    When "<waiting>" ask to join with <pending> pending replacements
+    When "<waiting>" ask to join
     Then the steward plans the membership change "<change>"
 
     Examples:
-      | members     | silences         | waiting | pending  | change   |
-      | a b c       | b 100, c 100     | d       | 0        | add d    |
-      | a b c       | b 100, c 100     |         | 0        |          |
-      | a b c       | b 100, c 99999   |         | 0        |          |
-      | a b c d     | b 100, c 3000, d 100 |     | 1        | remove c |
-      | a b c d     | b 100, c 3000, d 100 |     | 0        |          |
-      | a b c d     | b 100, c 16000, d 100 |    | 0        | remove c |
-      | a b c d     | b 2600, c 3000, d 100 |    | 1        | remove c |
-      | a b c d?    | b 100, c 16000, d 100 |    | 1        |          |
-      | a b c       | b 100, c 100     | c       | 0        |          |
-      | a b c d e f g | b 100, c 100   | h       | 4        |          |
-      | a b c d e f g | b 100, c 7000  | h       | 4        |          |
-      | a b c d e f g | b 100, c 9000  | h       | 4        | remove c |
-      | a b c d e f g? | b 100, c 9000 | h       | 4        |          |
+      | members     | silences               | waiting | change   |
+      | a b c       | b 100, c 100           | d       | add d    |
+      | a b c       | b 100, c 100           |         |          |
+      | a b c       | b 100, c 99999         |         |          |
+      | a b c       | b 100, c 99999         | d       | add d    |
+      | a b c       | b 100, c 100           | c       |          |
+      | a b c d     | b 100, c 3000, d 100   |         |          |
+      | a b c d     | b 100, c 16000, d 100  |         |          |
+      | a b c d     | b 2600, c 3000, d 100  |         |          |
+      | a b c d?    | b 100, c 16000, d 100  |         |          |
+      | a b c? d    | b 100, c 14900, d 100  |         |          |
+      | a b c? d    | b 100, c 15100, d 100  |         | remove c |
+      | a b c? d    | b 100, c 15100, d 100  | e       | add e    |
+      | a b c? d e? | c 15100, d 100, e 15200 |        | remove e |
+
+    Examples: seven members that answer are enough, and twelve in all
+      | members                                | silences        | waiting | change   |
+      | a b c d e f g                          | b 100, c 100    | h       |          |
+      | a b c d e f g                          | b 100, c 2400   | h       |          |
+      | a b c d e f g                          | b 100, c 7000   | h       | add h    |
+      | a b c d e f g?                         | b 100, c 9000   | h       | add h    |
+      | a b c d e f g h?                       | b 100, h 9000   | i       |          |
+      | a b c d e f g h?                       | b 100, h 15100  | i       | remove h |
+      | a b c d? e? f? g? h? i? j? k? l?       | c 3000, d 2600, e 2700, f 2800, g 3100, h 2600, i 2600 | m | remove g |
+      | a b c d? e? f? g? h? i? j? k? l?       | c 3000, d 2600, e 2700, f 2800, g 3100, h 2600, i 2600 |   |          |
+      | a b c d? e? f? g? h? i? j? k? l?       | c 3000, d 2600, e 2700, f 2800, g 3100, h 2400         | m |          |
 
   Scenario Outline: A steward that is not the leader redirects its callers to the leader it knows
     Given a steward with role "<role>", known leader "<leader>" and reported leader "<reported>"
@@ -107,13 +120,3 @@
       | 0      |
       | 15000  |
       | -15000 |
-
-  Scenario Outline: An admission counts as a replacement only while a member is unreachable
-    Given control members "a b c" with silences "<silences>"
-    When "d" is admitted with 0 pending replacements
-    Then the number of pending replacements is <pending>
-
-    Examples: at the first start all others answer
-      | silences         | pending  |
-      | b 100, c 100     | 0        |
-      | b 100, c 1200    | 1        |
--- a/src/steward/index.ts
+++ b/src/steward/index.ts
@@ -1,5 +1,5 @@
 /** The tasks of the control group's leader: catalog changes, traffic moves and group membership. */
-export { planMembershipChange, recordMembershipChange, type JoinRequests } from './members.js';
+export { planMembershipChange } from './members.js';
 export { computeCapacityShare, planMoveStep, type MoveStep, type MoveTimes } from './moves.js';
 export {
   createSteward,
--- a/src/steward/members.ts
+++ b/src/steward/members.ts
@@ -1,72 +1,48 @@
 /**
- * Plans the membership changes that the control group makes without an operator. Invariant: at most one
- * change is proposed at a time, a member that answers is never removed, and at least three voters remain.
+ * Plans the membership changes that the control group makes without an operator, from the log and from present
+ * silence alone. Invariant: at most one change is proposed at a time, and only learners that don't answer are
+ * removed; the consensus core decides which members vote.
  */
-import { MAX_VOTERS, toAddress, type ControlStatus, type MemberChange } from '../control/index.js';
+import {
+  MAX_MEMBERS,
+  MAX_VOTERS,
+  toAddress,
+  type ControlStatus,
+  type MemberChange,
+} from '../control/index.js';
 import type { Address, Duration } from '../model/index.js';
 
-/** Milliseconds of silence after which a member is removed if a replacement was already admitted. */
-const REPLACED_SILENCE: Duration = 2500;
-/** Milliseconds of silence after which a member is removed although no replacement was admitted. */
+/**
+ * Milliseconds of silence after which a learner is removed. A removed member has to delete its data and join
+ * anew, so one that only restarts must be back before.
+ */
 const REMOVAL_SILENCE: Duration = 15_000;
-/** Milliseconds of silence after which a member counts as unreachable; a few heartbeats. */
-const UNREACHABLE_SILENCE: Duration = 700;
-/** Milliseconds of silence after which a full group removes a member to make room for a standby steward. */
-const STANDBY_TAKEOVER_SILENCE: Duration = 8000;
-/** Minimum number of voters: with three, two form a majority without the third. */
-const MIN_VOTERS = 3;
-
-/** The leader's record of join requests and of admissions that still await a removal. */
-export interface JoinRequests {
-  readonly waiting: readonly Address[];
-  /** Members admitted while another member was unreachable, with no removal since. */
-  readonly pendingReplacements: number;
-}
+/** Milliseconds of silence after which a member doesn't count as answering, and may make room for another. */
+const UNREACHABLE_SILENCE: Duration = 2500;
 
 /**
- * Returns the next membership change, or undefined if none is due.
+ * Returns the next membership change, or undefined if none is due. `waiting` lists the addresses that ask to
+ * join.
  *
  * @example
- * planMembershipChange(status, { waiting: ['10.0.3.4:7200'], pendingReplacements: 0 }) // { kind: 'add', ... }
+ * planMembershipChange(status, ['10.0.3.4:7200']) // { kind: 'add', address: '10.0.3.4:7200' }
  */
 export function planMembershipChange(
   status: ControlStatus,
-  requests: JoinRequests,
+  waiting: readonly Address[],
 ): MemberChange | undefined {
   if (status.role !== 'leader') return undefined;
-  const addresses = status.members.map(({ id }) => toAddress(id));
-  const joiner = requests.waiting.find((address) => !addresses.includes(address));
-  const isFull = status.members.length >= MAX_VOTERS;
-  if (joiner !== undefined && !isFull) return { kind: 'add', address: joiner };
-  const voters = status.members.filter(({ voter }) => voter);
-  if (voters.length !== status.members.length || voters.length <= MIN_VOTERS) return undefined;
-  const [longestSilent] = [...status.silences].sort(([, one], [, two]) => two - one);
-  if (longestSilent === undefined) return undefined;
-  const [address, silence] = longestSilent;
-  const removalLimit = requests.pendingReplacements > 0 ? REPLACED_SILENCE : REMOVAL_SILENCE;
-  const limit = joiner === undefined ? removalLimit : STANDBY_TAKEOVER_SILENCE;
-  return silence > limit ? { kind: 'remove', address } : undefined;
-}
-
-/**
- * Returns the join requests after a committed change. A member that joins while all others answer replaces
- * none of them: it enlarges the group, as at the first start.
- *
- * @example
- * const change = { kind: 'add', address: '10.0.3.4:7200' };
- * recordMembershipChange(requests, change, [['10.0.2.9:7200', 1200]]).pendingReplacements // 1 more
- */
-export function recordMembershipChange(
-  { waiting, pendingReplacements }: JoinRequests,
-  change: MemberChange,
-  silences: ControlStatus['silences'],
-): JoinRequests {
-  const others = waiting.filter((address) => address !== change.address);
-  const isReplacement = silences.some(([, silence]) => silence > UNREACHABLE_SILENCE);
-  switch (change.kind) {
-    case 'add':
-      return { waiting: others, pendingReplacements: pendingReplacements + Number(isReplacement) };
-    case 'remove':
-      return { waiting: others, pendingReplacements: Math.max(0, pendingReplacements - 1) };
-  }
+  const { members, silences } = status;
+  const silent = silences.filter(([, silence]) => silence > UNREACHABLE_SILENCE);
+  const isFull = members.length - silent.length >= MAX_VOTERS;
+  const addresses = members.map(({ id }) => toAddress(id));
+  const joiner = isFull ? undefined : waiting.find((address) => !addresses.includes(address));
+  const isCrowded = members.length >= MAX_MEMBERS;
+  if (joiner !== undefined && !isCrowded) return { kind: 'add', address: joiner };
+  const limit = joiner === undefined ? REMOVAL_SILENCE : UNREACHABLE_SILENCE;
+  const learners = members.filter(({ voter }) => !voter).map(({ id }) => toAddress(id));
+  const [longestSilent] = silences
+    .filter(([address, silence]) => learners.includes(address) && silence > limit)
+    .sort(([, one], [, two]) => two - one);
+  return longestSilent === undefined ? undefined : { kind: 'remove', address: longestSilent[0] };
 }
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -24,7 +24,7 @@
   type Judgement,
 } from '../rollout/index.js';
 import { createLogger } from '../telemetry/index.js';
-import { planMembershipChange, recordMembershipChange, type JoinRequests } from './members.js';
+import { planMembershipChange } from './members.js';
 import { computeCapacityShare, planMoveStep, type MoveStep } from './moves.js';
 
 const log = createLogger('steward');
@@ -108,7 +108,8 @@
   readonly #evaluations = new Map<string, MoveEvaluation>();
   readonly #moveStarts = new Map<string, MoveStart>();
   #evidence: readonly EvidenceRow[] = [];
-  #joinRequests: JoinRequests = { waiting: [], pendingReplacements: 0 };
+  /** Addresses that ask to join the group, the latest request last. */
+  #joinRequests: readonly Address[] = [];
   #isChangingMembers = false;
   #lastLedTerm = 0;
 
@@ -208,8 +209,8 @@
   }
 
   #queueJoinRequest(address: Address): void {
-    const others = this.#joinRequests.waiting.filter((waiting) => waiting !== address);
-    this.#joinRequests = { ...this.#joinRequests, waiting: [...others, address] };
+    const others = this.#joinRequests.filter((waiting) => waiting !== address);
+    this.#joinRequests = [...others, address];
   }
 
   listCold(): Readonly<Record<string, Duration>> {
@@ -339,7 +340,6 @@
       : planMembershipChange(control.status, this.#joinRequests);
     if (change === undefined) return;
     this.#isChangingMembers = true;
-    const { silences } = control.status;
     const outcome = await control.changeMembers(change);
     this.#isChangingMembers = false;
     log.info('control membership change finished', {
@@ -347,13 +347,7 @@
       change: change.kind,
       outcome: outcome.kind,
     });
-    this.#joinRequests =
-      outcome.kind === 'committed'
-        ? recordMembershipChange(this.#joinRequests, change, silences)
-        : {
-            ...this.#joinRequests,
-            waiting: this.#joinRequests.waiting.filter((address) => address !== change.address),
-          };
+    this.#joinRequests = this.#joinRequests.filter((address) => address !== change.address);
   }
 }
 
