Control: a process that waits to be admitted learns the present members

Cause: a newborn asks the members that it found at its start, for good; once these are replaced nobody hears it.

addKnownMembers tells it the members that other processes name (32 at most, the latest first), and it asks these too. Founders keep their list, as it decides who founds the group. Without the method a process could not be told at all, so there was no run that failed first; the scenario shows that within 1.5 s nobody is asked to admit it, and that it joins once told. group.feature: passes, with features/daemon 25 of 25.

--- a/features/control/group.feature
+++ b/features/control/group.feature
@@ -67,6 +67,14 @@
     Then the control voters are members 1, 2 and 3
     And the control voters apply every accepted number
 
+  Scenario: A process that knows only members that are gone joins once it is told the present ones
+    Given a control group of 4 founded by the first 3
+    When control member 3 starts, but knows only an address where nobody answers
+    Then within 1500 ms the control leader gets no request to join
+    When control member 3 is told the present members
+    And control member 3 asks to join and is added
+    Then the control voters apply every accepted number
+
   Scenario: A member that lost its disk and starts without joining does not vote
     Given a control group of 3
     When the control group accepts 1 numbers
--- a/features/control/group.steps.ts
+++ b/features/control/group.steps.ts
@@ -11,6 +11,8 @@
   /** The follower whose disk is replaced. */
   follower: number;
   syncAgain: () => void;
+  /** Addresses that asked any member to join. */
+  joinRequests: string[];
 }
 
 function getGroup(world: GroupWorld): Group {
@@ -126,6 +128,49 @@
   await waitFor(`member ${index} to vote`, () => findVoters(group).length === 4);
 });
 
+When(
+  'control member {int} starts, but knows only an address where nobody answers',
+  SLOW,
+  async function (this: GroupWorld, index: number) {
+    const group = getGroup(this);
+    this.joinRequests = [];
+    group.running.forEach(({ node }) => {
+      node.onJoinRequest((address) => this.joinRequests.push(address));
+    });
+    await group.start(index, true, { members: ['127.0.0.1:1', group.addresses[index] ?? ''] });
+  },
+);
+
+Then(
+  'within {int} ms the control leader gets no request to join',
+  SLOW,
+  async function (this: GroupWorld, time: number) {
+    await new Promise((resolve) => setTimeout(resolve, time));
+    assert.deepEqual(this.joinRequests, []);
+  },
+);
+
+When(
+  'control member {int} is told the present members',
+  function (this: GroupWorld, index: number) {
+    const group = getGroup(this);
+    const present = group.addresses.slice(0, group.founders);
+    group.getNode(index).addKnownMembers(present);
+    const known = group.getNode(index).status.members.map(({ id }) => id);
+    assert.deepEqual(known, [...present, '127.0.0.1:1', group.addresses[index]]);
+  },
+);
+
+When(
+  'control member {int} asks to join and is added',
+  SLOW,
+  async function (this: GroupWorld, index: number) {
+    const group = getGroup(this);
+    await applyChange(group, 'add', index);
+    await waitFor(`member ${index} to vote`, () => findVoters(group).length === 4);
+  },
+);
+
 When('control member {int} is removed', SLOW, async function (this: GroupWorld, index: number) {
   await applyChange(getGroup(this), 'remove', index);
 });
--- a/features/support/control.ts
+++ b/features/support/control.ts
@@ -34,6 +34,7 @@
     ...{
       onApplied: () => undefined,
       onJoinRequest: () => undefined,
+      addKnownMembers: () => undefined,
       close: () => Promise.resolve(),
     },
     ...overrides,
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -128,6 +128,8 @@
   onApplied(listener: AppliedListener<S>): void;
   /** Calls the listener at each `hello` of a process that asks to join the group. */
   onJoinRequest(listener: (address: Address) => void): void;
+  /** Tells a member that waits to be admitted the present members of the group, so that it asks these too. */
+  addKnownMembers(members: readonly Address[]): void;
   /** Returns whether this member was leader at some point after the call; a lease counts from the call. */
   confirmLeadership(): Promise<boolean>;
   changeMembers(change: MemberChange): Promise<ChangeOutcome>;
--- a/src/control/founding.ts
+++ b/src/control/founding.ts
@@ -9,6 +9,8 @@
 
 /** Milliseconds between two `hello` messages. */
 const HELLO_INTERVAL = 500;
+/** Addresses that a joining member asks at most; the latest ones that it learned stay. */
+const MAX_ASKED = 32;
 
 /** State of a member that is still forming a group, or of one that belongs to a group. */
 export type FoundingState =
@@ -39,7 +41,9 @@
       readonly message: FoundingMessage;
     }
   /** A member of the group sent a consensus message to this identity. */
-  | { readonly kind: 'addressed'; readonly group: string };
+  | { readonly kind: 'addressed'; readonly group: string }
+  /** Another process named the members of the group, which may have been replaced since this one started. */
+  | { readonly kind: 'membersFound'; readonly members: readonly Address[] };
 
 /** Side effects that the shell (the I/O layer) performs. */
 export type FoundingEffect =
@@ -75,6 +79,10 @@
       return state.kind === 'forming'
         ? settleGroup(state, event.group, [])
         : { state, effects: [] };
+    case 'membersFound':
+      return state.kind === 'forming' && state.join
+        ? { state: addAsked(state, event.members), effects: [] }
+        : { state, effects: [] };
   }
 }
 
@@ -91,6 +99,12 @@
   };
 }
 
+/** Founders keep their list, as it decides who founds the group. */
+function addAsked(state: FormingMember, found: readonly Address[]): FormingMember {
+  const members = [...new Set([...found, ...state.members])].slice(0, MAX_ASKED);
+  return { ...state, members };
+}
+
 /** Only the member with the lowest address founds the group, so that two sets of founders can't arise. */
 function isFounder(state: FormingMember): boolean {
   return [...state.members].sort()[0] === toAddress(state.self);
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -484,6 +484,10 @@
     return outcome === 'current' && this.#clock() - start <= limit;
   }
 
+  addKnownMembers(members: readonly Address[]): void {
+    void this.#handleFoundingEvent({ kind: 'membersFound', members });
+  }
+
   async changeMembers(change: MemberChange): Promise<ChangeOutcome> {
     const remedy = this.#findRemedy();
     if (remedy !== undefined) return { kind: 'unavailable', remedy };
@@ -514,7 +518,8 @@
   get status(): ControlStatus {
     const consensus = this.#consensus;
     if (consensus === undefined) {
-      const members = this.#options.members.map((id) => ({ id, voter: true }));
+      const asked = this.#founding.kind === 'forming' ? this.#founding.members : [];
+      const members = asked.map((id) => ({ id, voter: true }));
       return { ...emptyStatus, members, problem: this.#problem ?? UNFOUNDED_REMEDY };
     }
     const { role, term, commitIndex, membership, membershipIndex, repair, failed } = consensus;
