Steward: a replaced member begins anew in the same process instead of ending it

Cause: the member deleted its folder under its open log and ended the process with code 1.

It is closed, its data is deleted, and it is opened anew, by the same Reopening that follows a failure of the disk; data is deleted only while no opening exists. The identity is set aside first (replaced.json), so that a process that ends meanwhile neither starts with the old identity without its vote and log, nor refuses to start for a log without an identity. A newborn also tells its member every list of members that others name.

Options of Reopening changed, so turns.steps.ts follows.

--- a/features/control/turns.steps.ts
+++ b/features/control/turns.steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import fc from 'fast-check';
-import { Reopening, type Opening } from '../../src/daemon/reopening.js';
+import { Reopening, type Opening, type ReopeningCause } from '../../src/daemon/reopening.js';
 import { FullDisk } from './full.js';
 import { Group, waitFor } from './group.js';
 
@@ -40,18 +40,18 @@
 
 /** Starts a member that opens its folder again after its disk was full. */
 function startMember(group: Group, index: number, disk: FullDisk, join: boolean): Promise<void> {
-  const open = async (onFailed: () => void): Promise<Opening> => {
+  const open = async (onEnded: (cause: ReopeningCause) => void): Promise<Opening> => {
     try {
       await group.start(index, join, {
         files: disk.files,
         onProblem: (problem) => {
           group.problems.push(problem);
-          if (problem.kind === 'writeFailed') onFailed();
+          if (problem.kind === 'writeFailed') onEnded('diskFailed');
         },
       });
     } catch {
       await sleep(CHECK_INTERVAL);
-      return open(onFailed);
+      return open(onEnded);
     }
     return { close: () => group.stop(index) };
   };
@@ -63,6 +63,7 @@
     open,
     waitForDisk,
     waitToRetry: () => sleep(CHECK_INTERVAL),
+    empty: () => Promise.reject(new Error('no member of this group was replaced')),
     onReopened: () => undefined,
     onProblem: (error) => {
       group.problems.push({ kind: 'halted', message: String(error) });
--- a/features/daemon/reopening.feature
+++ b/features/daemon/reopening.feature
@@ -15,7 +15,19 @@
       | so that closing it throws                       |
 
   @no-site
-  Scenario: A component is open in the end after any series of failures
+  Scenario Outline: A component that the group replaces begins anew in the same process
+    When the group replaces a component <moment>, <openings> openings and <deletions> deletions of its data follow
+    Then the last opening of the component is in use, and never were two at once
+
+    Examples:
+      | moment                                           | openings | deletions |
+      | while it is in use                               | 1        | 1         |
+      | while it is opened                               | 1        | 1         |
+      | twice                                            | 2        | 2         |
+      | and its data can be deleted only the second time | 1        | 2         |
+
+  @no-site
+  Scenario: A component is open in the end after any series of failures and replacements
     When a component is opened on disks that fail at random moments
     Then the last opening of the component is in use, and never were two at once
 
--- a/features/daemon/reopening.steps.ts
+++ b/features/daemon/reopening.steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { setImmediate as waitForTurn } from 'node:timers/promises';
 import fc from 'fast-check';
-import { Reopening } from '../../src/daemon/reopening.js';
+import { Reopening, type ReopeningCause } from '../../src/daemon/reopening.js';
 
 /** What happens to one opening of the component. The numbers are turns of the event loop. */
 interface Fate {
@@ -10,6 +10,8 @@
   readonly opening: number;
   /** Turns after its start at which the disk fails, if it does. */
   readonly failsAfter: number | undefined;
+  /** Turns after its start at which the group replaces the component, if it does. */
+  readonly replacedAfter: number | undefined;
   readonly throws: boolean;
   readonly throwsOnClose: boolean;
 }
@@ -26,7 +28,10 @@
 const FULL_TURNS = 3;
 const CLOSING_TURNS = 2;
 
-const sound: Fate = { opening: 2, failsAfter: undefined, throws: false, throwsOnClose: false };
+const sound: Fate = {
+  ...{ opening: 2, failsAfter: undefined, replacedAfter: undefined },
+  ...{ throws: false, throwsOnClose: false },
+};
 
 async function waitTurns(count: number): Promise<void> {
   for (let turn = 0; turn < count; turn += 1) await waitForTurn();
@@ -38,17 +43,32 @@
   inUse = 0;
   mostInUse = 0;
   readonly failed = new Set<number>();
+  /** Openings with data that the group gave up, and how often data was deleted. */
+  readonly isVoid = new Set<number>();
+  emptied = 0;
   readonly reopening = new Reopening({
-    open: (onFailed) => this.#open(onFailed),
+    open: (onEnded) => this.#open(onEnded),
+    empty: async () => {
+      assert.equal(this.inUse, 0, 'the folder of an opening in use is emptied');
+      await waitTurns(1);
+      this.emptied += 1;
+      if (this.emptied === this.failsToEmpty) throw new Error('EBUSY: resource busy');
+      this.isVoid.clear();
+    },
     waitForDisk: () => waitTurns(FULL_TURNS),
     waitToRetry: () => waitTurns(1),
     onReopened: () => undefined,
     onProblem: () => undefined,
   });
 
-  constructor(readonly fates: readonly Fate[]) {}
+  constructor(
+    readonly fates: readonly Fate[],
+    readonly failsToEmpty = 0,
+  ) {}
 
-  async #open(onFailed: () => void): Promise<{ number: number; close(): Promise<void> }> {
+  async #open(
+    onEnded: (cause: ReopeningCause) => void,
+  ): Promise<{ number: number; close(): Promise<void> }> {
     const fate = this.fates[this.opened] ?? sound;
     this.opened += 1;
     const number = this.opened;
@@ -57,7 +77,13 @@
     if (fate.failsAfter !== undefined) {
       void waitTurns(fate.failsAfter).then(() => {
         this.failed.add(number);
-        onFailed();
+        onEnded('diskFailed');
+      });
+    }
+    if (fate.replacedAfter !== undefined) {
+      void waitTurns(fate.replacedAfter).then(() => {
+        this.isVoid.add(number);
+        onEnded('replaced');
       });
     }
     await waitTurns(fate.opening);
@@ -86,6 +112,7 @@
     assert.ok(current !== undefined, 'no opening is in use');
     assert.equal(current.number, this.opened, 'the last opening is not in use');
     assert.ok(!this.failed.has(current.number), 'the opening in use has failed');
+    assert.ok(!this.isVoid.has(current.number), 'the opening in use was replaced');
   }
 }
 
@@ -125,6 +152,7 @@
     const fate = fc.record({
       opening: fc.integer({ min: 0, max: 6 }),
       failsAfter: fc.option(fc.integer({ min: 0, max: 20 }), { nil: undefined }),
+      replacedAfter: fc.option(fc.integer({ min: 0, max: 20 }), { nil: undefined }),
       throws: fc.boolean(),
       throwsOnClose: fc.boolean(),
     });
@@ -144,6 +172,32 @@
   },
 );
 
+const replacementsByMoment: Readonly<Record<string, Component>> = {
+  'while it is in use': new Component([{ ...sound, replacedAfter: 9 }]),
+  'while it is opened': new Component([{ ...sound, opening: 8, replacedAfter: 1 }]),
+  twice: new Component([
+    { ...sound, replacedAfter: 9 },
+    { ...sound, replacedAfter: 9 },
+  ]),
+  'and its data can be deleted only the second time': new Component(
+    [{ ...sound, replacedAfter: 9 }],
+    1,
+  ),
+};
+
+When(
+  /^the group replaces a component (.*), (\d) openings and (\d) deletions of its data follow$/,
+  async function (this: ReopeningWorld, moment: string, openings: string, deletions: string) {
+    const component = replacementsByMoment[moment];
+    assert.ok(component !== undefined);
+    await component.run();
+    component.check();
+    assert.equal(component.opened, 1 + Number(openings));
+    assert.equal(component.emptied, Number(deletions));
+    this.failures = [];
+  },
+);
+
 When('a component is stopped while it is opened again', async function (this: ReopeningWorld) {
   const component = new Component([
     { ...sound, failsAfter: 5 },
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -2,8 +2,8 @@
  * Runs a steward. Invariant: only one opening of the data folder is in use at a time, and its listeners close
  * before the components that they call.
  */
-import { existsSync, rmSync } from 'node:fs';
-import { rm, writeFile } from 'node:fs/promises';
+import { existsSync } from 'node:fs';
+import { readdir, rename, rm, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
@@ -32,12 +32,12 @@
 import type { Address, Duration } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
 import { createSteward, type Steward } from '../steward/index.js';
-import { createLogger, standardOutput, type Metrics } from '../telemetry/index.js';
+import { createLogger, type Metrics } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
 import { findFounders } from './founders.js';
 import { createReferrer } from './referrer.js';
-import { Reopening, type Opening } from './reopening.js';
+import { Reopening, type Opening, type ReopeningCause } from './reopening.js';
 import { listSeeds } from './seeds.js';
 
 const log = createLogger('daemon');
@@ -60,8 +60,10 @@
 /** Bytes written to find out whether a disk takes writes again; more than a batch of commands takes. */
 const TRIAL_BYTES = 64 * 1024;
 const TRIAL_FILE = 'trial.tmp';
-/** Milliseconds before the process exits, so that the last log lines are written. */
-const EXIT_DELAY: Duration = 100;
+/** The file without which a data folder counts as that of a new member. */
+const IDENTITY_FILE = 'identity.json';
+/** The identity of a replaced member whose data is being deleted. */
+const REPLACED_FILE = 'replaced.json';
 
 const catalogMachine: StateMachine<Catalog> = {
   initial: emptyCatalog,
@@ -100,7 +102,7 @@
 async function findStartMembers({ settings, mesh }: StewardContext): Promise<StartMembers> {
   const seeds = listSeeds(settings.seeds, settings.steward_port);
   const isFounder = settings.first_start === true && seeds.includes(mesh.address);
-  if (existsSync(join(settings.data_folder, 'identity.json'))) return { members: seeds, isFounder };
+  if (existsSync(join(settings.data_folder, IDENTITY_FILE))) return { members: seeds, isFounder };
   const find = isFounder ? findFounders : findMembers;
   return { members: await find(mesh, seeds), isFounder };
 }
@@ -149,6 +151,19 @@
   }
 }
 
+/**
+ * Deletes the data of a member that its group replaced. The identity is set aside first: it must never be used
+ * without its vote and log, and a start that finds it set aside deletes the rest.
+ */
+async function dropReplacedData(folder: string): Promise<void> {
+  const setAside = join(folder, REPLACED_FILE);
+  if (existsSync(join(folder, IDENTITY_FILE))) await rename(join(folder, IDENTITY_FILE), setAside);
+  const names = await readdir(folder);
+  const others = names.filter((name) => name !== REPLACED_FILE);
+  await Promise.all(others.map((name) => rm(join(folder, name), { recursive: true, force: true })));
+  await rm(setAside, { force: true });
+}
+
 /** What a steward needs besides its disk. */
 interface StewardContext {
   readonly settings: NonNullable<Settings['steward']>;
@@ -165,14 +180,20 @@
 async function openComponents(
   context: StewardContext,
   openListeners: (steward: Steward) => Promise<Listeners>,
-  onWriteFailed: () => void,
+  onEnded: (cause: ReopeningCause) => void,
 ): Promise<OpenSteward> {
   const { settings, mesh } = context;
   const now = (): number => performance.now();
+  const folder = settings.data_folder;
+  if (existsSync(join(folder, REPLACED_FILE))) await dropReplacedData(folder);
   const members = await findStartMembers(context);
-  const node = await openNode(context, members, onWriteFailed);
+  const node = await openNode(context, members, () => {
+    onEnded('diskFailed');
+  });
   const seeds = listSeeds(settings.seeds, settings.steward_port);
-  const group = watchGroup(node, mesh, seeds, settings.data_folder);
+  const group = watchGroup(node, mesh, seeds, () => {
+    onEnded('replaced');
+  });
   const steward = createSteward({
     control: node,
     findLeader: group.findLeader,
@@ -212,21 +233,28 @@
   }
 }
 
+const reopenedLines: Readonly<Record<ReopeningCause, string>> = {
+  diskFailed: 'the disk takes writes again: the data folder was opened anew',
+  replaced: 'the data folder is empty: asking the group to admit this member anew',
+};
+
 /**
  * Creates the steward of this process. A member whose write failed never writes again, as the write may be
  * torn; once the disk takes writes, the data folder is read anew as after a restart. Until then the process
- * answers that it can't serve orders and names the leader.
+ * answers that it can't serve orders and names the leader. A member that its group replaced begins anew, with
+ * an empty folder.
  */
 function createReopening(
   context: StewardContext,
   openListeners: (steward: Steward) => Promise<Listeners>,
 ): Reopening<OpenSteward> {
   return new Reopening<OpenSteward>({
-    open: (onFailed) => openComponents(context, openListeners, onFailed),
+    open: (onEnded) => openComponents(context, openListeners, onEnded),
+    empty: () => dropReplacedData(context.settings.data_folder),
     waitForDisk: () => waitForDisk(context.settings.data_folder),
     waitToRetry: () => sleep(OPEN_RETRY_INTERVAL),
-    onReopened: () => {
-      log.info('the disk takes writes again: the data folder was opened anew');
+    onReopened: (cause) => {
+      log.info(reopenedLines[cause]);
     },
     onProblem: (error) => {
       log.warn('cannot close the data folder, or open it again: trying again', {
@@ -339,9 +367,10 @@
   node: ControlNode<Catalog>,
   mesh: Mesh,
   seeds: readonly Address[],
-  folder: string,
+  onReplaced: () => void,
 ): GroupWatch {
   let leaderLastSeenAt = performance.now();
+  let isReplaced = false;
   let reported: { readonly leader: Address | undefined; readonly receivedAt: number } | undefined;
   const isForming = (): boolean => node.status.role === 'newborn';
   const hasNoLeader = (): boolean => performance.now() - leaderLastSeenAt > LEADERLESS_TIMEOUT;
@@ -366,15 +395,16 @@
     handleGroupStatus: ({ members, healthy, leader }) => {
       if (!healthy) return;
       reported = { leader, receivedAt: performance.now() };
+      node.addKnownMembers(members);
       const known = node.status.members.map(({ id }) => toAddress(id));
       const isWaitingForAdmission = isForming() && members.some((member) => known.includes(member));
       if (isWaitingForAdmission || !hasNoLeader() || members.includes(mesh.address)) return;
+      if (isReplaced) return;
+      isReplaced = true;
       log.warn('the group replaced this member: deleting its data folder to rejoin', {
         members,
       });
-      standardOutput.flush();
-      rmSync(folder, { recursive: true, force: true });
-      setTimeout(() => process.exit(1), EXIT_DELAY);
+      onReplaced();
     },
   };
 }
