--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -32,6 +32,9 @@
 /** Milliseconds for which a member that was given up isn't preferred for being in the entry's zone. */
 const GIVEN_UP_TIME: Duration = 5000;
 
+/** Age in milliseconds from which a state is stale by default. */
+export const DEFAULT_FRESH_FOR: Duration = 2000;
+
 /** Cause of a change of the entry's view. */
 export type FeedChange =
   | { readonly kind: 'replaced' }
@@ -60,15 +63,25 @@
   /** Called with the milliseconds for which instances stay cold. */
   readonly onCold: (cold: Readonly<Record<string, Duration>>) => void;
   readonly onDependency: (state: 'lost' | 'regained', member: Address) => void;
+  /** Age in milliseconds from which the state is stale; {@link DEFAULT_FRESH_FOR} by default. */
+  readonly freshFor?: Duration;
+  /** The time of day in milliseconds, which runs on while the VM is suspended; `Date.now` by default. */
+  readonly wallNow?: () => Instant;
 }
 
 /** An entry's side of the feed. */
 export interface Follower {
   readonly view: FeedView;
-  /** Milliseconds since the last answer of the followed member while it was healthy. */
+  /** Milliseconds since an instant at which the applied state was certainly current; Infinity before the first one. */
   readonly age: Duration;
+  /** Whether another process is known to have a newer state, or a fresh one while this one is stale. */
+  readonly isBehind: boolean;
+  /** The control member that is followed. */
+  readonly followed: Address;
   /** Polls the followed member immediately, for example before stopping. */
   pollNow(): void;
+  /** Replaces the seeds, for example after the settings were read again. */
+  setSeeds(seeds: readonly Address[]): void;
   close(): void;
 }
 
@@ -77,6 +90,7 @@
 class FeedFollower implements Follower {
   readonly #options: FollowerOptions;
   readonly #startedAt: Instant;
+  #seeds: readonly Address[];
   #timer: NodeJS.Timeout | undefined;
   #view: FeedView = { catalog: emptyCatalog, index: 0, entries: [] };
   readonly #fleet = new FleetCopy();
@@ -91,6 +105,7 @@
 
   constructor(options: FollowerOptions) {
     this.#options = options;
+    this.#seeds = options.seeds;
     this.#members = options.seeds;
     this.#followedSince = options.now();
     this.#lastHealthyAnswerAt = options.now();
@@ -108,7 +123,19 @@
   }
 
   get age(): Duration {
-    return this.#options.now() - this.#lastHealthyAnswerAt;
+    return this.#view.index === 0 ? Infinity : this.#options.now() - this.#lastHealthyAnswerAt;
+  }
+
+  get isBehind(): boolean {
+    return false;
+  }
+
+  get followed(): Address {
+    return this.#followed;
+  }
+
+  setSeeds(seeds: readonly Address[]): void {
+    this.#seeds = seeds;
   }
 
   pollNow(): void {
@@ -135,7 +162,7 @@
    */
   #rankMembers(): Address[] {
     const own = this.#options.describeSelf().id;
-    const all = [...new Set([...this.#members, ...this.#options.seeds])];
+    const all = [...new Set([...this.#members, ...this.#seeds])];
     const ranked = all
       .map((member) => [hashText(`${own} ${member}`), member] as const)
       .sort(([one], [two]) => one - two)
