Feed: a gateway finds the group through anyone who knows it, and knows the age of its state

Cause: members were learned only from healthy answers of the followed member.

Now the list with the highest index counts, whoever sends it; a process whose state is older than 1 s asks all members, all seeds and 3 other gateways each 500 ms; gateways answer (not healthy, without a disk). The age of the state is taken from the echo of the poll's own time, never from the time of receipt, on a clock that runs on while the VM is suspended and that never goes back (src/model/clock.ts). An answer with the same or an older index and a known age renews the state, also that of a gateway. sources.ts and age.ts are pure, follower.ts performs.

Fields are optional on the wire, so that builds can be mixed during an upgrade; without them an age is unknown.

Changed tests: feed.steps.ts reads the followed member from the follower instead of from the last message sent, as requests for members are sent besides; the status stubs have the new fields.

--- a/features/feed/feed.steps.ts
+++ b/features/feed/feed.steps.ts
@@ -239,7 +239,7 @@
 Then(
   'each member is followed by at least {int} of the entries',
   function (this: FeedWorld, minimum: number) {
-    const followed = this.meshes.map(({ sent }) => sent.at(-1)?.[0]);
+    const followed = listFollowed(this);
     this.groupMembers.forEach((member) => {
       const count = followed.filter((address) => address === member).length;
       assert.ok(count >= minimum, `${member} is followed by ${count}`);
@@ -669,8 +669,8 @@
   },
 );
 
-function listFollowed({ meshes }: FeedWorld): readonly (Address | undefined)[] {
-  return meshes.map(({ sent }) => sent.at(-1)?.[0]);
+function listFollowed({ followers }: FeedWorld): readonly Address[] {
+  return followers.map(({ followed }) => followed);
 }
 
 Then('all entries follow {string}', function (this: ZoneFollowerWorld, member: string) {
--- /dev/null
+++ b/features/feed/sources.feature
@@ -0,0 +1,66 @@
+Feature: A process that follows a group finds it as long as anybody reachable knows it, and knows the age of its state
+
+  Scenario Outline: A gateway follows the group again after <what>
+    Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
+    When the feed network's stewards become "<stewards>" of the list <list>, while the gateway is paused and <besides>
+    Then within 2000 ms of the feed network's time the gateway has the state of the new stewards
+
+    Examples:
+      | what                                           | stewards | list | besides                             |
+      | all members were replaced                      | s4 s5 s6 | 9    | nothing else happens                |
+      | two of three members were replaced             | s3 s4 s5 | 9    | nothing else happens                |
+      | all were replaced, and one way to each is cut  | s4 s5 s6 | 9    | the answers of s4 and s5 are lost   |
+      | all were replaced, and others took their place | s4 s5 s6 | 9    | strangers take the old addresses    |
+
+  Scenario: A gateway that starts with three stale seeds finds the group once it reads the settings again
+    Given a feed network with a gateway that starts with the stale seeds "s7 s8 s9", while the stewards are "s1 s2 s3"
+    When the gateway on the feed network reads the seeds "s2 s8 s9"
+    Then within 1500 ms of the feed network's time the gateway has the state of the new stewards
+
+  Scenario Outline: A gateway moves on from a member <whose>
+    Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
+    When the followed steward of the feed network <behaves>, and the others apply a command
+    Then within 2000 ms of the feed network's time the gateway follows another steward and has the command
+
+    Examples:
+      | whose                             | behaves                            |
+      | answers are lost                  | sends answers that are lost        |
+      | state is old though it hears all  | has a state of unknown age         |
+      | state ages, as it was removed     | was removed and doesn't know       |
+      | group has no leader               | knows no leader                    |
+
+  Scenario: 317 gateways that look for the group at once ask few processes
+    Given 317 gateways on a feed network, all members and seeds of which are gone, with 3 members and 3 seeds
+    Then in 2000 ms each of them sends at most 9 requests in 500 ms, and each of them at most 3 to gateways
+
+  Scenario Outline: The age of a state never looks shorter than it is, after <what>
+    Given a feed follower with a fresh state, on clocks of its own
+    When <what> on the feed follower's clocks
+    Then the feed follower's age is at least <least> ms and at most <most> ms
+
+    Examples:
+      | what                                                     | least   | most     |
+      | 400 ms pass                                              | 400     | 700      |
+      | the VM is suspended for 10 s                             | 10000   | 10300    |
+      | the time of day jumps forward by 3600 s                  | 3600000 | 3600300  |
+      | the time of day jumps back by 3600 s, and 5 s pass       | 5000    | 5300     |
+      | it jumps back by 3600 s, and the VM is suspended for 10 s | 10000  | 10300    |
+      | 10 s pass in a pause, and news from before it arrive     | 9500    | 10300    |
+      | 3 s pass, and an answer to the poll of an earlier process arrives | 3000 | 3300 |
+      | 3 s pass, and an answer with a gap arrives               | 3000    | 3300     |
+      | 3 s pass, and an answer of a member with an old state arrives | 2000 | 2300  |
+      | 3 s pass, and a gateway with the same state answers      | 0       | 400      |
+      | 3 s pass, and a gateway with an older state answers      | 0       | 400      |
+      | 3 s pass, and a gateway with a newer state answers       | 3000    | 3300     |
+
+  Scenario Outline: A process knows that it is behind when <who> answers
+    Given a feed follower with a fresh state, on clocks of its own
+    When 3 s pass, and <who> answers on the feed follower's clocks
+    Then the feed follower knows that it is <behind>
+
+    Examples:
+      | who                             | behind     |
+      | a gateway with a newer state    | behind     |
+      | a gateway with the same state   | not behind |
+      | a gateway with as old a state   | not behind |
+      | nobody                          | not behind |
--- a/features/steward/decisions.steps.ts
+++ b/features/steward/decisions.steps.ts
@@ -148,6 +148,7 @@
       commitIndex: 1,
       lastIndex: 1,
       logBytes: 0,
+      ...{ membersIndex: 0, age: 0 },
       members: members.split(' ').map((name) => ({
         id: `${name.replace('?', '')}#1`,
         voter: !name.endsWith('?'),
--- a/features/support/control.ts
+++ b/features/support/control.ts
@@ -17,7 +17,15 @@
 ): ControlNode<Catalog> {
   const fullStatus: ControlStatus = {
     ...{ role: 'follower', term: 1, leader: undefined, commitIndex: 0, lastIndex: 0, logBytes: 0 },
-    ...{ members: [], silences: [], healthy: true, isVoter: true, problem: undefined },
+    ...{
+      members: [],
+      membersIndex: 0,
+      age: 0,
+      silences: [],
+      healthy: true,
+      isVoter: true,
+      problem: undefined,
+    },
     ...status,
   };
   const unused = (): never =>
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -98,6 +98,10 @@
   /** Bytes that the log takes in memory, approximately. */
   readonly logBytes: number;
   readonly members: readonly Member[];
+  /** Log index at which the membership took effect; 0 before the first one. */
+  readonly membersIndex: number;
+  /** Milliseconds since an instant at which the applied state was certainly current; Infinity if none is known. */
+  readonly age: Duration;
   /** On the leader: milliseconds since the start of the latest round that each other member answered. */
   readonly silences: readonly (readonly [member: Address, silence: Duration])[];
   /** Whether the member knows a leader and is neither failed, nor halted, nor under repair. */
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -529,6 +529,8 @@
       lastIndex: getLastIndex(consensus.log),
       logBytes: consensus.log.bytes,
       members: membership.members,
+      membersIndex: membershipIndex,
+      age: Infinity,
       silences: role.kind === 'leader' ? this.#listSilences(role) : [],
       healthy:
         leader !== undefined &&
@@ -599,6 +601,8 @@
   commitIndex: 0,
   lastIndex: 0,
   logBytes: 0,
+  membersIndex: 0,
+  age: Infinity,
   silences: [],
   healthy: false,
   isVoter: false,
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -5,14 +5,27 @@
  * first state comes from a member that knows a leader: another one may have restarted with an outdated state.
  */
 import { applyCommand, emptyCatalog, type Catalog, type CatalogCommand } from '../catalog/index.js';
-import { parseAddress, type Address, type Duration, type Instant } from '../model/index.js';
-import { hashText } from '../routing/index.js';
+import {
+  createSteadyClock,
+  parseAddress,
+  type Address,
+  type Duration,
+  type Instant,
+} from '../model/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
+import { computeAge, createAge, isBehindOthers, recordAnswer, type AgeState } from './age.js';
 import { decodeCommands, decodeState, type IndexedCommands } from './codec.js';
 import { FleetCopy } from './fleet.js';
 import { decodeMessage } from './messages.js';
-import { FEED_CHANNEL, type EntryRecord, type FeedMessage } from './types.js';
+import {
+  createSources,
+  decideSources,
+  type SourcesEffect,
+  type SourcesEvent,
+  type SourcesState,
+} from './sources.js';
+import { FEED_CHANNEL, type EntryRecord, type FeedMessage, type GroupStatus } from './types.js';
 
 /** Interval of polls to the followed control member, in milliseconds. */
 const POLL_INTERVAL: Duration = 250;
@@ -20,18 +33,11 @@
 const STARTUP_POLL_INTERVAL: Duration = 100;
 /** Milliseconds after the start for which {@link STARTUP_POLL_INTERVAL} applies; an election takes less. */
 const STARTUP_TIME: Duration = 5000;
-/** Milliseconds without an answer after which the entry follows another control member. */
-const ANSWER_TIMEOUT: Duration = 700;
-
 /**
- * Milliseconds without an answer after which another member is polled besides, so that one that has to be connected
- * to anew is reachable when the entry begins to follow it.
+ * Age in milliseconds from which a state is old: this process then asks others for the members, and follows no member
+ * whose state is as old. Twice the time between the answers that renew the state.
  */
-const SECOND_POLL_TIMEOUT: Duration = 350;
-
-/** Milliseconds for which a member that was given up isn't preferred for being in the entry's zone. */
-const GIVEN_UP_TIME: Duration = 5000;
-
+const OLD_AGE: Duration = 1000;
 /** Age in milliseconds from which a state is stale by default. */
 export const DEFAULT_FRESH_FOR: Duration = 2000;
 
@@ -90,31 +96,23 @@
 class FeedFollower implements Follower {
   readonly #options: FollowerOptions;
   readonly #startedAt: Instant;
-  #seeds: readonly Address[];
+  readonly #steadyNow: () => Instant;
   #timer: NodeJS.Timeout | undefined;
   #view: FeedView = { catalog: emptyCatalog, index: 0, entries: [] };
   readonly #fleet = new FleetCopy();
-  #members: readonly Address[];
-  #followed: Address;
-  #followedSince: Instant;
-  #lastHealthyAnswerAt: Instant;
-  #isLost = true;
-  /** Hosts of the live entries in this entry's zone, on which members of that zone run too. */
-  #zoneHosts: ReadonlySet<string> = new Set();
-  readonly #givenUpAt = new Map<Address, Instant>();
+  #sources: SourcesState;
+  #age: AgeState;
 
   constructor(options: FollowerOptions) {
     this.#options = options;
-    this.#seeds = options.seeds;
-    this.#members = options.seeds;
-    this.#followedSince = options.now();
-    this.#lastHealthyAnswerAt = options.now();
-    this.#followed = this.#rankMembers()[0] ?? '';
+    this.#startedAt = options.now();
+    this.#steadyNow = createSteadyClock(options.now, options.wallNow ?? Date.now);
+    this.#age = createAge(Math.floor(this.#steadyNow()));
+    this.#sources = createSources(options.describeSelf().id, options.seeds, options.now());
     options.mesh.handle(FEED_CHANNEL, (from, message) => {
       this.#receive(from, decodeMessage(message));
     });
-    this.#startedAt = options.now();
-    this.pollNow();
+    this.#poll();
     this.#schedulePoll();
   }
 
@@ -123,23 +121,24 @@
   }
 
   get age(): Duration {
-    return this.#view.index === 0 ? Infinity : this.#options.now() - this.#lastHealthyAnswerAt;
+    return computeAge(this.#age, this.#steadyNow());
   }
 
   get isBehind(): boolean {
-    return false;
+    const freshFor = this.#options.freshFor ?? DEFAULT_FRESH_FOR;
+    return isBehindOthers(this.#age, this.#steadyNow(), this.#view.index, freshFor);
   }
 
   get followed(): Address {
-    return this.#followed;
+    return this.#sources.followed;
   }
 
   setSeeds(seeds: readonly Address[]): void {
-    this.#seeds = seeds;
+    this.#decide({ kind: 'seedsRead', now: this.#options.now(), seeds });
   }
 
   pollNow(): void {
-    if (this.#followed !== '') this.#sendPoll(this.#followed, this.#options.collectEvidence());
+    if (this.followed !== '') this.#sendPoll(this.followed, this.#options.collectEvidence());
   }
 
   #sendPoll(member: Address, evidence: readonly EvidenceRow[]): void {
@@ -149,6 +148,7 @@
       index: this.#view.index,
       fleetRevision: this.#fleet.revision,
       evidence,
+      sentAt: Math.floor(this.#steadyNow()),
     } satisfies FeedMessage);
   }
 
@@ -156,31 +156,6 @@
     clearTimeout(this.#timer);
   }
 
-  /**
-   * Ranks the members: first those of the own zone, as polls between zones are expensive, each part in an
-   * order that depends on this entry's id, which spreads entries over the members.
-   */
-  #rankMembers(): Address[] {
-    const own = this.#options.describeSelf().id;
-    const all = [...new Set([...this.#members, ...this.#seeds])];
-    const ranked = all
-      .map((member) => [hashText(`${own} ${member}`), member] as const)
-      .sort(([one], [two]) => one - two)
-      .map(([, member]) => member);
-    return [true, false].flatMap((isNear) =>
-      ranked.filter((member) => this.#isNear(member) === isNear),
-    );
-  }
-
-  #isNear(member: Address): boolean {
-    const isGivenUp = this.#options.now() - this.#getGivenUpAt(member) <= GIVEN_UP_TIME;
-    return !isGivenUp && this.#zoneHosts.has(parseAddress(member).host);
-  }
-
-  #getGivenUpAt(member: Address): Instant {
-    return this.#givenUpAt.get(member) ?? -Number.MAX_VALUE;
-  }
-
   #schedulePoll(): void {
     const isStarting =
       this.#view.index === 0 && this.#options.now() - this.#startedAt < STARTUP_TIME;
@@ -194,85 +169,118 @@
   }
 
   #poll(): void {
-    const silence = this.#options.now() - Math.max(this.#lastHealthyAnswerAt, this.#followedSince);
-    if (silence > ANSWER_TIMEOUT) this.#followNextMember();
-    this.pollNow();
-    if (silence <= SECOND_POLL_TIMEOUT) return;
-    const next = this.#findNextMember();
-    if (next !== undefined) this.#sendPoll(next, []);
+    const { peerAddress } = this.#options.describeSelf();
+    this.#decide({
+      ...{ kind: 'polled', now: this.#options.now(), isOld: this.age > OLD_AGE },
+      followers: this.#view.entries
+        .map((entry) => entry.peerAddress)
+        .filter((address) => address !== peerAddress),
+      random: Math.random,
+    });
   }
 
-  /** Returns the member that was given up the longest ago, or never, so that every member is tried in turn. */
-  #findNextMember(): Address | undefined {
-    const others = this.#rankMembers().filter((member) => member !== this.#followed);
-    return others.sort((one, two) => this.#getGivenUpAt(one) - this.#getGivenUpAt(two))[0];
+  #decide(event: SourcesEvent): void {
+    const { state, effects } = decideSources(this.#sources, event);
+    this.#sources = state;
+    effects.forEach((effect) => {
+      this.#performEffect(effect);
+    });
   }
 
-  #followNextMember(): void {
-    if (!this.#isLost) {
-      this.#isLost = true;
-      this.#options.onDependency('lost', this.#followed);
+  #performEffect(effect: SourcesEffect): void {
+    switch (effect.kind) {
+      case 'poll':
+        this.#sendPoll(effect.member, effect.isFollowed ? this.#options.collectEvidence() : []);
+        return;
+      case 'find': {
+        const sentAt = Math.floor(this.#steadyNow());
+        const find: FeedMessage = { kind: 'find', sentAt };
+        this.#options.mesh.send(effect.address, FEED_CHANNEL, find);
+        return;
+      }
+      case 'report':
+        this.#options.onDependency(effect.state, effect.member);
+        return;
     }
-    this.#givenUpAt.set(this.#followed, this.#options.now());
-    this.#followed = this.#findNextMember() ?? this.#followed;
-    this.#followedSince = this.#options.now();
   }
 
   #receive(from: Address, message: FeedMessage): void {
-    if (message.kind !== 'news') return;
-    this.#applyUpdate(message);
-    if (from !== this.#followed) return;
-    if (!message.healthy) {
-      // A member without a leader may lag behind for as long as it is partitioned.
-      if (this.#options.now() - this.#followedSince > ANSWER_TIMEOUT) this.#followNextMember();
-      return;
+    switch (message.kind) {
+      case 'news': {
+        const isComplete = this.#applyUpdate(message);
+        // After a gap the sender has commands that this process lacks.
+        const index = isComplete ? this.#view.index : Math.max(message.after, this.#view.index + 1);
+        this.#recordAnswer(from, { ...message, index }, true);
+        return;
+      }
+      case 'found':
+        this.#recordAnswer(from, { ...message, index: message.index ?? 0 }, message.hasDisk);
+        return;
+      case 'find':
+        this.#sendStatus(from, message.sentAt);
+        return;
+      case 'follow':
+      case 'followers':
+      case 'findFollowers':
+      case 'evidence':
+        return;
     }
-    this.#lastHealthyAnswerAt = this.#options.now();
-    this.#updateMembers(message.members);
-    if (!this.#isLost) return;
-    this.#isLost = false;
-    this.#options.onDependency('regained', from);
   }
 
-  /** Switches to the preferred member once it is known, so that not all entries keep following the seeds. */
-  #updateMembers(members: readonly Address[]): void {
-    if (members.join() === this.#members.join()) return;
-    this.#members = members;
-    this.#followPreferred();
+  #recordAnswer(
+    from: Address,
+    answer: Pick<GroupStatus, 'members' | 'membersIndex' | 'healthy' | 'age' | 'echo'> & {
+      readonly index: number;
+    },
+    isMember: boolean,
+  ): void {
+    const { echo, age, index, members, membersIndex = 0, healthy } = answer;
+    const now = this.#steadyNow();
+    this.#age = recordAnswer(this.#age, { from, now, echo, age, index }, this.#view.index);
+    const isGood = healthy && age !== undefined && age <= OLD_AGE;
+    this.#decide({
+      ...{ kind: 'answered', now: this.#options.now() },
+      answer: { from, isMember, isGood, members, membersIndex },
+    });
   }
 
-  #followPreferred(): void {
-    const preferred = this.#rankMembers().find((member) => this.#members.includes(member));
-    if (preferred === undefined || preferred === this.#followed) return;
-    this.#followed = preferred;
-    this.#followedSince = this.#options.now();
-    this.pollNow();
+  /** Tells another process what this one knows of the group; not healthy, as it isn't a member. */
+  #sendStatus(to: Address, echo: Instant | undefined): void {
+    const { members, membersIndex } = this.#sources;
+    const age = this.age;
+    this.#options.mesh.send(to, FEED_CHANNEL, {
+      ...{ kind: 'found', hasDisk: false, healthy: false, leader: undefined, members, echo },
+      membersIndex: Math.max(0, membersIndex),
+      index: this.#view.index,
+      age: Number.isFinite(age) ? Math.ceil(age) : undefined,
+    } satisfies FeedMessage);
   }
 
   /** Switches to a member of the own zone once one is known. */
   #updateZoneHosts(entries: readonly EntryRecord[]): void {
     const { zone } = this.#options.describeSelf();
-    this.#zoneHosts = new Set(
-      entries
-        .filter((entry) => entry.zone === zone)
-        .map(({ peerAddress }) => parseAddress(peerAddress).host),
-    );
-    const isNearKnown = this.#members.some((member) => this.#isNear(member));
-    if (isNearKnown && !this.#isNear(this.#followed)) this.#followPreferred();
+    const near = entries.filter((entry) => entry.zone === zone);
+    const hosts = new Set(near.map(({ peerAddress }) => parseAddress(peerAddress).host));
+    this.#decide({ kind: 'zoneLearned', now: this.#options.now(), hosts });
   }
 
-  #applyUpdate(update: NewsMessage): void {
+  /** Applies an update, and returns whether the catalog then holds everything that its sender had. */
+  #applyUpdate(update: NewsMessage): boolean {
     const { healthy, fleet } = update;
-    if (healthy || this.#view.index > 0) this.#applyCatalogUpdate(update);
+    const isComplete = (healthy || this.#view.index > 0) && this.#applyCatalogUpdate(update);
     // After a difference from another list, which crossed an update on its way, the next poll asks again.
-    if (fleet === undefined || !this.#fleet.apply(fleet)) return;
+    if (fleet !== undefined && this.#fleet.apply(fleet)) this.#applyFleet();
+    return isComplete;
+  }
+
+  #applyFleet(): void {
     const { entries } = this.#fleet;
     this.#view = { ...this.#view, entries };
     this.#updateZoneHosts(entries);
     this.#options.onChange(this.#view, { kind: 'fleet' });
   }
 
-  #applyCatalogUpdate({ base, after, commands, cold }: NewsMessage): void {
+  #applyCatalogUpdate({ base, after, commands, cold }: NewsMessage): boolean {
     const { onChange, onCold } = this.#options;
     if (base !== undefined && base.index > this.#view.index) {
       this.#view = { ...this.#view, catalog: decodeState(base.state), index: base.index };
@@ -281,6 +289,7 @@
     }
     const hasGap = after > this.#view.index;
     if (commands !== undefined && !hasGap) this.#applyCommands(decodeCommands(commands));
+    return !hasGap;
   }
 
   #applyCommands(received: IndexedCommands): void {
--- a/src/feed/messages.ts
+++ b/src/feed/messages.ts
@@ -83,6 +83,16 @@
   return value === undefined || isValid(value);
 }
 
+function isGroupStatus(message: Fields): boolean {
+  return (
+    isListOf(message.members, isAddressText) &&
+    isOptional(message.membersIndex, isCount) &&
+    isOptional(message.index, isCount) &&
+    isOptional(message.age, isNonNegative) &&
+    isOptional(message.echo, isNonNegative)
+  );
+}
+
 function isValidMessage(message: Fields): boolean {
   const kind = message.kind as FeedMessage['kind'];
   switch (kind) {
@@ -91,7 +101,8 @@
         isEntry(message.entry) &&
         isCount(message.index) &&
         isText(message.fleetRevision) &&
-        isListOf(message.evidence, isEvidenceRow)
+        isListOf(message.evidence, isEvidenceRow) &&
+        isOptional(message.sentAt, isNonNegative)
       );
     case 'news':
       return (
@@ -102,7 +113,7 @@
         isObject(message.cold) &&
         Object.values(message.cold).every(isNonNegative) &&
         isOptional(message.fleet, isFleetUpdate) &&
-        isListOf(message.members, isAddressText)
+        isGroupStatus(message)
       );
     case 'followers':
       return (
@@ -117,9 +128,10 @@
         typeof message.healthy === 'boolean' &&
         typeof message.hasDisk === 'boolean' &&
         isOptional(message.leader, isAddressText) &&
-        isListOf(message.members, isAddressText)
+        isGroupStatus(message)
       );
     case 'find':
+      return isOptional(message.sentAt, isNonNegative);
     case 'findFollowers':
       return true;
     default:
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -45,6 +45,8 @@
   readonly index: number;
   readonly fleetRevision: string;
   readonly lastCallAt: Instant;
+  /** When the follower sent its last poll, on its own clock. */
+  readonly sentAt: Instant | undefined;
 }
 
 /** The last encoded payload; `key` identifies its content. */
@@ -60,6 +62,8 @@
   #pendingUpdates: NodeJS.Immediate | undefined;
   /** Recent commands for followers that lag; those that lag further get the whole state. */
   #commands: KeptCommands;
+  /** Index of the last command, or that of the snapshot or restart before the first one. */
+  #catalogIndex: number;
   readonly #fleet = new FleetTable();
   readonly #ownFollowers = new FleetTable();
   readonly #fleetHistory = new FleetHistory();
@@ -74,7 +78,8 @@
 
   constructor(options: PublisherOptions) {
     this.#options = options;
-    this.#commands = createKeptCommands(options.control.appliedIndex);
+    this.#catalogIndex = options.control.appliedIndex;
+    this.#commands = createKeptCommands(this.#catalogIndex);
     options.control.onApplied((_, index, command, bytes) => {
       this.#recordCommand(index, command as CatalogCommand | undefined, bytes);
     });
@@ -101,6 +106,7 @@
   }
 
   #recordCommand(index: number, command: CatalogCommand | undefined, bytes: number): void {
+    this.#catalogIndex = index;
     this.#commands =
       command === undefined
         ? createKeptCommands(index)
@@ -132,7 +138,8 @@
         this.#ownFollowers.add(message.entry, now);
         this.#handleEvidence(message.evidence);
         const { index, fleetRevision } = message;
-        this.#sendUpdate(from, { index, fleetRevision, lastCallAt: now });
+        const { sentAt } = message;
+        this.#sendUpdate(from, { index, fleetRevision, lastCallAt: now, sentAt });
         return;
       }
       case 'followers':
@@ -145,10 +152,11 @@
         this.#handleEvidence(message.rows);
         return;
       case 'find': {
-        const { healthy, leader } = this.#options.control.status;
-        const members = this.#listMembers();
-        const found: FeedMessage = { kind: 'found', hasDisk: true, members, healthy, leader };
-        this.#options.mesh.send(from, FEED_CHANNEL, found);
+        const { leader } = this.#options.control.status;
+        this.#options.mesh.send(from, FEED_CHANNEL, {
+          ...{ kind: 'found', hasDisk: true, leader, index: this.#catalogIndex },
+          ...this.#describeGroup(message.sentAt),
+        } satisfies FeedMessage);
         return;
       }
       case 'found':
@@ -159,6 +167,16 @@
     }
   }
 
+  #describeGroup(
+    echo: Instant | undefined,
+  ): Pick<GroupStatus, 'members' | 'membersIndex' | 'healthy' | 'age' | 'echo'> {
+    const { healthy, membersIndex, age } = this.#options.control.status;
+    return {
+      ...{ members: this.#listMembers(), membersIndex, healthy, echo },
+      age: Number.isFinite(age) ? Math.ceil(age) : undefined,
+    };
+  }
+
   #listMembers(): readonly Address[] {
     return this.#options.control.status.members.map(({ id }) => toAddress(id));
   }
@@ -185,7 +203,6 @@
     const last = commands?.at(-1)?.[0];
     mesh.send(to, FEED_CHANNEL, {
       kind: 'news',
-      healthy: control.status.healthy,
       base: isBehind ? { index: control.appliedIndex, state: this.#encodeState() } : undefined,
       after: follower.index,
       commands:
@@ -194,7 +211,7 @@
           : this.#encodeCommands(commands, last),
       cold: isBehind ? listCold() : {},
       fleet: this.#fleetHistory.createUpdate(follower.fleetRevision),
-      members: this.#listMembers(),
+      ...this.#describeGroup(follower.sentAt),
     } satisfies FeedMessage);
     const index = Math.max(follower.index, isBehind ? control.appliedIndex : (last ?? 0));
     const { revision } = this.#fleetHistory;
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -4,7 +4,7 @@
  */
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Payload } from './codec.js';
-import type { Address, Duration, ZoneId } from '../model/index.js';
+import type { Address, Duration, Instant, ZoneId } from '../model/index.js';
 
 /** The mesh channel of the feed. */
 export const FEED_CHANNEL = 'feed';
@@ -49,6 +49,8 @@
       readonly index: number;
       readonly fleetRevision: string;
       readonly evidence: readonly EvidenceRow[];
+      /** When it was sent, on the sender's clock. */
+      readonly sentAt?: Instant;
     }
   /** An update: the answer to a poll, also sent without a poll when a command is applied. */
   | {
@@ -64,6 +66,10 @@
       readonly cold: Readonly<Record<string, Duration>>;
       readonly fleet: FleetUpdate | undefined;
       readonly members: readonly Address[];
+      readonly membersIndex?: number;
+      readonly age?: Duration | undefined;
+      /** `sentAt` of the receiver's last poll. */
+      readonly echo?: Instant | undefined;
     }
   /** A control member's followers, sent to the other members. */
   | {
@@ -79,13 +85,22 @@
   | { readonly kind: 'findFollowers' }
   /** Evidence from a control member's followers, sent to the leader. */
   | { readonly kind: 'evidence'; readonly rows: readonly EvidenceRow[] }
-  /** A request for the members of the group, from a process without state. */
-  | { readonly kind: 'find' }
+  /** A request for the members of the group, from a process without state or with an old one. */
+  | { readonly kind: 'find'; readonly sentAt?: Instant }
+  /** `hasDisk` tells whether the sender may be a member. */
   | ({ readonly kind: 'found'; readonly hasDisk: boolean } & GroupStatus);
 
-/** The status of the group, as known to one control member. */
+/** The status of the group, as known to one process. Fields that it can't tell are absent. */
 export interface GroupStatus {
   readonly members: readonly Address[];
+  /** Log index of the membership that `members` lists. */
+  readonly membersIndex?: number;
+  /** Log index of the last command in the sender's catalog. */
+  readonly index?: number;
+  /** Milliseconds since an instant at which the sender's catalog was certainly current. */
+  readonly age?: Duration | undefined;
+  /** `sentAt` of the request that this answers. */
+  readonly echo?: Instant | undefined;
   /** Whether the member is part of a group that has a leader. */
   readonly healthy: boolean;
   readonly leader: Address | undefined;
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -2,6 +2,7 @@
  * Types and helpers that all packages share. Invariant: each value is immutable and unchanged by encoding and
  * decoding, so it can be sent, stored and compared by content.
  */
+export { createSteadyClock } from './clock.js';
 
 /** A time in milliseconds on the monotonic clock of the process that read it. */
 export type Instant = number;
