Control: a member knows the age of its state by an echo of its own clock

A follower's state was current at echo - confirmedAge: the leader got the echo before it sent the append, and a majority followed it confirmedAge before that.

--- a/src/control/consensus.ts
+++ b/src/control/consensus.ts
@@ -60,6 +60,8 @@
   readonly self: MemberId;
   readonly timings: Timings;
   readonly now: number;
+  /** The time on a clock that runs on while the VM is suspended; `now` by default. */
+  readonly steadyNow?: number;
   readonly random: number;
   readonly vote: Vote;
   readonly log: Log;
@@ -77,12 +79,16 @@
 export function createConsensus(start: ConsensusStart): ConsensusState {
   const { self, timings, now, random, vote, log, snapshot, nonce } = start;
   const { firstElectionMax } = timings;
+  const steadyNow = start.steadyNow ?? now;
   const state = renewElectionTimer(
     withMembership({
       self,
       timings,
       now,
       random,
+      steadyNow,
+      startedAt: Math.floor(steadyNow),
+      asOf: -Infinity,
       term: vote.term,
       votedFor: vote.votedFor,
       role: { kind: 'follower', leader: undefined },
@@ -113,7 +119,8 @@
  * const { state, effects } = decideConsensus(before, { kind: 'ticked', now, random });
  */
 export function decideConsensus(state: ConsensusState, event: ConsensusEvent): Step {
-  const timed: ConsensusState = { ...state, now: event.now, random: event.random };
+  const { now, random, steadyNow = now } = event;
+  const timed: ConsensusState = { ...state, now, random, steadyNow };
   const step = state.failed ? refuseEvent(timed, event) : handleEvent(timed, event);
   checkTransition(state, step);
   return step;
--- a/src/control/following.ts
+++ b/src/control/following.ts
@@ -4,6 +4,7 @@
  */
 import { checkInvariant } from '../model/index.js';
 import type { Append, RepairReply, SnapshotChunk } from '../generated/control.js';
+import { recordEcho } from './age.js';
 import { enterFollower } from './election.js';
 import { advanceCommitTo } from './leading.js';
 import { createLog, pruneLog, findTermStart, getLastIndex, getTermAt } from './log.js';
@@ -46,8 +47,9 @@
   matches: boolean,
   index: number,
 ): Step {
-  const { term } = state;
-  return sendAfterSync(state, to, { kind: 'appendReply', term, matches, index, round });
+  const { term, steadyNow } = state;
+  const sentAt = Math.floor(steadyNow);
+  return sendAfterSync(state, to, { kind: 'appendReply', term, matches, index, round, sentAt });
 }
 
 /** Handles entries or a heartbeat from the leader. */
@@ -75,6 +77,7 @@
     state,
     (next) => writeEntries(next, added),
     (next) => advanceCommitTo(next, Math.min(message.commitIndex, matched)),
+    (next) => toStep(recordEcho(next, message)),
     (next) => finishRepair(next, matched),
     (next) => sendAppendReply(next, from, round, true, matched),
   );
--- a/src/control/leading.ts
+++ b/src/control/leading.ts
@@ -5,6 +5,7 @@
  */
 import { checkInvariant, type Instant } from '../model/index.js';
 import type { AppendReply, LogEntry, SnapshotReply } from '../generated/control.js';
+import { describeAge } from './age.js';
 import { getBatch, getEntries, getLastIndex, getTermAt } from './log.js';
 import {
   hasMajority,
@@ -33,7 +34,10 @@
 const CHUNK_RESEND_INTERVAL = 1000;
 
 function createProgress(nextIndex: number, lastContactAt: Instant): Progress {
-  return { matchIndex: 0, nextIndex, lastContactAt, round: 0, snapshot: undefined };
+  return {
+    ...{ matchIndex: 0, nextIndex, lastContactAt, round: 0 },
+    ...{ echo: undefined, snapshot: undefined },
+  };
 }
 
 /** Becomes the leader of the term and appends a no-op entry; committing it commits earlier terms' entries. */
@@ -87,7 +91,9 @@
   const { role } = state;
   if (role.kind !== 'leader') return toStep(state);
   const round = role.round + 1;
-  const rounds = [...role.rounds, { round, startedAt: state.now }].slice(-MAX_TRACKED_ROUNDS);
+  const rounds = [...role.rounds, { round, startedAt: state.now, steadyAt: state.steadyNow }].slice(
+    -MAX_TRACKED_ROUNDS,
+  );
   const reads = role.reads.map((read) => ({ ...read, round: read.round ?? round }));
   const { heartbeat, largeGroupHeartbeat } = state.timings;
   const interval = listVoters(state.membership).length > 3 ? largeGroupHeartbeat : heartbeat;
@@ -124,6 +130,7 @@
       entries,
       commitIndex: state.commitIndex,
       round,
+      ...describeAge(state, to),
     },
   });
 }
@@ -174,7 +181,8 @@
   if (role.kind !== 'leader' || reply.term !== state.term) return toStep(state);
   const found = role.progress.get(from);
   if (found === undefined) return toStep(state);
-  const updated = recordContact(state, from, reply.round);
+  const echo = reply.sentAt ?? found.echo;
+  const updated = withProgress(recordContact(state, from, reply.round), from, { echo });
   if (!reply.matches) return handleLogMismatch(updated, from, found, reply.index);
   checkInvariant(
     reply.index <= getLastIndex(state.log),
--- a/src/control/node.ts
+++ b/src/control/node.ts
@@ -3,7 +3,7 @@
  * the order in which the core emits them, and a violated invariant stops the member.
  */
 import { randomBytes } from 'node:crypto';
-import { checkInvariant, type Address, type Duration } from '../model/index.js';
+import { checkInvariant, createSteadyClock, type Address, type Duration } from '../model/index.js';
 import type {
   ControlMessage,
   Envelope,
@@ -11,6 +11,7 @@
   LogEntry,
   MemberId,
 } from '../generated/control.js';
+import { computeAge } from './age.js';
 import { findCompactionReason } from './compaction.js';
 import { createConsensus, decideConsensus, isKnownKind } from './consensus.js';
 import type {
@@ -78,6 +79,7 @@
 class Node<S> implements ControlNode<S> {
   readonly #options: ControlOptions<S>;
   readonly #clock: () => number;
+  readonly #steadyClock: () => number;
   readonly #random: () => number;
   readonly #writer: StorageWriter;
   readonly #stored: StoredState;
@@ -104,6 +106,7 @@
     this.#options = options;
     this.#stored = stored;
     this.#clock = options.clock ?? ((): number => performance.now());
+    this.#steadyClock = createSteadyClock(this.#clock, options.clock ?? Date.now);
     this.#random = options.random ?? Math.random;
     this.#applied = options.machine.initial;
     this.#lastInputAt = this.#clock();
@@ -162,6 +165,7 @@
       self: this.#self,
       timings: this.#options.timings ?? defaultTimings,
       now: this.#clock(),
+      steadyNow: this.#steadyClock(),
       random: this.#random(),
       vote,
       log,
@@ -298,7 +302,8 @@
 
   #decide(input: ConsensusInput): void {
     if (this.#consensus === undefined) return;
-    const event = { ...input, now: this.#clock(), random: this.#random() };
+    const now = this.#clock();
+    const event = { ...input, now, random: this.#random(), steadyNow: this.#steadyClock() };
     const { state, effects } = decideConsensus(this.#consensus, event);
     this.#consensus = state;
     effects.forEach((effect) => {
@@ -530,7 +535,7 @@
       logBytes: consensus.log.bytes,
       members: membership.members,
       membersIndex: membershipIndex,
-      age: Infinity,
+      age: computeAge(consensus, this.#steadyClock()),
       silences: role.kind === 'leader' ? this.#listSilences(role) : [],
       healthy:
         leader !== undefined &&
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -66,7 +66,12 @@
   | { readonly kind: 'compacted'; readonly index: number; readonly data: Uint8Array };
 
 /** Inputs of {@link decideConsensus}. `random` is at least 0 and less than 1. */
-export type ConsensusEvent = ConsensusInput & { readonly now: Instant; readonly random: number };
+export type ConsensusEvent = ConsensusInput & {
+  readonly now: Instant;
+  readonly random: number;
+  /** The time on a clock that runs on while the VM is suspended; `now` by default. */
+  readonly steadyNow?: Instant;
+};
 
 /** Why a proposal was refused. A refused proposal is never applied. */
 export type RefusalReason =
@@ -121,6 +126,8 @@
   readonly lastContactAt: Instant;
   /** The latest heartbeat round that the member answered. */
   readonly round: number;
+  /** When the member made its latest reply, on its own clock. */
+  readonly echo: Instant | undefined;
   readonly snapshot: SnapshotProgress | undefined;
 }
 
@@ -148,7 +155,12 @@
   /** Number of the latest heartbeat round. */
   readonly round: number;
   /** Start times of the latest rounds, oldest first. */
-  readonly rounds: readonly { readonly round: number; readonly startedAt: Instant }[];
+  readonly rounds: readonly {
+    readonly round: number;
+    readonly startedAt: Instant;
+    /** The start on the clock that runs on while the VM is suspended. */
+    readonly steadyAt: Instant;
+  }[];
   readonly reads: readonly PendingRead[];
   readonly heartbeatDue: Instant;
   readonly transfer: { readonly to: MemberId; readonly until: Instant } | undefined;
@@ -196,6 +208,11 @@
   readonly timings: Timings;
   readonly now: Instant;
   readonly random: number;
+  /** The time, and when this process started, on the clock that runs on while the VM is suspended. */
+  readonly steadyNow: Instant;
+  readonly startedAt: Instant;
+  /** The latest instant on that clock at which this member certainly held every committed entry. */
+  readonly asOf: Instant;
   readonly term: number;
   readonly votedFor: MemberId | undefined;
   readonly role: Role;
