Daemon: seeds are read again while a process is lost, and every list of members that is told counts

Seeds were fixed at the start, and SIGHUP took the log level alone. Now SIGHUP and, each 2 s while no leader is known or the state is old, the settings' seeds are taken, also by a steward that is still looking for its group; settings that can't be read leave the former ones in force. Stewards and referrers without a leader learn members from any answer and ask a few gateways. A stopping steward tells its followers at once, so that they move on.

--- a/src/daemon/adapter.ts
+++ b/src/daemon/adapter.ts
@@ -17,5 +17,7 @@
 
 /** A role of this process that has started. */
 export interface RunningRole {
+  /** Whether it knows no leader of its group, or its state is old, so that the seeds are worth reading again. */
+  readonly isLost: boolean;
   stop(): Promise<void>;
 }
--- a/src/daemon/referrer.ts
+++ b/src/daemon/referrer.ts
@@ -13,11 +13,14 @@
 /** Milliseconds for which a reported leader is named; a few query intervals. */
 const LEADER_TTL: Duration = 1500;
 
+/** Number of processes that are asked besides while no leader is known. */
+const MAX_ASKERS = 3;
+
 /** Options of {@link createReferrer}. */
 export interface ReferrerOptions {
   readonly mesh: Mesh;
-  /** Addresses at which members of the group may be found. */
-  readonly seeds: readonly Address[];
+  /** Returns the addresses at which members of the group may be found. */
+  readonly getSeeds: () => readonly Address[];
   readonly now: () => Instant;
 }
 
@@ -27,6 +30,9 @@
   readonly #options: ReferrerOptions;
   readonly #timer: NodeJS.Timeout;
   #members: readonly Address[] = [];
+  #membersIndex = 0;
+  /** Processes that took this one for a member; they may know the group by other ways. */
+  #askers: readonly Address[] = [];
   #leader: Address | undefined;
   #reportedAt: Instant = -Infinity;
 
@@ -45,9 +51,15 @@
     clearInterval(this.#timer);
   }
 
+  /** Whether no leader was reported lately. */
+  get isLost(): boolean {
+    return this.#options.now() - this.#reportedAt >= LEADER_TTL;
+  }
+
   #query(): void {
-    const { mesh, seeds } = this.#options;
-    [...new Set([...seeds, ...this.#members])]
+    const { mesh, getSeeds } = this.#options;
+    const askers = this.isLost ? this.#askers : [];
+    [...new Set([...getSeeds(), ...this.#members, ...askers])]
       .filter((address) => address !== mesh.address)
       .forEach((address) => {
         mesh.send(address, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
@@ -56,25 +68,29 @@
 
   #receive(from: Address, message: FeedMessage): void {
     if (message.kind === 'found') this.#recordStatus(message);
+    if (message.kind === 'follow')
+      this.#askers = [...new Set([...this.#askers, from])].slice(-MAX_ASKERS);
     if (message.kind !== 'find') return;
     // Not healthy: only a member may tell another one that the group has replaced it.
     this.#options.mesh.send(from, FEED_CHANNEL, {
       ...{ kind: 'found', hasDisk: false, members: this.#members, healthy: false },
-      leader: undefined,
+      ...{ leader: undefined, membersIndex: this.#membersIndex, echo: message.sentAt },
     } satisfies FeedMessage);
   }
 
-  #recordStatus({ members, healthy, leader }: GroupStatus): void {
-    if (members.length > 0) this.#members = members;
+  #recordStatus({ members, membersIndex = 0, healthy, leader }: GroupStatus): void {
+    if (members.length > 0 && (healthy || membersIndex >= this.#membersIndex)) {
+      this.#members = members;
+      this.#membersIndex = membersIndex;
+    }
     if (!healthy || leader === undefined) return;
     this.#leader = leader;
     this.#reportedAt = this.#options.now();
   }
 
   #redirect(): Promise<Redirect> {
-    const isKnown = this.#options.now() - this.#reportedAt < LEADER_TTL;
     return Promise.resolve(
-      this.#leader === undefined || !isKnown
+      this.#leader === undefined || this.isLost
         ? { kind: 'unavailable', remedy: 'no leader is known here: ask another control member' }
         : { kind: 'elsewhere', leader: this.#leader },
     );
@@ -109,9 +125,9 @@
  * Starts naming the leader to callers.
  *
  * @example
- * const referrer = createReferrer({ mesh, seeds: ['10.1.0.18:7200'], now: () => performance.now() });
+ * const referrer = createReferrer({ mesh, getSeeds: () => ['10.1.0.18:7200'], now: () => performance.now() });
  * await referrer.submit(command); // { kind: 'elsewhere', leader: '10.2.0.34:7200' }
  */
-export function createReferrer(options: ReferrerOptions): Steward {
+export function createReferrer(options: ReferrerOptions): Steward & { readonly isLost: boolean } {
   return new Referrer(options);
 }
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -16,7 +16,7 @@
 } from '../telemetry/index.js';
 import { createMesh, type Mesh } from '../wire/index.js';
 import type { PlatformAdapter, RunningRole } from './adapter.js';
-import { listSeeds } from './seeds.js';
+import { CurrentSeeds } from './seeds.js';
 import { startSteward } from './steward.js';
 
 const log = createLogger('daemon');
@@ -26,6 +26,7 @@
   mesh: Mesh,
   metrics: Metrics,
   adapter: PlatformAdapter,
+  seeds: CurrentSeeds,
 ): Promise<RunningRole> {
   const gatewaySettings = settings.gateway;
   if (gatewaySettings === undefined) throw new Error('settings have no section [gateway]: add it');
@@ -36,7 +37,7 @@
     memory: settings.process.memory_mb ?? 0,
     callerListen: gatewaySettings.caller_listen,
     mesh,
-    seeds: listSeeds(gatewaySettings.seeds, gatewaySettings.steward_port),
+    seeds: seeds.list,
     dialect: adapter.dialect,
     retryBounds: {
       ratio: gatewaySettings.retry_ratio ?? 0,
@@ -53,6 +54,9 @@
       metrics.recordCall({ service, outcome, latency });
     },
   });
+  seeds.onChange((changed) => {
+    gateway.setSeeds(changed);
+  });
   const listeners = await adapter.openGatewayListeners(gateway, settings);
   const gauges: readonly (readonly [string, string, () => number])[] = [
     [
@@ -127,6 +131,9 @@
     metrics.watchGauge(name, help, read);
   });
   return {
+    get isLost() {
+      return gateway.isLost;
+    },
     stop: async () => {
       await gateway.stop();
       listeners.close();
@@ -134,6 +141,10 @@
   };
 }
 
+function applySeeds(seeds: CurrentSeeds, settings: Settings): void {
+  if (seeds.apply(settings)) log.info('seeds read again', { seeds: seeds.list });
+}
+
 function waitForStopSignal(): Promise<string> {
   return new Promise((resolve) => {
     (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
@@ -146,7 +157,7 @@
 
 /**
  * Runs the process that the settings describe until it receives SIGTERM or SIGINT. On SIGHUP, `reload` reads
- * the settings again and the log level is applied.
+ * the settings again, and the log level and the seeds are applied; the seeds also every 2 s while the process is lost.
  *
  * @example
  * await runServing(settings, adapter, () => loadSettings(file));
@@ -173,16 +184,27 @@
   const listen = settings.platform?.listen;
   const exposition = listen === undefined ? undefined : await createMetricsServer(listen, metrics);
   const start = roles.includes('steward') ? startSteward : startGateway;
+  const seeds = new CurrentSeeds(settings);
   process.on('SIGHUP', () => {
     const next = reload();
-    if (next !== undefined) applyLogLevel(next.telemetry?.log_level ?? 'info');
+    if (next !== undefined) {
+      applyLogLevel(next.telemetry?.log_level ?? 'info');
+      applySeeds(seeds, next);
+    }
     log.info('settings reloaded', { outcome: next === undefined ? 'refused' : 'log level taken' });
   });
-  const running = await Promise.race([start(settings, mesh, metrics, adapter), stopped]);
+  let role: RunningRole | undefined;
+  const rereading = setInterval(() => {
+    const next = role === undefined || role.isLost ? reload() : undefined;
+    if (next !== undefined) applySeeds(seeds, next);
+  }, REREAD_INTERVAL).unref();
+  const running = await Promise.race([start(settings, mesh, metrics, adapter, seeds), stopped]);
+  if (typeof running !== 'string') role = running;
   log.info('process started', { id, zone, roles });
   const signal = await stopped;
+  clearInterval(rereading);
   log.info('process stopping', { signal });
-  if (typeof running !== 'string') await running.stop();
+  await role?.stop();
   exposition?.close();
   await mesh.close();
   log.info('process stopped');
@@ -191,5 +213,7 @@
   setTimeout(() => process.exit(0), EXIT_DELAY).unref();
 }
 
+/** Interval in milliseconds at which a process that knows no leader reads its settings again. */
+const REREAD_INTERVAL: Duration = 2000;
 /** Milliseconds before the process exits, so that the last log lines are written. */
 const EXIT_DELAY: Duration = 100;
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -38,7 +38,7 @@
 import { findFounders } from './founders.js';
 import { createReferrer } from './referrer.js';
 import { Reopening, type Opening } from './reopening.js';
-import { listSeeds } from './seeds.js';
+import type { CurrentSeeds } from './seeds.js';
 
 const log = createLogger('daemon');
 
@@ -74,14 +74,17 @@
 };
 
 /** Asks the seeds for the members of the group until one of them answers. */
-async function findMembers(mesh: Mesh, seeds: readonly Address[]): Promise<readonly Address[]> {
+async function findMembers(
+  mesh: Mesh,
+  getSeeds: () => readonly Address[],
+): Promise<readonly Address[]> {
   let found: readonly Address[] = [];
   mesh.handle(FEED_CHANNEL, (_, message) => {
     const answer = decodeMessage(message);
     if (answer.kind === 'found' && answer.members.length > 0) found = answer.members;
   });
   while (found.length === 0) {
-    seeds
+    getSeeds()
       .filter((seed) => seed !== mesh.address)
       .forEach((seed) => {
         mesh.send(seed, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
@@ -97,19 +100,20 @@
   readonly isFounder: boolean;
 }
 
-async function findStartMembers({ settings, mesh }: StewardContext): Promise<StartMembers> {
-  const seeds = listSeeds(settings.seeds, settings.steward_port);
-  const isFounder = settings.first_start === true && seeds.includes(mesh.address);
-  if (existsSync(join(settings.data_folder, 'identity.json'))) return { members: seeds, isFounder };
+async function findStartMembers({ settings, mesh, seeds }: StewardContext): Promise<StartMembers> {
+  const isFounder = settings.first_start === true && seeds.list.includes(mesh.address);
+  if (existsSync(join(settings.data_folder, 'identity.json')))
+    return { members: seeds.list, isFounder };
   const find = isFounder ? findFounders : findMembers;
-  return { members: await find(mesh, seeds), isFounder };
+  return { members: await find(mesh, () => seeds.list), isFounder };
 }
 
 async function openNode(
-  { settings, mesh }: StewardContext,
+  context: StewardContext,
   { members, isFounder }: StartMembers,
   onWriteFailed: () => void,
 ): Promise<ControlNode<Catalog>> {
+  const { settings, mesh } = context;
   try {
     return await openControl<Catalog>({
       address: mesh.address,
@@ -132,7 +136,7 @@
       reason: String(error),
     });
     await sleep(OPEN_RETRY_INTERVAL);
-    return openNode({ settings, mesh }, { members, isFounder }, onWriteFailed);
+    return openNode(context, { members, isFounder }, onWriteFailed);
   }
 }
 
@@ -153,6 +157,7 @@
 interface StewardContext {
   readonly settings: NonNullable<Settings['steward']>;
   readonly mesh: Mesh;
+  readonly seeds: CurrentSeeds;
 }
 
 /** The components of a steward that use one opening of its data folder. */
@@ -171,8 +176,9 @@
   const now = (): number => performance.now();
   const members = await findStartMembers(context);
   const node = await openNode(context, members, onWriteFailed);
-  const seeds = listSeeds(settings.seeds, settings.steward_port);
-  const group = watchGroup(node, mesh, seeds, settings.data_folder);
+  const listGateways = (): readonly Address[] =>
+    publisher.entries.map(({ peerAddress }) => peerAddress);
+  const group = watchGroup(node, context, listGateways);
   const steward = createSteward({
     control: node,
     findLeader: group.findLeader,
@@ -196,8 +202,10 @@
     clearInterval(roleTimer);
     steward.close();
     await node.close().finally(() => {
+      publisher.sendLastWord();
       publisher.close();
     });
+    await sleep(LAST_WORD_TIME);
   };
   try {
     const listeners = await openListeners(steward);
@@ -237,16 +245,19 @@
 }
 
 async function startReferrer(
-  { seeds, steward_port: port }: NonNullable<Settings['steward']>,
+  seeds: CurrentSeeds,
   mesh: Mesh,
   openListeners: (steward: Steward) => Promise<Listeners>,
 ): Promise<RunningRole> {
   const referrer = createReferrer({
-    ...{ mesh, seeds: listSeeds(seeds, port), now: () => performance.now() },
+    ...{ mesh, getSeeds: () => seeds.list, now: () => performance.now() },
   });
   const listeners = await openListeners(referrer);
   log.info('this VM has no disk: naming the leader to callers');
   return {
+    get isLost() {
+      return referrer.isLost;
+    },
     stop: () => {
       listeners.close();
       referrer.close();
@@ -261,14 +272,13 @@
   mesh: Mesh,
   metrics: Metrics,
   adapter: PlatformAdapter,
+  seeds: CurrentSeeds,
 ): Promise<RunningRole> {
   const stewardSettings = settings.steward;
   if (stewardSettings === undefined) throw new Error('settings have no section [steward]: add it');
   if (stewardSettings.data_folder === '')
-    return startReferrer(stewardSettings, mesh, (steward) =>
-      adapter.openStewardListeners(steward, settings),
-    );
-  const running = createReopening({ settings: stewardSettings, mesh }, (steward) =>
+    return startReferrer(seeds, mesh, (steward) => adapter.openStewardListeners(steward, settings));
+  const running = createReopening({ settings: stewardSettings, mesh, seeds }, (steward) =>
     adapter.openStewardListeners(steward, settings),
   );
   await running.start();
@@ -318,7 +328,12 @@
   gauges.forEach(([name, help, read]) => {
     metrics.watchGauge(name, help, read);
   });
-  return running;
+  return {
+    get isLost() {
+      return running.current?.node.status.leader === undefined;
+    },
+    stop: () => running.stop(),
+  };
 }
 
 /** Result of {@link watchGroup}. */
@@ -330,26 +345,28 @@
 }
 
 /**
- * Queries the seeds and the known members about the group while this steward knows no leader. A member that
+ * Queries the seeds, the known members and a few gateways about the group while this steward knows no leader. A member that
  * was replaced while it was unreachable deletes its data and rejoins; it only accepts this from a group that has
  * a leader without it. A steward that was never admitted waits to be admitted, and redirects calls to the
  * leader in the meantime.
  */
 function watchGroup(
   node: ControlNode<Catalog>,
-  mesh: Mesh,
-  seeds: readonly Address[],
-  folder: string,
+  { mesh, seeds, settings: { data_folder: folder } }: StewardContext,
+  listGateways: () => readonly Address[],
 ): GroupWatch {
   let leaderLastSeenAt = performance.now();
   let reported: { readonly leader: Address | undefined; readonly receivedAt: number } | undefined;
+  /** The newest list that any process has told. */
+  let learned: { readonly members: readonly Address[]; readonly index: number } | undefined;
   const isForming = (): boolean => node.status.role === 'newborn';
   const hasNoLeader = (): boolean => performance.now() - leaderLastSeenAt > LEADERLESS_TIMEOUT;
   const timer = setInterval(() => {
     if (node.status.leader !== undefined) leaderLastSeenAt = performance.now();
     if (!hasNoLeader() && !isForming()) return;
     const known = node.status.members.map(({ id }) => toAddress(id));
-    [...new Set([...seeds, ...known])]
+    const gateways = pickSome(listGateways());
+    [...new Set([...seeds.list, ...known, ...(learned?.members ?? []), ...gateways])]
       .filter((address) => address !== mesh.address)
       .forEach((address) => {
         mesh.send(address, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
@@ -363,7 +380,9 @@
       reported !== undefined && performance.now() - reported.receivedAt < REPORTED_LEADER_TTL
         ? reported.leader
         : undefined,
-    handleGroupStatus: ({ members, healthy, leader }) => {
+    handleGroupStatus: ({ members, membersIndex: index = 0, healthy, leader }) => {
+      if (members.length > 0 && (healthy || index >= (learned?.index ?? 0)))
+        learned = { members, index };
       if (!healthy) return;
       reported = { leader, receivedAt: performance.now() };
       const known = node.status.members.map(({ id }) => toAddress(id));
@@ -379,6 +398,16 @@
   };
 }
 
+/** Returns a few of the gateways at random, so that a steward without a leader floods none. */
+function pickSome(gateways: readonly Address[]): readonly Address[] {
+  const at = Math.floor(Math.random() * gateways.length);
+  return [...gateways.slice(at), ...gateways.slice(0, at)].slice(0, ASKED_GATEWAYS);
+}
+
+/** Number of gateways that are asked for the members at a time. */
+const ASKED_GATEWAYS = 3;
+/** Milliseconds for which a stopping steward's mesh stays open, so that its last messages are sent. */
+const LAST_WORD_TIME: Duration = 50;
 /** Milliseconds without a leader after which a member asks whether it still belongs to the group. */
 const LEADERLESS_TIMEOUT: Duration = 5000;
 /** Interval in milliseconds of the queries about the group. */
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -38,6 +38,8 @@
   readonly entries: readonly EntryRecord[];
   /** Encoded bytes of the commands kept for followers that lag. */
   readonly keptBytes: number;
+  /** Tells the followers that this member stops, so that they follow another one without waiting. */
+  sendLastWord(): void;
   close(): void;
 }
 
@@ -122,11 +124,15 @@
     });
   }
 
-  #sendUpdates(): void {
+  sendLastWord(): void {
+    this.#sendUpdates(true);
+  }
+
+  #sendUpdates(isLast = false): void {
     const since = this.#options.now() - FOLLOWER_TIMEOUT;
     [...this.#followers].forEach(([address, follower]) => {
       if (follower.lastCallAt < since) this.#followers.delete(address);
-      else this.#sendUpdate(address, follower);
+      else this.#sendUpdate(address, follower, isLast);
     });
   }
 
@@ -194,7 +200,7 @@
     this.#options.mesh.send(leader, FEED_CHANNEL, { kind: 'evidence', rows } satisfies FeedMessage);
   }
 
-  #sendUpdate(to: Address, follower: FollowerState): void {
+  #sendUpdate(to: Address, follower: FollowerState, isLast = false): void {
     const { control, mesh, listCold, now } = this.#options;
     this.#fleet.prune(now());
     this.#fleetHistory.setEntries(this.#fleet.entries);
@@ -212,6 +218,7 @@
       cold: isBehind ? listCold() : {},
       fleet: this.#fleetHistory.createUpdate(follower.fleetRevision),
       ...this.#describeGroup(follower.sentAt),
+      ...(isLast && { healthy: false }),
     } satisfies FeedMessage);
     const index = Math.max(follower.index, isBehind ? control.appliedIndex : (last ?? 0));
     const { revision } = this.#fleetHistory;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import type { Catalog, CatalogCommand, Route } from '../catalog/index.js';
 import {
   createFollower,
+  DEFAULT_FRESH_FOR,
   type EntryRecord,
   type FeedChange,
   type FeedView,
@@ -159,6 +160,10 @@
   readonly buffers: BufferBudget;
   /** The requests that are refused because they crash upstreams. */
   readonly quarantine: RequestQuarantine;
+  /** Whether its state is old, so that the seeds are worth reading again. */
+  readonly isLost: boolean;
+  /** Replaces the seeds, after the settings were read again. */
+  setSeeds(seeds: readonly Address[]): void;
   /** Drains the gateway: reports it as not ready, waits for running requests, then closes. */
   stop(): Promise<void>;
 }
@@ -382,6 +387,14 @@
     return gateway;
   }
 
+  get isLost(): boolean {
+    return this.#follower.age > DEFAULT_FRESH_FOR;
+  }
+
+  setSeeds(seeds: readonly Address[]): void {
+    this.#follower.setSeeds(seeds);
+  }
+
   get view(): FeedView {
     return this.#follower.view;
   }
