--- a/features/gateway/following.ts
+++ b/features/gateway/following.ts
@@ -22,6 +22,7 @@
   view: FeedView = { catalog: emptyCatalog, index: 0, entries: [] };
   age = 0;
   followed = '10.1.0.30:7201';
+  isBehind = false;
 
   constructor(options: FollowerOptions) {
     this.#options = options;
@@ -41,6 +42,10 @@
     return;
   }
 
+  setSeeds(): void {
+    return;
+  }
+
   close(): void {
     return;
   }
--- a/src/gateway/startup.ts
+++ b/src/gateway/startup.ts
@@ -7,6 +7,7 @@
  * guessed delay, often once only; a caller that waits is served as soon as the routes are known.
  */
 import type { Duration, Instant } from '../model/index.js';
+import { computeWait } from './waiting.js';
 
 /**
  * Milliseconds after the start of the process for which requests wait; longer than the control
@@ -15,10 +16,6 @@
 const STARTUP_TIME: Duration = 3000;
 /** Maximum milliseconds that a request waits; the slowest election and the first poll after it. */
 const MAX_WAIT: Duration = 1200;
-/** Share of the caller's time that a request may wait, so that the caller can still go elsewhere. */
-const MAX_DEADLINE_SHARE = 1 / 2;
-/** Maximum number of waiting requests, which bounds their memory and the burst that follows. */
-const MAX_WAITING = 256;
 
 /** Inputs of {@link decideStartupWait}. */
 export interface StartupState {
@@ -42,10 +39,8 @@
   { startedAt, now, waiting }: StartupState,
   timeLeft: Duration,
 ): StartupDecision {
-  const time = Math.min(
-    MAX_WAIT,
-    startedAt + STARTUP_TIME - now,
-    timeLeft > 0 ? timeLeft * MAX_DEADLINE_SHARE : MAX_WAIT,
-  );
-  return time > 0 && waiting < MAX_WAITING ? { kind: 'wait', time } : { kind: 'refuse' };
+  const time = computeWait(Math.min(MAX_WAIT, startedAt + STARTUP_TIME - now), {
+    ...{ timeLeft, waiting },
+  });
+  return time > 0 ? { kind: 'wait', time } : { kind: 'refuse' };
 }
--- a/src/gateway/statelines.ts
+++ b/src/gateway/statelines.ts
@@ -12,7 +12,7 @@
   readonly index: number;
   /** Version of the routes; 0 before the first ones. */
   readonly version: number;
-  /** Whole milliseconds since the last answer of the followed member while it was healthy. */
+  /** Whole milliseconds since the state was certainly current; -1 before the first state. */
   readonly stateAgeMs: Duration;
   /** The control member that the gateway follows; empty if it knows none. */
   readonly member: Address;
@@ -30,7 +30,8 @@
   followed,
 }: Pick<Follower, 'view' | 'age' | 'followed'>): StateFields {
   const version = view.catalog.table?.version ?? 0;
-  return { index: view.index, version, stateAgeMs: Math.round(age), member: followed };
+  const stateAgeMs = Number.isFinite(age) ? Math.round(age) : -1;
+  return { index: view.index, version, stateAgeMs, member: followed };
 }
 
 /** Returns the distinct kinds of the commands, separated by spaces. */
