Settings: max_state_age_ms, the age up to which a gateway's state counts as current

From the platform's bound config_apply (2000 ms), by default 2000. With it the gauge of refusals, chivewalk_gateway_refused_for_age_total.

--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -411,6 +411,7 @@
       bootstrap: String(isFirstStart),
       heartbeat: '400ms',
       'bounds.grace': `${this.grace}ms`,
+      'bounds.config_apply': '2000ms',
       'bounds.retry_budget_ratio': '0.2',
       'bounds.retry_slack': '64',
       'bounds.probes_per_s': '60',
--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -48,6 +48,7 @@
         ['probe_rate', '60'],
         ['probe_interval_ms', '150ms'],
         ['stop_time_ms', '6000'],
+        ['max_state_age_ms', '2000ms'],
         ['retry_ratio', '2e-1'],
         ['retry_slack', '64'],
         ['cold_factor', '1.5'],
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -3,6 +3,7 @@
  * they call, a gateway's readiness and directory listeners only after it stopped; a process that receives
  * SIGTERM or SIGINT logs this before it exits.
  */
+import { DEFAULT_FRESH_FOR } from '../feed/index.js';
 import { openGateway } from '../gateway/index.js';
 import type { Duration } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
@@ -49,6 +50,7 @@
     probeInterval: gatewaySettings.probe_interval_ms ?? 0,
     probeRate: gatewaySettings.probe_rate ?? 0,
     stopTime: gatewaySettings.stop_time_ms,
+    maxStateAge: gatewaySettings.max_state_age_ms ?? DEFAULT_FRESH_FOR,
     recordCall: (service, outcome, latency) => {
       metrics.recordCall({ service, outcome, latency });
     },
@@ -72,7 +74,7 @@
     ],
     [
       'chivewalk_gateway_state_age_ms',
-      'Milliseconds since the last answer of the followed steward while it was healthy.',
+      'Milliseconds since the state was certainly current.',
       () => Math.round(gateway.stateAge),
     ],
     ['chivewalk_gateway_peers', 'Gateways that are alive.', () => gateway.view.entries.length],
@@ -97,6 +99,11 @@
       'Requests refused because there was no room for them.',
       () => gateway.buffers.refused,
     ],
+    [
+      'chivewalk_gateway_refused_for_age_total',
+      'Requests refused because the state was too old.',
+      () => gateway.refusedForAge,
+    ],
     [
       'chivewalk_gateway_caller_connections',
       "Callers' connections that are open.",
