--- a/features/gateway/staleness.feature
+++ b/features/gateway/staleness.feature
@@ -50,3 +50,8 @@
     When the upstream of the following gateway turns a request away while the state becomes outdated
     Then the following gateway answers that request with 503 as not run
     And the upstream of the following gateway was tried once
+
+  Scenario: A state that becomes outdated while an upstream is probed for a request
+    Given a request that waits for the probe of the upstream chosen for it
+    When the state becomes outdated before the probe ends
+    Then the waiting request is refused as not run with the cause "stale", and nothing was sent
--- a/features/gateway/staleness.steps.ts
+++ b/features/gateway/staleness.steps.ts
@@ -1,17 +1,27 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { BufferBudget } from '../../src/gateway/buffers.js';
+import { UpstreamRegistry } from '../../src/gateway/registry.js';
+import { RequestRun } from '../../src/gateway/run.js';
+import type { FinalAnswer } from '../../src/gateway/types.js';
+import { createCatalog } from './catalog.js';
 import {
   createRoutedCatalog,
   openFollowingGateway,
   type FollowingGateway,
   type GatewayAnswer,
 } from './following.js';
+import { noQuarantine } from './runhost.js';
 
 interface StalenessWorld {
   stale: FollowingGateway | undefined;
   handle: (id: string) => 'run' | 'turnAway';
   stalenessAnswers: readonly Promise<GatewayAnswer>[];
+  isStateOutdated: boolean;
+  endProbe: () => void;
+  sendings: number;
+  runAnswers: readonly FinalAnswer[];
 }
 
 /** Milliseconds in which a gateway that runs sees that its state ages: the check, and two looks. */
@@ -253,6 +263,67 @@
   assert.deepEqual(getStale(this).sent, ['r1']);
 });
 
+Given(
+  'a request that waits for the probe of the upstream chosen for it',
+  function (this: StalenessWorld) {
+    const registry = new UpstreamRegistry();
+    registry.update(createCatalog(['u1', 'u2']));
+    const [route] = createRoutedCatalog([]).table?.routes ?? [];
+    assert.ok(route);
+    Object.assign(this, { isStateOutdated: false, sendings: 0, runAnswers: [] });
+    new RequestRun(
+      {
+        ...noQuarantine,
+        now: () => 0,
+        buffers: new BufferBudget(1_000_000),
+        choose: (_request, tried) => {
+          const [record] = registry.records.filter((one) => !tried.includes(one));
+          assert.ok(record);
+          if (this.isStateOutdated) return { kind: 'stale' };
+          return { kind: 'chosen', record, expected: 0, slowdown: 1 };
+        },
+        isProbeDue: () => true,
+        probeOnDemand: (_record, onEnd) => {
+          this.endProbe = () => {
+            onEnd(true);
+          };
+        },
+        send: () => {
+          this.sendings += 1;
+          return { cancel: () => undefined };
+        },
+        takeRetry: () => true,
+        recordAttempt: () => undefined,
+        recordDecision: () => undefined,
+      },
+      {
+        ...{ id: 'r1', method: 'GET', target: '/known/a', headers: [], body: Buffer.alloc(0) },
+        ...{ hasBody: false, route, service: 'records', version: undefined },
+        ...{ retryVersion: undefined, arrivedAt: 0, deadline: 5000 },
+      },
+      (answer) => {
+        this.runAnswers = [...this.runAnswers, answer];
+      },
+    );
+  },
+);
+
+When('the state becomes outdated before the probe ends', function (this: StalenessWorld) {
+  this.isStateOutdated = true;
+  this.endProbe();
+});
+
+Then(
+  'the waiting request is refused as not run with the cause {string}, and nothing was sent',
+  function (this: StalenessWorld, cause: string) {
+    assert.equal(this.sendings, 0);
+    assert.deepEqual(
+      this.runAnswers.map((answer) => [answer.kind, 'cause' in answer ? answer.cause : '']),
+      [['refused', cause]],
+    );
+  },
+);
+
 After(async function (this: Partial<StalenessWorld>) {
   await this.stale?.close();
 });
--- a/src/gateway/statewatch.ts
+++ b/src/gateway/statewatch.ts
@@ -20,6 +20,8 @@
 
 /** Milliseconds between two looks at the age, short beside the time of a check. */
 const LOOK_INTERVAL: Duration = 50;
+/** Milliseconds between two polls during a check, which is too short for the follower's own interval. */
+const POLL_INTERVAL: Duration = 100;
 /** Maximum milliseconds that a request waits for a check: the check itself and the look after it. */
 export const MAX_CHECK_WAIT: Duration = 500;
 
@@ -40,6 +42,7 @@
   #watch: AgeWatch = UNWATCHED;
   #verdict: StateVerdict = 'fresh';
   #isRefusing = false;
+  #polledAt: Instant = -Infinity;
   #staleSince: Instant | undefined;
   #refused = 0;
   #refusedBefore = 0;
@@ -86,17 +89,22 @@
     const previous = this.#verdict;
     const verdict = judgeState(state, now - (this.#watch.agingSince ?? now));
     this.#verdict = verdict;
+    if (verdict === 'checking') this.#pollWhileChecking(now);
     if (verdict !== previous) this.#handleChange(previous, verdict);
     return verdict;
   }
 
+  /** Polls more often than the follower does, as requests wait. */
+  #pollWhileChecking(now: Instant): void {
+    if (now - this.#polledAt < POLL_INTERVAL) return;
+    this.#polledAt = now;
+    this.#options.follower.pollNow();
+  }
+
   #handleChange(previous: StateVerdict, verdict: StateVerdict): void {
     if (verdict === 'fresh') this.#recordFresh();
     else if (previous === 'fresh') this.#recordStale(verdict);
-    if (verdict === 'checking') {
-      this.#options.follower.pollNow();
-      return;
-    }
+    if (verdict === 'checking') return;
     const wasRefusing = this.#isRefusing;
     this.#isRefusing = verdict === 'outdated';
     // The other gateways learn whether callers should be directed here.
