--- /dev/null
+++ b/features/daemon/seeds.feature
@@ -0,0 +1,26 @@
+Feature: Processes learn the members of the group from new settings and from every answer
+
+  @no-site
+  Scenario Outline: Settings that are read again <what>
+    Given a process whose settings name the seeds "10.1.0.1 10.1.0.2" as a <role>
+    When its settings are read again and name the seeds "<seeds>"
+    Then the seeds in force are "<result>", and <changes> change of them was told
+
+    Examples:
+      | what                             | role    | seeds             | result                      | changes |
+      | replace the seeds                | gateway | 10.1.0.2 10.1.0.7 | 10.1.0.2:7200 10.1.0.7:7200 | 1       |
+      | replace the seeds                | steward | 10.1.0.2 10.1.0.7 | 10.1.0.2:7200 10.1.0.7:7200 | 1       |
+      | name the same seeds              | gateway | 10.1.0.1 10.1.0.2 | 10.1.0.1:7200 10.1.0.2:7200 | 0       |
+      | name none leave the former ones  | gateway |                   | 10.1.0.1:7200 10.1.0.2:7200 | 0       |
+
+  @no-site
+  Scenario: A referrer whose seeds are all gone finds the leader through a gateway that polled it
+    Given a referrer whose seeds "10.1.0.1:7200 10.1.0.2:7200" are gone, and which the gateway "10.2.0.1:7215" polled
+    When that gateway tells the referrer the members "10.1.0.7:7200", and this member tells it of the leader "10.1.0.7:7200"
+    Then the referrer asked that gateway and that member, and names the leader "10.1.0.7:7200"
+
+  @no-site
+  Scenario: A founder that starts with stale seeds founds the group with those that its settings name later
+    Given a founder at "10.1.0.1:7200" that asks the seeds "10.1.0.1:7200 10.1.0.9:7200"
+    When the founder's seeds become "10.1.0.1:7200 10.1.0.2:7200", which has a disk
+    Then the founder finds the founders "10.1.0.1:7200 10.1.0.2:7200"
--- /dev/null
+++ b/features/daemon/seeds.steps.ts
@@ -0,0 +1,147 @@
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { findFounders } from '../../src/daemon/founders.js';
+import { createReferrer } from '../../src/daemon/referrer.js';
+import { CurrentSeeds } from '../../src/daemon/seeds.js';
+import type { FeedMessage } from '../../src/feed/index.js';
+import type { Address } from '../../src/model/index.js';
+import type { Settings } from '../../src/settings/index.js';
+import type { Mesh, MessageHandler } from '../../src/wire/index.js';
+
+interface SeedsWorld {
+  rereadSeeds: CurrentSeeds;
+  seedsRole: 'gateway' | 'steward';
+  toldSeeds: (readonly Address[])[];
+  seedsMesh: RecordingMesh;
+  referrer: ReturnType<typeof createReferrer> | undefined;
+  founders: Promise<readonly Address[]>;
+  founderSeeds: readonly Address[];
+}
+
+/** A mesh endpoint that records what is sent. */
+class RecordingMesh implements Mesh {
+  readonly traffic = { messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 };
+  readonly sent: (readonly [to: Address, message: FeedMessage])[] = [];
+  receive: MessageHandler = () => undefined;
+
+  constructor(readonly address: Address) {}
+
+  send(to: Address, _: string, message: unknown): void {
+    this.sent.push([to, message as FeedMessage]);
+  }
+
+  handle(_: string, handler: MessageHandler): void {
+    this.receive = handler;
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+function createSettings(role: 'gateway' | 'steward', seeds: string): Settings {
+  const section = {
+    seeds: seeds.split(' ').flatMap((host) => (host === '' ? [] : [`${host}:8381`])),
+    steward_port: 7200,
+  };
+  const process = { id: 'p', zone: 'a', roles: [role] };
+  return { process, [role]: section } as unknown as Settings;
+}
+
+Given(
+  /^a process whose settings name the seeds "(.*)" as a (gateway|steward)$/,
+  function (this: SeedsWorld, seeds: string, role: 'gateway' | 'steward') {
+    this.seedsRole = role;
+    this.toldSeeds = [];
+    this.rereadSeeds = new CurrentSeeds(createSettings(role, seeds));
+    this.rereadSeeds.onChange((changed) => {
+      this.toldSeeds.push(changed);
+    });
+  },
+);
+
+When(
+  'its settings are read again and name the seeds {string}',
+  function (this: SeedsWorld, seeds: string) {
+    this.rereadSeeds.apply(createSettings(this.seedsRole, seeds));
+  },
+);
+
+Then(
+  'the seeds in force are {string}, and {int} change of them was told',
+  function (this: SeedsWorld, seeds: string, changes: number) {
+    assert.equal(this.rereadSeeds.list.join(' '), seeds);
+    assert.equal(this.toldSeeds.length, changes);
+    assert.ok(this.toldSeeds.every((told) => told.join(' ') === seeds));
+  },
+);
+
+Given(
+  'a referrer whose seeds {string} are gone, and which the gateway {string} polled',
+  function (this: SeedsWorld, seeds: string, gateway: string) {
+    this.seedsMesh = new RecordingMesh('10.1.0.5:7200');
+    this.referrer = createReferrer({
+      ...{ mesh: this.seedsMesh, getSeeds: () => seeds.split(' '), now: () => performance.now() },
+    });
+    const entry = {
+      ...{ id: 'gateway-1', zone: 'a', capacity: 1, ready: true },
+      ...{ callerAddress: gateway, peerAddress: gateway },
+    };
+    this.seedsMesh.receive(gateway, {
+      ...{ kind: 'follow', entry, index: 0, fleetRevision: '', evidence: [] },
+    } satisfies FeedMessage);
+  },
+);
+
+When(
+  'that gateway tells the referrer the members {string}, and this member tells it of the leader {string}',
+  async function (this: SeedsWorld, members: string, leader: string) {
+    const status = { kind: 'found', members: members.split(' '), membersIndex: 9 };
+    this.seedsMesh.receive('10.2.0.1:7215', {
+      ...{ ...status, hasDisk: false, healthy: false, leader: undefined },
+    });
+    await sleep(700);
+    this.seedsMesh.receive(leader, { ...status, hasDisk: true, healthy: true, leader });
+  },
+);
+
+Then(
+  'the referrer asked that gateway and that member, and names the leader {string}',
+  async function (this: SeedsWorld, leader: string) {
+    const asked = this.seedsMesh.sent.filter(([, { kind }]) => kind === 'find').map(([to]) => to);
+    assert.ok(asked.includes('10.2.0.1:7215'), asked.join());
+    assert.ok(asked.includes(leader), asked.join());
+    assert.deepEqual(await this.referrer?.readCurrent(), { kind: 'elsewhere', leader });
+  },
+);
+
+After(function (this: Partial<SeedsWorld>) {
+  this.referrer?.close();
+});
+
+Given(
+  'a founder at {string} that asks the seeds {string}',
+  function (this: SeedsWorld, address: string, seeds: string) {
+    this.seedsMesh = new RecordingMesh(address);
+    this.founderSeeds = seeds.split(' ');
+    this.founders = findFounders(this.seedsMesh, () => this.founderSeeds);
+  },
+);
+
+When(
+  "the founder's seeds become {string}, which has a disk",
+  async function (this: SeedsWorld, seeds: string) {
+    this.founderSeeds = seeds.split(' ');
+    await sleep(450);
+    const other = this.founderSeeds.find((seed) => seed !== this.seedsMesh.address) ?? '';
+    assert.ok(this.seedsMesh.sent.some(([to, { kind }]) => to === other && kind === 'find'));
+    this.seedsMesh.receive(other, {
+      ...{ kind: 'found', hasDisk: true, members: [], healthy: false, leader: undefined },
+    } satisfies FeedMessage);
+  },
+);
+
+Then('the founder finds the founders {string}', async function (this: SeedsWorld, found: string) {
+  assert.equal((await this.founders).join(' '), found);
+});
--- a/features/feed/sources.feature
+++ b/features/feed/sources.feature
@@ -29,6 +29,11 @@
       | state ages, as it was removed     | was removed and doesn't know       |
       | group has no leader               | knows no leader                    |
 
+  Scenario: A gateway follows another member at once when the followed one says that it stops
+    Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
+    When the followed steward of the feed network stops with a last word, and the others apply a command
+    Then within 300 ms of the feed network's time the gateway follows another steward and has the command
+
   Scenario: 317 gateways that look for the group at once ask few processes
     Given 317 gateways on a feed network, all members and seeds of which are gone, with 3 members and 3 seeds
     Then in 2000 ms each of them sends at most 9 requests in 500 ms, and each of them at most 3 to gateways
--- a/features/feed/sources.steps.ts
+++ b/features/feed/sources.steps.ts
@@ -244,6 +244,11 @@
       case 'knows no leader':
         status.healthy = false;
         break;
+      case 'stops with a last word':
+        this.feedStewards.get(followed)?.publisher.sendLastWord();
+        this.feedStewards.get(followed)?.publisher.close();
+        this.feedNetwork.handlers.delete(toAddress(followed));
+        break;
       default:
         assert.fail(behaves);
     }
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -294,6 +294,11 @@
       'Newest committed entry.',
       () => running.current?.node.status.commitIndex ?? 0,
     ],
+    [
+      'chivewalk_steward_state_age_ms',
+      'Milliseconds since the state was certainly current.',
+      () => Math.round(running.current?.node.status.age ?? Infinity),
+    ],
     [
       'chivewalk_steward_members',
       'Members of the group.',
