--- a/features/control/replacement.ts
+++ b/features/control/replacement.ts
@@ -268,11 +268,13 @@
     });
   }
 
-  #toStatus({ role, term, commitIndex, log, membership }: ConsensusState): ControlStatus {
+  #toStatus(state: ConsensusState): ControlStatus {
+    const { role, term, commitIndex, log, membership, membershipIndex: membersIndex } = state;
     const progress = role.kind === 'leader' ? [...role.progress] : [];
     return {
       ...{ role: 'leader', term, leader: undefined, commitIndex, lastIndex: getLastIndex(log) },
       ...{ logBytes: 0, members: membership.members, healthy: true, isVoter: true },
+      ...{ membersIndex, age: 0 },
       silences: progress.map(([id, { lastContactAt }]) => [
         toAddress(id),
         this.#now - lastContactAt,
