Soak: stewards are replaced in series, and routes that were added are watched from outside

A series of two to four stewards is replaced, killed, planned or wiped, each 0.1 to 8 s after the group has had 4 s to settle, beside paused gateways, changes and drains. One VM is lost at a time; the runs no longer wait until all stewards vote, but for the time that the platform grants, so that a group that isn't complete by then shows.

New checks: a change is acknowledged within 10 s while one steward at most is lost; an added route is served by each gateway within 2 s of the acknowledgement, or of the time at which it and the stewards have run undisturbed for 3 s; no gateway answers 404 for it later than 2 s after the acknowledgement. At the end of a series a route is added and an upstream drains after 3 s of calm.

Old seeds: the series has random numbers of its own, so the faults of a seed are the same as before, and rows without the series run without it. wipeSteward waits 4 s before and after instead of for the votes; two upstreams of a service may drain instead of one; changes of routes and evacuations no longer wait for each other. All of that makes them stricter. Callers and watches also stop when a run ends by an error; before, they kept the process busy for ever.

--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -696,10 +696,10 @@
     });
   }
 
-  /** Reads the configuration, starting at the steward with this index. */
+  /** Reads the configuration, starting at the control address with this index. */
   readConfiguration(index: number): Promise<HttpResponse> {
     return this.#sendFollowingRedirects(
-      this.ips[index % this.ips.length] ?? '',
+      this.controlIps[index % this.controlIps.length] ?? '',
       { path: '/-/Config.Get' },
       2,
     );
--- a/features/soak/faults.ts
+++ b/features/soak/faults.ts
@@ -25,7 +25,32 @@
   /** A request that crashes each upstream that runs it, at a rate in requests a second. */
   | { readonly kind: 'crashingRequest'; readonly rate: number; readonly ms: number }
   | { readonly kind: 'changeRoutes' }
-  | { readonly kind: 'zoneOut'; readonly vm: number; readonly ms: number };
+  | { readonly kind: 'zoneOut'; readonly vm: number; readonly ms: number }
+  /** Stewards are replaced one after another, each once the group tolerates the loss of another VM. */
+  | { readonly kind: 'replaceStewards'; readonly replacements: readonly Replacement[] };
+
+/**
+ * How a steward is replaced by one with an empty disk: `killed` and `planned` ones by a steward at a new address, a
+ * `planned` one only after that has started; a `wiped` one starts again at its own address.
+ */
+export type ReplacementWay = 'killed' | 'planned' | 'wiped';
+
+/** The replacement of one steward, and what begins with it. */
+export interface Replacement {
+  readonly way: ReplacementWay;
+  readonly vm: number;
+  /** Milliseconds from when the group tolerates a loss to the replacement. */
+  readonly wait: number;
+  /** Milliseconds between the old steward's end and the new one's start, or the reverse if it is planned. */
+  readonly gap: number;
+  /** The gateway that is paused, for `pause` milliseconds. */
+  readonly gateway: number;
+  readonly pause: number;
+  /** Milliseconds from the start of the replacement to a change of the routes. */
+  readonly changeAfter: number;
+  /** The upstream that drains, if one does. */
+  readonly drained: number | undefined;
+}
 
 /** A fault and the time of its injection. */
 export interface PlannedFault {
@@ -48,6 +73,9 @@
   }
 }
 
+/** Milliseconds after the start of a replaced or restarted steward in which no other VM may be lost. */
+export const CATCH_UP_TIME = 4000;
+
 /** Kinds of faults; a kind that is listed twice is generated twice as often. */
 const KINDS = [
   ...(['killGateway', 'stopGateway', 'pauseGateway', 'killSteward', 'pauseSteward'] as const),
@@ -113,3 +141,60 @@
     fault: generateFault(random, vms, upstreams),
   })).sort((one, two) => one.at - two.at);
 }
+
+const WAYS: readonly ReplacementWay[] = ['killed', 'killed', 'planned', 'planned', 'wiped'];
+/** Ranges in milliseconds of the random part of the time between two replacements; 100 ms are added to it. */
+const WAIT_RANGES = [1, 400, 1500, 7900] as const;
+/** Range in milliseconds of the time between the ends and starts of replaced stewards and their successors. */
+const GAP_RANGE = 1500;
+/** Range in milliseconds of the random part of a gateway's pause; 200 ms are added to it. */
+const PAUSE_RANGE = 5800;
+
+function generateReplacement(
+  random: RandomSource,
+  vm: number,
+  vms: number,
+  upstreams: number,
+): Replacement {
+  return {
+    way: WAYS[random.below(WAYS.length)] ?? 'killed',
+    vm,
+    wait: 100 + random.below(WAIT_RANGES[random.below(WAIT_RANGES.length)] ?? 1),
+    gap: random.below(GAP_RANGE),
+    gateway: random.below(vms),
+    pause: 200 + random.below(PAUSE_RANGE),
+    changeAfter: random.below(GAP_RANGE),
+    drained: random.below(2) === 0 ? random.below(upstreams) : undefined,
+  };
+}
+
+/**
+ * Returns a series of two to four replacements of stewards. In every fourth series a gateway is paused from the first
+ * replacement to the last. Its random numbers are its own: the faults of {@link planFaults} don't depend on it.
+ *
+ * @param duration Milliseconds within which the series begins.
+ * @param vms Number of VMs of the site.
+ * @param upstreams Number of upstreams of the site.
+ */
+export function planReplacements(
+  seed: number,
+  duration: number,
+  vms: number,
+  upstreams: number,
+): PlannedFault {
+  const random = new RandomSource(seed ^ 0x5eed);
+  const first = random.below(vms);
+  const replacements = Array.from({ length: 2 + random.below(3) }, (_, index) =>
+    generateReplacement(random, (first + index) % vms, vms, upstreams),
+  );
+  const length = replacements.reduce((sum, { wait }) => sum + wait + CATCH_UP_TIME, 0);
+  const isPausedThroughout = random.below(4) === 0;
+  const paused = replacements[0]?.gateway ?? 0;
+  const planned = replacements.map((replacement, index) =>
+    isPausedThroughout
+      ? { ...replacement, ...(index === 0 ? { pause: length } : { gateway: (paused + 1) % vms }) }
+      : replacement,
+  );
+  const at = random.below(Math.max(1, Math.floor(duration / 2)));
+  return { at, fault: { kind: 'replaceStewards', replacements: planned } };
+}
--- a/features/soak/soak.steps.ts
+++ b/features/soak/soak.steps.ts
@@ -10,7 +10,15 @@
   'the soak runs seed {int} for {int} s',
   { timeout: 180_000 },
   async function (this: SoakWorld, seed: number, seconds: number) {
-    this.report = await runSoak(seed, seconds * 1000);
+    this.report = await runSoak(seed, seconds * 1000, false);
+  },
+);
+
+When(
+  'the soak runs seed {int} for {int} s beside a series of replaced stewards',
+  { timeout: 180_000 },
+  async function (this: SoakWorld, seed: number, seconds: number) {
+    this.report = await runSoak(seed, seconds * 1000, true);
   },
 );
 
--- a/features/soak/soak.ts
+++ b/features/soak/soak.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  pickRotation,
   Site,
   waitUntil,
   type HttpResponse,
@@ -11,8 +12,16 @@
   type Upstream,
 } from '../platform/site.js';
 import { Caller, type RequestResult } from './callers.js';
-import { planFaults, type Fault, type PlannedFault } from './faults.js';
+import {
+  CATCH_UP_TIME,
+  planFaults,
+  planReplacements,
+  type Fault,
+  type PlannedFault,
+  type Replacement,
+} from './faults.js';
 import { Link, type LinkFault } from './proxy.js';
+import { CONFIG_BOUND, RouteWatch } from './routes.js';
 
 /** The result of one run. */
 export interface SoakReport {
@@ -27,8 +36,9 @@
   readonly output: string;
 }
 
-/** Interval in which a process was down, paused or restarting; `until` is Infinity while it lasts. */
+/** Interval in which processes were down, paused or restarting; `until` is Infinity while it lasts. */
 interface Disturbance {
+  readonly names: readonly string[];
   readonly from: number;
   until: number;
 }
@@ -52,8 +62,14 @@
 const DRAIN_BOUND = 2000;
 /** Milliseconds after an acknowledged evacuation in which the zone may still receive requests. */
 const EVACUATE_BOUND = 5000;
-/** Milliseconds after an acknowledged configuration in which a read may still return an older one. */
-const CONFIG_BOUND = 2000;
+/** Milliseconds within which a change must be acknowledged while one steward at most is lost. */
+const ACKNOWLEDGE_BOUND = 10_000;
+/** Milliseconds after which a change that isn't acknowledged is given up. */
+const ACKNOWLEDGE_LIMIT = 30_000;
+/** Milliseconds for which a run goes on undisturbed after a series of replacements. */
+const CALM_TIME = 3000;
+/** Upstreams of one service that may drain: the others must carry its requests. */
+const MAX_DRAINING = 2;
 /** Milliseconds after the last fault within which all gateways must serve callers again. */
 const RECOVERY_BOUND = 15_000;
 /** Milliseconds after which an upstream that crashed is back. */
@@ -73,6 +89,8 @@
   ...{ name: 'r-safe', path_prefix: '/records/', kind: 'safe', timeout: '800ms' },
   ...{ target_latency: '200ms', priority: 2, service: 'records', max_attempts: 2 },
 };
+/** Routes that a run adds lead to the service that no request crashes. */
+const addedRoute = { ...safeRoute, service: 'orders' };
 const unsafeRoute = {
   ...safeRoute,
   ...{ name: 'r-unsafe', path_prefix: '/orders/', kind: 'unsafe', priority: 1, service: 'orders' },
@@ -93,18 +111,38 @@
   readonly #drained: DrainedUpstream[] = [];
   readonly #evacuations: Evacuation[] = [];
   readonly #violations: string[] = [];
+  readonly #routes: RouteWatch;
+  /** Prefixes of the routes that were added. */
+  readonly #addedPrefixes: string[] = [];
   /** Acknowledged configurations, oldest first; `at` is the time of the acknowledgement. */
   readonly #acknowledged: (readonly [version: number, at: number])[] = [];
   /** Settles when the queued faults of stewards are done. */
   #stewardFaults: Promise<void> = Promise.resolve();
-  /** Settles when the queued operators' orders are done. */
-  #orders: Promise<void> = Promise.resolve();
+  /** Names of the stewards, by their place in the group; one that is replaced gives its place to its successor. */
+  #stewards: readonly string[] = ['steward-1', 'steward-2', 'steward-3'];
+  /** What runs beside the replacements of stewards. */
+  readonly #besides: Promise<void>[] = [];
+  /** When all stewards have had {@link CATCH_UP_TIME} since the last fault of one. */
+  #settledAt = performance.now() + CATCH_UP_TIME;
+  /** When the last fault ended that may have left two or more stewards lost at a time. */
+  #toleratedFrom = -Infinity;
+  /** Settles when the queued changes of the configuration are done. */
+  #changes: Promise<void> = Promise.resolve();
+  /** Settles when the queued evacuations are done. */
+  #evacuating: Promise<void> = Promise.resolve();
   #isReading = true;
 
   private constructor(seed: number, site: Site, links: readonly Link[]) {
     this.#seed = seed;
     this.#site = site;
     this.#links = [...links];
+    this.#routes = new RouteWatch(
+      site,
+      site.ips.map((ip, vm) => ({
+        ip,
+        findCalmTime: () => this.#findCalmTime(`gateway-${vm + 1}`),
+      })),
+    );
     site.upstreams.forEach((upstream, index) => {
       this.#watchCrash(upstream, index);
     });
@@ -138,8 +176,12 @@
     return soak;
   }
 
-  async run(duration: number): Promise<SoakReport> {
-    const faults = planFaults(this.#seed, duration, this.#site.ips.length, this.#links.length);
+  async run(duration: number, hasReplacements: boolean): Promise<SoakReport> {
+    const sizes = [this.#site.ips.length, this.#links.length] as const;
+    const faults = [
+      ...planFaults(this.#seed, duration, ...sizes),
+      ...(hasReplacements ? [planReplacements(this.#seed, duration, ...sizes)] : []),
+    ];
     this.#callers.forEach((caller) => {
       caller.start();
     });
@@ -151,11 +193,14 @@
         await this.#inject(fault);
       }),
     );
-    await Promise.all([this.#stewardFaults, this.#orders, ...this.#restarts]);
+    await Promise.all([this.#stewardFaults, ...this.#besides]);
+    await Promise.all([this.#changes, this.#evacuating, ...this.#restarts]);
     this.#links.forEach((link) => {
       link.setFault({ kind: 'none' });
     });
     await this.#waitUntilServed('the faults are over');
+    if (hasReplacements) await this.#checkCalm();
+    await this.#routes.stop();
     this.#isReading = false;
     await reading;
     await Promise.all(this.#callers.map((caller) => caller.stop()));
@@ -170,7 +215,7 @@
       faults,
       answered: results.filter(({ status }) => status === 200).length,
       requests: results.length,
-      violations: this.#violations,
+      violations: [...this.#violations, ...this.#routes.violations],
       output: [...this.#site.processes]
         .map(([name, { output }]) => `== ${name}\n${output.slice(-8000)}`)
         .join('\n'),
@@ -178,6 +223,8 @@
   }
 
   async close(): Promise<void> {
+    this.#isReading = false;
+    await Promise.all([this.#routes.stop(), ...this.#callers.map((caller) => caller.stop())]);
     this.#links.forEach((link) => {
       link.close();
     });
@@ -194,15 +241,24 @@
         return this.#pause(`gateway-${fault.vm + 1}`, fault.ms);
       case 'killSteward':
         return this.#queueStewardFault(() =>
-          this.#restart([`steward-${fault.vm + 1}`], 'SIGKILL', false),
+          this.#restart([this.#findSteward(fault.vm)], 'SIGKILL', false),
         );
       case 'wipeSteward':
-        return this.#queueStewardFault(() => this.#wipe(`steward-${fault.vm + 1}`));
+        return this.#queueDiskLoss(0, () => this.#wipe(fault.vm, 0));
       case 'pauseSteward':
-        return this.#queueStewardFault(() => this.#pause(`steward-${fault.vm + 1}`, fault.ms));
+        return this.#queueStewardFault(() => this.#pause(this.#findSteward(fault.vm), fault.ms));
       case 'killAllStewards':
-        return this.#queueStewardFault(() =>
-          this.#restart(['steward-1', 'steward-2', 'steward-3'], 'SIGKILL', false),
+        return this.#queueStewardFault(async () => {
+          await this.#restart(this.#stewards, 'SIGKILL', false);
+          this.#toleratedFrom = performance.now();
+        });
+      case 'replaceStewards':
+        return fault.replacements.reduce<Promise<void>>(
+          (before, replacement) =>
+            before.then(() =>
+              this.#queueDiskLoss(replacement.wait, () => this.#replace(replacement)),
+            ),
+          Promise.resolve(),
         );
       case 'misbehave': {
         const upstream = this.#findUpstream(fault.upstream);
@@ -228,9 +284,9 @@
       case 'drain':
         return this.#drain(fault.upstream);
       case 'changeRoutes':
-        return this.#queueOrder(() => this.#changeRoutes());
+        return this.#changeRoutes();
       case 'zoneOut':
-        return this.#queueOrder(() => this.#evacuateZone(fault.vm, fault.ms));
+        return this.#evacuateZone(fault.vm, fault.ms);
       case 'crashingRequest':
         return this.#sendCrashing(fault.rate, fault.ms);
     }
@@ -269,48 +325,105 @@
     }
   }
 
-  /** Runs faults of stewards one after another, because the site tolerates the loss of only one of three. */
+  /** Returns the name of the steward in a place of the group, as it was last replaced. */
+  #findSteward(place: number): string {
+    return this.#stewards[place] ?? '';
+  }
+
+  /**
+   * Runs faults of stewards one after another, because the site tolerates the loss of only one of three. A fault soon
+   * after another may leave two of them lost for a moment, but loses no disk.
+   */
   #queueStewardFault(act: () => Promise<void>): Promise<void> {
-    this.#stewardFaults = this.#stewardFaults.then(act);
+    this.#stewardFaults = this.#stewardFaults.then(async () => {
+      const isTolerated = performance.now() >= this.#settledAt;
+      await act();
+      const endedAt = performance.now();
+      this.#settledAt = endedAt + CATCH_UP_TIME;
+      if (!isTolerated) this.#toleratedFrom = endedAt;
+    });
     return this.#stewardFaults;
   }
 
-  #queueOrder(act: () => Promise<void>): Promise<void> {
-    this.#orders = this.#orders.then(act);
-    return this.#orders;
+  /**
+   * Runs a fault in which a steward loses its disk, `wait` milliseconds after all stewards have had the time to catch
+   * up, and gives its successor the same time. The action returns when the successor was started. Only time is waited
+   * for: whether the group is complete by then is part of the test.
+   */
+  #queueDiskLoss(wait: number, act: () => Promise<number>): Promise<void> {
+    this.#stewardFaults = this.#stewardFaults.then(async () => {
+      await waitForTime(this.#settledAt + wait);
+      this.#settledAt = (await act()) + CATCH_UP_TIME;
+      await waitForTime(this.#settledAt);
+    });
+    return this.#stewardFaults;
   }
 
   /** Runs an action and records its duration as a disturbance. */
-  async #recordDisturbance(act: () => Promise<void>): Promise<void> {
-    const span: Disturbance = { from: performance.now(), until: Infinity };
+  async #recordDisturbance(names: readonly string[], act: () => Promise<void>): Promise<void> {
+    const span: Disturbance = { names, from: performance.now(), until: Infinity };
     this.#disturbances.push(span);
     await act();
     span.until = performance.now();
   }
 
-  #restart(names: readonly string[], signal: NodeJS.Signals, losesDisk: boolean): Promise<void> {
-    return this.#recordDisturbance(async () => {
+  #restart(
+    names: readonly string[],
+    signal: NodeJS.Signals,
+    losesDisk: boolean,
+    gap = 0,
+  ): Promise<void> {
+    return this.#recordDisturbance(names, async () => {
       await Promise.all(names.map((name) => this.#site.endProcess(name, signal)));
+      await sleep(gap);
       await Promise.all(names.map((name) => this.#site.restartProcess(name, losesDisk)));
     });
   }
 
-  /**
-   * Restarts a steward with an empty disk. Waits for all three votes before, because the loss is tolerated only if
-   * the other stewards hold what this one had, and after, so that the next fault finds a complete group.
-   */
-  async #wipe(name: string): Promise<void> {
-    await this.#waitForVoters();
-    await this.#restart([name], 'SIGKILL', true);
-    await this.#waitForVoters();
+  /** Restarts a steward with an empty disk. */
+  async #wipe(place: number, gap: number): Promise<number> {
+    await this.#restart([this.#findSteward(place)], 'SIGKILL', true, gap);
+    return performance.now();
+  }
+
+  /** Replaces a steward, while a gateway is paused, routes change and an upstream drains. */
+  async #replace(replacement: Replacement): Promise<number> {
+    const { way, vm, gap, gateway, pause, changeAfter, drained } = replacement;
+    this.#besides.push(
+      this.#pause(`gateway-${gateway + 1}`, pause),
+      sleep(changeAfter).then(() => this.#changeRoutes(true)),
+      ...(drained === undefined ? [] : [this.#drain(drained)]),
+    );
+    const name = this.#findSteward(vm);
+    switch (way) {
+      case 'wiped':
+        return this.#wipe(vm, gap);
+      case 'killed':
+        await this.#recordDisturbance([name], async () => {
+          await this.#site.endProcess(name, 'SIGKILL');
+          await sleep(gap);
+          await this.#addSteward(vm);
+        });
+        return performance.now();
+      case 'planned': {
+        await this.#addSteward(vm);
+        const startedAt = performance.now();
+        await sleep(gap);
+        await this.#recordDisturbance([name], () => this.#site.endProcess(name, 'SIGTERM'));
+        return startedAt;
+      }
+    }
   }
 
-  async #waitForVoters(): Promise<void> {
-    await waitUntil('all stewards are voters', () => this.#site.hasVoters(3), 30_000);
+  /** Starts a steward on a new VM, which takes a place in the group and in the operators' list. */
+  async #addSteward(place: number): Promise<void> {
+    const name = await this.#site.addSteward();
+    this.#stewards = this.#stewards.with(place, name);
+    this.#site.controlIps = this.#stewards.map((steward) => this.#site.getProcess(steward).ip);
   }
 
   #pause(name: string, ms: number): Promise<void> {
-    return this.#recordDisturbance(async () => {
+    return this.#recordDisturbance([name], async () => {
       const child = this.#site.processes.get(name)?.child;
       child?.kill('SIGSTOP');
       await sleep(ms);
@@ -326,38 +439,79 @@
     link.setFault({ kind: 'none' });
   }
 
-  /** Drains the upstream, unless one of its service is draining already: the service must keep upstreams. */
+  /** Drains the upstream, unless {@link MAX_DRAINING} of its service drain already. */
   async #drain(at: number): Promise<void> {
     const upstream = this.#findUpstream(at);
-    const isServiceDraining = this.#drained.some(
-      (one) => one.upstream.service === upstream?.service,
+    const draining = this.#site.upstreams.filter(
+      ({ service, state }) => service === upstream?.service && state === 'draining',
     );
-    if (upstream === undefined || isServiceDraining || upstream.state === 'draining') return;
+    if (upstream === undefined || draining.length >= MAX_DRAINING || draining.includes(upstream)) {
+      return;
+    }
     upstream.state = 'draining';
-    await waitUntil(
-      '"draining" is acknowledged',
-      () => upstream.sendHeartbeat(this.#site.shuffleIps()),
-      30_000,
+    const isAcknowledged = await this.#acknowledge('"draining"', () =>
+      upstream.sendHeartbeat(pickRotation(this.#site.controlIps)),
     );
-    this.#drained.push({ upstream, acknowledgedAt: performance.now() });
+    if (isAcknowledged) this.#drained.push({ upstream, acknowledgedAt: performance.now() });
   }
 
-  async #changeRoutes(): Promise<void> {
-    const timeout = `${800 + (this.#site.version % 5) * 10}ms`;
-    const answer = await this.#site.putRoutes([{ ...safeRoute, timeout }, unsafeRoute]);
-    if (answer.status === 200) this.#acknowledged.push([this.#site.version, performance.now()]);
-    else
-      this.#violations.push(`a valid configuration was refused: ${answer.status} ${answer.body}`);
+  /**
+   * Sends a change until it is acknowledged, and reports a violation if that takes longer than
+   * {@link ACKNOWLEDGE_BOUND} while one steward at most is lost.
+   */
+  async #acknowledge(what: string, send: () => Promise<boolean>): Promise<boolean> {
+    const sentAt = performance.now();
+    const problem = await waitUntil(`${what} is acknowledged`, send, ACKNOWLEDGE_LIMIT).then(
+      () => undefined,
+      (error: unknown) => String(error),
+    );
+    const late = Math.round(performance.now() - Math.max(sentAt, this.#toleratedFrom));
+    if (problem !== undefined || late > ACKNOWLEDGE_BOUND) {
+      const end = problem ?? `${what} was acknowledged late`;
+      this.#violations.push(`${end}, after ${late} ms with one steward lost at most`);
+    }
+    return problem === undefined;
+  }
+
+  /** Changes the configuration, with one more route if one is added. */
+  #changeRoutes(addsRoute = false): Promise<void> {
+    this.#changes = this.#changes.then(async () => {
+      const added = [...this.#addedPrefixes];
+      if (addsRoute) added.push(`/added/${added.length + 1}/`);
+      const timeout = `${800 + (this.#site.version % 5) * 10}ms`;
+      const routes = added.map((path_prefix, index) => ({
+        ...addedRoute,
+        ...{ name: `r-added-${index + 1}`, path_prefix },
+      }));
+      const isAcknowledged = await this.#acknowledge('a configuration', async () => {
+        const answer = await this.#site
+          .putRoutes([{ ...safeRoute, timeout }, unsafeRoute, ...routes])
+          .catch((): undefined => undefined);
+        if (answer === undefined || answer.status === 200) return answer !== undefined;
+        throw new Error(`a valid configuration was refused: ${answer.status} ${answer.body}`);
+      });
+      if (!isAcknowledged) return;
+      const at = performance.now();
+      this.#acknowledged.push([this.#site.version, at]);
+      added.slice(this.#addedPrefixes.length).forEach((prefix) => {
+        this.#addedPrefixes.push(prefix);
+        this.#routes.add(`${prefix}1`, at);
+      });
+    });
+    return this.#changes;
   }
 
-  async #evacuateZone(vm: number, ms: number): Promise<void> {
+  #evacuateZone(vm: number, ms: number): Promise<void> {
     const zone = this.#site.zones[vm] ?? '';
-    await this.#site.sendOrder({ method: 'POST', path: `/-/Evacuation.Start/${zone}` });
-    const span: Evacuation = { zone, acknowledgedAt: performance.now(), until: Infinity };
-    this.#evacuations.push(span);
-    await sleep(EVACUATE_BOUND + ms);
-    span.until = performance.now();
-    await this.#site.sendOrder({ method: 'POST', path: `/-/Evacuation.End/${zone}` });
+    this.#evacuating = this.#evacuating.then(async () => {
+      await this.#site.sendOrder({ method: 'POST', path: `/-/Evacuation.Start/${zone}` });
+      const span: Evacuation = { zone, acknowledgedAt: performance.now(), until: Infinity };
+      this.#evacuations.push(span);
+      await sleep(EVACUATE_BOUND + ms);
+      span.until = performance.now();
+      await this.#site.sendOrder({ method: 'POST', path: `/-/Evacuation.End/${zone}` });
+    });
+    return this.#evacuating;
   }
 
   /** Reads the configuration periodically and checks that no read misses one acknowledged CONFIG_BOUND earlier. */
@@ -457,6 +611,21 @@
     });
   }
 
+  /** Adds a route and drains an upstream when nothing has been disturbed for a time, and goes on for a time. */
+  async #checkCalm(): Promise<void> {
+    await sleep(STABILIZATION_TIME);
+    await Promise.all([this.#changeRoutes(true), this.#drain(this.#seed % this.#links.length)]);
+    await sleep(DRAIN_BOUND + CALM_TIME);
+  }
+
+  /** Returns when a gateway and all stewards have run undisturbed for STABILIZATION_TIME; Infinity if they haven't. */
+  #findCalmTime(gateway: string): number {
+    const ends = this.#disturbances
+      .filter(({ names }) => names.some((name) => name === gateway || name.startsWith('steward')))
+      .map(({ until }) => until);
+    return Math.max(...ends) + STABILIZATION_TIME;
+  }
+
   /** Returns whether no disturbance was under way at the time or had ended within STABILIZATION_TIME before it. */
   #isStable(at: number): boolean {
     return this.#disturbances.every(
@@ -508,6 +677,10 @@
   }
 }
 
+async function waitForTime(time: number): Promise<void> {
+  await sleep(Math.max(0, Math.ceil(time - performance.now())));
+}
+
 /** Returns the guarantee that the result of a request breaks, if any. */
 function findProblem(
   { kind, id, status, seal, body }: RequestResult,
@@ -525,11 +698,18 @@
   return undefined;
 }
 
-/** Runs one seed: injects faults for `duration` milliseconds, waits for recovery and checks the guarantees. */
-export async function runSoak(seed: number, duration: number): Promise<SoakReport> {
+/**
+ * Runs one seed: injects faults for `duration` milliseconds, waits for recovery and checks the guarantees. If
+ * `hasReplacements` is set, a series of replacements of stewards begins within that time.
+ */
+export async function runSoak(
+  seed: number,
+  duration: number,
+  hasReplacements: boolean,
+): Promise<SoakReport> {
   const soak = await SoakRun.open(seed);
   try {
-    return await soak.run(duration);
+    return await soak.run(duration, hasReplacements);
   } finally {
     await soak.close();
   }
