Steward: a founder that the group replaced joins it instead of founding again

Cause: its settings call it a founder, and a founder with an empty folder waits for the others to found with it.

After a replacement the group exists, so the member opens as one that joins, also if its process ended while the data was being deleted (replaced.json). Zones of further VMs in the tests' site repeat, as it now starts a fourth VM.

--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -399,7 +399,7 @@
     const values: Readonly<Record<string, string>> = {
       ...Object.fromEntries(Object.entries(listen).map(([key, value]) => [`listen.${key}`, value])),
       node: `vm-${vmIndex + 1}`,
-      zone: this.zones[vmIndex] ?? '',
+      zone: this.zones[vmIndex % this.zones.length] ?? '',
       region: 'klang-valley',
       role,
       ip,
@@ -442,7 +442,7 @@
     const running: RunningProcess = {
       role,
       ip,
-      zone: this.zones[vmIndex] ?? '',
+      zone: this.zones[vmIndex % this.zones.length] ?? '',
       child,
       output: '',
     };
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -99,9 +99,12 @@
   readonly isFounder: boolean;
 }
 
-async function findStartMembers({ settings, mesh }: StewardContext): Promise<StartMembers> {
+async function findStartMembers(
+  { settings, mesh }: StewardContext,
+  wasReplaced: boolean,
+): Promise<StartMembers> {
   const seeds = listSeeds(settings.seeds, settings.steward_port);
-  const isFounder = settings.first_start === true && seeds.includes(mesh.address);
+  const isFounder = settings.first_start === true && seeds.includes(mesh.address) && !wasReplaced;
   if (existsSync(join(settings.data_folder, IDENTITY_FILE))) return { members: seeds, isFounder };
   const find = isFounder ? findFounders : findMembers;
   return { members: await find(mesh, seeds), isFounder };
@@ -181,12 +184,14 @@
   context: StewardContext,
   openListeners: (steward: Steward) => Promise<Listeners>,
   onEnded: (cause: ReopeningCause) => void,
+  wasReplaced: boolean,
 ): Promise<OpenSteward> {
   const { settings, mesh } = context;
   const now = (): number => performance.now();
   const folder = settings.data_folder;
-  if (existsSync(join(folder, REPLACED_FILE))) await dropReplacedData(folder);
-  const members = await findStartMembers(context);
+  const isDropping = existsSync(join(folder, REPLACED_FILE));
+  if (isDropping) await dropReplacedData(folder);
+  const members = await findStartMembers(context, wasReplaced || isDropping);
   const node = await openNode(context, members, () => {
     onEnded('diskFailed');
   });
@@ -248,9 +253,14 @@
   context: StewardContext,
   openListeners: (steward: Steward) => Promise<Listeners>,
 ): Reopening<OpenSteward> {
+  // The group exists then, so that a founder joins it too.
+  let wasReplaced = false;
   return new Reopening<OpenSteward>({
-    open: (onEnded) => openComponents(context, openListeners, onEnded),
-    empty: () => dropReplacedData(context.settings.data_folder),
+    open: (onEnded) => openComponents(context, openListeners, onEnded, wasReplaced),
+    empty: () => {
+      wasReplaced = true;
+      return dropReplacedData(context.settings.data_folder);
+    },
     waitForDisk: () => waitForDisk(context.settings.data_folder),
     waitToRetry: () => sleep(OPEN_RETRY_INTERVAL),
     onReopened: (cause) => {
