Feed: gateways go back to their preferred member after a time without a leader

All that look for the group follow the member that answers first, so that one member would serve most of a site. Each now polls its preferred member every 3 s while it follows another one, and follows it once it answers well.

--- a/features/feed/sources.feature
+++ b/features/feed/sources.feature
@@ -34,6 +34,11 @@
     When the followed steward of the feed network stops with a last word, and the others apply a command
     Then within 300 ms of the feed network's time the gateway follows another steward and has the command
 
+  Scenario: After a time without a leader, gateways spread over the members again
+    Given 40 feed sources that all follow the member that answered first after a time without a leader
+    When 10000 ms pass for the feed sources, in which all members answer
+    Then each of the 3 members is followed by at least 6 of the feed sources
+
   Scenario: 317 gateways that look for the group at once ask few processes
     Given 317 gateways on a feed network, all members and seeds of which are gone, with 3 members and 3 seeds
     Then in 2000 ms each of them sends at most 9 requests in 500 ms, and each of them at most 3 to gateways
--- a/features/feed/sources.steps.ts
+++ b/features/feed/sources.steps.ts
@@ -13,6 +13,7 @@
   type Follower,
   type Publisher,
 } from '../../src/feed/index.js';
+import { createSources, decideSources, type SourcesState } from '../../src/feed/sources.js';
 import type { Address } from '../../src/model/index.js';
 import { createControl } from '../support/control.js';
 import type { Mesh, MessageHandler } from '../../src/wire/index.js';
@@ -483,3 +484,57 @@
     assert.equal(this.fakeFollower.isBehind, expected === 'behind');
   },
 );
+
+interface SpreadWorld {
+  sourceStates: readonly SourcesState[];
+  sourcesNow: number;
+}
+
+const MEMBERS = ['s1', 's2', 's3'].map(toAddress);
+
+function applyAnswer(state: SourcesState, from: Address, now: number): SourcesState {
+  const answer = { from, isMember: true, isGood: true, members: MEMBERS, membersIndex: 4 };
+  return decideSources(state, { kind: 'answered', now, answer }).state;
+}
+
+Given(
+  '40 feed sources that all follow the member that answered first after a time without a leader',
+  function (this: SpreadWorld) {
+    this.sourcesNow = 10_000;
+    const [first = ''] = MEMBERS;
+    this.sourceStates = Array.from({ length: 40 }, (_, at) => {
+      const known = applyAnswer(createSources(`gateway-${at}`, MEMBERS, 0), first, 100);
+      return applyAnswer({ ...known, isLost: true }, first, 10_000);
+    });
+    assert.ok(this.sourceStates.every(({ followed }) => followed === first));
+  },
+);
+
+When(
+  '{int} ms pass for the feed sources, in which all members answer',
+  function (this: SpreadWorld, time: number) {
+    const until = this.sourcesNow + time;
+    while (this.sourcesNow < until) {
+      this.sourcesNow += 250;
+      const now = this.sourcesNow;
+      this.sourceStates = this.sourceStates.map((before) => {
+        const polled = { kind: 'polled', now, isOld: false, followers: [] } as const;
+        const { state, effects } = decideSources(before, { ...polled, random: () => 0 });
+        return effects.reduce(
+          (next, effect) => (effect.kind === 'poll' ? applyAnswer(next, effect.member, now) : next),
+          state,
+        );
+      });
+    }
+  },
+);
+
+Then(
+  'each of the 3 members is followed by at least {int} of the feed sources',
+  function (this: SpreadWorld, least: number) {
+    MEMBERS.forEach((member) => {
+      const count = this.sourceStates.filter(({ followed }) => followed === member).length;
+      assert.ok(count >= least, `${member} is followed by ${count}`);
+    });
+  },
+);
--- a/src/feed/sources.ts
+++ b/src/feed/sources.ts
@@ -19,6 +19,8 @@
 const FIND_INTERVAL: Duration = 500;
 /** Number of other followers that are asked at a time, so that a large site's followers don't flood each other. */
 const FIND_FOLLOWERS = 3;
+/** Interval in milliseconds at which the preferred member is polled while another one is followed. */
+const PREFERRED_INTERVAL: Duration = 3000;
 /** Milliseconds for which a good answer makes a member the next one to follow. */
 const GOOD_TIME: Duration = 1500;
 /** Milliseconds for which an address that answered, or was named while the state was old, may be followed. */
@@ -48,6 +50,8 @@
   /** Hosts of the live entries in the own zone, on which members of that zone run too. */
   readonly zoneHosts: ReadonlySet<string>;
   readonly findDue: Instant;
+  /** When the preferred member is polled next, if another one is followed. */
+  readonly preferredDue: Instant;
 }
 
 /** An answer of another process about the group. */
@@ -95,6 +99,7 @@
     ...{ self, seeds, members: [], membersIndex: -1, followed: '', followedSince: now },
     ...{ goodAt: now, isLost: true, givenUpAt: new Map(), answeredAt: new Map() },
     ...{ hints: new Map(), zoneHosts: new Set(), findDue: now },
+    preferredDue: now + PREFERRED_INTERVAL,
   };
   return { ...state, followed: listCandidates(state, now)[0] ?? '' };
 }
@@ -113,6 +118,7 @@
         state,
         (next) => checkFollowed(next, now),
         (next) => sendPolls(next, now),
+        (next) => sendToPreferred(next, now),
         (next) => (event.isOld && now >= next.findDue ? findMembers(next, event) : toStep(next)),
       );
     case 'answered':
@@ -271,11 +277,28 @@
   return members.join() === state.members.join() ? toStep(updated) : stepToPreferred(updated, now);
 }
 
-function stepToPreferred(state: SourcesState, now: Instant): SourcesStep {
-  const preferred = listCandidates(state, now).find(
+/** Returns the member to follow if all answer, unless it was given up just now. */
+function findPreferred(state: SourcesState, now: Instant): Address | undefined {
+  return listCandidates(state, now).find(
     (member) =>
       state.members.includes(member) && now - getInstant(state.givenUpAt, member) > GIVEN_UP_TIME,
   );
+}
+
+/**
+ * Polls the preferred member now and then while another one is followed: after a time without a leader, most processes
+ * follow the member that answered first.
+ */
+function sendToPreferred(state: SourcesState, now: Instant): SourcesStep {
+  if (now < state.preferredDue) return toStep(state);
+  const next = { ...state, preferredDue: now + PREFERRED_INTERVAL };
+  const preferred = findPreferred(state, now);
+  if (preferred === undefined || preferred === state.followed || state.isLost) return toStep(next);
+  return toStep(next, { kind: 'poll', member: preferred, isFollowed: false });
+}
+
+function stepToPreferred(state: SourcesState, now: Instant): SourcesStep {
+  const preferred = findPreferred(state, now);
   if (preferred === undefined || preferred === state.followed) return toStep(state);
   return toStep(withFollowed(state, preferred, now), {
     ...{ kind: 'poll', member: preferred, isFollowed: true },
@@ -286,8 +309,9 @@
   const { from, isMember, isGood } = answer;
   if (!isMember) return toStep(state);
   if (from !== state.followed) {
-    const isSilent = computeSilence(state, now) > SECOND_POLL_TIMEOUT;
-    if (!isGood || !state.isLost || !isSilent) return toStep(state);
+    const isSilent = state.isLost && computeSilence(state, now) > SECOND_POLL_TIMEOUT;
+    const isPreferred = !state.isLost && from === findPreferred(state, now);
+    if (!isGood || (!isSilent && !isPreferred)) return toStep(state);
     return toStep(withFollowed(state, from, now), { kind: 'poll', member: from, isFollowed: true });
   }
   if (!isGood) {
