--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -347,6 +347,7 @@
       bootstrap: String(isFirstStart),
       heartbeat: `${HEARTBEAT_MS}ms`,
       'bounds.grace': `${GRACE_MS}ms`,
+      'bounds.config_apply': '2000ms',
       'bounds.retry_budget_ratio': '0.2',
       'bounds.retry_slack': '64',
       'bounds.probes_per_s': '60',
