Feed: a process that is lost asks each member that it learns, not the preferred one alone

Cause: a list of members holds replaced ones for up to 15 s, as learners; the gateway followed one of these (followed before and ranked first in the list too) and asked the living ones only at the second poll.

--- a/src/feed/sources.ts
+++ b/src/feed/sources.ts
@@ -274,7 +274,15 @@
   const isNewer = membersIndex > state.membersIndex || (isGood && state.isLost);
   if (members.length === 0 || !isNewer) return toStep(state);
   const updated = { ...state, members, membersIndex };
-  return members.join() === state.members.join() ? toStep(updated) : stepToPreferred(updated, now);
+  if (members.join() === state.members.join()) return toStep(updated);
+  const step = stepToPreferred(updated, now);
+  // The preferred member may be gone and only not removed yet; whoever answers first makes the state current.
+  const polls = state.isLost
+    ? members
+        .filter((member) => !state.members.includes(member) && member !== step.state.followed)
+        .map((member) => ({ kind: 'poll' as const, member, isFollowed: false }))
+    : [];
+  return toStep(step.state, ...step.effects, ...polls);
 }
 
 /** Returns the member to follow if all answer, unless it was given up just now. */
