Steward: only a member with a fresh state can tell another one that it was replaced

The age of the sender's state, at most 1 s, now has to be known. features/platform/rejoining: a replaced member still begins anew.

--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -429,7 +429,7 @@
       reported !== undefined && performance.now() - reported.receivedAt < REPORTED_LEADER_TTL
         ? reported.leader
         : undefined,
-    handleGroupStatus: ({ members, membersIndex: index = 0, healthy, leader }) => {
+    handleGroupStatus: ({ members, membersIndex: index = 0, healthy, leader, age = Infinity }) => {
       if (members.length > 0 && (healthy || index >= (learned?.index ?? 0)))
         learned = { members, index };
       node.addKnownMembers(members);
@@ -438,7 +438,8 @@
       const known = node.status.members.map(({ id }) => toAddress(id));
       const isWaitingForAdmission = isForming() && members.some((member) => known.includes(member));
       if (isWaitingForAdmission || !hasNoLeader() || members.includes(mesh.address)) return;
-      if (isReplaced) return;
+      // A sender that lags may not know of this member yet.
+      if (isReplaced || age > MAX_REPORT_AGE) return;
       isReplaced = true;
       log.warn('the group replaced this member: deleting its data folder to rejoin', {
         members,
@@ -462,6 +463,8 @@
 const LEADERLESS_TIMEOUT: Duration = 5000;
 /** Interval in milliseconds of the queries about the group. */
 const GROUP_QUERY_INTERVAL: Duration = 500;
+/** Age in milliseconds up to which another member's state tells that this member was replaced; a few heartbeats. */
+const MAX_REPORT_AGE: Duration = 1000;
 /** Milliseconds for which a leader reported by another process is used; a few query intervals. */
 const REPORTED_LEADER_TTL: Duration = 2000;
 
