Gateway: its own standstill counts neither as work of requests nor against upstreams

Cause: answers that had arrived during the pause were read afterwards and counted as work of seconds; the expected time then exceeded each deadline, no request was sent, and so no sample corrected it. Attempts that its late timers ended counted as lost, which took the upstreams out for some two seconds more.

A sample counts up to the request's deadline, an outcome until 500 ms after it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -110,6 +110,12 @@
 /** Multiple of the expected time beyond which a cancelled attempt counts against its upstream. */
 const OVERDUE_RATIO = 3;
 
+/**
+ * Milliseconds after a request's deadline from which the end of its attempt tells nothing of the upstream: this
+ * process stood still and ended the attempt late.
+ */
+const MAX_TIMER_DELAY: Duration = 500;
+
 /** Multiple of a service's shortest work after which a load report is sent to other zones again. */
 const FAR_WORK_RATIO = 2;
 /** Maximum milliseconds between two load reports of an upstream to other zones. */
@@ -812,7 +818,9 @@
     this.#countOutcome(request, record, now - sentAt, outcome);
     this.#recordSurvival(request, record, outcome);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
-    if (isGood) this.#getAverageWork(request).addSample((now - sentAt) / slowdown);
+    // After its deadline an answer was read late, as in a process that stood still, and tells no work.
+    if (isGood && now <= request.deadline)
+      this.#getAverageWork(request).addSample((now - sentAt) / slowdown);
     const isMoving = this.#registry.getVersionShare(request.service).next !== undefined;
     const finding = judgeAttempt({
       outcome,
@@ -845,6 +853,7 @@
     outcome: AttemptOutcome | undefined,
   ): void {
     const now = this.now();
+    if (now > request.deadline + MAX_TIMER_DELAY) return;
     const expected = this.#getAverageWork(request).value * computePace(record, now);
     if (outcome !== undefined) addOutcome(record, outcome, now);
     else if (elapsed > expected * OVERDUE_RATIO) {
