--- a/features/daemon/seeds.steps.ts
+++ b/features/daemon/seeds.steps.ts
@@ -102,7 +102,7 @@
       ...{ ...status, hasDisk: false, healthy: false, leader: undefined },
     });
     await sleep(700);
-    this.seedsMesh.receive(leader, { ...status, hasDisk: true, healthy: true, leader });
+    this.seedsMesh.receive(leader, { ...status, hasDisk: true, healthy: true, leader, age: 200 });
   },
 );
 
--- a/features/feed/sources.feature
+++ b/features/feed/sources.feature
@@ -72,6 +72,7 @@
       | who                                    | behind     |
       | a gateway with a newer state           | behind     |
       | a gateway with a newer state, also old | not behind |
+      | a gateway that was asked before a pause | not behind |
       | a gateway with the same state          | not behind |
       | a gateway with as old a state          | not behind |
       | nobody                                 | not behind |
--- a/features/feed/sources.steps.ts
+++ b/features/feed/sources.steps.ts
@@ -459,6 +459,15 @@
     advance(world, 3000);
     sendFound(world, 8, 2900);
   },
+  '3 s pass, and a gateway that was asked before a pause answers': (world) => {
+    world.fakeFollower.pollNow();
+    const echo = getLastSentAt(world);
+    advance(world, 3000);
+    world.fakeHandler(PEER.peerAddress, {
+      ...{ kind: 'found', hasDisk: false, healthy: false, leader: undefined, members: [MEMBER] },
+      ...{ membersIndex: 3, index: 8, age: 100, echo },
+    } satisfies FeedMessage);
+  },
   '3 s pass, and a gateway with as old a state answers': (world) => {
     advance(world, 3000);
     sendFound(world, 7, 3000);
--- a/features/platform/standstill.steps.ts
+++ b/features/platform/standstill.steps.ts
@@ -32,7 +32,7 @@
       upstream.behaviour = 'timed';
     });
     assert.equal(await sendOrder(this), 200);
-    Array.from({ length: count }, () => sendOrder(this));
+    void Promise.all(Array.from({ length: count }, () => sendOrder(this)));
     await sleep(100);
   },
 );
--- a/src/daemon/referrer.ts
+++ b/src/daemon/referrer.ts
@@ -10,6 +10,8 @@
 
 /** Interval in milliseconds at which the seeds and the known members are asked for the leader. */
 const QUERY_INTERVAL: Duration = 300;
+/** Age in milliseconds up to which a member's word on the leader counts; a few heartbeats. */
+const MAX_REPORT_AGE: Duration = 1000;
 /** Milliseconds for which a reported leader is named; a few query intervals. */
 const LEADER_TTL: Duration = 1500;
 
@@ -78,12 +80,12 @@
     } satisfies FeedMessage);
   }
 
-  #recordStatus({ members, membersIndex = 0, healthy, leader }: GroupStatus): void {
+  #recordStatus({ members, membersIndex = 0, healthy, leader, age = Infinity }: GroupStatus): void {
     if (members.length > 0 && (healthy || membersIndex >= this.#membersIndex)) {
       this.#members = members;
       this.#membersIndex = membersIndex;
     }
-    if (!healthy || leader === undefined) return;
+    if (!healthy || leader === undefined || age > MAX_REPORT_AGE) return;
     this.#leader = leader;
     this.#reportedAt = this.#options.now();
   }
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -408,14 +408,22 @@
   let reported: { readonly leader: Address | undefined; readonly receivedAt: number } | undefined;
   /** The newest list that any process has told. */
   let learned: { readonly members: readonly Address[]; readonly index: number } | undefined;
+  let wasForming = true;
+  /** The gateways that polled this steward last; they leave a member without a leader within a second. */
+  let gateways: readonly Address[] = [];
   const isForming = (): boolean => node.status.role === 'newborn';
-  const hasNoLeader = (): boolean => performance.now() - leaderLastSeenAt > LEADERLESS_TIMEOUT;
+  const hasNoLeader = (): boolean => {
+    const isAdmitted = wasForming && !isForming();
+    if (node.status.leader !== undefined || isAdmitted) leaderLastSeenAt = performance.now();
+    wasForming = isForming();
+    return performance.now() - leaderLastSeenAt > LEADERLESS_TIMEOUT;
+  };
   const timer = setInterval(() => {
-    if (node.status.leader !== undefined) leaderLastSeenAt = performance.now();
+    const polling = listGateways();
+    if (polling.length > 0) gateways = polling;
     if (!hasNoLeader() && !isForming()) return;
     const known = node.status.members.map(({ id }) => toAddress(id));
-    const gateways = pickSome(listGateways());
-    [...new Set([...seeds.list, ...known, ...(learned?.members ?? []), ...gateways])]
+    [...new Set([...seeds.list, ...known, ...(learned?.members ?? []), ...pickSome(gateways)])]
       .filter((address) => address !== mesh.address)
       .forEach((address) => {
         mesh.send(address, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
@@ -433,13 +441,13 @@
       if (members.length > 0 && (healthy || index >= (learned?.index ?? 0)))
         learned = { members, index };
       node.addKnownMembers(members);
-      if (!healthy) return;
+      // What a member that lags says of the leader and of the members may be long past.
+      if (!healthy || age > MAX_REPORT_AGE) return;
       reported = { leader, receivedAt: performance.now() };
       const known = node.status.members.map(({ id }) => toAddress(id));
       const isWaitingForAdmission = isForming() && members.some((member) => known.includes(member));
       if (isWaitingForAdmission || !hasNoLeader() || members.includes(mesh.address)) return;
-      // A sender that lags may not know of this member yet.
-      if (isReplaced || age > MAX_REPORT_AGE) return;
+      if (isReplaced) return;
       isReplaced = true;
       log.warn('the group replaced this member: deleting its data folder to rejoin', {
         members,
@@ -463,7 +471,7 @@
 const LEADERLESS_TIMEOUT: Duration = 5000;
 /** Interval in milliseconds of the queries about the group. */
 const GROUP_QUERY_INTERVAL: Duration = 500;
-/** Age in milliseconds up to which another member's state tells that this member was replaced; a few heartbeats. */
+/** Age in milliseconds up to which another member's word on the leader and the members counts; a few heartbeats. */
 const MAX_REPORT_AGE: Duration = 1000;
 /** Milliseconds for which a leader reported by another process is used; a few query intervals. */
 const REPORTED_LEADER_TTL: Duration = 2000;
--- a/src/feed/age.ts
+++ b/src/feed/age.ts
@@ -14,7 +14,8 @@
 export interface StateReport {
   /** Age of its state as it sent the report, in milliseconds; undefined if it doesn't know. */
   readonly age: Duration | undefined;
-  readonly receivedAt: Instant;
+  /** When the request was sent that the report answers; it can't be older. */
+  readonly askedAt: Instant;
 }
 
 /** The state's age and the others' reports. */
@@ -51,12 +52,11 @@
  */
 export function recordAnswer(state: AgeState, answer: StateAnswer, ownIndex: number): AgeState {
   const { from, now, echo, age, index } = answer;
+  if (echo === undefined || echo < state.startedAt || echo > now) return state;
   const others = [...state.reports].filter(([address]) => address !== from);
-  const report = { age, receivedAt: now };
+  const report = { age, askedAt: echo };
   const reports = new Map([...others, [from, report] as const].slice(-MAX_REPORTS));
-  const isProof = echo !== undefined && echo >= state.startedAt && echo <= now;
-  if (!isProof || age === undefined || ownIndex === 0 || ownIndex < index)
-    return { ...state, reports };
+  if (age === undefined || ownIndex === 0 || ownIndex < index) return { ...state, reports };
   return { ...state, reports, asOf: Math.max(state.asOf, echo - age) };
 }
 
@@ -71,8 +71,8 @@
  */
 export function isBehindOthers(state: AgeState, now: Instant, freshFor: Duration): boolean {
   if (computeAge(state, now) <= freshFor) return false;
-  return [...state.reports.values()].some(({ age, receivedAt }) => {
-    const elapsed = now - receivedAt;
+  return [...state.reports.values()].some(({ age, askedAt }) => {
+    const elapsed = now - askedAt;
     return elapsed <= REPORT_TTL && age !== undefined && age + elapsed <= freshFor;
   });
 }
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -35,6 +35,8 @@
 const PROPOSAL_TIMEOUT: Duration = 900;
 /** Consecutive announcements that an upstream may miss before it is removed. */
 const MAX_MISSED_ANNOUNCEMENTS = 13;
+/** Milliseconds for which a request to join counts; it is repeated each 500 ms. */
+const JOIN_REQUEST_LIFETIME: Duration = 2000;
 /** Milliseconds by which an announced cold time must exceed the known one before entries are notified. */
 const COLD_UPDATE_THRESHOLD: Duration = 250;
 
@@ -108,8 +110,8 @@
   readonly #evaluations = new Map<string, MoveEvaluation>();
   readonly #moveStarts = new Map<string, MoveStart>();
   #evidence: readonly EvidenceRow[] = [];
-  /** Addresses that ask to join the group, the latest request last. */
-  #joinRequests: readonly Address[] = [];
+  /** When each address last asked to join the group. */
+  readonly #joinRequests = new Map<Address, Instant>();
   #isChangingMembers = false;
   #lastLedTerm = 0;
 
@@ -209,8 +211,16 @@
   }
 
   #queueJoinRequest(address: Address): void {
-    const others = this.#joinRequests.filter((waiting) => waiting !== address);
-    this.#joinRequests = [...others, address];
+    this.#joinRequests.set(address, this.#options.now());
+  }
+
+  /** Returns the addresses that still ask to join; one that is gone must not take the place of one that lives. */
+  #listJoinRequests(): readonly Address[] {
+    const now = this.#options.now();
+    [...this.#joinRequests]
+      .filter(([, askedAt]) => now - askedAt > JOIN_REQUEST_LIFETIME)
+      .forEach(([address]) => this.#joinRequests.delete(address));
+    return [...this.#joinRequests.keys()];
   }
 
   listCold(): Readonly<Record<string, Duration>> {
@@ -337,7 +347,7 @@
     const { control } = this.#options;
     const change = this.#isChangingMembers
       ? undefined
-      : planMembershipChange(control.status, this.#joinRequests);
+      : planMembershipChange(control.status, this.#listJoinRequests());
     if (change === undefined) return;
     this.#isChangingMembers = true;
     const outcome = await control.changeMembers(change);
@@ -347,7 +357,7 @@
       change: change.kind,
       outcome: outcome.kind,
     });
-    this.#joinRequests = this.#joinRequests.filter((address) => address !== change.address);
+    this.#joinRequests.delete(change.address);
   }
 }
 
