Founding: founders keep to the seeds of their first start

The scenario that had a founder take new seeds is replaced by one that it asks the first ones alone, whoever else answers: safety goes before a founding with stale seeds, which the platform rules out, as all founders get the same list.

--- a/features/daemon/seeds.feature
+++ b/features/daemon/seeds.feature
@@ -20,7 +20,9 @@
     Then the referrer asked that gateway and that member, and names the leader "10.1.0.7:7200"
 
   @no-site
-  Scenario: A founder that starts with stale seeds founds the group with those that its settings name later
+  Scenario: A founder waits for each seed of its start, as founders with different lists could found two groups
     Given a founder at "10.1.0.1:7200" that asks the seeds "10.1.0.1:7200 10.1.0.9:7200"
-    When the founder's seeds become "10.1.0.1:7200 10.1.0.2:7200", which has a disk
-    Then the founder finds the founders "10.1.0.1:7200 10.1.0.2:7200"
+    When the seed "10.1.0.2:7200", which isn't among them, tells the founder that it has a disk
+    Then the founder still asks "10.1.0.9:7200" alone
+    When the seed "10.1.0.9:7200", which is among them, tells the founder that it has a disk
+    Then the founder finds the founders "10.1.0.1:7200 10.1.0.9:7200"
--- a/src/daemon/founders.ts
+++ b/src/daemon/founders.ts
@@ -11,14 +11,15 @@
 const QUERY_INTERVAL: Duration = 200;
 
 /**
- * Asks the other seeds, which may change meanwhile, until each has told whether it has a disk, and returns those that have one.
+ * Asks the other seeds until each has told whether it has a disk, and returns those that have one. The seeds don't change
+ * meanwhile: founders with different lists could found two groups.
  *
  * @example
- * await findFounders(mesh, () => ['10.1.0.18:7200', '10.2.0.34:7200', '10.3.0.12:7200']) // without the diskless ones
+ * await findFounders(mesh, ['10.1.0.18:7200', '10.2.0.34:7200', '10.3.0.12:7200']) // without the diskless ones
  */
 export async function findFounders(
   mesh: Mesh,
-  getSeeds: () => readonly Address[],
+  seeds: readonly Address[],
 ): Promise<readonly Address[]> {
   const hasDisk = new Map<Address, boolean>([[mesh.address, true]]);
   mesh.handle(FEED_CHANNEL, (from, message) => {
@@ -29,13 +30,13 @@
       ...{ kind: 'found', hasDisk: true, members: [], healthy: false, leader: undefined },
     } satisfies FeedMessage);
   });
-  while (getSeeds().some((seed) => !hasDisk.has(seed))) {
-    getSeeds()
+  while (seeds.some((seed) => !hasDisk.has(seed))) {
+    seeds
       .filter((seed) => !hasDisk.has(seed))
       .forEach((seed) => {
         mesh.send(seed, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
       });
     await sleep(QUERY_INTERVAL);
   }
-  return getSeeds().filter((seed) => hasDisk.get(seed) === true);
+  return seeds.filter((seed) => hasDisk.get(seed) === true);
 }
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -110,8 +110,10 @@
   const isFounder = settings.first_start === true && isListed && !wasReplaced;
   if (existsSync(join(settings.data_folder, IDENTITY_FILE)))
     return { members: seeds.list, isFounder };
-  const find = isFounder ? findFounders : findMembers;
-  return { members: await find(mesh, () => seeds.list), isFounder };
+  const members = isFounder
+    ? await findFounders(mesh, seeds.list)
+    : await findMembers(mesh, () => seeds.list);
+  return { members, isFounder };
 }
 
 async function openNode(
