--- a/features/support/control.ts
+++ b/features/support/control.ts
@@ -8,6 +8,8 @@
   readonly applied?: Catalog;
   readonly propose?: ControlNode<Catalog>['propose'];
   readonly onApplied?: ControlNode<Catalog>['onApplied'];
+  readonly onJoinRequest?: ControlNode<Catalog>['onJoinRequest'];
+  readonly changeMembers?: ControlNode<Catalog>['changeMembers'];
 }
 
 /** Creates the stub; a call of a method that the test doesn't override fails the test. */
--- a/src/feed/sources.ts
+++ b/src/feed/sources.ts
@@ -276,7 +276,7 @@
   const updated = { ...state, members, membersIndex };
   if (members.join() === state.members.join()) return toStep(updated);
   const step = stepToPreferred(updated, now);
-  // The preferred member may be gone and only not removed yet; whoever answers first makes the state current.
+  // The preferred member may be gone and only not removed yet; the first answer makes the state current.
   const polls = state.isLost
     ? members
         .filter((member) => !state.members.includes(member) && member !== step.state.followed)
