--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -16,7 +16,6 @@
 } from '../catalog/index.js';
 import {
   openControl,
-  toAddress,
   type ControlNode,
   type StateMachine,
   type Timings,
@@ -26,7 +25,6 @@
   decodeMessage,
   FEED_CHANNEL,
   type FeedMessage,
-  type GroupStatus,
   type Publisher,
 } from '../feed/index.js';
 import type { Address, Duration } from '../model/index.js';
@@ -36,6 +34,7 @@
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
 import { findFounders } from './founders.js';
+import { watchGroup } from './groupwatch.js';
 import { createReferrer } from './referrer.js';
 import { Reopening, type Opening, type ReopeningCause } from './reopening.js';
 import type { CurrentSeeds } from './seeds.js';
@@ -203,7 +202,8 @@
   const node = await openNode(context, members, () => {
     onEnded('diskFailed');
   });
-  const group = watchGroup(node, context, {
+  const group = watchGroup({
+    ...{ node, mesh, seeds: context.seeds },
     listGateways: () => publisher.entries.map(({ peerAddress }) => peerAddress),
     onReplaced: () => {
       onEnded('replaced');
@@ -383,100 +383,8 @@
   };
 }
 
-/** Result of {@link watchGroup}. */
-interface GroupWatch {
-  readonly handleGroupStatus: (status: GroupStatus) => void;
-  /** Returns the leader that another process reported within {@link REPORTED_LEADER_TTL}. */
-  readonly findLeader: () => Address | undefined;
-  close(): void;
-}
-
-/**
- * Queries the seeds, the known members and a few gateways about the group while this steward knows no leader. A member that
- * was replaced while it was unreachable deletes its data and rejoins; it only accepts this from a group that has
- * a leader without it. A steward that was never admitted waits to be admitted, and redirects calls to the
- * leader in the meantime.
- */
-function watchGroup(
-  node: ControlNode<Catalog>,
-  { mesh, seeds }: StewardContext,
-  {
-    listGateways,
-    onReplaced,
-  }: { readonly listGateways: () => readonly Address[]; readonly onReplaced: () => void },
-): GroupWatch {
-  let leaderLastSeenAt = performance.now();
-  let isReplaced = false;
-  let reported: { readonly leader: Address | undefined; readonly receivedAt: number } | undefined;
-  /** The newest list that any process has told. */
-  let learned: { readonly members: readonly Address[]; readonly index: number } | undefined;
-  let wasForming = true;
-  /** The gateways that polled this steward last; they leave a member without a leader within a second. */
-  let gateways: readonly Address[] = [];
-  const isForming = (): boolean => node.status.role === 'newborn';
-  const hasNoLeader = (): boolean => {
-    const isAdmitted = wasForming && !isForming();
-    if (node.status.leader !== undefined || isAdmitted) leaderLastSeenAt = performance.now();
-    wasForming = isForming();
-    return performance.now() - leaderLastSeenAt > LEADERLESS_TIMEOUT;
-  };
-  const timer = setInterval(() => {
-    const polling = listGateways();
-    if (polling.length > 0) gateways = polling;
-    if (!hasNoLeader() && !isForming()) return;
-    const known = node.status.members.map(({ id }) => toAddress(id));
-    [...new Set([...seeds.list, ...known, ...(learned?.members ?? []), ...pickSome(gateways)])]
-      .filter((address) => address !== mesh.address)
-      .forEach((address) => {
-        mesh.send(address, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
-      });
-  }, GROUP_QUERY_INTERVAL).unref();
-  return {
-    close: () => {
-      clearInterval(timer);
-    },
-    findLeader: () =>
-      reported !== undefined && performance.now() - reported.receivedAt < REPORTED_LEADER_TTL
-        ? reported.leader
-        : undefined,
-    handleGroupStatus: ({ members, membersIndex: index = 0, healthy, leader, age = Infinity }) => {
-      if (members.length > 0 && (healthy || index >= (learned?.index ?? 0)))
-        learned = { members, index };
-      node.addKnownMembers(members);
-      // What a member that lags says of the leader and of the members may be long past.
-      if (!healthy || age > MAX_REPORT_AGE) return;
-      reported = { leader, receivedAt: performance.now() };
-      const known = node.status.members.map(({ id }) => toAddress(id));
-      const isWaitingForAdmission = isForming() && members.some((member) => known.includes(member));
-      if (isWaitingForAdmission || !hasNoLeader() || members.includes(mesh.address)) return;
-      if (isReplaced) return;
-      isReplaced = true;
-      log.warn('the group replaced this member: deleting its data folder to rejoin', {
-        members,
-      });
-      onReplaced();
-    },
-  };
-}
-
-/** Returns a few of the gateways at random, so that a steward without a leader floods none. */
-function pickSome(gateways: readonly Address[]): readonly Address[] {
-  const at = Math.floor(Math.random() * gateways.length);
-  return [...gateways.slice(at), ...gateways.slice(0, at)].slice(0, ASKED_GATEWAYS);
-}
-
-/** Number of gateways that are asked for the members at a time. */
-const ASKED_GATEWAYS = 3;
 /** Milliseconds for which a stopping steward's mesh stays open, so that its last messages are sent. */
 const LAST_WORD_TIME: Duration = 50;
-/** Milliseconds without a leader after which a member asks whether it still belongs to the group. */
-const LEADERLESS_TIMEOUT: Duration = 5000;
-/** Interval in milliseconds of the queries about the group. */
-const GROUP_QUERY_INTERVAL: Duration = 500;
-/** Age in milliseconds up to which another member's word on the leader and the members counts; a few heartbeats. */
-const MAX_REPORT_AGE: Duration = 1000;
-/** Milliseconds for which a leader reported by another process is used; a few query intervals. */
-const REPORTED_LEADER_TTL: Duration = 2000;
 
 /** Logs changes of this member's role, term, leader and group. */
 function watchRole(node: ControlNode<Catalog>): NodeJS.Timeout {
