--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -233,7 +233,7 @@
     const values = {
       ...listen,
       node: `vm-${at + 1}`,
-      zone: ZONES[at],
+      zone: ZONES[at % ZONES.length],
       region: 'klang-valley',
       role,
       ip,
@@ -308,7 +308,7 @@
   }
 
   /** Puts a whole configuration with these routes at the host `site.example`. */
-  async putRoutes(routes) {
+  async putRoutes(routes, limit = 15_000) {
     const base = this.version;
     const version = base + 2;
     const names = [...new Set(routes.map(({ service }) => service))];
@@ -324,7 +324,8 @@
       ...{ version, services, limits, hosts: [{ host: 'site.example', paths: routes }] },
     });
     const headers = { 'X-Base-Version': String(base), 'Content-Type': 'application/json' };
-    const answer = await this.order({ method: 'POST', path: '/-/Config.Put', headers, body });
+    const order = { method: 'POST', path: '/-/Config.Put', headers, body };
+    const answer = await this.order(order, limit);
     if (answer.status !== 200) throw new Error(`the configuration is answered ${answer.status}`);
     this.version = version;
   }
