--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -34,8 +34,9 @@
 await runCase(import.meta.url, async (site) => {
   await site.start({ stewards: 3, gateways: 2 });
   await site.putRoutes([createRoute('look-ups', '/look/', 'safe', 'records', '600ms')]);
-  const common = { service: 'records', handle: answerSoon };
-  await site.addBackend({ id: 'record-1', ...common });
+  const common = { service: 'records', handle: answerSoon, slots: 2 };
+  for (const number of [1, 3, 4, 5, 6, 7, 8])
+    await site.addBackend({ id: `record-${number}`, ...common });
   const leaving = await site.addBackend({ id: 'record-2', ...common });
   await site.waitUntilServing('/look/a');
 
