--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -3,8 +3,8 @@
 
 const DRAIN = 2000;
 /** Milliseconds for which the server goes on after its leave was acknowledged; it may be many seconds. */
-const STAY = 6000;
-const CLIENTS = 24;
+const STAY = 12_000;
+const CLIENTS = 40;
 
 function answerSoon({ response, headers }) {
   setTimeout(() => {
