Keep connections to peers when the process itself stood still

A connection is given up 0.4 s after an unanswered keepalive. The timer of that check runs before the sockets are read, so that after a standstill of the process the answers in its sockets counted as missing, and each of its connections was closed and opened anew.

A check that comes late now gives each peer its whole time again. The timer of a connection attempt did the same and is gone; the check covers it.

Evidence: features/wire/standstill fails on ('no sign of life for 400 ms', 1 of 1) and passes now.

--- a/src/wire/mesh.ts
+++ b/src/wire/mesh.ts
@@ -49,11 +49,6 @@
 const NONCE_BYTES = 16;
 /** Delay before reconnecting to a peer whose connection closed, in milliseconds. */
 const RECONNECT_DELAY = 200;
-/**
- * Milliseconds within which a connection must open, for peers up to 200 ms away. The first packet to a VM that
- * is still starting is lost, and TCP sends it again only after a second.
- */
-const CONNECT_TIMEOUT = 400;
 /** Bytes buffered on one connection above which further messages to it are dropped. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 /** Bytes buffered on all connections above which messages to those that receive slowly are dropped. */
@@ -66,8 +61,8 @@
 /** Minimum milliseconds between two keepalives on a connection. */
 const KEEPALIVE_INTERVAL = 200;
 /**
- * Time for which a peer may leave a keepalive unanswered, or a connection unopened, in milliseconds. A
- * connection can die without a reset; only this timeout detects it. Shorter than the time after which an entry
+ * Time for which a peer may leave a keepalive unanswered, or a connection unopened, in milliseconds. The first packet to
+ * a VM that is still starting is lost, and TCP sends it again only after a second. A connection can die without a reset; only this timeout detects it. Shorter than the time after which an entry
  * or a control member gives the peer up, so that a silent connection doesn't count as a failed peer.
  */
 const KEEPALIVE_TIMEOUT = 400;
@@ -76,6 +71,11 @@
  * only when it is used, which is when the delay of finding out hurts.
  */
 const IDLE_TIMEOUT = 2000;
+/**
+ * Milliseconds between two checks from which this process counts as having stood still: answers may wait in its sockets,
+ * and no peer is judged before they are read.
+ */
+const STANDSTILL_TIME = 250;
 /** An empty frame, which the peer answers with another empty frame. */
 const KEEPALIVE_FRAME = encodeFrame(Buffer.alloc(0));
 
@@ -115,6 +115,7 @@
   readonly #server: Server;
   readonly #timer: NodeJS.Timeout;
   #closed = false;
+  #checkedAt = performance.now();
   #traffic: MeshTraffic = {
     messagesSent: 0,
     bytesSent: 0,
@@ -194,6 +195,9 @@
   /** Sends a keepalive to each peer with unconfirmed frames and closes connections that have timed out. */
   #checkConnections(): void {
     const now = performance.now();
+    const stoodStill = now - this.#checkedAt > STANDSTILL_TIME;
+    this.#checkedAt = now;
+    if (stoodStill) this.#restartWaits(now);
     this.#outbound.forEach((connection, peer) => {
       const isKeepaliveDue = now - connection.keepaliveSentAt >= KEEPALIVE_INTERVAL;
       if (
@@ -212,7 +216,9 @@
         ? connection.keepaliveSentAt
         : connection.lastReceivedAt;
       if (isWaiting && now - waitingSince > KEEPALIVE_TIMEOUT) {
-        this.#options.onProblem?.(peer, `no sign of life for ${KEEPALIVE_TIMEOUT} ms`);
+        const isOpen = !connection.socket.connecting;
+        const problem = isOpen ? 'no sign of life for' : 'no connection within';
+        this.#options.onProblem?.(peer, `${problem} ${KEEPALIVE_TIMEOUT} ms`);
         this.#abandon(peer, connection);
       } else if (!isWaiting && now - connection.lastSentAt > IDLE_TIMEOUT) {
         this.#abandon(peer, connection);
@@ -220,6 +226,14 @@
     });
   }
 
+  /** Lets each peer have its whole time again, after a standstill of this process. */
+  #restartWaits(now: number): void {
+    this.#outbound.forEach((connection) => {
+      if (connection.awaitsKeepalive) connection.keepaliveSentAt = now;
+      if (!connection.ready) connection.lastReceivedAt = now;
+    });
+  }
+
   /** Closes a connection that was not refused, so that the next message opens another one at once. */
   #abandon(peer: Address, connection: OutboundConnection): void {
     this.#outbound.delete(peer);
@@ -253,13 +267,6 @@
       keepaliveSentAt: -Infinity,
     };
     this.#outbound.set(to, connection);
-    const connectTimer = setTimeout(() => {
-      this.#options.onProblem?.(to, `no connection within ${CONNECT_TIMEOUT} ms`);
-      this.#abandon(to, connection);
-    }, CONNECT_TIMEOUT);
-    socket.once('connect', () => {
-      clearTimeout(connectTimer);
-    });
     this.#readFrames(socket, to, (nonce) => {
       connection.lastReceivedAt = performance.now();
       connection.awaitsKeepalive = false;
@@ -273,7 +280,6 @@
       this.#options.onProblem?.(to, error.message);
     });
     socket.on('close', () => {
-      clearTimeout(connectTimer);
       // An abandoned connection was removed, and the peer may be dialled again at once.
       if (this.#outbound.get(to) !== connection) return;
       this.#outbound.delete(to);
