Bound the bytes that load gossip takes on a link

Cause: beyond 32 gateways, load reports go through relays, four a zone there, of which three are on links of 2.1 Mbit/s (262 KB/s). A relay sent whatever it had to its some 13 gateways and 23 other relays. After 2 s they leave the list of gateways, the next ones become relays, and choke as well: front-ZONE-10, -11, -12, then -13 to -19. Their states become up to 11.9 s old, beside six running control members.

Gossip now takes 40% of the link (new setting link_mbps), 40% of that for other zones. Rows for which there is no room wait, the oldest first, and newer reports of the same upstream replace them; an empty datagram still shows that the relay runs.

Its cost: a relay on a small link passes on reports up to some seconds late. On links of 100 Mbit/s and more nothing changes.

--- a/features/gateway/crashgossip.steps.ts
+++ b/features/gateway/crashgossip.steps.ts
@@ -65,6 +65,7 @@
           receiver.handlers.get(kind)?.(address, fields);
         });
       });
+      return (bytes.length + HEADER_BYTES) * peers.length;
     },
     close: () => undefined,
   };
--- a/features/gateway/gossip.feature
+++ b/features/gateway/gossip.feature
@@ -22,6 +22,18 @@
     And a gateway that is not a relay observes an upstream with 3 requests and a bad answer
     Then within 2000 ms every gateway's load report shows 3 requests
 
+  Scenario Outline: Load gossip of a relay with <followers> followers leaves most of a link of <mbps> Mbit a second free
+    Given a relay with <followers> followers and 23 other relays on a link of <mbps> Mbit a second, and 500 upstreams
+    When each upstream is reported by a follower or a relay each <interval> ms for 4000 ms
+    Then in any 2 s the relay sends at most half of what the link carries
+    And each follower is sent the reports of all upstreams, and at least a datagram each 400 ms
+
+    Examples:
+      | followers | mbps | interval |
+      | 13        | 2.1  | 700      |
+      | 16        | 2.1  | 300      |
+      | 13        | 3.9  | 300      |
+
   Scenario Outline: Load reports cross zones less often than they are spread within a zone
     Given <gateways> gateways on loopback gossip load reports
     When a gateway that is not a relay observes an upstream every 50 ms for 2400 ms
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -495,6 +495,7 @@
       role,
       ip,
       'limits.cpu_share': '0.54',
+      'limits.link_mbps': '1000.0',
       'internal_port_range.0': String(PORTS.peer),
       'internal_port_range.1': String(PORTS.gateway),
       seeds: seeds.map((seed) => `${seed}:${PORTS.control}`).join(','),
@@ -508,15 +509,24 @@
       'bounds.probes_per_s': '60',
       'bounds.cold_factor': '1.5',
       'bounds.cold_slack': '5',
+      'bounds.expose_share': '0.1',
+      'bounds.expose_slack': '50',
     };
-    return template
-      .replace(/\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, key: string, inner: string) =>
-        key in values ? inner : '',
-      )
-      .replace(/\{\{\^([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, key: string, inner: string) =>
-        key in values ? '' : inner,
-      )
-      .replace(/\{\{([\w.]+)\}\}/g, (_, key: string) => values[key] ?? '');
+    const renderSections = (text: string): string => {
+      const rendered = text
+        .replace(/\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, key: string, inner: string) =>
+          key in values ? inner : '',
+        )
+        .replace(/\{\{\^([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, key: string, inner: string) =>
+          key in values ? '' : inner,
+        );
+      // Sections may stand within sections.
+      return rendered === text ? text : renderSections(rendered);
+    };
+    return renderSections(template).replace(
+      /\{\{([\w.]+)\}\}/g,
+      (_, key: string) => values[key] ?? '',
+    );
   }
 
   async #writeSettings(
--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -45,6 +45,7 @@
         ['steward_port', '7200'],
         ['address_ttl_ms', '3s'],
         ['capacity', '0.945'],
+        ['link_mbps', '1000.0'],
         ['probe_rate', '60'],
         ['probe_interval_ms', '150ms'],
         ['stop_time_ms', '6000'],
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -22,6 +22,8 @@
 
 const log = createLogger('daemon');
 
+const BYTES_PER_MEGABIT = 125_000;
+
 async function startGateway(
   settings: Settings,
   mesh: Mesh,
@@ -35,6 +37,10 @@
     id: settings.process.id,
     zone: settings.process.zone,
     capacity: gatewaySettings.capacity ?? 0,
+    linkRate:
+      gatewaySettings.link_mbps === undefined
+        ? undefined
+        : gatewaySettings.link_mbps * BYTES_PER_MEGABIT,
     memory: settings.process.memory_mb ?? 0,
     callerListen: gatewaySettings.caller_listen,
     mesh,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -133,6 +133,8 @@
   readonly zone: ZoneId;
   /** CPU share of the VM; the gateways with the largest capacity relay load reports. */
   readonly capacity: number;
+  /** Bytes that the VM's link carries in a second, of which gossip takes a bounded share; unlimited by default. */
+  readonly linkRate?: number | undefined;
   /** Memory of the process in MB, from which the limit of the bytes of messages is derived. */
   readonly memory: number;
   readonly callerListen: Address;
@@ -331,6 +333,7 @@
       onReport: (report) => {
         this.#applyReport(report);
       },
+      linkRate: options.linkRate,
     });
     this.#prober = createProber({
       pool: this.#pool,
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -1,6 +1,7 @@
 /**
  * Load gossip: gateways exchange load reports of upstreams over UDP. Invariant: the latest report
- * of an upstream wins, regardless of its sender and route, and a row is forwarded at most twice.
+ * of an upstream wins, regardless of its sender and route, a row is forwarded at most twice, and over a few seconds gossip
+ * takes no more than its share of the link, on which it would delay everything else.
  */
 import type { Address, Duration, Instant } from '../model/index.js';
 import { FarReports, mergeCounts, NO_COUNTS, type Counts } from './farreports.js';
@@ -37,6 +38,14 @@
  * 1,200.
  */
 const MAX_ROWS_PER_DATAGRAM = 64;
+/** Bytes that a row takes, with its part of the datagram's head. */
+const ROW_BYTES = 20;
+/** Share of the link that gossip may take. */
+const LINK_SHARE = 0.4;
+/** Part of that share for other zones. */
+const FAR_SHARE = 0.4;
+/** Milliseconds for which an unused part of that share may be used later. */
+const MAX_SAVED_TIME: Duration = 500;
 /** Maximum of the times in a row, in milliseconds; keeps the encoded numbers short. */
 const MAX_ROW_TIME: Duration = 60_000;
 
@@ -109,6 +118,8 @@
   /** Returns the milliseconds between two reports of an upstream to other zones. */
   readonly getFarInterval: (record: UpstreamRecord) => Duration;
   readonly onReport: (report: ReceivedReport) => void;
+  /** Bytes that the VM's link carries in a second; unlimited by default. */
+  readonly linkRate?: number | undefined;
 }
 
 /** Sends and receives load gossip until it is closed. */
@@ -139,6 +150,39 @@
   return rows;
 }
 
+/** The bytes that gossip may send now. What was sent beyond is made up for later. */
+class ByteBudget {
+  readonly #rate: number;
+  #left: number;
+  #refilledAt: Instant;
+
+  /** `rate` is in bytes a second. */
+  constructor(rate: number, now: Instant) {
+    this.#rate = rate;
+    this.#left = (rate * MAX_SAVED_TIME) / 1000;
+    this.#refilledAt = now;
+  }
+
+  getLeft(now: Instant): number {
+    if (this.#rate === Infinity) return Infinity;
+    const most = (this.#rate * MAX_SAVED_TIME) / 1000;
+    const added = (this.#rate * (now - this.#refilledAt)) / 1000;
+    this.#left = Math.min(most, this.#left + added);
+    this.#refilledAt = now;
+    return this.#left;
+  }
+
+  /** Returns the milliseconds until something may be sent. */
+  getWait(now: Instant): Duration {
+    const left = this.getLeft(now);
+    return left > 0 ? 0 : (-left / this.#rate) * 1000;
+  }
+
+  take(bytes: number): void {
+    this.#left -= bytes;
+  }
+}
+
 class RunningLoadGossip implements LoadGossip {
   readonly #options: LoadGossipOptions;
   readonly #followers = new Map<Address, Instant>();
@@ -155,6 +199,11 @@
   /** Number of relays of the zone that were given up so far; selects the current relay. */
   #relayFailovers = 0;
   #relayLastReceivedAt: Instant;
+  /** Counts that followers were not sent yet, in the order in which they came; and those of them that were forwarded. */
+  #pending: Counts = NO_COUNTS;
+  #pendingForwarded: Counts = NO_COUNTS;
+  readonly #budget: ByteBudget;
+  readonly #farBudget: ByteBudget;
 
   constructor(options: LoadGossipOptions) {
     this.#options = options;
@@ -163,6 +212,9 @@
       getInterval: options.getFarInterval,
     });
     this.#relayLastReceivedAt = options.now();
+    const rate = (options.linkRate ?? Infinity) * LINK_SHARE;
+    this.#budget = new ByteBudget(rate * (1 - FAR_SHARE), options.now());
+    this.#farBudget = new ByteBudget(rate * FAR_SHARE, options.now());
     sources.forEach((source) => {
       options.transport.handle(source, (from, [rows]) => {
         this.#receive(from, source, decodeRows(rows));
@@ -181,6 +233,7 @@
       plan.kind === 'direct'
         ? Math.max(
             GOSSIP_INTERVAL,
+            this.#budget.getWait(this.#options.now()),
             ((plan.peers.length + plan.farPeers.length / FAR_ROUNDS) * 1000) / MAX_DATAGRAM_RATE,
           )
         : RELAYED_GOSSIP_INTERVAL;
@@ -207,9 +260,9 @@
   /** Adds the counts to those for other zones, and sends what is due in every {@link FAR_ROUNDS}th round. */
   #sendFar(peers: readonly Address[], source: GossipSource, own: Counts, forwarded: Counts): void {
     this.#farReports.add(own, forwarded);
-    if (this.#round % FAR_ROUNDS !== 0) return;
+    if (this.#round % FAR_ROUNDS !== 0 || this.#farBudget.getWait(this.#options.now()) > 0) return;
     const due = this.#farReports.takeDue(this.#options.now());
-    this.#send(peers, source, this.#listRows(due.all, due.forwarded));
+    this.#send(peers, source, this.#listRows(due.all, due.forwarded), false, this.#farBudget);
   }
 
   #sendThroughRelays(plan: Extract<GossipPlan, { kind: 'relayed' }>, own: Counts): void {
@@ -228,10 +281,7 @@
         this.#listRows(mergeCounts(fromFollowers, own), fromFollowers),
       );
       this.#sendFar(plan.farRelays, 'relay', own, fromFollowers);
-      // Followers detect a failed relay by missing datagrams, so a datagram is sent even without
-      // rows.
-      const rows = this.#listRows(mergeCounts(forwarded, own), forwarded);
-      this.#send([...this.#followers.keys()], 'own-relay', rows, true);
+      this.#sendToFollowers(mergeCounts(forwarded, own), forwarded);
     }
     if (plan.isRelay) return;
     if (now - this.#relayLastReceivedAt > RELAY_TIMEOUT) {
@@ -242,6 +292,20 @@
     if (relay !== undefined) this.#send([relay], 'follower', this.#listRows(own), true);
   }
 
+  /** Sends the followers as many rows as the link has room for, the oldest first; the others wait. */
+  #sendToFollowers(counts: Counts, forwarded: Counts): void {
+    const followers = [...this.#followers.keys()];
+    const pending = [...mergeCounts(this.#pending, counts)];
+    const left = this.#budget.getLeft(this.#options.now());
+    const room = Math.max(0, Math.floor(left / (ROW_BYTES * Math.max(1, followers.length))));
+    const due = new Map(pending.slice(0, room));
+    const allForwarded = mergeCounts(this.#pendingForwarded, forwarded);
+    this.#pending = new Map(pending.slice(room));
+    this.#pendingForwarded = new Map([...allForwarded].filter(([key]) => !due.has(key)));
+    // Followers detect a failed relay by missing datagrams, so a datagram is sent even without rows.
+    this.#send(followers, 'own-relay', this.#listRows(due, allForwarded), true);
+  }
+
   /**
    * Returns, for each upstream with something to report, the answers counted here since the last
    * round, and resets the counts.
@@ -300,13 +364,14 @@
     source: GossipSource,
     rows: readonly GossipRow[],
     sendEmpty = false,
+    budget = this.#budget,
   ): void {
     if (peers.length === 0 || (rows.length === 0 && !sendEmpty)) return;
     const count = Math.max(1, Math.ceil(rows.length / MAX_ROWS_PER_DATAGRAM));
     Array.from({ length: count }, (_, index) =>
       rows.slice(index * MAX_ROWS_PER_DATAGRAM, (index + 1) * MAX_ROWS_PER_DATAGRAM),
     ).forEach((part) => {
-      this.#options.transport.send(peers, [source, part]);
+      budget.take(this.#options.transport.send(peers, [source, part]));
     });
   }
 
--- a/src/gateway/transport.ts
+++ b/src/gateway/transport.ts
@@ -7,6 +7,8 @@
 import { parseAddress, type Address } from '../model/index.js';
 
 const packr = new Packr({ useRecords: false });
+/** Bytes of the IPv4 and UDP headers of a datagram. */
+const DATAGRAM_OVERHEAD = 28;
 
 /** A datagram: its kind, and what belongs to it. */
 export type Datagram = readonly [kind: string, ...fields: (readonly unknown[] | string | number)[]];
@@ -18,8 +20,11 @@
 export interface GossipTransport {
   /** Sets the handler of a kind of datagrams. */
   handle(kind: string, handler: DatagramHandler): void;
-  /** Sends a datagram to each peer. It may be lost, and is after the transport was closed. */
-  send(peers: readonly Address[], datagram: Datagram): void;
+  /**
+   * Sends a datagram to each peer, and returns the bytes that all of them take on the link. It may be lost, and is after
+   * the transport was closed.
+   */
+  send(peers: readonly Address[], datagram: Datagram): number;
   close(): void;
 }
 
@@ -65,12 +70,13 @@
       handlers.set(kind, handler);
     },
     send: (peers, datagram) => {
-      if (isClosed || peers.length === 0) return;
+      if (isClosed || peers.length === 0) return 0;
       const message = packr.pack(datagram);
       peers.forEach((peer) => {
         const { host: peerHost, port: peerPort } = parseAddress(peer);
         socket.send(message, peerPort, peerHost);
       });
+      return (message.length + DATAGRAM_OVERHEAD) * peers.length;
     },
     close: () => {
       isClosed = true;
