Refuse requests by an old state when no other process answers

Cause: a gateway whose state was older than the bound served known routes for up to 30 s unless it knew somebody ahead. It knows of others only by answers to requests of the last 2 s; one that is late, or whose link is full, has none, and could not be told from one whose control members are all gone.

A site without control members still has gateways that answer each other. So a state that is too old is used only while another process answers in time and has no fresh state either; a gateway that hears of nobody, though others are known, is more likely late than the last one. Lines about old states tell isAlone.

All control members gone: unchanged, known routes are served. Its cost: a gateway that is cut off from all others refuses after the bound instead of after 30 s; callers repeat such a request elsewhere, as it was not run.

--- a/features/feed/sources.feature
+++ b/features/feed/sources.feature
@@ -43,6 +43,27 @@
     Given 317 gateways on a feed network, all members and seeds of which are gone, with 3 members and 3 seeds
     Then in 2000 ms each of them sends at most 9 requests in 500 ms, and each of them at most 3 to gateways
 
+  Scenario Outline: A gateway whose messages take <delay> ms doesn't take its stewards for gone
+    Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
+    When messages to the gateway on the feed network begin to take <delay> ms
+    Then for 1500 ms the gateway on the feed network knows that others may be ahead
+
+    Examples:
+      | delay |
+      | 2200  |
+      | 3000  |
+      | 4500  |
+
+  Scenario: A gateway that hears of nobody doesn't take the others for gone
+    Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
+    When no message reaches the gateway on the feed network for 3000 ms
+    Then for 1000 ms the gateway on the feed network knows that others may be ahead
+
+  Scenario: A gateway whose stewards are all gone knows of nobody ahead
+    Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
+    When the stewards of the feed network are gone for 3000 ms
+    Then for 1000 ms the gateway on the feed network doesn't know that others may be ahead
+
   Scenario Outline: The age of a state never looks shorter than it is, after <what>
     Given a feed follower with a fresh state, on clocks of its own
     When <what> on the feed follower's clocks
--- a/features/feed/sources.steps.ts
+++ b/features/feed/sources.steps.ts
@@ -23,6 +23,8 @@
   readonly handlers = new Map<Address, MessageHandler>();
   readonly sent: (readonly [from: Address, to: Address, message: FeedMessage])[] = [];
   isLost: (from: Address, to: Address) => boolean = () => false;
+  /** Milliseconds for which messages to an address wait. */
+  getDelay: (to: Address) => number = () => 0;
 
   connect(address: Address): Mesh {
     return {
@@ -39,13 +41,16 @@
   }
 
   #deliver(from: Address, to: Address, message: unknown): void {
-    setImmediate(() => {
+    const deliver = (): void => {
       try {
         this.handlers.get(to)?.(from, message);
       } catch {
         // As a mesh does, which only reports it.
       }
-    });
+    };
+    const delay = this.getDelay(to);
+    if (delay === 0) setImmediate(deliver);
+    else setTimeout(deliver, delay);
   }
 }
 
@@ -324,6 +329,46 @@
   },
 );
 
+When(
+  'messages to the gateway on the feed network begin to take {int} ms',
+  async function (this: SourcesWorld, delay: number) {
+    this.feedNetwork.getDelay = (to) => (to === OBSERVED ? delay : 0);
+    await sleep(delay + 500);
+  },
+);
+
+When(
+  'no message reaches the gateway on the feed network for {int} ms',
+  async function (this: SourcesWorld, time: number) {
+    this.feedNetwork.isLost = (_, to) => to === OBSERVED;
+    await sleep(time);
+  },
+);
+
+When(
+  'the stewards of the feed network are gone for {int} ms',
+  async function (this: SourcesWorld, time: number) {
+    [...this.feedStewards].forEach(([name, { publisher }]) => {
+      publisher.close();
+      this.feedNetwork.handlers.delete(toAddress(name));
+    });
+    await sleep(time);
+  },
+);
+
+Then(
+  /^for (\d+) ms the gateway on the feed network (knows|doesn't know) that others may be ahead$/,
+  async function (this: SourcesWorld, time: string, knows: string) {
+    const until = performance.now() + Number(time);
+    while (performance.now() < until) {
+      assert.ok(this.observed.age > 2000, `${this.observed.age} ms old`);
+      const { isBehind, isAlone } = this.observed;
+      assert.equal(isBehind || isAlone, knows === 'knows');
+      await sleep(20);
+    }
+  },
+);
+
 After(function (this: Partial<SourcesWorld>) {
   this.networkFollowers?.forEach((follower) => {
     follower.close();
--- a/features/gateway/following.ts
+++ b/features/gateway/following.ts
@@ -26,6 +26,7 @@
   age = 0;
   followed = '10.1.0.30:7201';
   isBehind = false;
+  isAlone = false;
 
   constructor(options: FollowerOptions) {
     this.#options = options;
--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -13,6 +13,9 @@
       | 2000   | 400     | yes   | fresh       | yes  | serve  | deny    | serve  |
       | 2001   | 400     | no    | unconfirmed | yes  | serve  | refuse  | serve  |
       | 2001   | 400     | yes   | outdated    | no   | refuse | refuse  | refuse |
+      | 2000   | 400     | unanswered | fresh  | yes  | serve  | deny    | serve  |
+      | 2001   | 400     | unanswered | outdated | no | refuse | refuse  | refuse |
+      | 9000   | 0       | unanswered | checking | no | wait   | wait    | refuse |
       | 2001   | 399     | no    | checking    | yes  | wait   | wait    | refuse |
       | 9000   | 0       | yes   | checking    | no   | wait   | wait    | refuse |
       | 30000  | 400     | no    | unconfirmed | yes  | serve  | refuse  | serve  |
--- a/features/gateway/freshness.steps.ts
+++ b/features/gateway/freshness.steps.ts
@@ -26,9 +26,10 @@
 const LOOKS = 300;
 
 Given(
-  /^a gateway's state that is (\d+) ms old, watched for (\d+) ms, with somebody ahead: (yes|no)$/,
+  /^a gateway's state that is (\d+) ms old, watched for (\d+) ms, with somebody ahead: (yes|no|unanswered)$/,
   function (this: FreshnessWorld, age: string, watchedFor: string, ahead: string) {
-    this.stateAge = { age: Number(age), freshFor: FRESH_FOR, isBehind: ahead === 'yes' };
+    const others = { isBehind: ahead === 'yes', isAlone: ahead === 'unanswered' };
+    this.stateAge = { age: Number(age), freshFor: FRESH_FOR, ...others };
     this.watchedFor = Number(watchedFor);
   },
 );
@@ -97,20 +98,31 @@
           watchedFor: fc.oneof(duration, fc.double({ min: 0, max: 2 * CHECK_TIME, noNaN: true })),
           freshFor: fc.integer({ min: 1000, max: 5000 }),
           isBehind: fc.boolean(),
+          isAlone: fc.boolean(),
           hasRoute: fc.boolean(),
           mayWait: fc.boolean(),
           timeLeft: duration,
           waiting: fc.integer({ min: 0, max: 600 }),
         }),
-        ({ age, watchedFor, freshFor, isBehind, hasRoute, mayWait, timeLeft, waiting }) => {
-          const state = { age, freshFor, isBehind };
+        ({
+          age,
+          watchedFor,
+          freshFor,
+          isBehind,
+          isAlone,
+          hasRoute,
+          mayWait,
+          timeLeft,
+          waiting,
+        }) => {
+          const state = { age, freshFor, isBehind, isAlone };
           const verdict = judgeState(state, watchedFor);
           const decision = decideByAge(verdict, { hasRoute, mayWait });
           const isOver = watchedFor >= CHECK_TIME;
           if (age > freshFor) assert.notEqual(decision, 'deny');
           else assert.equal(decision, hasRoute ? 'serve' : 'deny');
           if (decision === 'wait') assert.ok(mayWait && !isOver);
-          if (age > freshFor && isBehind && isOver) assert.equal(decision, 'refuse');
+          if (age > freshFor && (isBehind || isAlone) && isOver) assert.equal(decision, 'refuse');
           if (age > MAX_AGE_ALONE && isOver) assert.equal(decision, 'refuse');
           if (decision === 'serve') assert.ok(hasRoute && !isOutdated(state));
           const time = computeWait(MAX_CHECK_WAIT, { timeLeft, waiting });
--- a/src/feed/age.ts
+++ b/src/feed/age.ts
@@ -76,3 +76,11 @@
     return elapsed <= REPORT_TTL && age !== undefined && age + elapsed <= freshFor;
   });
 }
+
+/**
+ * Returns whether no other process has answered a request of the last seconds in time. Answers that come later prove
+ * nothing, but their senders are there: it is this process that is slow to hear of them.
+ */
+export function isUnanswered(state: AgeState, now: Instant): boolean {
+  return ![...state.reports.values()].some(({ askedAt }) => now - askedAt <= REPORT_TTL);
+}
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -14,7 +14,14 @@
 } from '../model/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
 import type { Mesh } from '../wire/index.js';
-import { computeAge, createAge, isBehindOthers, recordAnswer, type AgeState } from './age.js';
+import {
+  computeAge,
+  createAge,
+  isBehindOthers,
+  isUnanswered,
+  recordAnswer,
+  type AgeState,
+} from './age.js';
 import { decodeCommands, decodeState, type IndexedCommands } from './codec.js';
 import { FleetCopy } from './fleet.js';
 import { decodeMessage } from './messages.js';
@@ -82,6 +89,8 @@
   readonly age: Duration;
   /** Whether another process is known to have a fresh state while this one is stale. */
   readonly isBehind: boolean;
+  /** Whether other followers are known, and neither they nor control members have answered of late. */
+  readonly isAlone: boolean;
   /** The control member that is followed; empty if none is known. */
   readonly followed: Address;
   /** Polls the followed member immediately, for example before stopping. */
@@ -129,6 +138,11 @@
     return isBehindOthers(this.#age, this.#steadyNow(), freshFor);
   }
 
+  get isAlone(): boolean {
+    const hasOthers = this.#view.entries.some(({ id }) => id !== this.#sources.self);
+    return hasOthers && isUnanswered(this.#age, this.#steadyNow());
+  }
+
   get followed(): Address {
     return this.#sources.followed;
   }
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -166,8 +166,8 @@
   /** Refuses a request that the present state is too old for. */
   #refuseForAge(request: CallerRequest, verdict: StateVerdict, onAnswer: AnswerListener): void {
     this.stateWatch.recordRefusal();
-    const { isBehind } = this.#options.follower;
-    this.#logRefusal(request, 'stale', { verdict, isBehind });
+    const { isBehind, isAlone } = this.#options.follower;
+    this.#logRefusal(request, 'stale', { verdict, isBehind, isAlone });
     onAnswer(buildRefusal('stale', NOT_READY_RETRY_AFTER, this.#listIdHeaders(request)));
   }
 }
--- a/src/gateway/freshness.ts
+++ b/src/gateway/freshness.ts
@@ -3,8 +3,9 @@
  * state that is older than the bound no route is denied (404), and by one that is known to be behind nothing is sent.
  *
  * A gateway that was paused, or that lost its control members, can't tell whether routes, drains and removals have come
- * into force since. While nobody is known to be ahead, as when all control members are gone, known routes are the
- * best that anybody can serve by; a caller that gets 503 instead finds no better gateway.
+ * into force since. While others answer and have no newer state, as when all control members are gone, known routes are
+ * the best that anybody can serve by; a caller that gets 503 instead finds no better gateway. A gateway that hears of
+ * nobody is more likely cut off, or late, than the last one: others serve by what it has not heard.
  */
 import type { Duration, Instant } from '../model/index.js';
 
@@ -29,6 +30,8 @@
   readonly freshFor: Duration;
   /** Whether another process is known to have a newer state. */
   readonly isBehind: boolean;
+  /** Whether none of the processes that were asked of late has answered in time. */
+  readonly isAlone: boolean;
 }
 
 /** The looks of a running process at the age of its state. */
@@ -48,9 +51,9 @@
   | 'fresh'
   /** Older, and seen only just now, for example after a pause: a newer one may arrive at any instant. */
   | 'checking'
-  /** Older, and nobody is known to be ahead: known routes are served, no route is denied. */
+  /** Older, and all that answer have none either: known routes are served, no route is denied. */
   | 'unconfirmed'
-  /** Known to be behind, or too old: nothing is decided by it. */
+  /** Behind, or of a process that hears of nobody, or too old: nothing is decided by it. */
   | 'outdated';
 
 /** What happens to a request that arrives. */
@@ -76,8 +79,8 @@
  * Returns what the state is good for. `watchedFor` is the milliseconds since {@link AgeWatch.agingSince}.
  *
  * @example
- * judgeState({ age: 5000, freshFor: 2000, isBehind: false }, 120) // 'checking'
- * judgeState({ age: 5000, freshFor: 2000, isBehind: false }, 400) // 'unconfirmed'
+ * judgeState({ age: 5000, freshFor: 2000, isBehind: false, isAlone: false }, 120) // 'checking'
+ * judgeState({ age: 5000, freshFor: 2000, isBehind: false, isAlone: false }, 400) // 'unconfirmed'
  */
 export function judgeState(state: StateAge, watchedFor: Duration): StateVerdict {
   if (state.age <= state.freshFor) return 'fresh';
@@ -86,8 +89,8 @@
 }
 
 /** Whether a request must not be sent by this state, whatever may still arrive. */
-export function isOutdated({ age, freshFor, isBehind }: StateAge): boolean {
-  return age > freshFor && (isBehind || age > MAX_UNCONFIRMED_AGE);
+export function isOutdated({ age, freshFor, isBehind, isAlone }: StateAge): boolean {
+  return age > freshFor && (isBehind || isAlone || age > MAX_UNCONFIRMED_AGE);
 }
 
 /**
--- a/src/gateway/statewatch.ts
+++ b/src/gateway/statewatch.ts
@@ -76,7 +76,8 @@
 
   #readState(): StateAge {
     const { follower, freshFor } = this.#options;
-    return { age: follower.age, freshFor, isBehind: follower.isBehind };
+    const { age, isBehind, isAlone } = follower;
+    return { age, freshFor, isBehind, isAlone };
   }
 
   /** Returns the verdict of this instant. */
@@ -116,8 +117,8 @@
     const { follower, now } = this.#options;
     this.#staleSince = now();
     this.#refusedBefore = this.#refused;
-    const { isBehind } = follower;
-    log.warn('the state became stale', { ...describeState(follower), isBehind, verdict });
+    const { isBehind, isAlone } = follower;
+    log.warn('the state became stale', { ...describeState(follower), isBehind, isAlone, verdict });
   }
 
   #recordFresh(): void {
