Choose the version of each attempt by the present state of the move

Found by reading. A request whose old version's upstreams had stopped with the completion found no upstream at all.

Each attempt is now chosen for the version that the request was given only while that version may get requests, else for the stable one.

Evidence: features/gateway/evidence, 'An attempt of a request that was given' (the decision did not exist before).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -76,7 +76,7 @@
 import { describeCommands, describeState } from './statelines.js';
 import { createTransport, type GossipTransport } from './transport.js';
 import { AverageWork } from './work.js';
-import { VersionSplitter } from './shares.js';
+import { resolveVersion, VersionSplitter } from './shares.js';
 import { buildStopPlan, isTakenInStop, type StopPlan } from './stopping.js';
 import type {
   AttemptOutcome,
@@ -719,7 +719,10 @@
     if (this.#admission.stateWatch.isOutdated) return { kind: 'stale' };
     const { route, service, version, deadline } = request;
     const now = this.now();
-    const usable = this.#registry.listUsable(service, version);
+    const usable = this.#registry.listUsable(
+      service,
+      resolveVersion(version, this.#registry.getVersionShare(service)),
+    );
     const untried = usable.filter((record) => !tried.includes(record));
     const topRank = this.#topRanks.get(service) ?? route.rank;
     return chooseUpstream(untried, {
--- a/src/gateway/shares.ts
+++ b/src/gateway/shares.ts
@@ -18,3 +18,17 @@
     return credit >= 1 ? next : stable;
   }
 }
+
+/**
+ * Returns the version for an attempt of a request that was given a version earlier: the same one as long as it may get
+ * requests, else the stable one, as requests wait and are repeated for seconds.
+ *
+ * @example
+ * resolveVersion('v2', { stable: 'v1', next: undefined, share: 0 }) // 'v1', as v2 was rolled back
+ */
+export function resolveVersion(
+  version: string | undefined,
+  { stable, next }: VersionShare,
+): string | undefined {
+  return version === undefined || version === next ? version : stable;
+}
