Complete a move on evidence of its last moments, within the exposure budget

Causes, all of one class, a completion that rests on too little: - All traffic came at 0.85 of the time and the completion at 0.93, judged by requests that were sent 0.3 to 0.7 s before. Gateways send evidence against a new version at once, and report an attempt as slow while it still runs; the leader judges evidence as it comes once the share is 0.3. - Where upstreams of the old version fail on their own account, their rate hid the new version's fault. Upstreams that fail more often than others of their version are set aside (rollout/illness.ts), on either side. - A leader elected while the version had all traffic had nothing to compare with, and completed. It doesn't now. - A roll-back that was not applied was forgotten with its evidence.

The rows of features/steward/decisions that named the old schedule name the new one.

--- a/features/gateway/evidence.steps.ts
+++ b/features/gateway/evidence.steps.ts
@@ -1,14 +1,20 @@
 import { BufferBudget } from '../../src/gateway/buffers.js';
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { judgeAttempt } from '../../src/gateway/evidence.js';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { judgeAttempt, OverdueWatch } from '../../src/gateway/evidence.js';
 import { RequestRun } from '../../src/gateway/run.js';
+import { resolveVersion } from '../../src/gateway/shares.js';
 import { noQuarantine } from './runhost.js';
 import type { AttemptOutcome, GatewayRequest, UpstreamRecord } from '../../src/gateway/types.js';
 
 interface EvidenceWorld {
   versions: (string | undefined)[];
   ends: ((outcome: AttemptOutcome) => void)[];
+  overdue: OverdueWatch<object, string>;
+  overdueTime: number;
+  overdueReports: string[];
+  endedAsOverdue: string[];
 }
 
 function buildOutcome(end: string): AttemptOutcome | undefined {
@@ -89,3 +95,48 @@
     assert.equal(this.versions.join(' '), versions);
   },
 );
+
+Then(
+  /^an attempt of a request of version "(\w+)" goes to version "(\w+)" once the stable version is "(\w+)" and the next one "(\w+)"$/,
+  (given: string, wanted: string, stable: string, next: string) => {
+    const share = { stable, next: next === 'none' ? undefined : next, share: 0.3 };
+    assert.equal(resolveVersion(given, share), wanted);
+  },
+);
+
+Given(
+  'a watch on attempts that take longer than {int} ms',
+  function (this: EvidenceWorld, time: number) {
+    this.overdue = new OverdueWatch();
+    this.overdueTime = time;
+    this.overdueReports = [];
+    this.endedAsOverdue = [];
+  },
+);
+
+When(
+  'attempts of {int} ms, {int} ms and {int} ms run',
+  function (this: EvidenceWorld, first: number, second: number, third: number) {
+    const request = {};
+    [first, second, third].forEach((time) => {
+      const upstream = `u-${time}`;
+      this.overdue.start(request, upstream, this.overdueTime, () => {
+        this.overdueReports.push(upstream);
+      });
+      setTimeout(() => {
+        if (this.overdue.end(request, upstream)) this.endedAsOverdue.push(upstream);
+      }, time);
+    });
+  },
+);
+
+Then(
+  'after {int} ms {int} of them are reported, and after {int} ms as many',
+  async function (this: EvidenceWorld, early: number, count: number, late: number) {
+    await sleep(early);
+    assert.equal(this.overdueReports.length, count);
+    await sleep(late - early);
+    assert.equal(this.overdueReports.length, count);
+    assert.deepEqual(this.endedAsOverdue, this.overdueReports);
+  },
+);
--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -67,6 +67,8 @@
         ['data_folder', '/data/steward'],
         ['first_start', 'true'],
         ['announce_interval_ms', '1.5s'],
+        ['exposure_share', '0.1'],
+        ['exposure_slack', '50'],
       ],
     },
   ],
--- a/features/steward/decisions.feature
+++ b/features/steward/decisions.feature
@@ -8,13 +8,16 @@
     Examples:
       | share | elapsed | step           |
       | 0     | 100     | running 0.03   |
-      | 0.03  | 5000    | nothing        |
+      | 0.03  | 1000    | nothing        |
+      | 0.03  | 5000    | running 0.05   |
+      | 0.05  | 9000    | nothing        |
       | 0.03  | 11300   | running 0.3    |
-      | 0.03  | 12100   | running 0.3    |
-      | 0.3   | 11800   | nothing        |
+      | 0.05  | 12100   | running 0.3    |
+      | 0.3   | 11400   | nothing        |
       | 0.3   | 12000   | running 1      |
-      | 1     | 12500   | nothing        |
-      | 1     | 13100   | completed 1    |
+      | 1     | 13100   | nothing        |
+      | 1     | 13550   | nothing        |
+      | 1     | 13650   | completed 1    |
       | 0.5   | 14100   | rolledBack 0   |
 
   Scenario Outline: A version gets no larger share by the clock alone
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -29,7 +29,7 @@
 } from '../feed/index.js';
 import type { Address, Duration } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
-import { createSteward, type Steward } from '../steward/index.js';
+import { createSteward, DEFAULT_EXPOSURE_BUDGET, type Steward } from '../steward/index.js';
 import { createLogger, type Metrics } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
@@ -213,6 +213,10 @@
     control: node,
     findLeader: group.findLeader,
     announceInterval: settings.announce_interval_ms ?? 0,
+    exposureBudget: {
+      share: settings.exposure_share ?? DEFAULT_EXPOSURE_BUDGET.share,
+      slack: settings.exposure_slack ?? DEFAULT_EXPOSURE_BUDGET.slack,
+    },
     now,
     wallNow: Date.now,
   });
--- a/src/gateway/evidence.ts
+++ b/src/gateway/evidence.ts
@@ -1,13 +1,13 @@
 /**
- * Collects the evidence by which the leader evaluates new versions. Invariant: an attempt is
- * counted at most once, and only for a service with a version move in progress.
+ * Collects the evidence by which the leader evaluates new versions. Invariant: only attempts at services with a version
+ * move in progress are counted, each once: when it ends, or as slow once it takes long and as failed if it then fails.
  */
 import type { Duration } from '../model/index.js';
-import { mergeEvidence, toEvidenceRow, type EvidenceRow } from '../rollout/index.js';
+import { mergeEvidence, toEvidenceRow, type EvidenceRow, type Sample } from '../rollout/index.js';
 import type { AttemptOutcome } from './types.js';
 
-/** Multiple of the expected time from which a cancelled attempt shows that its upstream is slow. */
-const SLOW_RATIO = 1.7;
+/** Multiple of the expected time from which an attempt that runs on, or is cancelled, shows that its upstream is slow. */
+export const SLOW_RATIO = 1.7;
 /** Milliseconds by which a timer may fire before the deadline that it is for. */
 const TIMER_SLACK: Duration = 10;
 
@@ -51,17 +51,9 @@
 export class EvidenceCollector {
   #rows: readonly EvidenceRow[] = [];
 
-  /** Counts an attempt. `latency` is normalized to the normal pace of a VM. */
-  addAttempt(
-    service: string,
-    version: string,
-    route: string,
-    failed: boolean,
-    latency: Duration,
-  ): void {
-    this.#rows = mergeEvidence(this.#rows, [
-      toEvidenceRow({ service, version, route, failed, latency }),
-    ]);
+  /** Counts an attempt. Its latency is normalized to the normal pace of a VM. */
+  addAttempt(sample: Sample): void {
+    this.#rows = mergeEvidence(this.#rows, [toEvidenceRow(sample)]);
   }
 
   /** Returns the collected rows and resets the collector. */
@@ -71,3 +63,34 @@
     return rows;
   }
 }
+
+/**
+ * Reports attempts that take long while they still run: a version that turns slow late in its move would be completed
+ * before the first slow answer. Each attempt is known by its request and its upstream.
+ */
+export class OverdueWatch<Request extends object, Upstream> {
+  readonly #timers = new Map<Request, Map<Upstream, NodeJS.Timeout | 'reported'>>();
+
+  /** Calls `onOverdue` once if the attempt has not ended after `time` milliseconds. */
+  start(request: Request, upstream: Upstream, time: Duration, onOverdue: () => void): void {
+    const attempts = this.#timers.get(request) ?? new Map<Upstream, NodeJS.Timeout | 'reported'>();
+    this.#timers.set(request, attempts);
+    const timer = setTimeout(() => {
+      attempts.set(upstream, 'reported');
+      onOverdue();
+    }, time);
+    attempts.set(upstream, timer);
+  }
+
+  /** Ends the watch of an attempt, and returns whether it was reported. */
+  end(request: Request, upstream: Upstream): boolean {
+    const attempts = this.#timers.get(request);
+    const state = attempts?.get(upstream);
+    if (attempts === undefined || state === undefined) return false;
+    attempts.delete(upstream);
+    if (attempts.size === 0) this.#timers.delete(request);
+    if (state === 'reported') return true;
+    clearTimeout(state);
+    return false;
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -57,8 +57,9 @@
   ServedRequest,
 } from './caller.js';
 import { CallerConnections, type CallerCounts } from './callers.js';
+import type { Sample } from '../rollout/index.js';
 import { chooseUpstream, computePace, type Choice } from './choose.js';
-import { EvidenceCollector, judgeAttempt } from './evidence.js';
+import { EvidenceCollector, judgeAttempt, OverdueWatch, SLOW_RATIO } from './evidence.js';
 import { createCollector, type Collector } from './collector.js';
 import { isProbeWorthwhile } from './ondemand.js';
 import { ConnectionPool, MAX_RESPONSE_BYTES, type Attempt } from './pool.js';
@@ -115,6 +116,8 @@
  * process stood still and ended the attempt late.
  */
 const MAX_TIMER_DELAY: Duration = 500;
+/** Milliseconds for which evidence against a new version is collected before it is sent ahead of the next poll. */
+const EVIDENCE_DELAY: Duration = 30;
 
 /** Multiple of a service's shortest work after which a load report is sent to other zones again. */
 const FAR_WORK_RATIO = 2;
@@ -216,6 +219,8 @@
   readonly #averageWork = new AverageWork();
   readonly #requestRates = new RequestRates();
   readonly #evidence = new EvidenceCollector();
+  readonly #overdue = new OverdueWatch<GatewayRequest, UpstreamRecord>();
+  #evidenceTimer: NodeJS.Timeout | undefined;
   #catalog: Catalog | undefined;
   #routes: RouteIndex = new Map();
   #limits = INITIAL_LIMITS;
@@ -773,6 +778,7 @@
     record.inFlight += 1;
     record.inFlightChange += 1;
     record.lastSentAt = now;
+    this.#watchOverdue(request, record);
     const { method, target, body } = request;
     return this.#pool.send(
       address,
@@ -827,16 +833,43 @@
     // After its deadline an answer was read late, as in a process that stood still, and tells no work.
     if (isGood && now <= request.deadline)
       this.#getAverageWork(request).addSample((now - sentAt) / slowdown);
-    const isMoving = this.#registry.getVersionShare(request.service).next !== undefined;
+    const wasOverdue = this.#overdue.end(request, record);
     const finding = judgeAttempt({
       outcome,
       elapsed: now - sentAt,
       expected: this.#getAverageWork(request).value * pace,
       timeLeft: request.deadline - now,
     });
-    if (!isMoving || finding === undefined) return;
-    const { service, version } = record.instance;
-    this.#evidence.addAttempt(service, version, request.route.name, finding === 'failed', latency);
+    if (finding === undefined || (wasOverdue && finding === 'good')) return;
+    this.#addEvidence(request, record, { failed: finding === 'failed', latency });
+  }
+
+  /** Adds evidence on a service with a version move in progress; evidence against the new version is sent soon. */
+  #addEvidence(
+    request: GatewayRequest,
+    { instance }: UpstreamRecord,
+    { failed, latency }: Pick<Sample, 'failed' | 'latency'>,
+    isOverdue = false,
+  ): void {
+    const { next } = this.#registry.getVersionShare(request.service);
+    if (next === undefined) return;
+    const { service, version, id } = instance;
+    const route = request.route.name;
+    this.#evidence.addAttempt({ service, version, route, upstream: id, failed, latency });
+    if (version !== next || !(failed || isOverdue)) return;
+    this.#evidenceTimer ??= setTimeout(() => {
+      this.#evidenceTimer = undefined;
+      this.#follower.pollNow();
+    }, EVIDENCE_DELAY);
+  }
+
+  #watchOverdue(request: GatewayRequest, record: UpstreamRecord): void {
+    if (this.#registry.getVersionShare(request.service).next === undefined) return;
+    const latency = this.#getAverageWork(request).value * SLOW_RATIO;
+    const time = latency * computePace(record, this.now());
+    this.#overdue.start(request, record, time, () => {
+      this.#addEvidence(request, record, { failed: false, latency }, true);
+    });
   }
 
   /** Records whether the upstream may have crashed under the request. One that crashes may end an unframed answer. */
@@ -911,6 +944,7 @@
     this.#server.close();
     await this.#callers.drain(plan);
     clearInterval(this.#timeoutTimer);
+    clearTimeout(this.#evidenceTimer);
     this.#collector.close();
     this.#prober.close();
     this.#loadGossip.close();
--- a/src/rollout/evidence.ts
+++ b/src/rollout/evidence.ts
@@ -12,6 +12,8 @@
   readonly service: string;
   readonly version: string;
   readonly route: string;
+  /** The upstream that handled the attempt, where one upstream's fault is told from its version's. */
+  readonly upstream?: string;
   readonly failed: boolean;
   /** Milliseconds; counted only for successful attempts. */
   readonly latency: Duration;
@@ -37,9 +39,14 @@
   return FIRST_BUCKET_LIMIT * BUCKET_RATIO ** bucket;
 }
 
-/** Returns the key of a row: rows with equal keys have the same service, version and route. */
-export function getRowKey(row: { service: string; version: string; route: string }): string {
-  return JSON.stringify([row.service, row.version, row.route]);
+/** Returns the key of a row: rows with equal keys have the same service, version, route and upstream. */
+export function getRowKey(row: {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly upstream?: string | undefined;
+}): string {
+  return JSON.stringify([row.service, row.version, row.route, row.upstream ?? '']);
 }
 
 function mergeLatencies(one: readonly number[], two: readonly number[]): readonly number[] {
@@ -81,11 +88,12 @@
 
 /** Converts one attempt to an evidence row. */
 export function toEvidenceRow(sample: Sample): EvidenceRow {
-  const { service, version, route, failed, latency } = sample;
+  const { service, version, route, upstream, failed, latency } = sample;
   return {
     service,
     version,
     route,
+    ...(upstream !== undefined && { upstream }),
     ok: failed ? 0 : 1,
     failed: failed ? 1 : 0,
     latencies: failed ? [] : [getBucket(latency), 1],
--- a/src/rollout/index.ts
+++ b/src/rollout/index.ts
@@ -2,6 +2,7 @@
 export { mergeEvidence, toEvidenceRow, type EvidenceRow, type Sample } from './evidence.js';
 export {
   addEvidenceBlock,
+  countOldAttempts,
   createJudgement,
   judgeVersion,
   startStep,
--- a/src/rollout/judge.ts
+++ b/src/rollout/judge.ts
@@ -2,16 +2,26 @@
  * Compares the failures and latency of a move's new version with those of the versions it replaces, per
  * service and per route. Long tests run from the start of the move. Short tests restart at each step and
  * each minute, so that a fault that appears late, or only under load, need not outweigh earlier good
- * results. Invariant: the false alarm probabilities of all tests add up to {@link FALSE_ALARM_RATE}, and a
+ * results. Upstreams that fail more often than others of their version are set aside: their fault is not its. Invariant:
+ * the false alarm probabilities of all tests add up to {@link FALSE_ALARM_RATE}, and a
  * latency threshold is computed only from samples older than those it is applied to.
  */
 import { getBucketLimit, mergeEvidence, type EvidenceRow } from './evidence.js';
+import {
+  addRows,
+  countIll,
+  isFromIll,
+  noTallies,
+  sumOfIll,
+  type UpstreamTallies,
+} from './illness.js';
 import {
   addRateBlock,
   attachEarlierRate,
   emptyRateTest,
   getLogEvidence,
   dropEvidence,
+  dropOldAttempts,
   type RateBlock,
   type RateTest,
 } from './sequential.js';
@@ -51,6 +61,10 @@
   readonly samples: number;
   /** Attempts at any version of the service since the last step. */
   readonly attempts: number;
+  /** Attempts at any version of the service since this leader began to collect evidence. */
+  readonly totalAttempts: number;
+  /** The outcomes of each upstream, and which of them are set aside as ill. */
+  readonly upstreams: UpstreamTallies;
   /** Number of the current run of the short tests, from 1. */
   readonly epoch: number;
   readonly blocksInEpoch: number;
@@ -65,7 +79,13 @@
 
 /** Returns the initial judgement, without evidence. */
 export function createJudgement(version: string): Judgement {
-  return { version, subjects: [], samples: 0, attempts: 0, epoch: 1, blocksInEpoch: 0 };
+  return {
+    version,
+    subjects: [],
+    samples: 0,
+    attempts: 0,
+    ...{ totalAttempts: 0, upstreams: noTallies, epoch: 1, blocksInEpoch: 0 },
+  };
 }
 
 function startEpoch(judgement: Judgement): Judgement {
@@ -77,6 +97,27 @@
   return { ...judgement, subjects, epoch: judgement.epoch + 1, blocksInEpoch: 0 };
 }
 
+/**
+ * Takes upstreams that were found ill out of what the tests know of the old version, and restarts the tests: until now
+ * their failures stood for those of their version.
+ */
+function dropIll(judgement: Judgement, upstreams: UpstreamTallies): Judgement {
+  if (countIll(upstreams) === countIll(judgement.upstreams)) return { ...judgement, upstreams };
+  const restarted = startEpoch({ ...judgement, upstreams });
+  const subjects = restarted.subjects.map((subject) => {
+    const before = sumOfIll(judgement.upstreams, subject, judgement.version);
+    const now = sumOfIll(upstreams, subject, judgement.version);
+    const change = { hits: now.failed - before.failed, total: now.total - before.total };
+    const drop = (test: RateTest): RateTest => dropEvidence(dropOldAttempts(test, change));
+    return {
+      ...subject,
+      ...{ failures: drop(subject.failures), recentFailures: drop(subject.recentFailures) },
+      slowness: dropEvidence(subject.slowness),
+    };
+  });
+  return { ...restarted, subjects };
+}
+
 /** Restarts the short tests and the counts of attempts after a change of share. */
 export function startStep(judgement: Judgement): Judgement {
   return { ...startEpoch(judgement), samples: 0, attempts: 0 };
@@ -104,7 +145,10 @@
 }
 
 function sumRows(rows: readonly EvidenceRow[]): EvidenceRow {
-  const unnamed = rows.map((row) => ({ ...row, service: '', version: '', route: '' }));
+  const unnamed = rows.map(({ ok, failed, latencies }) => ({
+    ...{ service: '', version: '', route: '' },
+    ...{ ok, failed, latencies },
+  }));
   const [sum] = mergeEvidence([], unnamed);
   return sum ?? { service: '', version: '', route: '', ok: 0, failed: 0, latencies: [] };
 }
@@ -182,8 +226,10 @@
   hasAllTraffic = false,
 ): Judgement {
   const { version } = judgement;
-  const subjects = listSubjects(judgement, rows).map((subject) => {
-    const own = rows.filter(
+  const known = dropIll(judgement, addRows(judgement.upstreams, rows));
+  const sound = rows.filter((row) => !isFromIll(known.upstreams, row));
+  const subjects = listSubjects(known, rows).map((subject) => {
+    const own = sound.filter(
       ({ service, route }) =>
         service === subject.service && (subject.route === ALL_ROUTES || route === subject.route),
     );
@@ -191,13 +237,19 @@
       ? subject
       : addSubjectRows(subject, { version, rows: own, hasAllTraffic });
   });
-  const newSum = sumRows(rows.filter((row) => row.version === version));
-  const samples = judgement.samples + newSum.ok + newSum.failed;
+  const newSum = sumRows(sound.filter((row) => row.version === version));
+  const samples = known.samples + newSum.ok + newSum.failed;
   const sum = sumRows(rows);
-  const attempts = judgement.attempts + sum.ok + sum.failed;
-  const blocksInEpoch = judgement.blocksInEpoch + 1;
-  const next: Judgement = { ...judgement, subjects, samples, attempts, blocksInEpoch };
-  return blocksInEpoch >= EPOCH_BLOCKS ? startEpoch(next) : next;
+  const added = sum.ok + sum.failed;
+  const next: Judgement = {
+    ...known,
+    subjects,
+    samples,
+    attempts: known.attempts + added,
+    totalAttempts: known.totalAttempts + added,
+    blocksInEpoch: known.blocksInEpoch + 1,
+  };
+  return next.blocksInEpoch >= EPOCH_BLOCKS ? startEpoch(next) : next;
 }
 
 function describeSubject(subject: SubjectTests, symptom: string, test: RateTest): string {
@@ -212,13 +264,21 @@
   return `${name} is ${symptom}${above}: evidence ${odds} to 1`;
 }
 
+/** Returns the attempts at the old version that the tests compare the new one with. */
+export function countOldAttempts({ subjects }: Judgement): number {
+  return Math.max(0, ...subjects.map(({ failures }) => failures.oldTotal));
+}
+
 /** Returns the verdict on the evidence so far. */
 export function judgeVersion(judgement: Judgement): Verdict {
   const { subjects, epoch } = judgement;
   // Splits the false alarm rate over two kinds of fault, two lengths of test and all subjects. The short
   // tests of epoch k get the factor 1 / (k (k + 1)), which adds up to 1 over all epochs.
-  const limit = Math.log((4 * Math.max(1, subjects.length)) / FALSE_ALARM_RATE);
-  const recentLimit = limit + Math.log(epoch * (epoch + 1));
+  const base = Math.log((4 * Math.max(1, subjects.length)) / FALSE_ALARM_RATE);
+  const recentLimit = base + Math.log(epoch * (epoch + 1));
+  // The long tests restart with each upstream that is set aside.
+  const runs = countIll(judgement.upstreams) + 1;
+  const limit = base + Math.log((runs * (runs + 1)) / 2);
   const findings = subjects.flatMap((subject) => [
     { subject, symptom: 'failing more often', test: subject.failures, limit },
     { subject, symptom: 'slower', test: subject.slowness, limit },
--- a/src/rollout/sequential.ts
+++ b/src/rollout/sequential.ts
@@ -32,7 +32,7 @@
 /** Attempts at the old version from which its earlier rate can stand in for current attempts. */
 const MIN_EARLIER_ATTEMPTS = 50;
 /** Attempts at the old version that its earlier rate stands for, as a multiple of those at the new version. */
-const EARLIER_RATIO = 4;
+const EARLIER_RATIO = 16;
 
 /** A test without any blocks. */
 export const emptyRateTest: RateTest = {
@@ -86,6 +86,18 @@
   return { oldHits, oldTotal, logFactors };
 }
 
+/** Takes attempts at the old version out of the counts that estimate its rate. */
+export function dropOldAttempts(
+  test: RateTest,
+  { hits, total }: { readonly hits: number; readonly total: number },
+): RateTest {
+  return {
+    ...test,
+    oldHits: Math.max(0, test.oldHits - hits),
+    oldTotal: Math.max(0, test.oldTotal - total),
+  };
+}
+
 /** Discards the evidence, but keeps the counts that estimate the old version's rate. */
 export function dropEvidence(test: RateTest): RateTest {
   return { ...test, logFactors: emptyRateTest.logFactors };
--- a/src/steward/index.ts
+++ b/src/steward/index.ts
@@ -1,6 +1,13 @@
 /** The tasks of the control group's leader: catalog changes, traffic moves and group membership. */
 export { planMembershipChange } from './members.js';
-export { computeCapacityShare, planMoveStep, type MoveStep, type MoveTimes } from './moves.js';
+export {
+  computeCapacityShare,
+  DEFAULT_EXPOSURE_BUDGET,
+  planMoveStep,
+  type ExposureBudget,
+  type MoveStep,
+  type MoveTimes,
+} from './moves.js';
 export {
   createSteward,
   type Announcement,
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -25,12 +25,16 @@
 } from '../rollout/index.js';
 import { createLogger } from '../telemetry/index.js';
 import { planMembershipChange } from './members.js';
-import { computeCapacityShare, planMoveStep, type MoveStep } from './moves.js';
+import { computeCapacityShare, planMoveStep, type ExposureBudget, type MoveStep } from './moves.js';
 
 const log = createLogger('steward');
 
 /** Interval of the periodic check of upstreams, moves and members, in milliseconds. */
 const CHECK_INTERVAL: Duration = 200;
+/** Share of a running move from which new evidence is judged without waiting for the periodic check. */
+const URGENT_SHARE = 0.3;
+/** Milliseconds between two such checks. */
+const URGENT_CHECK_DELAY: Duration = 50;
 /** Timeout of a proposal in milliseconds; callers give up on a control member after a second. */
 const PROPOSAL_TIMEOUT: Duration = 900;
 /** Consecutive announcements that an upstream may miss before it is removed. */
@@ -68,6 +72,8 @@
   readonly findLeader: () => Address | undefined;
   /** Announcement interval of upstreams in milliseconds. */
   readonly announceInterval: Duration;
+  /** Requests that a bad version may get; {@link DEFAULT_EXPOSURE_BUDGET} by default. */
+  readonly exposureBudget?: ExposureBudget | undefined;
   readonly now: () => Instant;
   readonly wallNow: () => number;
 }
@@ -109,6 +115,9 @@
   readonly #announcements = new Map<string, ReceivedAnnouncement>();
   readonly #evaluations = new Map<string, MoveEvaluation>();
   readonly #moveStarts = new Map<string, MoveStart>();
+  /** Services whose next step was proposed and is not applied yet. */
+  readonly #proposedSteps = new Set<string>();
+  #moveTimer: NodeJS.Timeout | undefined;
   #evidence: readonly EvidenceRow[] = [];
   /** When each address last asked to join the group. */
   readonly #joinRequests = new Map<Address, Instant>();
@@ -131,6 +140,7 @@
 
   close(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#moveTimer);
   }
 
   async submit(command: CatalogCommand): Promise<OrderOutcome> {
@@ -208,6 +218,15 @@
 
   addEvidence(rows: readonly EvidenceRow[]): void {
     this.#evidence = mergeEvidence(this.#evidence, rows);
+    const { control } = this.#options;
+    const isUrgent = rows.some(
+      ({ service }) => (control.applied.moves[service]?.share ?? 0) >= URGENT_SHARE,
+    );
+    if (!isUrgent || this.#moveTimer !== undefined) return;
+    this.#moveTimer = setTimeout(() => {
+      this.#moveTimer = undefined;
+      if (control.status.role === 'leader') this.#advanceMoves();
+    }, URGENT_CHECK_DELAY);
   }
 
   #queueJoinRequest(address: Address): void {
@@ -314,14 +333,15 @@
     const own = rows.filter((row) => row.service === service);
     const judgement = own.length === 0 ? before : addEvidenceBlock(before, own, move.share === 1);
     const maxShare = computeCapacityShare(control.applied, move);
-    const step = planMoveStep(move, judgement, maxShare, {
-      elapsed: now() - this.#findStart(move),
-      watched: now() - watchedSince,
-    });
+    const times = { elapsed: now() - this.#findStart(move), watched: now() - watchedSince };
+    const step = this.#proposedSteps.has(service)
+      ? undefined
+      : planMoveStep(move, judgement, maxShare, times, this.#options.exposureBudget);
+    // A version that was found bad stays so until its roll-back is applied.
+    const isNextStep = step?.state === 'running';
     this.#evaluations.set(service, {
-      orderedAt,
-      watchedSince,
-      judgement: step === undefined ? judgement : startStep(judgement),
+      ...{ orderedAt, watchedSince },
+      judgement: isNextStep ? startStep(judgement) : judgement,
     });
     if (step !== undefined) this.#proposeStep(move, step);
   }
@@ -335,8 +355,10 @@
   #proposeStep({ service, version, orderedAt }: TrafficMove, step: MoveStep): void {
     const { share, state, reason } = step;
     log.info('traffic move step proposed', { service, version, share, state, reason });
+    this.#proposedSteps.add(service);
     void this.submit({ kind: 'stepMove', service, version, orderedAt, share, state }).then(
       (outcome) => {
+        this.#proposedSteps.delete(service);
         if (outcome.kind === 'done') return;
         log.warn('traffic move step was not applied', { service, outcome: outcome.kind });
       },
