Test a version with all traffic before a move of chivewalkd finishes

It now waits for as much as at any other share, or half of the time that is left, and the tests compare with the old version's earlier rate.

--- a/features/rollout/moves.feature
+++ b/features/rollout/moves.feature
@@ -20,6 +20,7 @@
       | slow                     | 5     | 10    |
       | failing under load       | 5     | 50    |
       | failing later            | 5     | 90    |
+      | failing with all traffic only | 5 | 100  |
 
   Scenario: Plans at the edges of a rollout
     Then the rollout plans in edge cases match the snapshot
--- a/features/rollout/moves.steps.ts
+++ b/features/rollout/moves.steps.ts
@@ -72,6 +72,10 @@
     ...bad,
     failRate: ({ isNew, share }) => (isNew && share >= 0.5 ? 0.1 : BASE_FAILURE_RATE),
   },
+  'failing with all traffic only': {
+    ...bad,
+    failRate: ({ isNew, share }) => (isNew && share >= 1 ? 0.1 : BASE_FAILURE_RATE),
+  },
   'failing later': {
     ...bad,
     failRate: ({ isNew, second }) =>
@@ -109,7 +113,8 @@
   let move: PlannedMove = { step: 0, share: 0, late: false, startedAt: 0, deadline, stepAt: 0 };
   let judgement = createJudgement('v2');
   for (let second = 1; second <= HOUR_SECONDS + 10; second += 1) {
-    judgement = addEvidenceBlock(judgement, buildBlock(scenario, move.share, second, draw));
+    const rows = buildBlock(scenario, move.share, second, draw);
+    judgement = addEvidenceBlock(judgement, rows, move.share === 1);
     const action = planMove(move, judgement, 1, second * 1000);
     if (action.kind === 'finish') return { end: 'done', share: move.share, seconds: second };
     if (action.kind === 'takeBack') {
--- a/src/operators/controller.ts
+++ b/src/operators/controller.ts
@@ -134,7 +134,7 @@
     const { listUpstreams, wallNow } = this.#options;
     const known = this.#trackMove(move);
     const own = rows.filter(({ service }) => move.services.includes(service));
-    const judgement = addEvidenceBlock(known.judgement, own);
+    const judgement = addEvidenceBlock(known.judgement, own, move.share === 1);
     this.#trackedMoves.set(move.id, { ...known, judgement });
     const maxShare = computeMaxShare(state, move, listUpstreams());
     const planned = { ...move, stepAt: known.stepAt };
--- a/src/rollout/plan.ts
+++ b/src/rollout/plan.ts
@@ -65,10 +65,18 @@
   return samples >= STEP_SAMPLES || elapsed >= timePerStep;
 }
 
+/** Returns whether a version with all traffic has been tested with it, as far as its time and its calls allow. */
+function hasFullEvidence(move: PlannedMove, samples: number, now: number): boolean {
+  const elapsed = now - move.stepAt;
+  const isTimeShort = elapsed >= (move.deadline - move.stepAt) / 2;
+  return samples > 0 && (isTimeShort || (elapsed >= MIN_STEP_TIME && samples >= STEP_SAMPLES));
+}
+
 /** Returns whether the move is not expected to finish before its deadline. */
 function isLate(move: PlannedMove, samples: number, maxShare: number, now: number): boolean {
   const soak = move.share >= SOAK_SHARE ? 0 : getSoakTime(move);
-  const requiredTime = countRemainingSteps(move.share) * MIN_STEP_TIME + soak;
+  // The version is tested with all traffic as well, for as long as at another share.
+  const requiredTime = (countRemainingSteps(move.share) + 1) * MIN_STEP_TIME + soak;
   const isStarved = move.share > 0 && samples === 0 && now - move.stepAt > STARVED_AFTER;
   return maxShare < 1 || isStarved || now + requiredTime > move.deadline;
 }
@@ -96,7 +104,9 @@
   const { samples } = judgement;
   const shareLimit = Math.min(Math.max(maxShare, 0), 1);
   const evidence = describePlan(samples, shareLimit);
-  if (move.share === 1 && shareLimit === 1) return { kind: 'finish', evidence };
+  const isClear = verdict.kind === 'undecided';
+  const isTested = isClear && hasFullEvidence(move, samples, now);
+  if (move.share === 1 && shareLimit === 1 && isTested) return { kind: 'finish', evidence };
   if (now >= move.deadline) {
     return {
       kind: 'takeBack',
@@ -106,7 +116,6 @@
   const late = isLate(move, samples, shareLimit, now);
   if (move.share > shareLimit) return { kind: 'step', share: shareLimit, late, evidence };
   const share = Math.min(getNextShare(move.share), shareLimit);
-  const isClear = verdict.kind === 'undecided';
   const shouldRaise = isClear && share > move.share && isReady(move, samples, now);
   if (shouldRaise) return { kind: 'step', share, late, evidence };
   if (late && !move.late) return { kind: 'step', share: move.share, late, evidence };
