Handle requests that are sent ahead in steps, not by recursion

Cause: a request that is answered at once advanced the pipeline from within its own start, some twenty frames each, and the limit of 16 unanswered requests held only after a whole piece of input was taken.

The pipeline is advanced by one loop; what is answered meanwhile is written by it. Events that were read wait until there is room in the pipeline, and the connection takes at most 256 steps before others have their turn.

--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -18,8 +18,10 @@
 import type { BufferBudget, BufferHolder } from './buffers.js';
 import { isLastInStop, isStartedInStop, type ConnectionPhase } from './stopping.js';
 
-/** Number of unanswered requests at which the connection is paused. */
+/** Number of unanswered requests at which the connection is paused, and no more of what was read is handled. */
 const MAX_PIPELINED_REQUESTS = 16;
+/** Steps that one connection takes before others have their turn; a request takes four. */
+const MAX_STEPS_PER_TURN = 256;
 /**
  * Milliseconds for which a caller may take to close its end once the kernel has the whole last answer. Until then input
  * is read and discarded, as closing a socket with unread input resets it, which discards what waits to be sent.
@@ -83,6 +85,12 @@
   answer: CallerAnswer | undefined;
 }
 
+/** What was read, with when it was. */
+interface ReadEvent {
+  readonly event: ReaderEvent<RequestHead>;
+  readonly readAt: Instant;
+}
+
 /** A request whose answer the caller has not received completely. */
 export interface UnfinishedRequest {
   readonly head: RequestHead;
@@ -103,6 +111,12 @@
   readonly #reader: MessageReader<RequestHead>;
   readonly #buffers: BufferBudget;
   #pipeline: readonly PipelinedRequest[] = [];
+  /** What was read and waits for room in the pipeline. */
+  #unhandled: readonly ReadEvent[] = [];
+  /** Number of the first ones of them that were handled. */
+  #handledCount = 0;
+  #isHandling = false;
+  #nextTurn: NodeJS.Immediate | undefined;
   /** Requests of whose answers bytes wait in the process. */
   #sending: readonly RequestHead[] = [];
   #headReadAt: Instant = 0;
@@ -141,7 +155,11 @@
 
   /** Whether no request is being served. */
   get isIdle(): boolean {
-    return this.#pipeline.length === 0;
+    return this.#pipeline.length === 0 && !this.#hasUnhandled;
+  }
+
+  get #hasUnhandled(): boolean {
+    return this.#handledCount < this.#unhandled.length;
   }
 
   /** What the connection is doing, for a stop. */
@@ -193,6 +211,7 @@
   close(): void {
     if (this.#state === 'closed') return;
     this.#dropRequests();
+    if (this.#nextTurn !== undefined) clearImmediate(this.#nextTurn);
     this.#state = 'closed';
     this.#socket.destroy();
     this.#buffers.remove(this);
@@ -203,9 +222,10 @@
     if (!this.#isReading) return;
     const now = this.#host.now();
     this.#partialSince ??= now;
-    this.#reader.addChunk(chunk).forEach((event) => {
-      this.#handleEvent(event, now);
-    });
+    const events = this.#reader.addChunk(chunk).map((event) => ({ event, readAt: now }));
+    this.#unhandled = [...this.#unhandled.slice(this.#handledCount), ...events];
+    this.#handledCount = 0;
+    this.#advance();
     if (!this.#reader.hasPartialMessage) this.#partialSince = undefined;
     this.#updateBuffers();
   }
@@ -221,7 +241,11 @@
   /** Counts what is read, what is served and what is not flushed yet. */
   #updateBuffers(): void {
     const read = this.#isReading ? this.#reader.heldBytes : 0;
-    const requests = this.#pipeline.reduce((sum, { request }) => sum + request.body.length, 0);
+    const requests =
+      this.#pipeline.reduce((sum, { request }) => sum + request.body.length, 0) +
+      this.#unhandled
+        .slice(this.#handledCount)
+        .reduce((sum, { event }) => sum + (event.kind === 'message' ? event.body.length : 0), 0);
     const answers = this.#pipeline.reduce((sum, { answer }) => sum + (answer?.body.length ?? 0), 0);
     this.#buffers.update(this, {
       requests: requests + (this.#isReading ? Math.max(read, this.#announcedBytes) : 0),
@@ -235,6 +259,7 @@
     const arrivedAt = this.#host.now();
     this.#isReading = false;
     this.#reader.discard();
+    this.#dropUnhandled();
     this.#addToPipeline({
       request: { head: PLACEHOLDER_HEAD, body: EMPTY_BODY, hasBody: false, arrivedAt },
       isIdempotent: true,
@@ -276,7 +301,10 @@
 
   #addRequest(request: CallerRequest): void {
     const isLast = hasConnectionClose(request.head);
-    if (isLast) this.#isReading = false;
+    if (isLast) {
+      this.#isReading = false;
+      this.#dropUnhandled();
+    }
     this.#addToPipeline({
       request,
       isIdempotent: this.#host.isIdempotent(request.head),
@@ -289,23 +317,65 @@
 
   #addToPipeline(pipelined: PipelinedRequest): void {
     this.#pipeline = [...this.#pipeline, pipelined];
-    if (this.#pipeline.length >= MAX_PIPELINED_REQUESTS) this.#socket.pause();
     this.#advance();
   }
 
-  /** Starts the requests that may start, and writes completed answers in request order. */
+  /**
+   * Starts requests, writes answers in request order and handles what was read, as far as possible now. Answers that come
+   * while this runs are written by it, not by a call within the call: a caller chooses how many follow each other.
+   */
   #advance(): void {
+    if (this.#isHandling) return;
+    this.#isHandling = true;
+    try {
+      this.#handleTurn();
+    } finally {
+      this.#isHandling = false;
+    }
     if (this.#state !== 'open') return;
+    const isFull = this.#pipeline.length >= MAX_PIPELINED_REQUESTS || this.#hasUnhandled;
+    if (isFull) this.#socket.pause();
+    else if (this.#socket.isPaused()) this.#socket.resume();
+  }
+
+  /** Takes the steps that are possible now, but lets others have their turn after many. */
+  #handleTurn(): void {
+    let steps = 0;
+    while (this.#state === 'open' && (this.#takeStep() || this.#handleNext())) {
+      steps += 1;
+      if (steps === MAX_STEPS_PER_TURN) {
+        this.#nextTurn ??= setImmediate(() => {
+          this.#nextTurn = undefined;
+          this.#advance();
+          this.#updateBuffers();
+        });
+        return;
+      }
+    }
+  }
+
+  /** Handles the next event that was read, if there is room in the pipeline; returns whether it did. */
+  #handleNext(): boolean {
+    const next = this.#unhandled[this.#handledCount];
+    if (next === undefined || this.#pipeline.length >= MAX_PIPELINED_REQUESTS) return false;
+    this.#handledCount += 1;
+    if (!this.#hasUnhandled) this.#dropUnhandled();
+    this.#handleEvent(next.event, next.readAt);
+    return true;
+  }
+
+  /** Starts the next request or writes the next answer; returns whether it did. */
+  #takeStep(): boolean {
     const first = this.#pipeline[0];
     const next = this.#pipeline.find(({ isStarted }) => !isStarted);
     if (next !== undefined && this.#canStart(next)) {
       this.#startRequest(next);
-      return;
+      return true;
     }
-    if (first?.answer === undefined) return;
+    if (first?.answer === undefined) return false;
     this.#pipeline = this.#pipeline.slice(1);
     this.#write(first, first.answer);
-    this.#advance();
+    return true;
   }
 
   #canStart(pipelined: PipelinedRequest): boolean {
@@ -325,7 +395,6 @@
       this.#updateBuffers();
     });
     if (pipelined.answer === undefined) pipelined.served = served;
-    this.#advance();
   }
 
   #write(pipelined: PipelinedRequest, answer: CallerAnswer): void {
@@ -353,8 +422,6 @@
     if (isClosing) {
       this.#socket.end();
       this.#linger();
-    } else if (this.#pipeline.length < MAX_PIPELINED_REQUESTS && this.#socket.isPaused()) {
-      this.#socket.resume();
     }
   }
 
@@ -371,10 +438,16 @@
     });
   }
 
+  #dropUnhandled(): void {
+    this.#unhandled = [];
+    this.#handledCount = 0;
+  }
+
   #dropRequests(): void {
     this.#isReading = false;
     this.#pipeline.forEach(({ served }) => served?.cancel());
     this.#pipeline = [];
+    this.#dropUnhandled();
     this.#reader.discard();
     this.#updateBuffers();
   }
