End an upstream when a newer start of it leaves

Cause: the leave ended only a start with the same birth time. A leave of a newer start proves that the known one has ended, and now removes it. Rows of both orders in features/catalog; 'a@1 ready, a@2 left' listed a@1 before.

--- a/features/catalog/catalog.feature
+++ b/features/catalog/catalog.feature
@@ -48,6 +48,13 @@
       | a@2 ready, a@1 ready                               | a@2                |
       | a@2 ready, a@1 left                                | a@2                |
       | a@1 left, a@1 ready                                |                    |
+      | a@1 ready, a@2 left                                |                    |
+      | a@1 ready, a@2 left, a@1 ready                     |                    |
+      | a@1 ready, a@2 left, a@2 ready                     |                    |
+      | a@1 ready, a@2 left, a@3 ready                     | a@3                |
+      | a@1 draining, a@2 left                             |                    |
+      | a@2 left, a@1 ready                                |                    |
+      | a@1 ready, a@2 silent                              | a@1                |
       | a@1 ready, a@1 silent, a@1 ready                   | a@1                |
       | a@1 ready, b@2 ready at the address of a           | b@2                |
       | b@2 ready at the address of a, a@1 ready           | b@2                |
--- a/src/catalog/instances.ts
+++ b/src/catalog/instances.ts
@@ -93,17 +93,22 @@
   };
 }
 
-/** Removes an instance. A silent one may announce the same start again; one that left may not. */
+/**
+ * Removes an instance. A silent one may announce the same start again; one that left may not. The leave of a newer start
+ * shows that the known one has ended too.
+ */
 export function applyEnd(state: Catalog, { id, bornAt, cause }: EndCommand): Catalog {
   const known = state.instances.get(id);
-  const isKnown = known?.bornAt === bornAt;
-  const instances = isKnown ? dropInstances(state.instances, [known]) : state.instances;
   switch (cause) {
     case 'silent':
-      return isKnown ? { ...state, instances } : state;
+      return known?.bornAt === bornAt
+        ? { ...state, instances: dropInstances(state.instances, [known]) }
+        : state;
     case 'left': {
+      const hasEnd = known !== undefined && known.bornAt <= bornAt;
+      const instances = hasEnd ? dropInstances(state.instances, [known]) : state.instances;
       const isRemembered = state.ended.some(([ended, at]) => ended === id && at >= bornAt);
-      if (!isKnown && isRemembered) return state;
+      if (!hasEnd && isRemembered) return state;
       const ended = [...state.ended, [id, bornAt] as const].slice(-MAX_REMEMBERED_ENDS);
       return { ...state, instances, ended };
     }
