Acknowledge a leave without a birth time only by the group's present state

It now goes to the leader, which reads the group's present state first; a process that knows neither answers 503 with the remedy, as for every other order.

--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -210,10 +210,14 @@
   }
 
   async end(id: string, bornAt: number | undefined, cause: EndCause): Promise<OrderOutcome> {
-    const born = bornAt ?? this.#options.control.applied.instances.get(id)?.bornAt;
-    return born === undefined
+    if (bornAt !== undefined) return this.submit({ kind: 'end', id, bornAt, cause });
+    // Only the group's present state tells that there is nothing to end.
+    const read = await this.readCurrent();
+    if (read.kind !== 'current') return read;
+    const known = read.catalog.instances.get(id);
+    return known === undefined
       ? { kind: 'done' }
-      : this.submit({ kind: 'end', id, bornAt: born, cause });
+      : this.submit({ kind: 'end', id, bornAt: known.bornAt, cause });
   }
 
   addEvidence(rows: readonly EvidenceRow[]): void {
