Serve on when a second signal to stop comes

Cause: the handler of the signal was dropped with the first one, so that the second had its usual effect. Both kinds of process keep their handlers now; features/platform/stopping fails without this (connection cut, 1 of 1).

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -40,6 +40,11 @@
     When a gateway gets SIGTERM while upstreams run 3 pipelined requests of 500 ms each
     Then all 3 of them are answered in order, the last one with "Connection: close"
 
+  Scenario: A second SIGTERM in a planned stop cuts off what runs
+    Given a site whose processes have 3000 ms to stop
+    When a gateway gets SIGTERM, and again 100 ms later, while upstreams run 3 pipelined requests of 600 ms each
+    Then all 3 of them are answered in order, the last one with "Connection: close"
+
   Scenario: A pipelined request is passed on in a planned stop behind an answer that closes the connection
     Given a site whose processes have 3000 ms to stop
     When a caller sends a request 200 ms after SIGTERM behind one that an upstream runs for 500 ms
--- a/features/platform/stopping.steps.ts
+++ b/features/platform/stopping.steps.ts
@@ -283,6 +283,23 @@
   },
 );
 
+When(
+  'a gateway gets SIGTERM, and again {int} ms later, while upstreams run {int} pipelined requests of {int} ms each',
+  { timeout: 20_000 },
+  async function (this: StoppingWorld, pause: number, count: number, work: number) {
+    const caller = new StoppingCaller(this.site);
+    this.callers = [caller];
+    caller.send(Array.from({ length: count }, (_, index) => `GET /records/${index}?work=${work}`));
+    await waitUntil('upstreams run them', () => new Set(listRuns(this, caller)).size === count);
+    const stopped = stopGateway(this);
+    await sleep(pause);
+    this.site.processes.get(GATEWAY)?.child.kill('SIGTERM');
+    await caller.waitForEnd();
+    caller.socket.destroy();
+    this.elapsed = await stopped;
+  },
+);
+
 Then(
   'all {int} of them are answered in order, the last one with "Connection: close"',
   function (this: StoppingWorld, count: number) {
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -90,12 +90,13 @@
   );
 }
 
+/** Keeps its handlers, as a second signal would otherwise end the process and cut off what it still serves. */
 function waitForSignal(): Promise<string> {
   return new Promise((resolve) => {
-    process.once('SIGTERM', () => {
+    process.on('SIGTERM', () => {
       resolve('SIGTERM');
     });
-    process.once('SIGINT', () => {
+    process.on('SIGINT', () => {
       resolve('SIGINT');
     });
   });
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -163,10 +163,11 @@
   if (seeds.apply(settings)) log.info('seeds read again', { seeds: seeds.list });
 }
 
+/** Keeps its handlers, as a second signal would otherwise end the process and cut off what it still serves. */
 function waitForStopSignal(): Promise<string> {
   return new Promise((resolve) => {
     (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
-      process.once(signal, () => {
+      process.on(signal, () => {
         resolve(signal);
       });
     });
