--- a/src/rollout/judge.ts
+++ b/src/rollout/judge.ts
@@ -84,7 +84,10 @@
     subjects: [],
     samples: 0,
     attempts: 0,
-    ...{ totalAttempts: 0, upstreams: noTallies, epoch: 1, blocksInEpoch: 0 },
+    totalAttempts: 0,
+    upstreams: noTallies,
+    epoch: 1,
+    blocksInEpoch: 0,
   };
 }
 
