Keep an upstream that drained out of the catalog for good

What callers could see (DRAIN): requests at an upstream whose draining was acknowledged seconds before.

Cause: the catalog forgot that a start drained when the leader removed it as silent, when a later start held its id or its address and was removed itself, or when the leader had heard of a later start. A late announcement of the earlier start then brought it back as ready.

Why it works: a silent start that drained is remembered as ended, and with any silent start all earlier ones of its id; draining is recorded also of a start that is already replaced, before it is acknowledged.

--- a/src/catalog/instances.ts
+++ b/src/catalog/instances.ts
@@ -53,7 +53,10 @@
   return kept;
 }
 
-function appendEnded(state: Catalog, removed: readonly Instance[]): Catalog['ended'] {
+function appendEnded(
+  state: Catalog,
+  removed: readonly Pick<Instance, 'id' | 'bornAt'>[],
+): Catalog['ended'] {
   if (removed.length === 0) return state.ended;
   const added = removed.map(({ id, bornAt }) => [id, bornAt] as const);
   return [...state.ended, ...added].slice(-MAX_REMEMBERED_ENDS);
@@ -75,13 +78,17 @@
   );
 }
 
-/** Applies an announcement, unless a later start at the same address or with the same id is known. */
+/**
+ * Applies an announcement, unless a later start at the same address or with the same id is known. One that drains is
+ * remembered even then: the later start may be removed first, and an earlier announcement still be on its way.
+ */
 export function applyAnnounce(state: Catalog, { instance }: AnnounceCommand): Catalog {
   if (!isInstanceUpdate(state, instance)) return state;
   const others = [...state.instances.values()].filter(
     ({ id, address }) => id !== instance.id && address === instance.address,
   );
-  if (others.some(({ bornAt }) => bornAt > instance.bornAt)) return state;
+  if (others.some(({ bornAt }) => bornAt > instance.bornAt))
+    return instance.draining ? { ...state, ended: appendEnded(state, [instance]) } : state;
   const known = state.instances.get(instance.id);
   const isSameStart = known?.bornAt === instance.bornAt;
   const merged = { ...instance, draining: instance.draining || (isSameStart && known.draining) };
@@ -94,16 +101,19 @@
 }
 
 /**
- * Removes an instance. A silent one may announce the same start again; one that left may not. The leave of a newer start
- * shows that the known one has ended too.
+ * Removes an instance. A silent one may announce the same start again, unless it was draining; one that left may not.
+ * The leave of a newer start shows that the known one has ended too.
  */
 export function applyEnd(state: Catalog, { id, bornAt, cause }: EndCommand): Catalog {
   const known = state.instances.get(id);
   switch (cause) {
-    case 'silent':
-      return known?.bornAt === bornAt
-        ? { ...state, instances: dropInstances(state.instances, [known]) }
-        : state;
+    case 'silent': {
+      if (known?.bornAt !== bornAt) return state;
+      // Earlier starts have ended for good, also those that were never registered.
+      const endedAt = known.draining ? bornAt : bornAt - 1;
+      const ended = appendEnded(state, [{ id, bornAt: endedAt }]);
+      return { ...state, instances: dropInstances(state.instances, [known]), ended };
+    }
     case 'left': {
       const hasEnd = known !== undefined && known.bornAt <= bornAt;
       const instances = hasEnd ? dropInstances(state.instances, [known]) : state.instances;
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -191,7 +191,12 @@
       known !== undefined &&
       (known.bornAt > instance.bornAt ||
         (known.bornAt === instance.bornAt && known.sequence > sequence));
-    if (isOutdated) return { kind: 'done' };
+    const isUpdate = isInstanceUpdate(control.applied, instance);
+    // The later announcement may be removed first, so that draining is recorded all the same.
+    if (isOutdated)
+      return isUpdate && instance.draining
+        ? this.submit({ kind: 'announce', instance, coldFor })
+        : { kind: 'done' };
     const knownColdUntil = known?.bornAt === instance.bornAt ? known.coldUntil : 0;
     const coldUntil = now() + coldFor;
     const { id, bornAt } = instance;
@@ -201,8 +206,7 @@
       receivedAt: now(),
       coldUntil: Math.max(knownColdUntil, coldUntil),
     });
-    if (isInstanceUpdate(control.applied, instance))
-      return this.submit({ kind: 'announce', instance, coldFor });
+    if (isUpdate) return this.submit({ kind: 'announce', instance, coldFor });
     if (coldFor > 0 && coldUntil > Math.max(knownColdUntil, now()) + COLD_UPDATE_THRESHOLD) {
       return this.submit({ kind: 'chill', id, bornAt, coldFor });
     }
