End every start of an upstream that leaves without naming one

What callers could see (DRAIN): requests at an upstream later than the bound after its leave was acknowledged. The users' upstreams send their leave without a body.

Cause: a leave without a start time ended the start that the group knew, or none. If the announcement of the start that left was still on its way, it came back as ready when it arrived.

Evidence: features/steward/departures.feature with such leaves among its events.

Why it works: the leader also ends all starts up to now, less the time by which clocks may differ (the new setting max_clock_skew_ms, filled from the platform's bound), so that a restart that follows at once is still taken. What remains: a start younger than that whose first announcement is overtaken by its leave.

--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -73,6 +73,7 @@
         ['data_folder', '/data/steward'],
         ['first_start', 'true'],
         ['announce_interval_ms', '1.5s'],
+        ['max_clock_skew_ms', '5s'],
       ],
     },
   ],
--- a/features/steward/departures.steps.ts
+++ b/features/steward/departures.steps.ts
@@ -37,7 +37,7 @@
 
 const events: readonly OrderEvent[] = [
   ...starts.flatMap((start) =>
-    (['ready', 'draining', 'left'] as const).map((kind) => ({ kind, start })),
+    (['ready', 'draining', 'left', 'leftUnnamed'] as const).map((kind) => ({ kind, start })),
   ),
   { kind: 'silent', id: 'one' },
   { kind: 'newLeader' },
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -214,6 +214,7 @@
     control: node,
     findLeader: group.findLeader,
     announceInterval: settings.announce_interval_ms ?? 0,
+    maxClockSkew: settings.max_clock_skew_ms,
     exposureBudget: {
       share: context.moves?.exposure_share ?? DEFAULT_EXPOSURE_BUDGET.share,
       slack: context.moves?.exposure_slack ?? DEFAULT_EXPOSURE_BUDGET.slack,
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -41,6 +41,8 @@
 const MAX_MISSED_ANNOUNCEMENTS = 13;
 /** Milliseconds for which a request to join counts; it is repeated each 500 ms. */
 const JOIN_REQUEST_LIFETIME: Duration = 2000;
+/** Milliseconds by which the clocks of two VMs may differ, by default. */
+const DEFAULT_MAX_CLOCK_SKEW: Duration = 5000;
 /** Milliseconds by which an announced cold time must exceed the known one before entries are notified. */
 const COLD_UPDATE_THRESHOLD: Duration = 250;
 
@@ -74,6 +76,8 @@
   readonly announceInterval: Duration;
   /** Requests that a bad version may get; {@link DEFAULT_EXPOSURE_BUDGET} by default. */
   readonly exposureBudget?: ExposureBudget | undefined;
+  /** Milliseconds by which the clocks of two VMs may differ; {@link DEFAULT_MAX_CLOCK_SKEW} by default. */
+  readonly maxClockSkew?: Duration | undefined;
   readonly now: () => Instant;
   readonly wallNow: () => number;
 }
@@ -215,13 +219,13 @@
 
   async end(id: string, bornAt: number | undefined, cause: EndCause): Promise<OrderOutcome> {
     if (bornAt !== undefined) return this.submit({ kind: 'end', id, bornAt, cause });
-    // Only the group's present state tells that there is nothing to end.
     const read = await this.readCurrent();
     if (read.kind !== 'current') return read;
-    const known = read.catalog.instances.get(id);
-    return known === undefined
-      ? { kind: 'done' }
-      : this.submit({ kind: 'end', id, bornAt: known.bornAt, cause });
+    const { wallNow, maxClockSkew = DEFAULT_MAX_CLOCK_SKEW } = this.#options;
+    // Ends every start before now, as the announcement of the one that leaves may still be on its way.
+    const endedAt = Math.floor(wallNow() - maxClockSkew);
+    const knownAt = read.catalog.instances.get(id)?.bornAt ?? -Infinity;
+    return this.submit({ kind: 'end', id, bornAt: Math.max(knownAt, endedAt), cause });
   }
 
   addEvidence(rows: readonly EvidenceRow[]): void {
