Take the clock skew from a section that stands only where the platform names it

Cause: the key was filled from a value that a platform may leave out. Now it is [clocks] max_skew_ms, around which the template has a section of its own; without it the default of 5 s holds.

--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -21,6 +21,7 @@
     ],
   },
   { name: 'peer', lines: [['listen', '127.0.0.1:7400']] },
+  { name: 'clocks', lines: [['max_skew_ms', '5s']] },
   {
     name: 'moves',
     lines: [
@@ -73,7 +74,6 @@
         ['data_folder', '/data/steward'],
         ['first_start', 'true'],
         ['announce_interval_ms', '1.5s'],
-        ['max_clock_skew_ms', '5s'],
       ],
     },
   ],
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -177,6 +177,7 @@
 interface StewardContext {
   readonly settings: NonNullable<Settings['steward']>;
   readonly moves: Settings['moves'];
+  readonly maxClockSkew: Duration | undefined;
   readonly mesh: Mesh;
   readonly seeds: CurrentSeeds;
 }
@@ -214,7 +215,7 @@
     control: node,
     findLeader: group.findLeader,
     announceInterval: settings.announce_interval_ms ?? 0,
-    maxClockSkew: settings.max_clock_skew_ms,
+    maxClockSkew: context.maxClockSkew,
     exposureBudget: {
       share: context.moves?.exposure_share ?? DEFAULT_EXPOSURE_BUDGET.share,
       slack: context.moves?.exposure_slack ?? DEFAULT_EXPOSURE_BUDGET.slack,
@@ -327,7 +328,10 @@
   if (stewardSettings.data_folder === '')
     return startReferrer(seeds, mesh, (steward) => adapter.openStewardListeners(steward, settings));
   const running = createReopening(
-    { settings: stewardSettings, moves: settings.moves, mesh, seeds },
+    {
+      ...{ settings: stewardSettings, moves: settings.moves, mesh, seeds },
+      maxClockSkew: settings.clocks?.max_skew_ms,
+    },
     (steward) => adapter.openStewardListeners(steward, settings),
   );
   await running.start();
