--- a/features/gateway/following.ts
+++ b/features/gateway/following.ts
@@ -203,7 +203,7 @@
     upstreamPorts: upstreams.map((upstream) => (upstream.address() as AddressInfo).port),
     send: (path, headers = {}) => sendRequest(port, path, headers),
     close: async () => {
-      await gateway.stop();
+      await gateway.stop(performance.now());
       upstreams.forEach((upstream) => {
         upstream.closeAllConnections();
         upstream.close();
--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -41,6 +41,21 @@
       | 3000  | 1860 | 280  | 800   | yes   |
       | 3000  | 2760 | 60   | 500   | no    |
 
+  Scenario Outline: A request in a stop whose signal is handled late
+    Then <at> ms after SIGTERM of 6000 ms that is handled <late> ms late, a request of usually <work> ms with <left> ms left is taken: <taken>
+
+    Examples: the time until the process may be killed counts from the signal
+      | at   | late | work | left | taken |
+      | 3300 | 500  | 420  | 8000 | no    |
+      | 2900 | 500  | 420  | 8000 | yes   |
+      | 2900 | 500  | 740  | 8000 | yes   |
+      | 2900 | 500  | 750  | 8000 | no    |
+      | 3300 | 500  | 420  | 2000 | yes   |
+      | 3300 | 500  | 420  | 2500 | yes   |
+      | 3300 | 500  | 420  | 2600 | no    |
+      | 3300 | 100  | 420  | 2300 | yes   |
+      | 3300 | 100  | 420  | 2400 | no    |
+
   Scenario Outline: A pipelined request in a stop
     Then behind requests that are "<earlier>" it is started in a stop: <started>
 
--- a/features/gateway/stopping.steps.ts
+++ b/features/gateway/stopping.steps.ts
@@ -23,7 +23,7 @@
 Then(
   '{int} ms after SIGTERM a connection that is {word} gets the decision {string}',
   function (at: number, phase: string, decision: string) {
-    const plan = buildStopPlan(STOPPED_AT, 6000);
+    const plan = buildStopPlan(STOPPED_AT, 6000, STOPPED_AT);
     assert.equal(decideConnection(phase as ConnectionPhase, plan, STOPPED_AT + at), decision);
   },
 );
@@ -32,7 +32,16 @@
   /^(\d+) ms after SIGTERM of (\d+) ms a request of usually (\d+) ms with (\d+) ms left is taken: (yes|no)$/,
   function (at: number, stop: number, work: number, left: number, taken: string) {
     const now = STOPPED_AT + at;
-    const plan = buildStopPlan(STOPPED_AT, stop);
+    const plan = buildStopPlan(STOPPED_AT, stop, STOPPED_AT);
+    assert.equal(isTakenInStop({ plan, now, deadline: now + left, work }), taken === 'yes');
+  },
+);
+
+Then(
+  /^(\d+) ms after SIGTERM of 6000 ms that is handled (\d+) ms late, a request of usually (\d+) ms with (\d+) ms left is taken: (yes|no)$/,
+  function (at: number, late: number, work: number, left: number, taken: string) {
+    const now = STOPPED_AT + at;
+    const plan = buildStopPlan(STOPPED_AT + late, 6000, STOPPED_AT);
     assert.equal(isTakenInStop({ plan, now, deadline: now + left, work }), taken === 'yes');
   },
 );
--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -30,6 +30,12 @@
     When callers send requests of 2500 ms with a deadline of 8000 ms on kept connections 3400 ms after SIGTERM
     Then each of them gets status 503 and "Connection: close", and no upstream ran it
 
+  # Guards against LOST (review/3): the process may be killed a time after SIGTERM was sent, not after it was handled.
+  Scenario: A request that may run once is taken late in a planned stop by a gateway that handled SIGTERM late
+    Given a site whose processes have 6000 ms to stop
+    When callers send requests of 2900 ms with a deadline of 8000 ms 3300 ms after SIGTERM, which is handled 500 ms late
+    Then each of them gets status 503 and "Connection: close", and no upstream ran it
+
   Scenario: A request that is sent early in a planned stop is served if its usual work fits
     Given a site whose processes have 6000 ms to stop
     When callers send requests of 400 ms with a deadline of 8000 ms on kept connections 1000 ms after SIGTERM
--- a/features/platform/stopping.steps.ts
+++ b/features/platform/stopping.steps.ts
@@ -95,6 +95,16 @@
   return performance.now() - since;
 }
 
+/** Stops a gateway that gets no processor time for the first `late` milliseconds after SIGTERM. */
+async function stopBusyGateway(world: StoppingWorld, late: number): Promise<number> {
+  const { child } = world.site.getProcess(GATEWAY);
+  child.kill('SIGSTOP');
+  const stopped = stopGateway(world);
+  await sleep(late);
+  child.kill('SIGCONT');
+  return stopped;
+}
+
 /** Opens a connection and uses it once, so that it is kept open. */
 async function openKeptCaller(world: StoppingWorld): Promise<StoppingCaller> {
   const caller = new StoppingCaller(world.site);
@@ -236,23 +246,45 @@
   assert.ok(this.resetAfter < limit, `reset after ${Math.round(this.resetAfter)} ms`);
 });
 
+/** Sends requests on kept connections a time after SIGTERM, which the gateway handles `late` milliseconds late. */
+async function sendInStop(
+  world: StoppingWorld,
+  { work, deadline, delay, late }: Readonly<Record<'work' | 'deadline' | 'delay' | 'late', number>>,
+): Promise<void> {
+  const usual = Array.from({ length: 20 }, () =>
+    world.site.call(world.site.ips[0] ?? '', '/orders/usual?work=420', { method: 'POST' }),
+  );
+  await Promise.all(usual);
+  world.callers = await Promise.all([1, 2, 3].map(() => openKeptCaller(world)));
+  const stopped = late > 0 ? stopBusyGateway(world, late) : stopGateway(world);
+  await sleep(delay);
+  world.callers.forEach((caller) => {
+    caller.send([`POST /orders/late?work=${work}`], deadline);
+  });
+  await Promise.all(world.callers.map((caller) => caller.waitForEnd()));
+  world.callers.forEach(({ socket }) => socket.destroy());
+  world.elapsed = await stopped;
+}
+
 When(
   'callers send requests of {int} ms with a deadline of {int} ms on kept connections {int} ms after SIGTERM',
   { timeout: 30_000 },
   async function (this: StoppingWorld, work: number, deadline: number, delay: number) {
-    const usual = Array.from({ length: 20 }, () =>
-      this.site.call(this.site.ips[0] ?? '', '/orders/usual?work=420', { method: 'POST' }),
-    );
-    await Promise.all(usual);
-    this.callers = await Promise.all([1, 2, 3].map(() => openKeptCaller(this)));
-    const stopped = stopGateway(this);
-    await sleep(delay);
-    this.callers.forEach((caller) => {
-      caller.send([`POST /orders/late?work=${work}`], deadline);
-    });
-    await Promise.all(this.callers.map((caller) => caller.waitForEnd()));
-    this.callers.forEach(({ socket }) => socket.destroy());
-    this.elapsed = await stopped;
+    await sendInStop(this, { work, deadline, delay, late: 0 });
+  },
+);
+
+When(
+  'callers send requests of {int} ms with a deadline of {int} ms {int} ms after SIGTERM, which is handled {int} ms late',
+  { timeout: 30_000 },
+  async function (
+    this: StoppingWorld,
+    work: number,
+    deadline: number,
+    delay: number,
+    late: number,
+  ) {
+    await sendInStop(this, { work, deadline, delay, late });
   },
 );
 
--- a/src/daemon/adapter.ts
+++ b/src/daemon/adapter.ts
@@ -1,5 +1,6 @@
 /** The interface between the roles that run on a platform and the adapter to that platform. */
 import type { Gateway, HeaderDialect } from '../gateway/index.js';
+import type { Instant } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
 import type { Steward } from '../steward/index.js';
 
@@ -19,5 +20,6 @@
 export interface RunningRole {
   /** Whether it knows no leader of its group, or its state is old, so that the seeds are worth reading again. */
   readonly isLost: boolean;
-  stop(): Promise<void>;
+  /** Stops the role after a signal that was sent at this instant or later. */
+  stop(signalledAt: Instant): Promise<void>;
 }
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -19,6 +19,7 @@
 import type { PlatformAdapter, RunningRole } from './adapter.js';
 import { CurrentSeeds } from './seeds.js';
 import { startSteward } from './steward.js';
+import { waitForStopSignal } from './stopsignal.js';
 
 const log = createLogger('daemon');
 
@@ -152,8 +153,8 @@
     get isLost() {
       return gateway.isLost;
     },
-    stop: async () => {
-      await gateway.stop();
+    stop: async (signalledAt) => {
+      await gateway.stop(signalledAt);
       listeners.close();
     },
   };
@@ -163,17 +164,6 @@
   if (seeds.apply(settings)) log.info('seeds read again', { seeds: seeds.list });
 }
 
-/** Keeps its handlers, as a second signal would otherwise end the process and cut off what it still serves. */
-function waitForStopSignal(): Promise<string> {
-  return new Promise((resolve) => {
-    (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
-      process.on(signal, () => {
-        resolve(signal);
-      });
-    });
-  });
-}
-
 /**
  * Runs the process that the settings describe until it receives SIGTERM or SIGINT. On SIGHUP, `reload` reads
  * the settings again, and the log level and the seeds are applied; the seeds also every 2 s while the process is lost.
@@ -191,7 +181,7 @@
   if (settings.telemetry?.log_lines_per_s !== undefined) {
     standardOutput.setRate(settings.telemetry.log_lines_per_s);
   }
-  const stopped = waitForStopSignal();
+  const stopped = waitForStopSignal(() => performance.now());
   const mesh = await createMesh({
     address: settings.peer.listen,
     secret: settings.site.secret,
@@ -218,12 +208,12 @@
     if (next !== undefined) applySeeds(seeds, next);
   }, REREAD_INTERVAL).unref();
   const running = await Promise.race([start(settings, mesh, metrics, adapter, seeds), stopped]);
-  if (typeof running !== 'string') role = running;
+  if ('stop' in running) role = running;
   log.info('process started', { id, zone, roles });
-  const signal = await stopped;
+  const { signal, notBefore } = await stopped;
   clearInterval(rereading);
   log.info('process stopping', { signal });
-  await role?.stop();
+  await role?.stop(notBefore);
   exposition?.close();
   await mesh.close();
   log.info('process stopped');
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -183,8 +183,11 @@
   readonly isLost: boolean;
   /** Replaces the seeds, after the settings were read again. */
   setSeeds(seeds: readonly Address[]): void;
-  /** Drains the gateway: reports it as not ready, waits for running requests, then closes. */
-  stop(): Promise<void>;
+  /**
+   * Drains the gateway: reports it as not ready, waits for running requests, then closes. The signal to stop was sent at
+   * `signalledAt` or later.
+   */
+  stop(signalledAt: Instant): Promise<void>;
 }
 
 /** Returns the ids of the gateways in each zone. */
@@ -934,9 +937,9 @@
     }
   }
 
-  async stop(): Promise<void> {
+  async stop(signalledAt: Instant): Promise<void> {
     if (this.isStopping()) return;
-    const plan = buildStopPlan(this.now(), this.#options.stopTime);
+    const plan = buildStopPlan(this.now(), this.#options.stopTime, signalledAt);
     this.#stopPlan = plan;
     this.#callers.logState('gateway drain started');
     this.#follower.pollNow();
--- a/src/gateway/stopping.ts
+++ b/src/gateway/stopping.ts
@@ -1,7 +1,8 @@
 /**
  * Decides what a stop does to callers' connections and requests. Invariant: a request that is passed on in a stop ends
- * before the gateway cuts requests off, by its deadline or, early in the stop, by a multiple of its average work; all
- * others are refused, which promises that they will not run.
+ * before the process may be killed, by its deadline or, early in the stop, by a multiple of its average work; all
+ * others are refused, which promises that they will not run. The process is killed a time after the signal was sent, which
+ * may be earlier than it was handled.
  */
 import type { Duration, Instant } from '../model/index.js';
 
@@ -11,6 +12,8 @@
 const UNUSED_SHARE = 0.8;
 /** Share of the stop time after which unfinished requests are cut off; the rest is for ending the process. */
 const DRAIN_SHARE = 0.92;
+/** The same share where the signal may have come earlier than it was handled: the process may be killed right after. */
+const LATE_DRAIN_SHARE = 0.98;
 /** Share of the stop time, and milliseconds, in which requests are taken by their average work. */
 const EARLY_SHARE = 0.5;
 const MAX_EARLY_TIME: Duration = 3000;
@@ -23,21 +26,26 @@
   readonly earlyUntil: Instant;
   readonly acceptsUntil: Instant;
   readonly keepsUnusedUntil: Instant;
+  /** When a request that is taken must have ended. */
+  readonly answersUntil: Instant;
   /** When unfinished requests are cut off. */
   readonly endsAt: Instant;
 }
 
 /**
- * Returns the instants of a stop that must end within `stopTime` milliseconds.
+ * Returns the instants of a stop that must end within `stopTime` milliseconds of its signal, which was sent at `sentAt`
+ * or later and is handled now. Requests are taken as if it had been sent at `sentAt`; those that run are given all the
+ * time that there may be.
  *
  * @example
- * buildStopPlan(0, 6000).endsAt // 5520
+ * buildStopPlan(500, 6000, 0).answersUntil // 5880
  */
-export function buildStopPlan(now: Instant, stopTime: Duration): StopPlan {
+export function buildStopPlan(now: Instant, stopTime: Duration, sentAt: Instant): StopPlan {
   return {
-    earlyUntil: now + Math.min(stopTime * EARLY_SHARE, MAX_EARLY_TIME),
+    earlyUntil: sentAt + Math.min(stopTime * EARLY_SHARE, MAX_EARLY_TIME),
     acceptsUntil: now + stopTime * ACCEPTING_SHARE,
     keepsUnusedUntil: now + stopTime * UNUSED_SHARE,
+    answersUntil: Math.min(now + stopTime * DRAIN_SHARE, sentAt + stopTime * LATE_DRAIN_SHARE),
     endsAt: now + stopTime * DRAIN_SHARE,
   };
 }
@@ -62,7 +70,7 @@
  * Decides what a stop does to a connection at this instant.
  *
  * @example
- * decideConnection('sending', buildStopPlan(0, 6000), 5000) // 'keep'
+ * decideConnection('sending', buildStopPlan(0, 6000, 0), 5000) // 'keep'
  */
 export function decideConnection(
   phase: ConnectionPhase,
@@ -95,11 +103,11 @@
  * Returns whether a request that was read in a stop is passed on; otherwise it is refused.
  *
  * @example
- * isTakenInStop({ plan: buildStopPlan(0, 6000), now: 3400, deadline: 11_400, work: 400 }) // false
+ * isTakenInStop({ plan: buildStopPlan(0, 6000, 0), now: 3400, deadline: 11_400, work: 400 }) // false
  */
 export function isTakenInStop({ plan, now, deadline, work }: LateRequest): boolean {
   const end = now <= plan.earlyUntil ? Math.min(deadline, now + work * WORK_MARGIN) : deadline;
-  return end <= plan.endsAt;
+  return end <= plan.answersUntil;
 }
 
 /** A request on a connection, as far as {@link isStartedInStop} and {@link isLastInStop} look at it. */
