Send no list of gateways before the group has a leader, and poll less the longer there is none

Cause: until a group was founded, each steward answered every poll of 317 gateways, ten a second each, with the change of its list of gateways, which changed with each gateway that started. That filled its link, and the messages that found the group and elect its leader waited behind it.

Why it works: a steward that has had no leader since its start has nothing that a follower lacks. It answers with the group's status alone, and sends state and list as soon as it knows a leader, so that a poll that comes less often delays nothing. What remains: the burst of whole lists right after the election, which cost the first leader its majority.

--- a/features/feed/sources.feature
+++ b/features/feed/sources.feature
@@ -43,6 +43,13 @@
     Given 317 gateways on a feed network, all members and seeds of which are gone, with 3 members and 3 seeds
     Then in 2000 ms each of them sends at most 9 requests in 500 ms, and each of them at most 3 to gateways
 
+  # Guards against SHORT: at the start of a large site each steward sent every new list of gateways to all of them, which
+  # filled its link, so that the group's own messages took seconds.
+  Scenario: Stewards without a leader send little to 317 gateways that start, and the state once they have one
+    Given 317 gateways that start on a feed network whose 3 stewards know no leader for 1500 ms
+    Then until then each steward has sent at most 0.1 of what a link of 100 Mbit/s carries in that time
+    And 600 ms later each of the gateways has the state and the list of all gateways
+
   Scenario Outline: A gateway whose messages take <delay> ms doesn't take its stewards for gone
     Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
     When messages to the gateway on the feed network begin to take <delay> ms
--- a/features/feed/sources.steps.ts
+++ b/features/feed/sources.steps.ts
@@ -66,6 +66,7 @@
   networkFollowers: Follower[];
   observed: Follower;
   wanted: number;
+  waitedTime: number;
 }
 
 function toAddress(name: string): Address {
@@ -307,6 +308,50 @@
   },
 );
 
+Given(
+  '{int} gateways that start on a feed network whose {int} stewards know no leader for {int} ms',
+  async function (this: SourcesWorld, gateways: number, stewards: number, time: number) {
+    createNetwork(this);
+    const names = Array.from({ length: stewards }, (_, index) => `s${index + 1}`);
+    names.forEach((name) => {
+      startSteward(this, name, names, 5, 11);
+    });
+    this.feedStewards.forEach(({ status }) => (status.healthy = false));
+    const seeds = names.map(toAddress);
+    Array.from({ length: gateways }, (_, index) =>
+      startGateway(this, `10.2.${index >> 8}.${index & 255}:7215`, seeds),
+    );
+    this.waitedTime = time;
+    await sleep(time);
+  },
+);
+
+Then(
+  'until then each steward has sent at most {float} of what a link of {int} Mbit\\/s carries in that time',
+  function (this: SourcesWorld, share: number, rate: number) {
+    const limit = (share * rate * 125_000 * this.waitedTime) / 1000;
+    const sizes = [...this.feedStewards.keys()].map((name) =>
+      this.feedNetwork.sent
+        .filter(([from]) => from === toAddress(name))
+        .reduce((sum, [, , message]) => sum + pack(message).length, 0),
+    );
+    assert.ok(Math.max(...sizes) <= limit, `${sizes.join(', ')} bytes, more than ${limit}`);
+  },
+);
+
+Then(
+  '{int} ms later each of the gateways has the state and the list of all gateways',
+  async function (this: SourcesWorld, time: number) {
+    this.feedStewards.forEach(({ status }) => (status.healthy = true));
+    await sleep(time);
+    const { length } = this.networkFollowers;
+    const without = this.networkFollowers.filter(
+      ({ view }) => view.index < 11 || view.entries.length < length,
+    );
+    assert.equal(without.length, 0, `${without.length} of ${length} have not`);
+  },
+);
+
 Then(
   'in {int} ms each of them sends at most {int} requests in 500 ms, and each of them at most {int} to gateways',
   async function (this: SourcesWorld, time: number, most: number, mostToGateways: number) {
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -36,10 +36,11 @@
 
 /** Interval of polls to the followed control member, in milliseconds. */
 const POLL_INTERVAL: Duration = 250;
-/** Interval of polls while the entry has no state yet and can serve nobody, in milliseconds. */
-const STARTUP_POLL_INTERVAL: Duration = 100;
-/** Milliseconds after the start for which {@link STARTUP_POLL_INTERVAL} applies; an election takes less. */
-const STARTUP_TIME: Duration = 5000;
+/** Bounds of the interval of polls while the entry has no state yet, in milliseconds. */
+const MIN_STARTUP_INTERVAL: Duration = 100;
+const MAX_STARTUP_INTERVAL: Duration = 500;
+/** Share of the time without a state after which the entry polls again, so that all entries together ask less and less. */
+const STARTUP_BACKOFF = 0.5;
 /**
  * Age in milliseconds from which a state is old: this process then asks others for the members, and follows no member
  * whose state is as old. Twice the time between the answers that renew the state.
@@ -102,6 +103,11 @@
 
 type NewsMessage = Extract<FeedMessage, { kind: 'news' }>;
 
+/** Returns the milliseconds until the next poll of an entry that has had no state for a time. */
+function computeStartupInterval(waited: Duration): Duration {
+  return Math.min(MAX_STARTUP_INTERVAL, Math.max(MIN_STARTUP_INTERVAL, waited * STARTUP_BACKOFF));
+}
+
 class FeedFollower implements Follower {
   readonly #options: FollowerOptions;
   readonly #startedAt: Instant;
@@ -171,14 +177,13 @@
   }
 
   #schedulePoll(): void {
-    const isStarting =
-      this.#view.index === 0 && this.#options.now() - this.#startedAt < STARTUP_TIME;
+    const isStarting = this.#view.index === 0;
     this.#timer = setTimeout(
       () => {
         this.#poll();
         this.#schedulePoll();
       },
-      isStarting ? STARTUP_POLL_INTERVAL : POLL_INTERVAL,
+      isStarting ? computeStartupInterval(this.#options.now() - this.#startedAt) : POLL_INTERVAL,
     );
   }
 
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -75,6 +75,8 @@
   /** The followers of the other members. */
   readonly #sharedFollowers = new Map<Address, FleetCopy>();
   #evidence: readonly EvidenceRow[] = [];
+  /** Whether the group had a leader since this member started. Before, it has nothing that followers lack. */
+  #hasJoined = false;
   #encodedCommands: EncodedPayload = { key: '', payload: [false, new Uint8Array()] };
   #encodedState: EncodedPayload = { key: '', payload: [false, new Uint8Array()] };
 
@@ -89,6 +91,7 @@
       this.#receive(from, decodeMessage(message));
     });
     this.#timer = setInterval(() => {
+      this.#noticeLeader();
       this.#shareWithMembers();
     }, SHARE_INTERVAL);
   }
@@ -108,6 +111,7 @@
   }
 
   #recordCommand(index: number, command: CatalogCommand | undefined, bytes: number): void {
+    this.#noticeLeader();
     this.#catalogIndex = index;
     this.#commands =
       command === undefined
@@ -116,6 +120,13 @@
     this.#scheduleUpdates();
   }
 
+  /** Answers the polls that came before the group had a leader, as soon as it has one. */
+  #noticeLeader(): void {
+    if (this.#hasJoined || !this.#options.control.status.healthy) return;
+    this.#hasJoined = true;
+    this.#scheduleUpdates();
+  }
+
   /** Sends updates after the current batch of commands, so that each follower is sent the batch in one message. */
   #scheduleUpdates(): void {
     this.#pendingUpdates ??= setImmediate(() => {
@@ -145,7 +156,10 @@
         this.#handleEvidence(message.evidence);
         const { index, fleetRevision } = message;
         const { sentAt } = message;
-        this.#sendUpdate(from, { index, fleetRevision, lastCallAt: now, sentAt });
+        const follower = { index, fleetRevision, lastCallAt: now, sentAt };
+        this.#noticeLeader();
+        if (this.#hasJoined) this.#sendUpdate(from, follower);
+        else this.#sendStatus(from, follower);
         return;
       }
       case 'followers':
@@ -173,6 +187,18 @@
     }
   }
 
+  /**
+   * Answers a poll before the group had a leader: without a list of entries, which changes with every process that starts
+   * and would be sent to each of them each time.
+   */
+  #sendStatus(to: Address, follower: FollowerState): void {
+    this.#followers.set(to, follower);
+    this.#options.mesh.send(to, FEED_CHANNEL, {
+      ...{ kind: 'news', base: undefined, after: follower.index, commands: undefined, cold: {} },
+      ...{ fleet: undefined, ...this.#describeGroup(follower.sentAt) },
+    } satisfies FeedMessage);
+  }
+
   #describeGroup(
     echo: Instant | undefined,
   ): Pick<GroupStatus, 'members' | 'membersIndex' | 'healthy' | 'age' | 'echo'> {
