--- a/features/entry/announce.feature
+++ b/features/entry/announce.feature
@@ -22,6 +22,7 @@
       | too large               |
       | bad id                  |
       | leave                   |
+      | leave, unknown upstream |
       | leave, no incarnation   |
       | leave, no token         |
       | unknown path            |
--- a/features/entry/announce.steps.ts
+++ b/features/entry/announce.steps.ts
@@ -28,6 +28,8 @@
 
 type AnnouncementRequest = Omit<CallerRequest, 'port'>;
 
+/** An incarnation that the port of the test doesn't know. */
+const UNKNOWN_INCARNATION = 9;
 const authorized = { authorization: `Bearer ${TOKEN}` };
 
 function createPut(body: unknown): AnnouncementRequest {
@@ -49,6 +51,10 @@
   'too large': createPut({ ...validAnnouncement, labels: { rack: 'x'.repeat(20_000) } }),
   'bad id': { ...createPut(validAnnouncement), path: '/v1/upstreams/seam%201' },
   leave: { method: 'DELETE', path: `${PATH}?incarnation=7`, headers: authorized },
+  'leave, unknown upstream': {
+    ...{ method: 'DELETE', path: `${PATH}?incarnation=${UNKNOWN_INCARNATION}` },
+    headers: authorized,
+  },
   'leave, no incarnation': { method: 'DELETE', path: PATH, headers: authorized },
   'leave, no token': { method: 'DELETE', path: `${PATH}?incarnation=7` },
   'unknown path': { method: 'GET', path: '/v1/secrets', headers: authorized },
@@ -64,7 +70,10 @@
     renewAfterMs: 2000,
     port: {
       announce: (upstream) => this.passedOn.push({ announce: upstream }),
-      leave: (id, incarnation) => this.passedOn.push({ leave: id, incarnation }),
+      leave: (id, incarnation) => {
+        this.passedOn.push({ leave: id, incarnation });
+        return incarnation !== UNKNOWN_INCARNATION;
+      },
     },
   });
 });
--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -94,6 +94,17 @@
     And 1000 ms of membership pass
     Then every entry knows that "u1" is leaving
 
+  # Guards against DRAIN: such a leave was acknowledged and had no effect.
+  Scenario: An upstream that restarted and leaves before it announced itself is no longer listed
+    Given 6 entries in 3 zones
+    When upstream "u1" announces itself at entry 2 as incarnation 7
+    And 1000 ms of membership pass
+    And upstream "u1" announces at entry 4 that incarnation 8 is leaving
+    And 1000 ms of membership pass
+    And upstream "u1" announces itself at entry 2 as incarnation 8
+    And 1000 ms of membership pass
+    Then every entry knows that "u1" is leaving
+
   Scenario: A partitioned zone does not undo that an upstream is leaving
     Given 6 entries in 3 zones
     And upstream "u1" announces itself at entry 0
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -91,9 +91,7 @@
         announce: (upstream) => {
           membership.announce(upstream);
         },
-        leave: (id, incarnation) => {
-          membership.leaveUpstream(id, incarnation);
-        },
+        leave: (id, incarnation) => membership.leaveUpstream(id, incarnation),
       },
     });
     this.#components = { membership, client, claims, entry, announcements };
--- a/src/entry/announce.ts
+++ b/src/entry/announce.ts
@@ -12,8 +12,8 @@
 export interface AnnouncementPort {
   /** An upstream announced itself or renewed its announcement. */
   readonly announce: (upstream: Upstream) => void;
-  /** An upstream reported that it is leaving. */
-  readonly leave: (id: string, incarnation: number) => void;
+  /** An upstream reported that it is leaving; returns false if nothing is known of it. */
+  readonly leave: (id: string, incarnation: number) => boolean;
 }
 
 /** Options of {@link createAnnouncementListener}. */
@@ -75,6 +75,13 @@
   message: 'Name the incarnation that leaves: DELETE /v1/upstreams/{id}?incarnation=NUMBER.',
 };
 
+const unknownUpstream: Problem = {
+  status: 404,
+  reason: 'unknownUpstream',
+  message:
+    'No announcement of this id has come here: send the leave to the entry that took the announcement.',
+};
+
 const tooLarge: Problem = {
   status: 413,
   reason: 'bodyTooLarge',
@@ -186,10 +193,8 @@
   const incarnation = new URLSearchParams(request.getQuery()).get('incarnation') ?? '';
   if (!ID_PATTERN.test(id)) sendProblem(response, badId);
   else if (!/^\d{1,16}$/.test(incarnation)) sendProblem(response, badIncarnation);
-  else {
-    options.port.leave(id, Number(incarnation));
-    response.send(200, { leaving: true });
-  }
+  else if (options.port.leave(id, Number(incarnation))) response.send(200, { leaving: true });
+  else sendProblem(response, unknownUpstream);
 }
 
 /**
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -344,10 +344,12 @@
   incarnation: number,
   now: Instant,
 ): Step {
-  const record = state.upstreams.get(id)?.record;
-  const same = record?.upstream.incarnation === incarnation;
-  if (!same || record.upstream.leaving) return { state, effects: [] };
-  return { state: claimUpstream(state, { ...record.upstream, leaving: true }, now), effects: [] };
+  const upstream = state.upstreams.get(id)?.record.upstream;
+  if (upstream === undefined || upstream.incarnation > incarnation) return { state, effects: [] };
+  if (upstream.incarnation === incarnation && upstream.leaving) return { state, effects: [] };
+  // The leave of a newer incarnation shows that the known one has ended, too.
+  const left = { ...upstream, incarnation, leaving: true };
+  return { state: claimUpstream(state, left, now), effects: [] };
 }
 
 function markStopping(state: MembershipState, now: Instant): Step {
--- a/src/membership/service.ts
+++ b/src/membership/service.ts
@@ -49,8 +49,8 @@
 export interface Membership {
   /** Handles the announcement of an upstream or its renewal. */
   announce(upstream: Upstream): void;
-  /** Marks an upstream as leaving; this incarnation cannot come back. */
-  leaveUpstream(id: string, incarnation: number): void;
+  /** Marks an upstream as leaving; this incarnation cannot come back. Returns false if no upstream has this id here. */
+  leaveUpstream(id: string, incarnation: number): boolean;
   /** Upstreams whose announcement is valid, with their current age. */
   readonly upstreams: readonly Upstream[];
   onUpstreamsChanged(listener: () => void): void;
@@ -129,8 +129,10 @@
     this.#apply({ kind: 'announced', upstream, now: this.#options.now() });
   }
 
-  leaveUpstream(id: string, incarnation: number): void {
+  leaveUpstream(id: string, incarnation: number): boolean {
+    if (!this.#state.upstreams.has(id)) return false;
     this.#apply({ kind: 'upstreamLeft', id, incarnation, now: this.#options.now() });
+    return true;
   }
 
   setStopping(): void {
