End the founding of a group although its founders are killed in it

No order was acknowledged and no request served, for ever.

Cause: the process that came back looked for a group and answered nobody that asked whether it has a disk, for which the other founders waited. One that already had an identity asked to join, which founders ignore.

Why it works: a founder records the seeds of the first start in its folder and goes on with the founding after a restart. One whose folder holds no record, as it was killed before or lost its disk, becomes a founder only while every other seed with a disk says that it is founding: then none of them belongs to a group, and none can have committed anything. If the group was founded with its earlier identity meanwhile, it begins anew and asks to be admitted.

What remains: two founders that lose their disks at once, or are killed before their first write, while the third waits.

--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -16,4 +16,5 @@
 export { openControl } from './node.js';
 export { MAX_MEMBERS, MAX_VOTERS } from './members.js';
 export { toAddress } from './steps.js';
+export { hasGroup } from './storage.js';
 export { defaultTimings, type Timings } from './types.js';
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -5,7 +5,7 @@
  */
 import { randomBytes } from 'node:crypto';
 import { constants } from 'node:fs';
-import type { FileHandle } from 'node:fs/promises';
+import { readFile, type FileHandle } from 'node:fs/promises';
 import { basename, dirname, join } from 'node:path';
 import type { Address } from '../model/index.js';
 import type { Identity, LogRecord, MemberId, Snapshot, Vote } from '../generated/control.js';
@@ -339,3 +339,19 @@
   'empty the data folder and start with join = true, so that the others replace this member';
 const REPAIR_REMEDY =
   'no action is needed while the other members run: they send what is missing; if there are none, restore the folder from a copy';
+
+/**
+ * Returns whether the member whose data folder this is belongs to a group; true also if that can't be read, as only its
+ * repair shows it.
+ *
+ * @example
+ * await hasGroup('/data/steward') // false before the first start
+ */
+export async function hasGroup(folder: string): Promise<boolean> {
+  const file = join(folder, IDENTITY_FILE);
+  try {
+    return parseIdentity(file, await readFile(file)).group !== undefined;
+  } catch (error) {
+    return (error as NodeJS.ErrnoException).code !== 'ENOENT';
+  }
+}
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -15,25 +15,22 @@
   type CatalogCommand,
 } from '../catalog/index.js';
 import {
+  hasGroup,
   openControl,
   type ControlNode,
+  type ControlProblem,
   type StateMachine,
   type Timings,
 } from '../control/index.js';
-import {
-  createPublisher,
-  decodeMessage,
-  FEED_CHANNEL,
-  type FeedMessage,
-  type Publisher,
-} from '../feed/index.js';
-import type { Address, Duration } from '../model/index.js';
+import { createPublisher, type Publisher } from '../feed/index.js';
+import type { Duration } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
 import { createSteward, DEFAULT_EXPOSURE_BUDGET, type Steward } from '../steward/index.js';
 import { createLogger, type Metrics } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
-import { findFounders } from './founders.js';
+import { findFounders, findGroup, type StartMembers } from './founders.js';
+import { readFoundingSeeds, recordFoundingSeeds } from './foundingfile.js';
 import { watchGroup } from './groupwatch.js';
 import { createReferrer } from './referrer.js';
 import { Reopening, type Opening, type ReopeningCause } from './reopening.js';
@@ -52,8 +49,6 @@
   electionMax: 1200,
   firstElectionMax: 400,
 };
-/** Interval in milliseconds at which a steward asks the seeds for the members of its group. */
-const DISCOVERY_INTERVAL: Duration = 200;
 /** Milliseconds between attempts to write to a data folder that can't be written. */
 const OPEN_RETRY_INTERVAL: Duration = 500;
 /** Bytes written to find out whether a disk takes writes again; more than a batch of commands takes. */
@@ -74,51 +69,34 @@
   decode: decodeCatalog,
 };
 
-/** Asks the seeds for the members of the group until one of them answers. */
-async function findMembers(
-  mesh: Mesh,
-  getSeeds: () => readonly Address[],
-): Promise<readonly Address[]> {
-  let found: readonly Address[] = [];
-  mesh.handle(FEED_CHANNEL, (_, message) => {
-    const answer = decodeMessage(message);
-    if (answer.kind === 'found' && answer.members.length > 0) found = answer.members;
-  });
-  while (found.length === 0) {
-    getSeeds()
-      .filter((seed) => seed !== mesh.address)
-      .forEach((seed) => {
-        mesh.send(seed, FEED_CHANNEL, { kind: 'find' } satisfies FeedMessage);
-      });
-    await sleep(DISCOVERY_INTERVAL);
-  }
-  return found;
-}
-
-/** The addresses of the members with which a steward starts, and whether it is one of the founders. */
-interface StartMembers {
-  readonly members: readonly Address[];
-  readonly isFounder: boolean;
-}
-
+/**
+ * Returns the members with which a member that belongs to no group starts. One that a group has replaced never founds
+ * another one.
+ */
 async function findStartMembers(
   { settings, mesh, seeds }: StewardContext,
   wasReplaced: boolean,
 ): Promise<StartMembers> {
-  const isListed = seeds.list.includes(mesh.address);
-  const isFounder = settings.first_start === true && isListed && !wasReplaced;
-  if (existsSync(join(settings.data_folder, IDENTITY_FILE)))
-    return { members: seeds.list, isFounder };
-  const members = isFounder
-    ? await findFounders(mesh, seeds.list)
-    : await findMembers(mesh, () => seeds.list);
-  return { members, isFounder };
+  const known = { members: seeds.list, isFounder: false };
+  if (await hasGroup(settings.data_folder)) return known;
+  const isListed = seeds.list.includes(mesh.address) && !wasReplaced;
+  const recorded = wasReplaced ? undefined : readFoundingSeeds(settings.data_folder);
+  const isFirstStart = isListed && settings.first_start === true;
+  if (isFirstStart && recorded === undefined)
+    await recordFoundingSeeds(settings.data_folder, seeds.list);
+  const foundingSeeds = recorded ?? (isFirstStart ? seeds.list : undefined);
+  if (foundingSeeds !== undefined)
+    return { members: await findFounders(mesh, foundingSeeds), isFounder: true };
+  const isNew = !existsSync(join(settings.data_folder, IDENTITY_FILE));
+  if (!isListed && !isNew) return known;
+  const found = await findGroup(mesh, () => seeds.list);
+  return wasReplaced ? { ...found, isFounder: false } : found;
 }
 
 async function openNode(
   context: StewardContext,
   { members, isFounder }: StartMembers,
-  onWriteFailed: () => void,
+  onProblem: (kind: ControlProblem['kind']) => void,
 ): Promise<ControlNode<Catalog>> {
   const { settings, mesh } = context;
   try {
@@ -132,7 +110,7 @@
       timings: STEWARD_TIMINGS,
       onProblem: ({ kind, message }) => {
         log.warn(message, { kind });
-        if (kind === 'writeFailed') onWriteFailed();
+        onProblem(kind);
       },
       onSnapshot: ({ reason, index, logBytes, stateBytes }) => {
         log.info('snapshot taken', { reason, index, logBytes, stateBytes });
@@ -143,7 +121,7 @@
       reason: String(error),
     });
     await sleep(OPEN_RETRY_INTERVAL);
-    return openNode(context, { members, isFounder }, onWriteFailed);
+    return openNode(context, { members, isFounder }, onProblem);
   }
 }
 
@@ -201,8 +179,13 @@
   const isDropping = existsSync(join(folder, REPLACED_FILE));
   if (isDropping) await dropReplacedData(folder);
   const members = await findStartMembers(context, wasReplaced || isDropping);
-  const node = await openNode(context, members, () => {
-    onEnded('diskFailed');
+  let isUnadmitted = false;
+  const node = await openNode(context, members, (kind) => {
+    if (kind === 'writeFailed') onEnded('diskFailed');
+    if (kind !== 'strangeFolder') return;
+    isUnadmitted = true;
+    // The others founded the group with an earlier identity of this member, which asks to be admitted with a new one.
+    if (members.isFounder && settings.first_start !== true) onEnded('replaced');
   });
   const group = watchGroup({
     ...{ node, mesh, seeds: context.seeds },
@@ -228,6 +211,7 @@
     control: node,
     now,
     listCold: () => steward.listCold(),
+    isFounding: () => members.isFounder && !isUnadmitted && node.status.role === 'newborn',
     onGroupFound: group.handleGroupStatus,
     onEvidence: (rows) => {
       steward.addEvidence(rows);
--- a/src/feed/messages.ts
+++ b/src/feed/messages.ts
@@ -129,6 +129,7 @@
       return (
         typeof message.healthy === 'boolean' &&
         typeof message.hasDisk === 'boolean' &&
+        isOptional(message.isFounding, (value) => typeof value === 'boolean') &&
         isOptional(message.leader, isAddressText) &&
         isGroupStatus(message)
       );
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -27,6 +27,8 @@
   readonly now: () => Instant;
   /** Returns the milliseconds for which each cold instance stays cold, as known to this member. */
   readonly listCold: () => Readonly<Record<string, Duration>>;
+  /** Whether this member founds the group and has none yet; never by default. */
+  readonly isFounding?: () => boolean;
   /** Called with the group's status as reported by another control member. */
   readonly onGroupFound: (status: GroupStatus) => void;
   /** Called on the leader with evidence from any entry. */
@@ -175,6 +177,7 @@
         const { leader } = this.#options.control.status;
         this.#options.mesh.send(from, FEED_CHANNEL, {
           ...{ kind: 'found', hasDisk: true, leader, index: this.#catalogIndex },
+          isFounding: this.#options.isFounding?.() ?? false,
           ...this.#describeGroup(message.sentAt),
         } satisfies FeedMessage);
         return;
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -89,8 +89,12 @@
   | { readonly kind: 'evidence'; readonly rows: readonly EvidenceRow[] }
   /** A request for the members of the group, from a process without state or with an old one. */
   | { readonly kind: 'find'; readonly sentAt?: Instant }
-  /** `hasDisk` tells whether the sender may be a member. */
-  | ({ readonly kind: 'found'; readonly hasDisk: boolean } & GroupStatus);
+  /** `hasDisk` tells whether the sender may be a member, `isFounding` whether it founds the group and has none yet. */
+  | ({
+      readonly kind: 'found';
+      readonly hasDisk: boolean;
+      readonly isFounding?: boolean;
+    } & GroupStatus);
 
 /** The status of the group, as known to one process. Fields that it can't tell are absent. */
 export interface GroupStatus {
