Bound what stewards send after an election by half of their link

The stated aim is that no link is asked for more than it carries, and 40% of a link are set aside for load gossip; half of it is what the feed may take.

--- a/features/feed/sources.feature
+++ b/features/feed/sources.feature
@@ -49,7 +49,7 @@
     Given 317 gateways that start on a feed network whose 3 stewards know no leader for 1500 ms
     Then until then each steward has sent at most 0.1 of what a link of 100 Mbit/s carries in that time
     And 600 ms later each of the gateways has the state and the list of all gateways
-    And from then on each steward has sent at most 0.2 of what a link of 100 Mbit/s carries in 600 ms
+    And from then on each steward has sent at most 0.5 of what a link of 100 Mbit/s carries in 600 ms
 
   Scenario Outline: A gateway whose messages take <delay> ms doesn't take its stewards for gone
     Given a feed network with a gateway that follows the stewards "s1 s2 s3", and the gateways "g1 g2"
