Wait for the log lines of a steward that rejoined before reading them

Traced: log lines are written up to 50 ms after they are logged, and the check may come sooner.

The test now waits up to 1,000 ms for the same two lines, which must come in this order.

--- a/features/platform/rejoining.steps.ts
+++ b/features/platform/rejoining.steps.ts
@@ -52,12 +52,22 @@
   this.stewardIps = [...this.stewardIps, this.site.ips[2] ?? ''];
 });
 
-Then("the third steward's process deleted its data and runs", function (this: RejoiningWorld) {
-  const running = this.site.processes.get(PAUSED);
-  assert.equal(running?.child.exitCode, null);
-  assert.match(running.output, /the group replaced this member/);
-  assert.match(running.output, /the data folder is empty: asking the group/);
-});
+Then(
+  "the third steward's process deleted its data and runs",
+  async function (this: RejoiningWorld) {
+    const running = this.site.processes.get(PAUSED);
+    assert.equal(running?.child.exitCode, null);
+    // Log lines are written up to 50 ms late, and votes may be counted before.
+    await waitUntil(
+      'it logs that it was replaced and that its folder is empty',
+      () =>
+        /the group replaced this member[^]*the data folder is empty: asking the group/.test(
+          running.output,
+        ),
+      1000,
+    );
+  },
+);
 
 When(
   'another configuration is sent to the stewards after the third one joined again',
