--- a/features/gateway/memory.steps.ts
+++ b/features/gateway/memory.steps.ts
@@ -63,6 +63,7 @@
 function createHost(world: MemoryWorld): CallerHost {
   return {
     now: () => performance.now(),
+    getTimeLimit: () => undefined,
     isIdempotent: () => true,
     serve: ({ body }, onAnswer) => {
       world.served += 1;
@@ -79,7 +80,7 @@
       };
     },
     isStopping: () => false,
-    renderProtocolError: ({ status }) => createAnswer(status, 0),
+    renderFault: ({ status }) => createAnswer(status, 0),
     renderNoRoom: () => createAnswer(503, 0),
     onClose: () => undefined,
   };
--- a/features/gateway/pipelining.steps.ts
+++ b/features/gateway/pipelining.steps.ts
@@ -34,6 +34,7 @@
     let served = 0;
     const host: CallerHost = {
       now: () => performance.now(),
+      getTimeLimit: () => undefined,
       isIdempotent: ({ method }) => method === 'GET',
       serve: ({ head }, onAnswer) => {
         served += 1;
@@ -48,7 +49,7 @@
         return { cancel: () => undefined };
       },
       isStopping: () => false,
-      renderProtocolError: ({ reason }) => buildAnswer(reason),
+      renderFault: ({ reason }) => buildAnswer(reason),
       renderNoRoom: () => buildAnswer('no room'),
       onClose: () => undefined,
     };
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -296,10 +296,11 @@
 
 const host: CallerHost = {
   now: () => performance.now(),
+  getTimeLimit: () => undefined,
   isIdempotent: () => true,
   serve: () => undefined,
   isStopping: () => false,
-  renderProtocolError: ({ status, reason }) => {
+  renderFault: ({ status, reason }) => {
     return { status, reason: 'X', headers: [], body: Buffer.from(reason), isUnframed: false };
   },
   renderNoRoom: () => ({
--- a/features/platform/orders.steps.ts
+++ b/features/platform/orders.steps.ts
@@ -357,7 +357,7 @@
   .tuple(
     fc.record({
       ...{ name: anyName, path_prefix: anyName.map((name) => `/${name}/`) },
-      kind: fc.constantFrom('safe', 'unsafe', 'download'),
+      kind: fc.constantFrom('safe', 'unsafe', 'download', 'upload'),
       ...{ timeout: anyDuration, target_latency: anyDuration },
       ...{ priority: fc.nat(5), max_attempts: fc.nat(4) },
     }),
--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -4,8 +4,11 @@
  */
 import type { Address, Duration, ZoneId } from '../model/index.js';
 
-/** Whether requests may be retried: `safe` and `download` requests may run more than once, `unsafe` ones may not. */
-export type RouteKind = 'safe' | 'unsafe' | 'download';
+/**
+ * What requests do and carry: `safe` and `download` requests may run more than once, `unsafe` and `upload` ones may
+ * not; a `download` has a large response, an `upload` a large request body.
+ */
+export type RouteKind = 'safe' | 'unsafe' | 'download' | 'upload';
 
 /** A service that gets part of a route's traffic. */
 export interface RoutePart {
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -56,11 +56,19 @@
   cancel(): void;
 }
 
+/** Why a request is not served that can't be read, or does not arrive in full. */
+export interface RequestFault {
+  readonly status: ProtocolError['status'] | 408;
+  readonly reason: string;
+}
+
 /** The gateway's functions that a {@link CallerConnection} calls. */
 export interface CallerHost {
   readonly now: () => Instant;
   /** Returns whether a request may run more than once. */
   isIdempotent(head: RequestHead): boolean;
+  /** Milliseconds for which the caller waits for the answer; undefined if it doesn't say. */
+  getTimeLimit(head: RequestHead): Duration | undefined;
   /** Serves a request; `onAnswer` is called once unless it is cancelled. */
   serve(
     request: CallerRequest,
@@ -68,7 +76,7 @@
   ): ServedRequest | undefined;
   /** Whether the gateway is stopping, so that connections are closed after the next answer. */
   isStopping(): boolean;
-  renderProtocolError(error: ProtocolError): CallerAnswer;
+  renderFault(fault: RequestFault): CallerAnswer;
   /** Renders the refusal of a request whose body there is no room for. */
   renderNoRoom(head: RequestHead): CallerAnswer;
   /** Called when the connection has ended: its last answer was received, or its caller is gone. */
@@ -122,6 +130,10 @@
   #headReadAt: Instant = 0;
   /** Length of the body that is being read, if its head names one. */
   #announcedBytes = 0;
+  /** When the caller no longer waits for the answer to the request whose body is being read. */
+  #bodyDeadline: Instant = Infinity;
+  /** When the latest bytes arrived. */
+  #readAt: Instant = 0;
   #isReading = true;
   #state: 'open' | 'closing' | 'closed' = 'open';
   /** When the connection was opened or the kernel had all bytes of its latest answer. */
@@ -142,8 +154,7 @@
       this.#read(chunk);
     });
     socket.on('end', () => {
-      // The socket closes itself once all output is flushed.
-      if (this.#state === 'open') this.close();
+      this.#handleEnd();
     });
     socket.on('error', () => {
       this.close();
@@ -186,8 +197,29 @@
     ];
   }
 
-  /** Closes the connection if it exceeded the idle timeout or the timeout for a request head. */
+  /** Refuses a request whose body stops short; its caller may still read the answer. */
+  #handleEnd(): void {
+    if (this.#state !== 'open') return;
+    if (this.#isReading && this.#reader.isInBody) this.#refuseShortBody();
+    else this.close();
+  }
+
+  #refuseShortBody(): void {
+    const reason = 'the body did not arrive in full';
+    this.#refuseInput(this.#host.renderFault({ status: 408, reason }));
+    this.#updateBuffers();
+  }
+
+  /**
+   * Closes the connection if it exceeded the idle timeout or the timeout for a request head, and refuses a request whose
+   * body stopped arriving, or arrives when its caller no longer waits.
+   */
   checkTimeouts(now: Instant, headTimeout: Duration, idleTimeout: Duration): void {
+    const isBodyLate = now > Math.min(this.#bodyDeadline, this.#readAt + idleTimeout);
+    if (this.#isReading && this.#reader.isInBody && isBodyLate) {
+      this.#refuseShortBody();
+      return;
+    }
     const isHeadLate =
       this.phase === 'reading' &&
       !this.#reader.isInBody &&
@@ -222,6 +254,7 @@
     if (!this.#isReading) return;
     const now = this.#host.now();
     this.#partialSince ??= now;
+    this.#readAt = now;
     const events = this.#reader.addChunk(chunk).map((event) => ({ event, readAt: now }));
     this.#unhandled = [...this.#unhandled.slice(this.#handledCount), ...events];
     this.#handledCount = 0;
@@ -233,9 +266,7 @@
   handleBufferLimit(): void {
     if (!this.#isReading) return;
     const reason = 'too many bytes of incomplete requests are held';
-    this.#refuseInput(
-      this.#host.renderProtocolError({ kind: 'protocolError', status: 413, reason }),
-    );
+    this.#refuseInput(this.#host.renderFault({ status: 413, reason }));
   }
 
   /** Counts what is read, what is served and what is not flushed yet. */
@@ -275,6 +306,7 @@
     switch (event.kind) {
       case 'head':
         this.#headReadAt = now;
+        this.#bodyDeadline = now + (this.#host.getTimeLimit(event.head) ?? Infinity);
         this.#announcedBytes = event.framing.kind === 'length' ? event.framing.bytes : 0;
         if (!this.#buffers.admitRequest(this.#announcedBytes)) {
           this.#refuseInput(this.#host.renderNoRoom(event.head));
@@ -294,7 +326,7 @@
         });
         return;
       case 'protocolError':
-        this.#refuseInput(this.#host.renderProtocolError(event));
+        this.#refuseInput(this.#host.renderFault(event));
         return;
     }
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { getHeapStatistics } from 'node:v8';
 import { setTimeout as wait } from 'node:timers/promises';
-import type { Catalog, Route } from '../catalog/index.js';
+import { isIdempotentKind, isLargeKind, type Catalog, type Route } from '../catalog/index.js';
 import {
   createFollower,
   DEFAULT_FRESH_FOR,
@@ -19,7 +19,6 @@
   getHeader,
   listForwardableHeaders,
   type HeaderList,
-  type ProtocolError,
   type RequestHead,
 } from '../http1/index.js';
 import {
@@ -54,6 +53,7 @@
   CallerConnection,
   CallerHost,
   CallerRequest,
+  RequestFault,
   ServedRequest,
 } from './caller.js';
 import { CallerConnections, type CallerCounts } from './callers.js';
@@ -376,7 +376,7 @@
   }
 
   static async open(options: GatewayOptions): Promise<RunningGateway> {
-    const server = createServer();
+    const server = createServer({ allowHalfOpen: true });
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen({ ...parseAddress(options.callerListen), backlog: LISTEN_BACKLOG }, resolve);
@@ -567,14 +567,19 @@
 
   isIdempotent(head: RequestHead): boolean {
     const route = this.#findRoute(head);
-    return route !== undefined && route.kind !== 'unsafe';
+    return route !== undefined && isIdempotentKind(route.kind);
+  }
+
+  getTimeLimit({ headers }: RequestHead): Duration | undefined {
+    const time = Number(getHeader(headers, this.#dialect.deadline));
+    return time > 0 ? time : undefined;
   }
 
   #findRoute({ headers, target }: RequestHead): Route | undefined {
     return matchRoute(this.#routes, getHeader(headers, 'host') ?? '', target);
   }
 
-  renderProtocolError({ status, reason }: ProtocolError): CallerAnswer {
+  renderFault({ status, reason }: RequestFault): CallerAnswer {
     log.info('request refused', { status, reason });
     return buildLocalAnswer(status, reason, []);
   }
@@ -605,10 +610,10 @@
     const splitter = this.#routeSplitters.get(route.name) ?? new WeightedSplitter();
     this.#routeSplitters.set(route.name, splitter);
     const service = splitter.pickPart(route.parts)?.service ?? '';
-    const requestedTime = Number(getHeader(head.headers, this.#dialect.deadline));
+    const timeLimit = this.getTimeLimit(head) ?? Infinity;
     // The route's timeout begins when the request is first matched, which may be after a wait for the routes.
     const deadline = Math.min(
-      requestedTime > 0 ? arrivedAt + requestedTime : Infinity,
+      arrivedAt + timeLimit,
       matchedAt + Math.min(route.timeout, MAX_TIMEOUT),
     );
     const share = this.#registry.getVersionShare(service);
@@ -742,7 +747,7 @@
       canProbe: this.#prober.canProbeService(service),
       hasConnection: ({ instance }) => this.#pool.hasIdleConnection(instance.address),
       zone: this.#options.zone,
-      isLarge: route.kind === 'download',
+      isLarge: isLargeKind(route.kind),
       deadlineShare: Math.max(
         0.3,
         MAX_DEADLINE_SHARE - (route.rank - topRank) * DEADLINE_SHARE_STEP,
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -3,6 +3,7 @@
  * Invariant: the answer is given exactly once, no later than the deadline, unless the request is cancelled;
  * no attempt continues after that.
  */
+import { isIdempotentKind } from '../catalog/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import { NOT_READY_RETRY_AFTER } from './answers.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
@@ -109,7 +110,7 @@
     this.#request = request;
     this.#onAnswer = onAnswer;
     const { kind, maxAttempts } = request.route;
-    this.#retryState = createRetryState(kind !== 'unsafe', maxAttempts);
+    this.#retryState = createRetryState(isIdempotentKind(kind), maxAttempts);
     this.#deadlineTimer = setTimeout(
       () => {
         this.#handleDeadline();
