--- a/features/entry/failure.feature
+++ b/features/entry/failure.feature
@@ -34,6 +34,11 @@
       | GET    | sends 100 first                  |
       | GET    | switches protocols               |
       | GET    | is not HTTP                      |
+      | GET    | sends the status 000             |
+      | POST   | sends the status 000             |
+      | GET    | sends the status 099             |
+      | GET    | sends the status 600             |
+      | POST   | sends the status 999             |
       | HEAD   | answers HEAD with a body         |
       | GET    | sends 204 with a body            |
       | GET    | sends 304 with a length          |
--- a/features/entry/failure.steps.ts
+++ b/features/entry/failure.steps.ts
@@ -64,6 +64,12 @@
     laterAnswer: `${OK}content-length: 3\r\n\r\nran`,
   },
   'fails with 500': { answer: 'HTTP/1.1 500 Broken\r\ncontent-length: 6\r\n\r\nbroken' },
+  ...Object.fromEntries(
+    ['000', '099', '600', '999'].map((status) => [
+      `sends the status ${status}`,
+      { answer: `HTTP/1.1 ${status} X\r\ncontent-length: 5\r\n\r\nwhole` },
+    ]),
+  ),
   'never answers': {},
   'answers before the body': { answer: `${OK}content-length: 5\r\n\r\nearly` },
 };
--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -15,6 +15,21 @@
       | a 421 that names no request         | kept | lost     | closed |
       | an earlier refusal, then its answer | kept | answered | kept   |
 
+  Scenario Outline: An upstream in trouble sends a status that is none, or that nobody asked for: <status>
+    Given an upstream that sends "a status <status>" as its answer on a <kind> connection
+    When a request is sent to it
+    Then the attempt ends as "lost" and the connection is closed
+
+    Examples: 101 would hand the connection to a protocol that was not asked for
+      | status | kind |
+      | 000    | new  |
+      | 000    | kept |
+      | 099    | new  |
+      | 101    | new  |
+      | 600    | new  |
+      | 600    | kept |
+      | 999    | kept |
+
   Scenario: An earlier refusal that names no request is written once more
     Given an upstream that writes its first refusal once more while it runs the next request
     When two requests are sent to it, one after the other
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -119,13 +119,20 @@
     renderAnswer(503, 'earlier', NOT_RUN) + renderAnswer(200, id),
 };
 
+/** Renders what the upstream sends, which is one of {@link answers} or an answer with the status that is named. */
+function renderSent(sent: string, id: string): string {
+  const status = /^a status (\d{3})$/.exec(sent)?.[1];
+  if (status === undefined) return answers[sent]?.(id) ?? '';
+  return renderAnswer(200, id).replace('HTTP/1.1 200', `HTTP/1.1 ${status}`);
+}
+
 Given(
   'an upstream that sends {string} as its answer on a {word} connection',
   async function (this: UpstreamsWorld, sent: string, kind: string) {
     createPool(this);
     const warmUps = kind === 'kept' ? 1 : 0;
     this.address = await startUpstream(this, (socket, id, number) => {
-      socket.write(number <= warmUps ? renderAnswer(200, id) : (answers[sent]?.(id) ?? ''));
+      socket.write(number <= warmUps ? renderAnswer(200, id) : renderSent(sent, id));
     });
     if (warmUps > 0) await sendRequest(this, 'first', this.address);
   },
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -25,6 +25,9 @@
 
 type Phase = 'starting' | 'written' | 'answering' | 'discarding' | 'ended';
 
+/** Statuses outside these bounds are none; RFC 9110, section 15. The client passes on any three digits. */
+const FIRST_STATUS = 100;
+const LAST_STATUS = 599;
 const FIRST_FINAL_STATUS = 200;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -99,6 +102,10 @@
   }
 
   onHeaders(status: number, raw: Buffer[], resume: () => void, statusText: string): boolean {
+    if (status < FIRST_STATUS || status > LAST_STATUS) {
+      this.#fail();
+      return true;
+    }
     if (status < FIRST_FINAL_STATUS || this.#phase !== 'written') return true;
     const head = readUpstreamResponseHead(status, statusText, raw);
     const neverHasBody = status === NO_CONTENT || status === NOT_MODIFIED;
--- a/src/http1/head.ts
+++ b/src/http1/head.ts
@@ -7,7 +7,13 @@
 
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const REQUEST_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([^\s]+) HTTP\/(\d)\.(\d)$/;
-const STATUS_LINE = /^HTTP\/1\.(\d) (\d{3})(?: (.*))?$/;
+/**
+ * Only the classes 1 to 5 are statuses; RFC 9110, section 15. Read as a status, 000 would be an interim head, after which
+ * the answer is waited for, and 600 would reach the caller.
+ */
+const STATUS_LINE = /^HTTP\/1\.(\d) ([1-5]\d{2})(?: (.*))?$/;
+/** Hands the connection over to another protocol, which no request asks for: `Upgrade` is not forwarded. */
+const SWITCHING_PROTOCOLS = 101;
 const LENGTH = /^\d{1,15}$/;
 // eslint-disable-next-line no-control-regex -- control characters are not allowed in field values
 const INVALID_VALUE = /[\0-\x08\n-\x1f\x7f]/;
@@ -86,6 +92,7 @@
   const match = STATUS_LINE.exec(first);
   if (match === null) return toError(400, 'the status line is malformed');
   const [, minor, status, reason = ''] = match;
+  if (Number(status) === SWITCHING_PROTOCOLS) return toError(400, 'the protocol is switched');
   const headers = parseFieldLines(lines);
   if ('kind' in headers) return headers;
   return { status: Number(status), reason, minorVersion: Number(minor), headers };
--- a/src/http1/reader.ts
+++ b/src/http1/reader.ts
@@ -53,7 +53,7 @@
   return {
     parseHead: parseResponseHead,
     findFraming: (head) => findResponseFraming(head, method),
-    isInterim: ({ status }) => status < 200 && status !== 101,
+    isInterim: ({ status }) => status < 200,
   };
 }
 
