--- a/bench/stand/vm.ts
+++ b/bench/stand/vm.ts
@@ -49,6 +49,8 @@
   coldFor: 'stand-cold',
   limit: 'stand-limit',
   leaving: 'stand-leaving',
+  authorization: 'authorization',
+  tenant: 'stand-tenant',
   parseLoad: (text) => {
     const [running = 0, waiting = 0, slots = 1, pace = 100] = text.split(',').map(Number);
     return { running, waiting, slots, pace: pace / 100 };
--- a/features/gateway/following.ts
+++ b/features/gateway/following.ts
@@ -14,6 +14,7 @@
   ...{ requestId: 'test-request', deadline: 'test-deadline', expectInstance: 'test-instance' },
   ...{ notRun: 'test-not-run', load: 'test-load', coldFor: 'test-cold' },
   ...{ limit: 'test-limit', leaving: 'test-leaving' },
+  ...{ authorization: 'authorization', tenant: 'test-tenant' },
   parseLoad: () => ({ running: 0, waiting: 0, slots: SLOTS, pace: 1 }),
 };
 
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -78,6 +78,7 @@
 function createRequest(kind: Route['kind'], arrivedAt: number): GatewayRequest {
   return {
     ...{ id: '1', method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), hasBody: false },
+    ...{ callerHeaders: [], account: undefined, rank: route.rank },
     ...{ route: { ...route, kind }, service: 'records', version: undefined },
     retryVersion: undefined,
     ...{ arrivedAt, deadline: arrivedAt + 5000 },
--- a/features/gateway/staleness.steps.ts
+++ b/features/gateway/staleness.steps.ts
@@ -298,6 +298,7 @@
       },
       {
         ...{ id: 'r1', method: 'GET', target: '/known/a', headers: [], body: Buffer.alloc(0) },
+        ...{ callerHeaders: [], account: undefined, rank: route.rank },
         ...{ hasBody: false, route, service: 'records', version: undefined },
         ...{ retryVersion: undefined, arrivedAt: 0, deadline: 5000 },
       },
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -9,6 +9,7 @@
   Catalog,
   CatalogCommand,
   CatalogOutcome,
+  ClientAccount,
   EndCause,
   Instance,
   MoveState,
--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -33,6 +33,8 @@
   /** Priority of the route; 0 is the most urgent. */
   readonly rank: number;
   readonly parts: readonly RoutePart[];
+  /** Whether requests need no key of a client account; absent means false, as in routes stored by earlier builds. */
+  readonly isPublic?: boolean | undefined;
   /** The item as submitted by the operator; reads return it unchanged. */
   readonly source: unknown;
 }
@@ -50,6 +52,16 @@
   readonly source: unknown;
 }
 
+/** A client account, which callers name by one of its keys. */
+export interface ClientAccount {
+  readonly name: string;
+  /** The keys that are in force; an account without keys serves nobody. */
+  readonly keys: readonly string[];
+  /** Priority of the account's requests instead of the route's; undefined if the route's applies. */
+  readonly rank: number | undefined;
+  readonly source: unknown;
+}
+
 /** Limits on callers' requests and connections. */
 export interface CallerLimits {
   readonly headBytes: number;
@@ -68,6 +80,11 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /**
+   * The client accounts; absent if the configuration has no such list, so that requests need no key. An empty list
+   * leaves no key in force.
+   */
+  readonly accounts?: readonly ClientAccount[] | undefined;
   /** Further top-level items as submitted by the operator. */
   readonly extra: Readonly<Record<string, unknown>>;
 }
@@ -79,10 +96,14 @@
     readonly routes: readonly Route[];
     readonly services: readonly Service[];
     readonly limits: CallerLimits | undefined;
+    /** Absent in changes stored by earlier builds. */
+    readonly accounts?: readonly ClientAccount[] | undefined;
   };
   readonly remove: {
     readonly routes: readonly string[];
     readonly services: readonly string[];
+    /** Names of accounts; absent in changes stored by earlier builds. */
+    readonly accounts?: readonly string[] | undefined;
   };
 }
 
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -13,17 +13,21 @@
 import { decideStartupWait } from './startup.js';
 import { describeState } from './statelines.js';
 import { MAX_CHECK_WAIT, StateWatch } from './statewatch.js';
-import type { HeaderDialect } from './types.js';
+import type { GatewayRequest, HeaderDialect } from './types.js';
 import { computeWait, WaitingRequests } from './waiting.js';
 
 const log = createLogger('gateway');
 
+/** Whose request it is and which header fields it is sent with. */
+export type RequestAccess = Pick<GatewayRequest, 'headers' | 'callerHeaders' | 'account' | 'rank'>;
+
 /** A request that is admitted, with its route and when it was matched to it. */
 export interface AdmittedRequest {
   readonly request: CallerRequest;
   readonly id: string;
   readonly route: Route;
   readonly matchedAt: Instant;
+  readonly access: RequestAccess;
 }
 
 type AnswerListener = (answer: CallerAnswer) => void;
@@ -94,7 +98,9 @@
     else if (route === undefined) this.#denyRoute(request, onAnswer);
     else {
       const id = this.#getId(request);
-      return this.#options.serve({ request, id, route, matchedAt }, onAnswer);
+      const { headers } = request.head;
+      const access = { headers, callerHeaders: headers, account: undefined, rank: route.rank };
+      return this.#options.serve({ request, id, route, matchedAt, access }, onAnswer);
     }
     return undefined;
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -604,7 +604,7 @@
   }
 
   #run(
-    { request: { head, body, hasBody, arrivedAt }, id, route, matchedAt }: AdmittedRequest,
+    { request: { head, body, hasBody, arrivedAt }, id, route, matchedAt, access }: AdmittedRequest,
     onAnswer: (answer: FinalAnswer) => void,
   ): ServedRequest | undefined {
     const splitter = this.#routeSplitters.get(route.name) ?? new WeightedSplitter();
@@ -622,7 +622,7 @@
       id,
       method: head.method,
       target: head.target,
-      headers: head.headers,
+      ...access,
       body,
       hasBody,
       route,
@@ -730,14 +730,14 @@
     justProbed: readonly UpstreamRecord[],
   ): Choice {
     if (this.#admission.stateWatch.isOutdated) return { kind: 'stale' };
-    const { route, service, version, deadline } = request;
+    const { route, rank, service, version, deadline } = request;
     const now = this.now();
     const usable = this.#registry.listUsable(
       service,
       resolveVersion(version, this.#registry.getVersionShare(service)),
     );
     const untried = usable.filter((record) => !tried.includes(record));
-    const topRank = this.#topRanks.get(service) ?? route.rank;
+    const topRank = this.#topRanks.get(service) ?? rank;
     return chooseUpstream(untried, {
       now,
       work: this.#getAverageWork(request).value,
@@ -748,10 +748,7 @@
       hasConnection: ({ instance }) => this.#pool.hasIdleConnection(instance.address),
       zone: this.#options.zone,
       isLarge: isLargeKind(route.kind),
-      deadlineShare: Math.max(
-        0.3,
-        MAX_DEADLINE_SHARE - (route.rank - topRank) * DEADLINE_SHARE_STEP,
-      ),
+      deadlineShare: Math.max(0.3, MAX_DEADLINE_SHARE - (rank - topRank) * DEADLINE_SHARE_STEP),
       random: Math.random(),
     });
   }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -31,6 +31,10 @@
   readonly limit: string;
   /** Set on every response of an upstream that is leaving. */
   readonly leaving: string;
+  /** Holds the key of the caller's client account; never sent to an upstream where accounts are configured. */
+  readonly authorization: string;
+  /** Names the client account to the upstream; what a caller sends is dropped where accounts are configured. */
+  readonly tenant: string;
   readonly parseLoad: (text: string) => LoadReport | undefined;
 }
 
@@ -159,7 +163,14 @@
   readonly id: string;
   readonly method: string;
   readonly target: string;
+  /** The header fields for the upstream, before those of each attempt are added. */
   readonly headers: readonly (readonly [string, string])[];
+  /** The header fields that the caller sent, by which a request that waits is checked again. They may hold a key. */
+  readonly callerHeaders: readonly (readonly [string, string])[];
+  /** Name of the client account; undefined without accounts, and for an unknown caller of a public route. */
+  readonly account: string | undefined;
+  /** Priority of the request: the account's if it has one, otherwise the route's; 0 is the most urgent. */
+  readonly rank: number;
   readonly body: Buffer;
   readonly hasBody: boolean;
   readonly route: Route;
