--- a/features/gateway/crashgossip.feature
+++ b/features/gateway/crashgossip.feature
@@ -55,6 +55,7 @@
       | the path               | different |
       | the query              | different |
       | the caller             | different |
+      | the client account     | different |
       | the body               | different |
       | the length of the body | different |
       | the end of 64 MB       | different |
--- a/features/gateway/crashgossip.steps.ts
+++ b/features/gateway/crashgossip.steps.ts
@@ -274,6 +274,8 @@
       return replaceHeader('Host', 'other.example');
     case 'the caller':
       return replaceHeader('Authorization', 'Bearer other');
+    case 'the client account':
+      return { ...request, account: 'sese880' };
     case 'the method':
       return { ...request, method: 'PUT' };
     case 'the path':
@@ -292,6 +294,7 @@
 const FIRST_REQUEST: Fingerprinted = {
   method: 'POST',
   target: '/records?a=1',
+  account: undefined,
   headers: [
     ['Host', 'site.example'],
     ['Authorization', 'Bearer one'],
--- a/features/gateway/freshness.steps.ts
+++ b/features/gateway/freshness.steps.ts
@@ -46,8 +46,8 @@
   'a request by it with a route is decided as {string}, one without as {string}',
   function (this: FreshnessWorld, known: string, unknown: string) {
     const verdict = judgeState(this.stateAge, this.watchedFor);
-    assert.equal(decideByAge(verdict, { hasRoute: true, mayWait: true }), known);
-    assert.equal(decideByAge(verdict, { hasRoute: false, mayWait: true }), unknown);
+    assert.equal(decideByAge(verdict, { isAllowed: true, mayWait: true }), known);
+    assert.equal(decideByAge(verdict, { isAllowed: false, mayWait: true }), unknown);
   },
 );
 
@@ -55,7 +55,7 @@
   'a request by it that has waited, with a route, is decided as {string}',
   function (this: FreshnessWorld, waited: string) {
     const verdict = judgeState(this.stateAge, this.watchedFor);
-    assert.equal(decideByAge(verdict, { hasRoute: true, mayWait: false }), waited);
+    assert.equal(decideByAge(verdict, { isAllowed: true, mayWait: false }), waited);
   },
 );
 
@@ -99,7 +99,7 @@
           freshFor: fc.integer({ min: 1000, max: 5000 }),
           isBehind: fc.boolean(),
           isAlone: fc.boolean(),
-          hasRoute: fc.boolean(),
+          isAllowed: fc.boolean(),
           mayWait: fc.boolean(),
           timeLeft: duration,
           waiting: fc.integer({ min: 0, max: 600 }),
@@ -110,21 +110,21 @@
           freshFor,
           isBehind,
           isAlone,
-          hasRoute,
+          isAllowed,
           mayWait,
           timeLeft,
           waiting,
         }) => {
           const state = { age, freshFor, isBehind, isAlone };
           const verdict = judgeState(state, watchedFor);
-          const decision = decideByAge(verdict, { hasRoute, mayWait });
+          const decision = decideByAge(verdict, { isAllowed, mayWait });
           const isOver = watchedFor >= CHECK_TIME;
           if (age > freshFor) assert.notEqual(decision, 'deny');
-          else assert.equal(decision, hasRoute ? 'serve' : 'deny');
+          else assert.equal(decision, isAllowed ? 'serve' : 'deny');
           if (decision === 'wait') assert.ok(mayWait && !isOver);
           if (age > freshFor && (isBehind || isAlone) && isOver) assert.equal(decision, 'refuse');
           if (age > MAX_AGE_ALONE && isOver) assert.equal(decision, 'refuse');
-          if (decision === 'serve') assert.ok(hasRoute && !isOutdated(state));
+          if (decision === 'serve') assert.ok(isAllowed && !isOutdated(state));
           const time = computeWait(MAX_CHECK_WAIT, { timeLeft, waiting });
           assert.ok(time >= 0 && time <= MAX_CHECK_WAIT);
           if (timeLeft > 0) assert.ok(time <= timeLeft / 2);
--- a/features/gateway/staleness.steps.ts
+++ b/features/gateway/staleness.steps.ts
@@ -149,7 +149,7 @@
 Then(
   'the following gateway counted {int} refusal(s) for age',
   function (this: StalenessWorld, count: number) {
-    assert.equal(getStale(this).gateway.refusedForAge, count);
+    assert.equal(getStale(this).gateway.refusals.forAge, count);
   },
 );
 
--- a/src/catalog/routes.ts
+++ b/src/catalog/routes.ts
@@ -6,6 +6,7 @@
   Catalog,
   CatalogCommand,
   CatalogOutcome,
+  ClientAccount,
   Route,
   RoutePatch,
   RouteTable,
@@ -38,6 +39,46 @@
   return undefined;
 }
 
+/** Maximum characters of an account's name, which travels in a header of each request and in usage reports. */
+const MAX_ACCOUNT_NAME_LENGTH = 256;
+/** Printable characters without spaces at the ends, as header values are read. */
+const ACCOUNT_NAME = /^(?! )[\x20-\x7e]+(?<! )$/;
+/** Visible characters, as a bearer credential is one word. */
+const API_KEY = /^[\x21-\x7e]+$/;
+
+/** Returns why an account is invalid. The reason goes to logs and answers, so it holds no key. */
+function findAccountProblem({ name, keys }: ClientAccount): string | undefined {
+  if (name === '') return 'an account has an empty name; name it';
+  // Names are keys of plain objects in reports; those of the object prototype would be found in an empty one.
+  const isUsable = name.length <= MAX_ACCOUNT_NAME_LENGTH && !(name in Object.prototype);
+  if (!isUsable || !ACCOUNT_NAME.test(name))
+    return `account ${JSON.stringify(name.slice(0, MAX_ACCOUNT_NAME_LENGTH))} can't be named in a header; use up to ${MAX_ACCOUNT_NAME_LENGTH} printable ASCII characters`;
+  if (!keys.every((key) => API_KEY.test(key)))
+    return `account "${name}" has a key that no caller can send; use visible ASCII characters`;
+  return undefined;
+}
+
+/** Returns the accounts that share a key; the key itself isn't told. */
+function findSharedKey(accounts: readonly ClientAccount[]): string | undefined {
+  const owners = new Map<string, string>();
+  return accounts
+    .flatMap(({ name, keys }) => keys.map((key) => [key, name] as const))
+    .map(([key, name]) => {
+      const owner = owners.get(key) ?? name;
+      owners.set(key, owner);
+      return owner === name ? undefined : `accounts "${owner}" and "${name}" share a key`;
+    })
+    .find((problem) => problem !== undefined);
+}
+
+function findAccountsProblem(accounts: readonly ClientAccount[]): string | undefined {
+  const name = findDuplicate(accounts.map((account) => account.name));
+  const problem = accounts.map(findAccountProblem).find((found) => found !== undefined);
+  if (problem !== undefined) return problem;
+  if (name !== undefined) return `two accounts are named "${name}"`;
+  return findSharedKey(accounts);
+}
+
 /** A path of visible characters: it is sent in the request line of health checks. */
 const HEALTH_PATH = /^\/[\x21-\x7e]*$/;
 
@@ -66,9 +107,11 @@
   if (service !== undefined) return `two services are named "${service}"`;
   const probed = table.services.find(({ healthPath }) => !HEALTH_PATH.test(healthPath));
   if (probed !== undefined) return `service "${probed.name}" has a health path that is no path`;
-  return table.routes
-    .map((route) => findRouteProblem(route, services))
-    .find((problem) => problem !== undefined);
+  return (
+    table.routes
+      .map((route) => findRouteProblem(route, services))
+      .find((problem) => problem !== undefined) ?? findAccountsProblem(table.accounts ?? [])
+  );
 }
 
 function mergeNamed<T extends { readonly name: string }>(
@@ -84,11 +127,22 @@
   return [...kept, ...[...replaced.values()].filter(({ name }) => !names.has(name))];
 }
 
+/** Returns the accounts after a patch. A table without a list of accounts gets one by the first account. */
+function mergeAccounts(
+  { accounts }: RouteTable,
+  { upsert, remove }: RoutePatch,
+): RouteTable['accounts'] {
+  const merged = mergeNamed(accounts ?? [], upsert.accounts ?? [], remove.accounts ?? []);
+  return accounts === undefined && merged.length === 0 ? undefined : merged;
+}
+
 /** Returns a table with the patch applied: its items are added or replaced, and the listed names removed. */
 export function applyPatch(table: RouteTable, patch: RoutePatch): RouteTable {
   const { upsert, remove } = patch;
+  const accounts = mergeAccounts(table, patch);
   return {
     ...table,
+    ...(accounts === undefined ? {} : { accounts }),
     version: patch.version,
     routes: mergeNamed(table.routes, upsert.routes, remove.routes),
     services: mergeNamed(table.services, upsert.services, remove.services),
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -113,7 +113,12 @@
     [
       'chivewalk_gateway_refused_for_age_total',
       'Requests refused because the state was too old.',
-      () => gateway.refusedForAge,
+      () => gateway.refusals.forAge,
+    ],
+    [
+      'chivewalk_gateway_refused_for_key_total',
+      'Requests refused because their key is missing, malformed or not known.',
+      () => gateway.refusals.forKey,
     ],
     [
       'chivewalk_gateway_caller_connections',
--- a/src/feed/codec.ts
+++ b/src/feed/codec.ts
@@ -45,6 +45,7 @@
     routes: table.routes.map(dropSource),
     services: table.services.map(dropSource),
     limits: dropSource(table.limits),
+    ...(table.accounts === undefined ? {} : { accounts: table.accounts.map(dropSource) }),
     extra: {},
   };
 }
@@ -55,7 +56,7 @@
       return { ...command, table: dropTableSources(command.table) };
     case 'patchRoutes': {
       const { upsert, remove, version } = command.patch;
-      const { routes, services, limits } = upsert;
+      const { routes, services, limits, accounts } = upsert;
       return {
         ...command,
         patch: {
@@ -65,6 +66,7 @@
             routes: routes.map(dropSource),
             services: services.map(dropSource),
             limits: limits && dropSource(limits),
+            ...(accounts === undefined ? {} : { accounts: accounts.map(dropSource) }),
           },
         },
       };
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -1,7 +1,17 @@
 /**
  * Admits callers' requests by the state that the gateway has. Invariant: a request waits for a state at most once and
- * within the bounds of {@link computeWait}; a route is denied by a fresh state only.
+ * within the bounds of {@link computeWait}, and is checked again after it; a route or a key is denied by a fresh state
+ * only.
  */
+import {
+  AccountIndexCache,
+  decideAccess,
+  getRank,
+  isGranted,
+  parseCredential,
+  replaceAccountFields,
+  type Access,
+} from '../accounts/index.js';
 import type { Route } from '../catalog/index.js';
 import type { Follower } from '../feed/index.js';
 import { getHeader, type HeaderList, type RequestHead } from '../http1/index.js';
@@ -9,7 +19,7 @@
 import { createLogger } from '../telemetry/index.js';
 import { buildLocalAnswer, buildRefusal, NOT_READY_RETRY_AFTER } from './answers.js';
 import type { CallerAnswer, CallerRequest, ServedRequest } from './caller.js';
-import { decideByAge, type StateVerdict } from './freshness.js';
+import { decideByAge, type AgeDecision, type StateVerdict } from './freshness.js';
 import { decideStartupWait } from './startup.js';
 import { describeState } from './statelines.js';
 import { MAX_CHECK_WAIT, StateWatch } from './statewatch.js';
@@ -30,6 +40,23 @@
   readonly access: RequestAccess;
 }
 
+/** Numbers of requests that were refused by the state. */
+export interface RefusalCounts {
+  /** Because the state was too old. */
+  readonly forAge: number;
+  /** Because their key is missing, malformed or not known. */
+  readonly forKey: number;
+}
+
+/** What the present state says of a request. */
+export interface RequestCheck {
+  readonly decision: AgeDecision;
+  readonly verdict: StateVerdict;
+  readonly route: Route | undefined;
+  /** What the request's key allows on the route; undefined without a route. */
+  readonly access: Access | undefined;
+}
+
 type AnswerListener = (answer: CallerAnswer) => void;
 
 /** Options of {@link RequestAdmission}. */
@@ -54,6 +81,8 @@
   readonly #startedAt: Instant;
   readonly #waiting = new WaitingRequests();
   readonly stateWatch: StateWatch;
+  readonly #accounts = new AccountIndexCache();
+  #refusedForKey = 0;
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
@@ -82,6 +111,30 @@
     return this.#decide(request, onAnswer, { matchedAt: request.arrivedAt, hasWaited: false });
   }
 
+  get refusals(): RefusalCounts {
+    return { forAge: this.stateWatch.refused, forKey: this.#refusedForKey };
+  }
+
+  /**
+   * Checks by the present state whether a request may be sent. Whoever holds a request back checks it again before it
+   * goes on, as its route or its key may have been removed in between.
+   */
+  check(head: RequestHead, mayWait: boolean): RequestCheck {
+    const { follower, dialect } = this.#options;
+    const verdict = this.stateWatch.look();
+    const route = this.#options.findRoute(head);
+    const access =
+      route &&
+      decideAccess(
+        this.#accounts.get(follower.view.catalog.table),
+        route,
+        parseCredential(head.headers, dialect.authorization),
+        { isFresh: verdict === 'fresh', age: follower.age },
+      );
+    const isAllowed = access !== undefined && isGranted(access);
+    return { decision: decideByAge(verdict, { isAllowed, mayWait }), verdict, route, access };
+  }
+
   #decide(
     request: CallerRequest,
     onAnswer: AnswerListener,
@@ -89,18 +142,21 @@
   ): ServedRequest | undefined {
     const timeLeft = this.#computeTimeLeft(request);
     const time = computeWait(MAX_CHECK_WAIT, { timeLeft, waiting: this.#waiting.size });
-    const verdict = this.stateWatch.look();
-    const route = this.#options.findRoute(request.head);
-    const mayWait = !hasWaited && time > 0;
-    const decision = decideByAge(verdict, { hasRoute: route !== undefined, mayWait });
+    const { head } = request;
+    const { decision, verdict, route, access } = this.check(head, !hasWaited && time > 0);
     if (decision === 'wait') return this.#waiting.add(time, () => this.#goOn(request, onAnswer));
     if (decision === 'refuse') this.#refuseForAge(request, verdict, onAnswer);
-    else if (route === undefined) this.#denyRoute(request, onAnswer);
+    else if (route === undefined || access === undefined) this.#denyRoute(request, onAnswer);
+    else if (decision === 'deny') this.#denyKey(request, route, access, onAnswer);
     else {
       const id = this.#getId(request);
-      const { headers } = request.head;
-      const access = { headers, callerHeaders: headers, account: undefined, rank: route.rank };
-      return this.#options.serve({ request, id, route, matchedAt, access }, onAnswer);
+      const granted: RequestAccess = {
+        headers: replaceAccountFields(head.headers, access, this.#options.dialect),
+        callerHeaders: head.headers,
+        account: access.kind === 'account' ? access.account.name : undefined,
+        rank: getRank(access, route),
+      };
+      return this.#options.serve({ request, id, route, matchedAt, access: granted }, onAnswer);
     }
     return undefined;
   }
@@ -159,6 +215,19 @@
     onAnswer(buildLocalAnswer(404, 'no route matches this host and path', idHeaders));
   }
 
+  /** Denies a request for its key, which appears in no log line and no answer. */
+  #denyKey(request: CallerRequest, route: Route, access: Access, onAnswer: AnswerListener): void {
+    this.#refusedForKey += 1;
+    const cause = access.kind === 'denied' ? access.cause : 'unknownKey';
+    this.#logRefusal(request, cause, { route: route.name });
+    onAnswer(
+      buildLocalAnswer(401, 'not run: the key of a client account is needed', [
+        ...this.#listIdHeaders(request),
+        ['WWW-Authenticate', 'Bearer'],
+      ]),
+    );
+  }
+
   #refuseUntilReady(request: CallerRequest, onAnswer: AnswerListener): void {
     this.#logRefusal(request, 'notReady');
     onAnswer(
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -14,6 +14,7 @@
 
 const reasonPhrases: Readonly<Record<number, string>> = {
   400: 'Bad Request',
+  401: 'Unauthorized',
   404: 'Not Found',
   408: 'Request Timeout',
   413: 'Content Too Large',
--- a/src/gateway/fingerprint.ts
+++ b/src/gateway/fingerprint.ts
@@ -41,13 +41,15 @@
  * computeFingerprint(request) // 'q83vEjRW'
  */
 export function computeFingerprint(
-  request: Pick<GatewayRequest, 'method' | 'target' | 'headers' | 'body'>,
+  request: Pick<GatewayRequest, 'method' | 'target' | 'headers' | 'body' | 'account'>,
 ): string {
-  const { method, target, headers, body } = request;
+  const { method, target, headers, body, account } = request;
   const hash = createHash('sha1');
   const host = (getHeader(headers, 'host') ?? '').toLowerCase();
   const caller = CALLER_HEADERS.map((name) => getHeader(headers, name) ?? '');
-  hash.update(JSON.stringify([method, host, target, ...caller]));
+  // The account's name is sent instead of the key; all keys of an account look alike to the upstream.
+  const owner = account === undefined ? [] : [account];
+  hash.update(JSON.stringify([method, host, target, ...caller, ...owner]));
   addBody(hash, body);
   return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('base64');
 }
--- a/src/gateway/freshness.ts
+++ b/src/gateway/freshness.ts
@@ -1,6 +1,6 @@
 /**
  * Decides by the age of its state what a gateway may do. Invariant: the decision depends only on the arguments; by a
- * state that is older than the bound no route is denied (404), and by one that is known to be behind nothing is sent.
+ * state that is older than the bound no route (404) and no key (401) is denied, and by one that is known to be behind nothing is sent.
  *
  * A gateway that was paused, or that lost its control members, can't tell whether routes, drains and removals have come
  * into force since. While others answer and have no newer state, as when all control members are gone, known routes are
@@ -94,22 +94,23 @@
 }
 
 /**
- * Returns what happens to a request. One that has waited, or that there is no room for, doesn't wait (`mayWait`).
+ * Returns what happens to a request. The state allows it if the request has a route and, where the route needs one, a
+ * key. One that has waited, or that there is no room for, doesn't wait (`mayWait`).
  *
  * @example
- * decideByAge('unconfirmed', { hasRoute: false, mayWait: true }) // 'refuse'
+ * decideByAge('unconfirmed', { isAllowed: false, mayWait: true }) // 'refuse'
  */
 export function decideByAge(
   verdict: StateVerdict,
-  { hasRoute, mayWait }: { readonly hasRoute: boolean; readonly mayWait: boolean },
+  { isAllowed, mayWait }: { readonly isAllowed: boolean; readonly mayWait: boolean },
 ): AgeDecision {
   switch (verdict) {
     case 'fresh':
-      return hasRoute ? 'serve' : 'deny';
+      return isAllowed ? 'serve' : 'deny';
     case 'checking':
       return mayWait ? 'wait' : 'refuse';
     case 'unconfirmed':
-      return hasRoute ? 'serve' : 'refuse';
+      return isAllowed ? 'serve' : 'refuse';
     case 'outdated':
       return 'refuse';
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { getHeapStatistics } from 'node:v8';
 import { setTimeout as wait } from 'node:timers/promises';
+import { computeTopRanks } from '../accounts/index.js';
 import { isIdempotentKind, isLargeKind, type Catalog, type Route } from '../catalog/index.js';
 import {
   createFollower,
@@ -72,7 +73,7 @@
 import { planGossip, type GossipPlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
-import { RequestAdmission, type AdmittedRequest } from './admission.js';
+import { RequestAdmission, type AdmittedRequest, type RefusalCounts } from './admission.js';
 import { buildLocalAnswer, renderFinalAnswer } from './answers.js';
 import { describeCommands, describeState } from './statelines.js';
 import { createTransport, type GossipTransport } from './transport.js';
@@ -170,8 +171,7 @@
   readonly view: FeedView;
   /** Milliseconds since the state was certainly current; Infinity before the first one. */
   readonly stateAge: Duration;
-  /** Number of requests refused because the state was too old. */
-  readonly refusedForAge: number;
+  readonly refusals: RefusalCounts;
   /** Total number of connections opened to upstreams. */
   readonly openedConnections: number;
   readonly callers: CallerCounts;
@@ -404,8 +404,8 @@
     return this.#follower.age;
   }
 
-  get refusedForAge(): number {
-    return this.#admission.stateWatch.refused;
+  get refusals(): RefusalCounts {
+    return this.#admission.refusals;
   }
 
   get openedConnections(): number {
@@ -514,14 +514,10 @@
     const { table } = catalog;
     this.#routes = buildRouteIndex(table);
     this.#limits = table?.limits ?? INITIAL_LIMITS;
-    const ranks = new Map<string, number>();
+    this.#topRanks = computeTopRanks(table);
     table?.routes.forEach((route) => {
-      route.parts.forEach(({ service }) => {
-        ranks.set(service, Math.min(route.rank, ranks.get(service) ?? route.rank));
-        this.#averageWork.get(service, route);
-      });
+      route.parts.forEach(({ service }) => this.#averageWork.get(service, route));
     });
-    this.#topRanks = ranks;
   }
 
   #markColdUpstreams(cold: Readonly<Record<string, Duration>>): void {
