--- a/features/accounts/admission.feature
+++ b/features/accounts/admission.feature
@@ -84,3 +84,8 @@
     When a caller sends requests with the keys "k-1, k-2, none, k-3, k-1" ahead on one connection to it
     Then the answers on the accounts' connection are "200, 401, 401, 200, 200"
     And the accounts' upstream got 3 requests, none with a key
+
+  Scenario: The priority of the account decides how much of its time a request may use
+    Given a gateway on loopback with the accounts "urgent: k-1, patient: k-2" and one upstream
+    And the account "patient" has the priority 5, and the route 0
+    Then a request of 900 ms with the key "k-2" is refused there for lack of room, and one with the key "k-1" is served
--- a/features/accounts/admission.steps.ts
+++ b/features/accounts/admission.steps.ts
@@ -282,6 +282,31 @@
   },
 );
 
+Given(
+  'the account {string} has the priority {int}, and the route 0',
+  function (this: AdmissionWorld, name: string, rank: number) {
+    const follower = this.accountGateway?.follower;
+    const table = follower?.view.catalog.table;
+    assert.ok(follower && table);
+    assert.ok(table.routes.every((route) => route.rank === 0));
+    const accounts = table.accounts?.map((one) => (one.name === name ? { ...one, rank } : one));
+    follower.replaceCatalog({ ...follower.view.catalog, table: { ...table, accounts } });
+  },
+);
+
+Then(
+  'a request of {int} ms with the key {string} is refused there for lack of room, and one with the key {string} is served',
+  async function (this: AdmissionWorld, time: number, patient: string, urgent: string) {
+    const send = async (key: string): Promise<string> => {
+      const headers = { 'test-deadline': String(time), authorization: `Bearer ${key}` };
+      const { status, body } = (await this.accountGateway?.send('/known/', headers)) ?? {};
+      return `${status ?? 0} ${body ?? ''}`;
+    };
+    assert.match(await send(patient), /^503 .*overloaded/);
+    assert.match(await send(urgent), /^200 /);
+  },
+);
+
 When(
   'a caller sends requests with the keys {string} ahead on one connection to it',
   async function (this: AdmissionWorld, keys: string) {
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -77,6 +77,7 @@
   readonly target: string;
   readonly method: string;
   readonly body: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly deadline: number;
   readonly receivedAt: number;
 }
@@ -166,6 +167,7 @@
           target: request.url ?? '',
           method: request.method ?? '',
           body: Buffer.concat(chunks).toString(),
+          headers: request.headers,
           deadline: Number(request.headers['x-deadline-ms']),
           receivedAt: performance.now(),
         });
@@ -637,10 +639,13 @@
     );
   }
 
-  /** Replaces the configuration with both services and these routes; `idleTimeout` is in milliseconds. */
+  /**
+   * Replaces the configuration with both services, these routes and `items`; `idleTimeout` is in milliseconds.
+   */
   async putRoutes(
     routes: readonly Readonly<Record<string, unknown>>[],
     idleTimeout = 15_000,
+    items: Readonly<Record<string, unknown>> = {},
   ): Promise<HttpResponse> {
     const base = this.version;
     const version = base + 3;
@@ -654,6 +659,7 @@
       cold_per_s: 20,
     }));
     const body = JSON.stringify({
+      ...items,
       version,
       services,
       limits: {
