--- a/features/accounts/site.feature
+++ b/features/accounts/site.feature
@@ -18,4 +18,5 @@
     Then from 5000 ms after the acknowledgement no request with the key is served
     And the kept connections still serve requests with the key "k-2"
     And accounts that share a key are refused by the site with 400
+    And a configuration that is no JSON is refused by the site with 400, without a key in the answer
     And no process of the site wrote a key to its log, and gateways counted refusals for keys
--- a/features/accounts/site.steps.ts
+++ b/features/accounts/site.steps.ts
@@ -187,6 +187,19 @@
   },
 );
 
+Then(
+  'a configuration that is no JSON is refused by the site with {int}, without a key in the answer',
+  async function (this: AccountSiteWorld, status: number) {
+    const answer = await this.site.sendOrder({
+      ...{ method: 'POST', path: '/-/Config.Put' },
+      headers: { 'X-Base-Version': String(this.site.version) },
+      body: '{"api_keys":[k-9]}',
+    });
+    assert.equal(answer.status, status, answer.body);
+    assert.doesNotMatch(answer.body, /k-9/);
+  },
+);
+
 Then(
   'no process of the site wrote a key to its log, and gateways counted refusals for keys',
   async function (this: AccountSiteWorld) {
