--- a/features/accounts/site.feature
+++ b/features/accounts/site.feature
@@ -20,3 +20,24 @@
     And accounts that share a key are refused by the site with 400
     And a configuration that is no JSON is refused by the site with 400, without a key in the answer
     And no process of the site wrote a key to its log, and gateways counted refusals for keys
+
+  Scenario: All stewards are killed, so that no gateway can tell whether a key was revoked
+    Given the platform's site serves two services
+    When the site's accounts are "sese880: k-1, locu91: k-3", and the orders route is public
+    Then within 2000 ms each gateway answers its accounts' requests
+      | path      | key | status | tenant  |
+      | /records/ | k-1 | 200    | sese880 |
+    When all stewards of the accounts' site are killed
+    Then 5000 ms later each gateway answers its accounts' requests
+      | path      | key  | status | tenant |
+      | /records/ | k-1  | 503    |        |
+      | /records/ | k-4  | 503    |        |
+      | /records/ | none | 503    |        |
+      | /orders/  | k-4  | 200    |        |
+      | /orders/  | k-1  | 200    |        |
+    When the stewards of the accounts' site are started again
+    Then within 15000 ms each gateway answers its accounts' requests
+      | path      | key | status | tenant  |
+      | /records/ | k-1 | 200    | sese880 |
+      | /records/ | k-4 | 401    |         |
+      | /orders/  | k-1 | 200    | sese880 |
--- a/features/accounts/site.steps.ts
+++ b/features/accounts/site.steps.ts
@@ -49,8 +49,29 @@
   return { ...field, 'X-Tenant': MADE_UP, Connection: 'close, X-Tenant' };
 }
 
+/** Sends each request of the table to each gateway and checks its answer and what arrived at upstreams. */
+async function checkAnswers({ site }: AccountSiteWorld, table: DataTable): Promise<void> {
+  await Promise.all(
+    table.hashes().flatMap(({ path = '', key = '', status, tenant }) =>
+      site.ips.map(async (ip) => {
+        const id = createId();
+        const answer = await site.call(ip, path, { headers: createHeaders(key) }, id);
+        assert.equal(answer.status, Number(status), `${path} ${key}: ${answer.body}`);
+        const arrivals = site.upstreams.flatMap(({ receivedRequests }) =>
+          receivedRequests.filter((found) => found.id === id),
+        );
+        assert.equal(arrivals.length, answer.status === 200 ? 1 : 0);
+        arrivals.forEach(({ headers }) => {
+          assert.equal(headers['x-tenant'] ?? '', tenant);
+        });
+      }),
+    ),
+  );
+}
+
 Then(
   "within {int} ms each gateway answers its accounts' requests",
+  { timeout: 30_000 },
   async function (this: AccountSiteWorld, limit: number, table: DataTable) {
     const { site } = this;
     await waitUntil(
@@ -61,22 +82,31 @@
       },
       limit,
     );
-    await Promise.all(
-      table.hashes().flatMap(({ path = '', key = '', status, tenant }) =>
-        site.ips.map(async (ip) => {
-          const id = createId();
-          const answer = await site.call(ip, path, { headers: createHeaders(key) }, id);
-          assert.equal(answer.status, Number(status), `${path} ${key}: ${answer.body}`);
-          const arrivals = site.upstreams.flatMap(({ receivedRequests }) =>
-            receivedRequests.filter((found) => found.id === id),
-          );
-          assert.equal(arrivals.length, answer.status === 200 ? 1 : 0);
-          arrivals.forEach(({ headers }) => {
-            assert.equal(headers['x-tenant'] ?? '', tenant);
-          });
-        }),
-      ),
-    );
+    await checkAnswers(this, table);
+  },
+);
+
+Then(
+  "{int} ms later each gateway answers its accounts' requests",
+  { timeout: 30_000 },
+  async function (this: AccountSiteWorld, time: number, table: DataTable) {
+    await sleep(time);
+    await checkAnswers(this, table);
+  },
+);
+
+function listStewards({ site }: AccountSiteWorld): readonly string[] {
+  return [...site.processes.keys()].filter((name) => name.startsWith('steward'));
+}
+
+When("all stewards of the accounts' site are killed", async function (this: AccountSiteWorld) {
+  await Promise.all(listStewards(this).map((name) => this.site.endProcess(name, 'SIGKILL')));
+});
+
+When(
+  "the stewards of the accounts' site are started again",
+  async function (this: AccountSiteWorld) {
+    await Promise.all(listStewards(this).map((name) => this.site.restartProcess(name, false)));
   },
 );
 
