--- a/features/gateway/staleness.steps.ts
+++ b/features/gateway/staleness.steps.ts
@@ -149,7 +149,7 @@
 Then(
   'the following gateway counted {int} refusal(s) for age',
   function (this: StalenessWorld, count: number) {
-    assert.equal(getStale(this).gateway.refusedForAge, count);
+    assert.equal(getStale(this).gateway.refusals.forAge, count);
   },
 );
 
@@ -298,6 +298,7 @@
       },
       {
         ...{ id: 'r1', method: 'GET', target: '/known/a', headers: [], body: Buffer.alloc(0) },
+        ...{ callerHeaders: [], account: undefined, rank: route.rank },
         ...{ hasBody: false, route, service: 'records', version: undefined },
         ...{ retryVersion: undefined, arrivedAt: 0, deadline: 5000 },
       },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { getHeapStatistics } from 'node:v8';
 import { setTimeout as wait } from 'node:timers/promises';
+import { computeTopRanks } from '../accounts/index.js';
 import { isIdempotentKind, isLargeKind, type Catalog, type Route } from '../catalog/index.js';
 import {
   createFollower,
@@ -72,7 +73,7 @@
 import { planGossip, type GossipPlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
-import { RequestAdmission, type AdmittedRequest } from './admission.js';
+import { RequestAdmission, type AdmittedRequest, type RefusalCounts } from './admission.js';
 import { buildLocalAnswer, renderFinalAnswer } from './answers.js';
 import { describeCommands, describeState } from './statelines.js';
 import { createTransport, type GossipTransport } from './transport.js';
@@ -170,8 +171,7 @@
   readonly view: FeedView;
   /** Milliseconds since the state was certainly current; Infinity before the first one. */
   readonly stateAge: Duration;
-  /** Number of requests refused because the state was too old. */
-  readonly refusedForAge: number;
+  readonly refusals: RefusalCounts;
   /** Total number of connections opened to upstreams. */
   readonly openedConnections: number;
   readonly callers: CallerCounts;
@@ -404,8 +404,8 @@
     return this.#follower.age;
   }
 
-  get refusedForAge(): number {
-    return this.#admission.stateWatch.refused;
+  get refusals(): RefusalCounts {
+    return this.#admission.refusals;
   }
 
   get openedConnections(): number {
@@ -514,14 +514,10 @@
     const { table } = catalog;
     this.#routes = buildRouteIndex(table);
     this.#limits = table?.limits ?? INITIAL_LIMITS;
-    const ranks = new Map<string, number>();
+    this.#topRanks = computeTopRanks(table);
     table?.routes.forEach((route) => {
-      route.parts.forEach(({ service }) => {
-        ranks.set(service, Math.min(route.rank, ranks.get(service) ?? route.rank));
-        this.#averageWork.get(service, route);
-      });
+      route.parts.forEach(({ service }) => this.#averageWork.get(service, route));
     });
-    this.#topRanks = ranks;
   }
 
   #markColdUpstreams(cold: Readonly<Record<string, Duration>>): void {
@@ -604,7 +600,7 @@
   }
 
   #run(
-    { request: { head, body, hasBody, arrivedAt }, id, route, matchedAt }: AdmittedRequest,
+    { request: { head, body, hasBody, arrivedAt }, id, route, matchedAt, access }: AdmittedRequest,
     onAnswer: (answer: FinalAnswer) => void,
   ): ServedRequest | undefined {
     const splitter = this.#routeSplitters.get(route.name) ?? new WeightedSplitter();
@@ -622,7 +618,7 @@
       id,
       method: head.method,
       target: head.target,
-      headers: head.headers,
+      ...access,
       body,
       hasBody,
       route,
@@ -730,14 +726,14 @@
     justProbed: readonly UpstreamRecord[],
   ): Choice {
     if (this.#admission.stateWatch.isOutdated) return { kind: 'stale' };
-    const { route, service, version, deadline } = request;
+    const { route, rank, service, version, deadline } = request;
     const now = this.now();
     const usable = this.#registry.listUsable(
       service,
       resolveVersion(version, this.#registry.getVersionShare(service)),
     );
     const untried = usable.filter((record) => !tried.includes(record));
-    const topRank = this.#topRanks.get(service) ?? route.rank;
+    const topRank = this.#topRanks.get(service) ?? rank;
     return chooseUpstream(untried, {
       now,
       work: this.#getAverageWork(request).value,
@@ -748,10 +744,7 @@
       hasConnection: ({ instance }) => this.#pool.hasIdleConnection(instance.address),
       zone: this.#options.zone,
       isLarge: isLargeKind(route.kind),
-      deadlineShare: Math.max(
-        0.3,
-        MAX_DEADLINE_SHARE - (route.rank - topRank) * DEADLINE_SHARE_STEP,
-      ),
+      deadlineShare: Math.max(0.3, MAX_DEADLINE_SHARE - (rank - topRank) * DEADLINE_SHARE_STEP),
       random: Math.random(),
     });
   }
