--- a/features/platform/orders.steps.ts
+++ b/features/platform/orders.steps.ts
@@ -110,7 +110,7 @@
 const proper: Readonly<Record<string, Message>> = {
   'a configuration': buildPut(whole),
   'a configuration with keys that are not known': buildPut({
-    ...{ ...whole, tenants: [{ name: 't', priority: null }] },
+    ...{ ...whole, quotas: [{ name: 't', priority: null }] },
     hosts: [{ host: 'a.example', paths: [buildRoute(1, { service: 'records', public: false })] }],
   }),
   'a configuration without routes, in empty lists': buildPut({
