--- a/features/gateway/evidence.steps.ts
+++ b/features/gateway/evidence.steps.ts
@@ -50,7 +50,14 @@
     this.versions = [];
     this.ends = [];
     const request = {
-      ...{ version, retryVersion, arrivedAt: 0, deadline: 60_000, service: 'records' },
+      ...{
+        version,
+        retryVersion,
+        account: undefined,
+        arrivedAt: 0,
+        deadline: 60_000,
+        service: 'records',
+      },
       route: { kind: 'safe', maxAttempts: 2 },
     } as unknown as GatewayRequest;
     const record = { instance: { id: 'u1' } } as unknown as UpstreamRecord;
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -80,6 +80,7 @@
     ...{ id: '1', method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), hasBody: false },
     ...{ route: { ...route, kind }, service: 'records', version: undefined },
     retryVersion: undefined,
+    account: undefined,
     ...{ arrivedAt, deadline: arrivedAt + 5000 },
   };
 }
--- a/src/catalog/machine.ts
+++ b/src/catalog/machine.ts
@@ -6,6 +6,7 @@
 import { applyAnnounce, applyEnd } from './instances.js';
 import { applyStartMove, applyStepMove } from './moves.js';
 import { applyRoutes, type CatalogTransition } from './routes.js';
+import { applyUsage, emptyUsage } from '../usage/index.js';
 import type { Catalog, CatalogCommand, Instance } from './types.js';
 
 const packr = new Packr({ useRecords: false });
@@ -47,6 +48,13 @@
       const others = state.zonesOut.filter((zone) => zone !== command.zone);
       return done({ ...state, zonesOut: command.out ? [...others, command.zone] : others });
     }
+    case 'recordUsage':
+    case 'takeUsageDuty': {
+      const usage = applyUsage(state.usage ?? emptyUsage, command);
+      return usage === undefined
+        ? { state, outcome: { kind: 'stale', current: state.usage?.commits ?? 0 } }
+        : done({ ...state, usage });
+    }
   }
 }
 
--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -3,6 +3,7 @@
  * data, so that all processes that apply the same commands hold the same state.
  */
 import type { Address, Duration, ZoneId } from '../model/index.js';
+import type { UsageCommand, UsageState } from '../usage/index.js';
 
 /**
  * What requests do and carry: `safe` and `download` requests may run more than once, `unsafe` and `upload` ones may
@@ -129,6 +130,8 @@
   /** The version of each service that serves while no move is running. */
   readonly versions: Readonly<Record<string, string>>;
   readonly zonesOut: readonly ZoneId[];
+  /** The usage reports; absent before the first usage command, and at gateways. */
+  readonly usage?: UsageState;
 }
 
 /** A command that changes the replicated state. */
@@ -170,7 +173,8 @@
       readonly share: number;
       readonly state: MoveState;
     }
-  | { readonly kind: 'setZone'; readonly zone: ZoneId; readonly out: boolean };
+  | { readonly kind: 'setZone'; readonly zone: ZoneId; readonly out: boolean }
+  | UsageCommand;
 
 /** Why an instance ended: it announced that it leaves, or it stopped announcing itself. */
 export type EndCause = 'left' | 'silent';
--- a/src/daemon/adapter.ts
+++ b/src/daemon/adapter.ts
@@ -3,6 +3,7 @@
 import type { Instant } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
 import type { Steward } from '../steward/index.js';
+import type { SendReport } from '../usage/index.js';
 
 /** Listeners that serve the protocol of the platform on which chivewalk runs. */
 export interface Listeners {
@@ -14,6 +15,8 @@
   readonly dialect: HeaderDialect;
   readonly openGatewayListeners: (gateway: Gateway, settings: Settings) => Promise<Listeners>;
   readonly openStewardListeners: (steward: Steward, settings: Settings) => Promise<Listeners>;
+  /** Sends a usage report to the platform. */
+  readonly sendUsageReport: SendReport;
 }
 
 /** A role of this process that has started. */
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -3,6 +3,7 @@
  * they call, a gateway's readiness and directory listeners only after it stopped; a process that receives
  * SIGTERM or SIGINT logs this before it exits.
  */
+import { randomBytes } from 'node:crypto';
 import { DEFAULT_FRESH_FOR } from '../feed/index.js';
 import { openGateway } from '../gateway/index.js';
 import type { Duration } from '../model/index.js';
@@ -15,6 +16,7 @@
   standardOutput,
   type Metrics,
 } from '../telemetry/index.js';
+import { DEFAULT_WINDOW_MS, UsageCounter } from '../usage/index.js';
 import { createMesh, type Mesh } from '../wire/index.js';
 import type { PlatformAdapter, RunningRole } from './adapter.js';
 import { CurrentSeeds } from './seeds.js';
@@ -25,6 +27,17 @@
 
 const BYTES_PER_MEGABIT = 125_000;
 
+/** Returns the counter of this start, whose name no other start has, where settings ask for usage reports. */
+function createUsageCounter({ usage, process: { id } }: Settings): UsageCounter | undefined {
+  if (usage === undefined) return undefined;
+  return new UsageCounter({
+    source: `${id}/${randomBytes(4).toString('hex')}`,
+    windowMs: usage.window_ms ?? DEFAULT_WINDOW_MS,
+    now: () => performance.now(),
+    wallNow: Date.now,
+  });
+}
+
 async function startGateway(
   settings: Settings,
   mesh: Mesh,
@@ -59,6 +72,7 @@
     probeRate: gatewaySettings.probe_rate ?? 0,
     stopTime: gatewaySettings.stop_time_ms,
     maxStateAge: gatewaySettings.max_state_age_ms ?? DEFAULT_FRESH_FOR,
+    usage: createUsageCounter(settings),
     recordCall: (service, outcome, latency) => {
       metrics.recordCall({ service, outcome, latency });
     },
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -27,6 +27,13 @@
 import type { Settings } from '../settings/index.js';
 import { createSteward, DEFAULT_EXPOSURE_BUDGET, type Steward } from '../steward/index.js';
 import { createLogger, type Metrics } from '../telemetry/index.js';
+import {
+  createUsageReporter,
+  DEFAULT_LEASE_MS,
+  DEFAULT_WINDOW_MS,
+  type SendReport,
+  type UsageReporter,
+} from '../usage/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
 import { findFounders, findGroup, type StartMembers } from './founders.js';
@@ -156,6 +163,10 @@
   readonly settings: NonNullable<Settings['steward']>;
   readonly moves: Settings['moves'];
   readonly maxClockSkew: Duration | undefined;
+  readonly usage: Settings['usage'];
+  /** Id of the process. */
+  readonly id: string;
+  readonly sendUsageReport: SendReport;
   readonly mesh: Mesh;
   readonly seeds: CurrentSeeds;
 }
@@ -164,6 +175,22 @@
 interface OpenSteward extends Opening {
   readonly node: ControlNode<Catalog>;
   readonly publisher: Publisher;
+  /** Undefined where settings ask for no usage reports. */
+  readonly reporter: UsageReporter | undefined;
+}
+
+function startReporter(
+  { usage, id, sendUsageReport }: StewardContext,
+  node: ControlNode<Catalog>,
+): UsageReporter | undefined {
+  if (usage === undefined) return undefined;
+  return createUsageReporter({
+    ...{ control: node, self: id, address: usage.address, send: sendUsageReport },
+    windowMs: usage.window_ms ?? DEFAULT_WINDOW_MS,
+    leaseMs: usage.lease_ms ?? DEFAULT_LEASE_MS,
+    now: () => performance.now(),
+    wallNow: Date.now,
+  });
 }
 
 /** Opens the data folder and starts the components that use it. */
@@ -206,6 +233,7 @@
     now,
     wallNow: Date.now,
   });
+  const reporter = startReporter(context, node);
   const publisher = createPublisher({
     mesh,
     control: node,
@@ -216,12 +244,16 @@
     onEvidence: (rows) => {
       steward.addEvidence(rows);
     },
+    onUsage: (delivery) => {
+      reporter?.addDelivery(delivery);
+    },
   });
   const roleTimer = watchRole(node);
   const closeBehindListeners = async (): Promise<void> => {
     group.close();
     clearInterval(roleTimer);
     steward.close();
+    reporter?.close();
     await node.close().finally(() => {
       publisher.sendLastWord();
       publisher.close();
@@ -234,7 +266,7 @@
       listeners.close();
       await closeBehindListeners();
     };
-    return { node, publisher, close };
+    return { node, publisher, reporter, close };
   } catch (error) {
     await closeBehindListeners();
     throw error;
@@ -299,6 +331,45 @@
   };
 }
 
+type Gauge = readonly [name: string, help: string, read: () => number];
+
+function listUsageGauges(
+  getCurrent: () => OpenSteward | undefined,
+  { window_ms: windowMs = DEFAULT_WINDOW_MS }: NonNullable<Settings['usage']>,
+): readonly Gauge[] {
+  const getUsage = (): Catalog['usage'] => getCurrent()?.node.applied.usage;
+  return [
+    [
+      'chivewalk_usage_windows_reported_total',
+      'Usage windows that the platform accepted.',
+      () => getUsage()?.reported ?? 0,
+    ],
+    [
+      'chivewalk_usage_windows_expired_total',
+      'Usage windows that were dropped without a report.',
+      () => getUsage()?.expired ?? 0,
+    ],
+    [
+      'chivewalk_usage_reports_fenced_total',
+      'Usage reports of this steward that the platform refused for a higher token.',
+      () => getCurrent()?.reporter?.fenced ?? 0,
+    ],
+    [
+      'chivewalk_usage_late_requests_total',
+      'Requests that were not counted because their window was sealed.',
+      () => getUsage()?.late ?? 0,
+    ],
+    [
+      'chivewalk_usage_oldest_unreported_ms',
+      'Milliseconds since the end of the oldest usage window that is not reported; 0 without one.',
+      () => {
+        const oldest = getUsage()?.windows[0]?.window;
+        return oldest === undefined ? 0 : Math.max(0, Date.now() - (oldest + 1) * windowMs);
+      },
+    ],
+  ];
+}
+
 /** Starts a steward, which restarts its member by itself after a failure of the disk. */
 export async function startSteward(
   settings: Settings,
@@ -315,6 +386,8 @@
     {
       ...{ settings: stewardSettings, moves: settings.moves, mesh, seeds },
       maxClockSkew: settings.clocks?.max_skew_ms,
+      ...{ usage: settings.usage, id: settings.process.id },
+      sendUsageReport: adapter.sendUsageReport,
     },
     (steward) => adapter.openStewardListeners(steward, settings),
   );
@@ -366,6 +439,7 @@
       'Version of the routes.',
       () => running.current?.node.applied.table?.version ?? 0,
     ],
+    ...(settings.usage === undefined ? [] : listUsageGauges(() => running.current, settings.usage)),
   ];
   gauges.forEach(([name, help, read]) => {
     metrics.watchGauge(name, help, read);
--- a/src/feed/codec.ts
+++ b/src/feed/codec.ts
@@ -75,6 +75,8 @@
     case 'startMove':
     case 'stepMove':
     case 'setZone':
+    case 'recordUsage':
+    case 'takeUsageDuty':
       return command;
   }
 }
@@ -100,12 +102,13 @@
 }
 
 /**
- * Encodes the whole state for entries, without the accepted changes. An entry that applies one of these changes
+ * Encodes the whole state for entries, without the usage reports and the accepted changes. An entry that applies one of these changes
  * again rejects it as based on an old version, so its state doesn't change either.
  */
 export function encodeState(catalog: Catalog): Payload {
   const { table } = catalog;
   const stripped = { ...catalog, accepted: [], table: table && dropTableSources(table) };
+  delete stripped.usage;
   return encodePayload(encodeCatalog(stripped));
 }
 
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -13,6 +13,7 @@
   type Instant,
 } from '../model/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
+import type { UsageDelivery, UsageReceipt } from '../usage/index.js';
 import type { Mesh } from '../wire/index.js';
 import {
   computeAge,
@@ -64,6 +65,13 @@
   readonly entries: readonly EntryRecord[];
 }
 
+/** Counts that go to the leader with the polls. */
+export interface FollowerUsage {
+  /** Returns what is due to be sent. */
+  collect(): UsageDelivery | undefined;
+  handleReceipt(receipt: UsageReceipt): void;
+}
+
 /** Options of {@link createFollower}. */
 export interface FollowerOptions {
   readonly mesh: Mesh;
@@ -73,6 +81,8 @@
   readonly describeSelf: () => EntryRecord;
   /** Returns the evidence since the last call. */
   readonly collectEvidence: () => readonly EvidenceRow[];
+  /** The usage counts, where usage is reported. */
+  readonly usage?: FollowerUsage | undefined;
   readonly onChange: (view: FeedView, change: FeedChange) => void;
   /** Called with the milliseconds for which instances stay cold. */
   readonly onCold: (cold: Readonly<Record<string, Duration>>) => void;
@@ -158,17 +168,19 @@
   }
 
   pollNow(): void {
-    if (this.followed !== '') this.#sendPoll(this.followed, this.#options.collectEvidence());
+    if (this.followed !== '') this.#sendPoll(this.followed, true);
   }
 
-  #sendPoll(member: Address, evidence: readonly EvidenceRow[]): void {
+  #sendPoll(member: Address, isFollowed: boolean): void {
+    const usage = isFollowed ? this.#options.usage?.collect() : undefined;
     this.#options.mesh.send(member, FEED_CHANNEL, {
       kind: 'follow',
       entry: this.#options.describeSelf(),
       index: this.#view.index,
       fleetRevision: this.#fleet.revision,
-      evidence,
+      evidence: isFollowed ? this.#options.collectEvidence() : [],
       sentAt: Math.floor(this.#steadyNow()),
+      ...(usage !== undefined && { usage }),
     } satisfies FeedMessage);
   }
 
@@ -209,7 +221,7 @@
   #performEffect(effect: SourcesEffect): void {
     switch (effect.kind) {
       case 'poll':
-        this.#sendPoll(effect.member, effect.isFollowed ? this.#options.collectEvidence() : []);
+        this.#sendPoll(effect.member, effect.isFollowed);
         return;
       case 'find': {
         const sentAt = Math.floor(this.#steadyNow());
@@ -227,6 +239,7 @@
     switch (message.kind) {
       case 'news': {
         const isComplete = this.#applyUpdate(message);
+        if (message.usage !== undefined) this.#options.usage?.handleReceipt(message.usage);
         // After a gap the sender has commands that this process lacks.
         const index = isComplete ? this.#view.index : Math.max(message.after, this.#view.index + 1);
         this.#recordAnswer(from, { ...message, index }, true);
@@ -242,6 +255,7 @@
       case 'followers':
       case 'findFollowers':
       case 'evidence':
+      case 'usage':
         return;
     }
   }
--- a/src/feed/messages.ts
+++ b/src/feed/messages.ts
@@ -4,6 +4,7 @@
  */
 import { isAddress, type Address } from '../model/index.js';
 import type { EvidenceRow } from '../rollout/index.js';
+import type { AccountCounts, UsageBatch, UsageDelivery, UsageReceipt } from '../usage/index.js';
 import { decodeFleetUpdate, type Payload } from './codec.js';
 import type { EntryRecord, FeedMessage, FleetUpdate } from './types.js';
 
@@ -73,6 +74,38 @@
   }
 }
 
+function isPair(value: unknown): value is readonly [unknown, unknown] {
+  return Array.isArray(value) && value.length === 2;
+}
+
+function isAccountCount(value: unknown): value is AccountCounts[number] {
+  return isPair(value) && isText(value[0]) && isCount(value[1]);
+}
+
+function isUsageBatch(value: unknown): value is UsageBatch {
+  return (
+    isObject(value) &&
+    isCount(value.number) &&
+    isListOf(
+      value.counts,
+      (item): item is UsageBatch['counts'][number] =>
+        isPair(item) && isCount(item[0]) && isListOf(item[1], isAccountCount),
+    )
+  );
+}
+
+function isUsageDelivery(value: unknown): value is UsageDelivery {
+  if (!isObject(value) || !isText(value.source) || !isListOf(value.batches, isUsageBatch))
+    return false;
+  // The last number of the list stands for all before it.
+  const numbers = value.batches.map(({ number }) => number);
+  return numbers.every((number, at) => number > (numbers[at - 1] ?? 0));
+}
+
+function isUsageReceipt(value: unknown): value is UsageReceipt {
+  return isObject(value) && isText(value.source) && isCount(value.last);
+}
+
 function isSilentEntry(value: unknown): value is readonly [string, number] {
   return Array.isArray(value) && isText(value[0]) && isNonNegative(value[1]);
 }
@@ -104,7 +137,8 @@
         isCount(message.index) &&
         isText(message.fleetRevision) &&
         isListOf(message.evidence, isEvidenceRow) &&
-        isOptional(message.sentAt, isNonNegative)
+        isOptional(message.sentAt, isNonNegative) &&
+        isOptional(message.usage, isUsageDelivery)
       );
     case 'news':
       return (
@@ -115,6 +149,7 @@
         isObject(message.cold) &&
         Object.values(message.cold).every(isNonNegative) &&
         isOptional(message.fleet, isFleetUpdate) &&
+        isOptional(message.usage, isUsageReceipt) &&
         isGroupStatus(message)
       );
     case 'followers':
@@ -125,6 +160,8 @@
       );
     case 'evidence':
       return isListOf(message.rows, isEvidenceRow);
+    case 'usage':
+      return isUsageDelivery(message.delivery);
     case 'found':
       return (
         typeof message.healthy === 'boolean' &&
--- a/src/feed/publisher.ts
+++ b/src/feed/publisher.ts
@@ -1,11 +1,17 @@
 /**
  * Publishes the catalog of a control member to the entries that follow it. Invariant: a follower is sent each
- * command after its index once and in order, or the whole state.
+ * command after its index once and in order, or the whole state. Usage commands are left out: their indexes are skipped.
  */
 import { type Catalog, type CatalogCommand } from '../catalog/index.js';
 import { toAddress, type ControlNode } from '../control/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
 import { mergeEvidence, type EvidenceRow } from '../rollout/index.js';
+import {
+  getLastBatch,
+  isUsageCommand,
+  type UsageDelivery,
+  type UsageReceipt,
+} from '../usage/index.js';
 import type { Mesh } from '../wire/index.js';
 import { encodeCommands, encodeState, type Payload, type IndexedCommands } from './codec.js';
 import { FleetCopy, FleetHistory, FleetTable } from './fleet.js';
@@ -33,6 +39,8 @@
   readonly onGroupFound: (status: GroupStatus) => void;
   /** Called on the leader with evidence from any entry. */
   readonly onEvidence: (rows: readonly EvidenceRow[]) => void;
+  /** Called on the leader with usage counts of any entry; they are dropped by default. */
+  readonly onUsage?: (delivery: UsageDelivery) => void;
 }
 
 /** The feed of a control member. */
@@ -51,6 +59,8 @@
   readonly lastCallAt: Instant;
   /** When the follower sent its last poll, on its own clock. */
   readonly sentAt: Instant | undefined;
+  /** The last receipt that was sent for the usage counts of the follower; undefined before its first delivery. */
+  readonly receipt: UsageReceipt | undefined;
 }
 
 /** The last encoded payload; `key` identifies its content. */
@@ -114,6 +124,8 @@
 
   #recordCommand(index: number, command: CatalogCommand | undefined, bytes: number): void {
     this.#noticeLeader();
+    // Followers need neither the contents nor the index; receipts go with the answers to their polls.
+    if (command !== undefined && isUsageCommand(command)) return;
     this.#catalogIndex = index;
     this.#commands =
       command === undefined
@@ -157,8 +169,13 @@
         this.#ownFollowers.add(message.entry, now);
         this.#handleEvidence(message.evidence);
         const { index, fleetRevision } = message;
-        const { sentAt } = message;
-        const follower = { index, fleetRevision, lastCallAt: now, sentAt };
+        const { sentAt, usage } = message;
+        if (usage !== undefined) this.#handleUsage(usage);
+        const receipt =
+          usage === undefined
+            ? this.#followers.get(from)?.receipt
+            : { source: usage.source, last: 0 };
+        const follower = { index, fleetRevision, lastCallAt: now, sentAt, receipt };
         this.#noticeLeader();
         if (this.#hasJoined) this.#sendUpdate(from, follower);
         else this.#sendStatus(from, follower);
@@ -173,6 +190,9 @@
       case 'evidence':
         this.#handleEvidence(message.rows);
         return;
+      case 'usage':
+        this.#handleUsage(message.delivery);
+        return;
       case 'find': {
         const { leader } = this.#options.control.status;
         this.#options.mesh.send(from, FEED_CHANNEL, {
@@ -224,6 +244,23 @@
     else this.#sendEvidence(leader, rows);
   }
 
+  /** Without a leader the counts are dropped: the entry sends them again until they are committed. */
+  #handleUsage(delivery: UsageDelivery): void {
+    const { role, leader } = this.#options.control.status;
+    if (role === 'leader') this.#options.onUsage?.(delivery);
+    else if (leader !== undefined)
+      this.#options.mesh.send(leader, FEED_CHANNEL, {
+        ...{ kind: 'usage', delivery },
+      } satisfies FeedMessage);
+  }
+
+  /** Returns which of a follower's usage counts are committed, unless it was told. */
+  #createReceipt({ receipt }: FollowerState): UsageReceipt | undefined {
+    if (receipt === undefined) return undefined;
+    const last = getLastBatch(this.#options.control.applied.usage, receipt.source);
+    return last > receipt.last ? { source: receipt.source, last } : undefined;
+  }
+
   /** Sends evidence at once: until the leader has it, a bad version keeps its share. */
   #sendEvidence(leader: Address, rows: readonly EvidenceRow[]): void {
     this.#options.mesh.send(leader, FEED_CHANNEL, { kind: 'evidence', rows } satisfies FeedMessage);
@@ -236,6 +273,7 @@
     const commands = listCommandsAfter(this.#commands, follower.index);
     const isBehind = commands === undefined;
     const last = commands?.at(-1)?.[0];
+    const usage = this.#createReceipt(follower);
     mesh.send(to, FEED_CHANNEL, {
       kind: 'news',
       base: isBehind ? { index: control.appliedIndex, state: this.#encodeState() } : undefined,
@@ -248,10 +286,12 @@
       fleet: this.#fleetHistory.createUpdate(follower.fleetRevision),
       ...this.#describeGroup(follower.sentAt),
       ...(isLast && { healthy: false }),
+      ...(usage !== undefined && { usage }),
     } satisfies FeedMessage);
     const index = Math.max(follower.index, isBehind ? control.appliedIndex : (last ?? 0));
     const { revision } = this.#fleetHistory;
-    this.#followers.set(to, { ...follower, index, fleetRevision: revision });
+    const receipt = usage ?? follower.receipt;
+    this.#followers.set(to, { ...follower, index, fleetRevision: revision, receipt });
   }
 
   /** Encodes commands, reusing the last result because most followers are sent the same commands. */
--- a/src/feed/types.ts
+++ b/src/feed/types.ts
@@ -3,6 +3,7 @@
  * index never decreases while its process runs, so it never acts on an older state than before.
  */
 import type { EvidenceRow } from '../rollout/index.js';
+import type { UsageDelivery, UsageReceipt } from '../usage/index.js';
 import type { Payload } from './codec.js';
 import type { Address, Duration, Instant, ZoneId } from '../model/index.js';
 
@@ -53,6 +54,8 @@
       readonly evidence: readonly EvidenceRow[];
       /** When it was sent, on the sender's clock. */
       readonly sentAt?: Instant;
+      /** Usage counts that aren't known to be committed; only where usage is reported, and when some are due. */
+      readonly usage?: UsageDelivery;
     }
   /** An update: the answer to a poll, also sent without a poll when a command is applied. */
   | {
@@ -72,6 +75,8 @@
       readonly age?: Duration | undefined;
       /** `sentAt` of the receiver's last poll. */
       readonly echo?: Instant | undefined;
+      /** Which of the receiver's usage counts are committed, once for each delivery. */
+      readonly usage?: UsageReceipt;
     }
   /** A control member's followers, sent to the other members. */
   | {
@@ -87,6 +92,8 @@
   | { readonly kind: 'findFollowers' }
   /** Evidence from a control member's followers, sent to the leader. */
   | { readonly kind: 'evidence'; readonly rows: readonly EvidenceRow[] }
+  /** Usage counts of a control member's follower, sent to the leader. */
+  | { readonly kind: 'usage'; readonly delivery: UsageDelivery }
   /** A request for the members of the group, from a process without state or with an old one. */
   | { readonly kind: 'find'; readonly sentAt?: Instant }
   /** `hasDisk` tells whether the sender may be a member, `isFounding` whether it founds the group and has none yet. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,6 +30,7 @@
 } from '../model/index.js';
 import { hasProcessEnded } from '../quarantine/index.js';
 import { createLogger } from '../telemetry/index.js';
+import type { UsageCounter } from '../usage/index.js';
 import type { Mesh } from '../wire/index.js';
 import {
   addCounts,
@@ -157,6 +158,8 @@
   readonly maxStateAge?: Duration;
   /** Records the metrics of a finished request. */
   readonly recordCall: (service: string, outcome: string, latency: Duration) => void;
+  /** Counts requests for the usage reports, if any. */
+  readonly usage?: UsageCounter | undefined;
   /** Starts following the control members; {@link createFollower} unless a test replaces it. */
   readonly follow?: typeof createFollower;
 }
@@ -280,6 +283,7 @@
       now: this.now,
       describeSelf: () => this.#describeSelf(),
       collectEvidence: () => this.#evidence.collect(),
+      usage: options.usage,
       onChange: (view, change) => {
         this.#applyChange(view, change);
       },
@@ -629,6 +633,7 @@
       service,
       version,
       retryVersion: share.next !== undefined && share.share < 1 ? share.stable : version,
+      account: undefined,
       arrivedAt,
       deadline,
     };
@@ -836,6 +841,7 @@
     const pace = computePace(record, now);
     const latency = (now - sentAt) / pace;
     this.#countOutcome(request, record, now - sentAt, outcome);
+    this.#options.usage?.countAttempt(request.account, now - sentAt, outcome);
     this.#recordSurvival(request, record, outcome);
     const isGood = outcome?.kind === 'answered' && outcome.answer.status < 500;
     // After its deadline an answer was read late, as in a process that stood still, and tells no work.
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -328,6 +328,8 @@
         case 'startMove':
         case 'stepMove':
         case 'setZone':
+        case 'recordUsage':
+        case 'takeUsageDuty':
           return [];
       }
     });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -172,6 +172,8 @@
    * version costs the caller one attempt only.
    */
   readonly retryVersion: string | undefined;
+  /** The client account under which the request is counted; undefined without one. */
+  readonly account: string | undefined;
   readonly arrivedAt: Instant;
   /** When the final answer is due. */
   readonly deadline: Instant;
