--- a/features/usage/usage.feature
+++ b/features/usage/usage.feature
@@ -55,6 +55,12 @@
   Scenario: Counts that wait for their commit are bounded
     Then a usage counter that gets no receipt for 10 minutes keeps at most 5 batches and 24 windows in the last
 
+  Scenario: The last counts of a gateway that stops are sent at once
+    Then a usage counter that sent a batch 10 ms ago and is flushed sends the counts since then
+
+  Scenario: The settings of usage reports
+    Then a gateway and a steward may have usage settings, with an address by name or by number
+
   Scenario: A leader seals nothing before it has collected for 1.5 s
     Then a usage leader that takes over 20 s after the end of a window seals it 1.5 s later
 
--- a/features/usage/usage.steps.ts
+++ b/features/usage/usage.steps.ts
@@ -35,6 +35,7 @@
   type ReportingEvent,
   type ReportingState,
 } from '../../src/usage/reporting.js';
+import { parseSettings, type Settings } from '../../src/settings/index.js';
 import type { Mesh, MessageHandler } from '../../src/wire/index.js';
 import { createControl } from '../support/control.js';
 
@@ -465,6 +466,44 @@
   },
 );
 
+Then(
+  'a usage counter that sent a batch 10 ms ago and is flushed sends the counts since then',
+  function () {
+    const clock = { now: 0, wall: 37_000 };
+    const counter = createCounter(clock);
+    counter.countAttempt('ana', 20, { kind: 'answered' });
+    counter.collect();
+    clock.now += 10;
+    counter.countAttempt('bo', 20, { kind: 'answered' });
+    assert.equal(counter.collect(), undefined);
+    counter.flush();
+    assert.deepEqual(
+      counter.collect()?.batches.map(({ number }) => number),
+      [1, 2],
+    );
+  },
+);
+
+Then(
+  'a gateway and a steward may have usage settings, with an address by name or by number',
+  function () {
+    const site = '[site]\nname = s\nsecret = 0123456789abcdef\n[peer]\nlisten = 10.0.0.1:7200\n';
+    const gateway = `${site}[process]\nid = g\nzone = a\nroles = gateway\n[gateway]\ncaller_listen = 10.0.0.1:8080\nseeds = 10.0.0.2:7200\nsteward_port = 7200\nready_listen = 10.0.0.1:8081\ndirectory_listen = 10.0.0.1:8082\nstop_time_ms = 3000\n`;
+    const parse = (text: string): Settings['usage'] => {
+      const parsed = parseSettings('site.ini', `${gateway}${text}`);
+      return parsed.isOk() ? parsed.value.usage : assert.fail(inspect(parsed.error));
+    };
+    assert.equal(parse(''), undefined);
+    assert.deepEqual(parse('[usage]\nwindow_ms = 5000\nlease_ms = 3000\n'), {
+      ...{ window_ms: 5000, lease_ms: 3000 },
+    });
+    const addresses = ['platform.internal:80', '10.0.0.9:8080'];
+    addresses.forEach((address) => {
+      assert.equal(parse(`[usage]\naddress = ${address}\n`)?.address, address);
+    });
+  },
+);
+
 /** Runs decisions with a state of the group that the test sets. */
 class DecisionRun {
   usage: UsageState | undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -965,6 +965,8 @@
     this.#crashGossip.close();
     this.#transport.close();
     this.#admission.close();
+    this.#options.usage?.flush();
+    this.#follower.pollNow();
     this.#follower.close();
     this.#pool.close();
   }
--- a/src/usage/counter.ts
+++ b/src/usage/counter.ts
@@ -71,6 +71,12 @@
     return { source: this.#options.source, batches: this.#waiting };
   }
 
+  /** Makes all counts due, as the gateway stops. */
+  flush(): void {
+    this.#closedAt = -Infinity;
+    this.#sentAt = -Infinity;
+  }
+
   /** Drops the batches that are committed. */
   handleReceipt({ source, last }: UsageReceipt): void {
     if (source !== this.#options.source) return;
--- a/src/usage/reporter.ts
+++ b/src/usage/reporter.ts
@@ -12,6 +12,7 @@
   type ReportingEvent,
   type ReportingState,
 } from './reporting.js';
+import { emptyUsage } from './state.js';
 import type { SendReport, UsageCommand, UsageDelivery, UsageReport, UsageState } from './types.js';
 
 const log = createLogger('usage');
@@ -46,6 +47,16 @@
   close(): void;
 }
 
+function reportLosses(before: UsageState, after: UsageState): void {
+  const late = after.late - before.late;
+  const expired = after.expired - before.expired;
+  if (late > 0) log.warn('usage counts dropped: their window is sealed', { requests: late });
+  if (expired > 0)
+    log.warn('usage windows dropped without a report: check the address of the platform', {
+      windows: expired,
+    });
+}
+
 class LeaderReporter<S extends { readonly usage?: UsageState }> implements UsageReporter {
   readonly #options: UsageReporterOptions<S>;
   readonly #timer: NodeJS.Timeout;
@@ -109,6 +120,7 @@
 
   async #commit(id: number, command: UsageCommand): Promise<void> {
     const { control, now } = this.#options;
+    const before = this.#usage ?? emptyUsage;
     const outcome = await control.propose(command, QUORUM_TIMEOUT);
     const isApplied = outcome.kind === 'committed';
     const usage = this.#usage;
@@ -116,6 +128,7 @@
       log.info('usage reports: duty taken', { token: usage?.token ?? 0 });
     if (isApplied && command.kind === 'recordUsage' && command.seals.length > 0)
       log.info('usage windows sealed', { windows: command.seals.join(' ') });
+    if (isApplied && usage !== undefined) reportLosses(before, usage);
     this.#decide({ kind: 'committed', now: now(), id, isApplied, usage });
   }
 
