--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -25,15 +25,15 @@
 import { createPublisher, type Publisher } from '../feed/index.js';
 import type { Duration } from '../model/index.js';
 import type { Settings } from '../settings/index.js';
-import { createSteward, DEFAULT_EXPOSURE_BUDGET, type Steward } from '../steward/index.js';
-import { createLogger, type Metrics } from '../telemetry/index.js';
 import {
+  createSteward,
   createUsageReporter,
-  DEFAULT_LEASE_MS,
-  DEFAULT_WINDOW_MS,
-  type SendReport,
+  DEFAULT_EXPOSURE_BUDGET,
+  type Steward,
   type UsageReporter,
-} from '../usage/index.js';
+} from '../steward/index.js';
+import { createLogger, type Metrics } from '../telemetry/index.js';
+import { DEFAULT_LEASE_MS, DEFAULT_WINDOW_MS, type SendReport } from '../usage/index.js';
 import type { Mesh } from '../wire/index.js';
 import type { Listeners, PlatformAdapter, RunningRole } from './adapter.js';
 import { findFounders, findGroup, type StartMembers } from './founders.js';
--- a/src/steward/index.ts
+++ b/src/steward/index.ts
@@ -8,6 +8,7 @@
   type MoveStep,
   type MoveTimes,
 } from './moves.js';
+export { createUsageReporter, type UsageReporter } from './usage.js';
 export {
   createSteward,
   type Announcement,
--- a/src/usage/reporter.ts
+++ b/src/steward/usage.ts
@@ -8,12 +8,16 @@
 import {
   createReporting,
   decideReporting,
+  emptyUsage,
   type ReportingEffect,
   type ReportingEvent,
   type ReportingState,
-} from './reporting.js';
-import { emptyUsage } from './state.js';
-import type { SendReport, UsageCommand, UsageDelivery, UsageReport, UsageState } from './types.js';
+  type SendReport,
+  type UsageCommand,
+  type UsageDelivery,
+  type UsageReport,
+  type UsageState,
+} from '../usage/index.js';
 
 const log = createLogger('usage');
 
