--- a/src/usage/collect.ts
+++ b/src/usage/collect.ts
@@ -3,7 +3,7 @@
  * seals a window only once the gateways had time to send its counts.
  */
 import type { Duration, Instant } from '../model/index.js';
-import { addWindowCounts, getLastBatch, isWindowSealed } from './state.js';
+import { addWindowCounts, buildLastBatches, getLastBatch, isWindowSealed } from './state.js';
 import type {
   SourceRange,
   UsageBatch,
@@ -66,10 +66,11 @@
 
 /** Drops the batches that are committed, and the sights of windows that are neither open nor collected. */
 export function dropCommitted(collected: Collected, usage: UsageState | undefined): Collected {
+  const lastBatches = buildLastBatches(usage);
   const batches = new Map(
     [...collected.batches]
       .map(([source, list]) => {
-        const last = getLastBatch(usage, source);
+        const last = lastBatches.get(source) ?? 0;
         return [source, list.filter(({ number }) => number > last)] as const;
       })
       .filter(([, list]) => list.length > 0),
@@ -118,11 +119,12 @@
 ): Extract<UsageCommand, { kind: 'recordUsage' }> | undefined {
   const { usage, reported } = situation;
   const { batches } = dropCommitted(collected, usage);
+  const lastBatches = buildLastBatches(usage);
   const counts = [...batches.values()]
     .flat()
     .reduce<WindowCounts>((sum, batch) => addWindowCounts(sum, batch.counts), []);
   const sources = [...batches].map(([source, list]): SourceRange => {
-    const base = getLastBatch(usage, source);
+    const base = lastBatches.get(source) ?? 0;
     return [source, base, list.at(-1)?.number ?? base];
   });
   const open = usage?.windows.filter(({ isSealed }) => !isSealed).map(({ window }) => window) ?? [];
--- a/src/usage/state.ts
+++ b/src/usage/state.ts
@@ -64,6 +64,11 @@
   return isForgotten || sealed.includes(window);
 }
 
+/** Returns the last committed batch of each gateway start, for many look-ups. */
+export function buildLastBatches(state: UsageState | undefined): ReadonlyMap<string, number> {
+  return new Map(state?.sources.map(({ source, last }) => [source, last]));
+}
+
 /** Returns the last committed batch of a gateway's start; 0 if none is known. */
 export function getLastBatch(state: UsageState | undefined, source: string): number {
   return state?.sources.find((known) => known.source === source)?.last ?? 0;
@@ -91,7 +96,8 @@
 }
 
 function applyRecord(state: UsageState, command: RecordCommand): UsageState | undefined {
-  const isStale = command.sources.some(([source, base]) => getLastBatch(state, source) !== base);
+  const lastBatches = buildLastBatches(state);
+  const isStale = command.sources.some(([source, base]) => (lastBatches.get(source) ?? 0) !== base);
   if (isStale) return undefined;
   const commits = state.commits + 1;
   const timely = command.counts.filter(([window]) => !isWindowSealed(state, window));
