--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,7 @@
   policies: () => import('./policies.js'),
   scale: () => import('./scale.js'),
   gateway: () => import('./gateway.js'),
+  overload: () => import('./overload.js'),
 };
 
 const name = process.argv[2];
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -79,7 +79,7 @@
   return {
     ...{ id: '1', method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), hasBody: false },
     ...{ route: { ...route, kind }, service: 'records', version: undefined },
-    retryVersion: undefined,
+    ...{ retryVersion: undefined, account: undefined, rank: route.rank },
     ...{ arrivedAt, deadline: arrivedAt + 5000 },
   };
 }
--- a/features/gateway/staleness.steps.ts
+++ b/features/gateway/staleness.steps.ts
@@ -299,7 +299,7 @@
       {
         ...{ id: 'r1', method: 'GET', target: '/known/a', headers: [], body: Buffer.alloc(0) },
         ...{ hasBody: false, route, service: 'records', version: undefined },
-        ...{ retryVersion: undefined, arrivedAt: 0, deadline: 5000 },
+        ...{ retryVersion: undefined, arrivedAt: 0, deadline: 5000, account: undefined, rank: 0 },
       },
       (answer) => {
         this.runAnswers = [...this.runAnswers, answer];
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -49,6 +49,8 @@
   readonly hasBody: boolean;
   /** When the request's head was read. */
   readonly arrivedAt: Instant;
+  /** Address from which the caller connected. */
+  readonly peer?: string | undefined;
 }
 
 /** Handle of a request that is being served. */
@@ -323,6 +325,7 @@
           body: event.body,
           hasBody: event.framing.kind !== 'none',
           arrivedAt: this.#headReadAt,
+          peer: this.#socket.remoteAddress,
         });
         return;
       case 'protocolError':
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -69,6 +69,8 @@
 import { createLoadGossip, type ReceivedReport, type LoadGossip } from './gossip.js';
 import { parseLimit, recordTurningAway } from './notices.js';
 import { RequestQuarantine } from './quarantine.js';
+import { listByZone, listCallerAddresses } from './directory.js';
+import { RequestQueues, type WaitCounts } from './queues.js';
 import { planGossip, type GossipPlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
@@ -102,10 +104,6 @@
   headTimeout: 3000,
   idleTimeout: 15_000,
 };
-/** Maximum number of addresses in one response of the directory. */
-const MAX_ADDRESSES = 64;
-/** Number of ready gateways in a zone from which the zone's callers are sent only to those. */
-const MIN_ZONE_GATEWAYS = 2;
 /** Maximum age in milliseconds of a load report that proves the upstream reachable from the reporting gateway. */
 const MAX_FRESH_REPORT_AGE: Duration = 250;
 /** Multiple of the expected time beyond which a cancelled attempt counts against its upstream. */
@@ -175,6 +173,8 @@
   /** Total number of connections opened to upstreams. */
   readonly openedConnections: number;
   readonly callers: CallerCounts;
+  /** The requests that found no room. */
+  readonly waits: WaitCounts;
   /** The bytes of the messages that the gateway holds. */
   readonly buffers: BufferBudget;
   /** The requests that are refused because they crash upstreams. */
@@ -190,14 +190,6 @@
   stop(signalledAt: Instant): Promise<void>;
 }
 
-/** Returns the ids of the gateways in each zone. */
-function listByZone(entries: readonly EntryRecord[]): ReadonlyMap<ZoneId, readonly string[]> {
-  const zones = [...new Set(entries.map(({ zone }) => zone))];
-  return new Map(
-    zones.map((name) => [name, entries.filter(({ zone }) => zone === name).map(({ id }) => id)]),
-  );
-}
-
 class RunningGateway implements Gateway, RunHost, CallerHost {
   readonly #options: GatewayOptions;
   readonly #dialect: HeaderDialect;
@@ -242,6 +234,12 @@
 
   readonly now = (): Instant => performance.now();
 
+  readonly queues = new RequestQueues({
+    ...{ now: this.now, registry: this.#registry, work: this.#averageWork },
+    countGateways: () => this.#gateways.length,
+    getTopRank: (service) => this.#topRanks.get(service),
+  });
+
   private constructor(options: GatewayOptions, server: Server) {
     this.#options = options;
     this.#dialect = options.dialect;
@@ -416,6 +414,10 @@
     return this.#callers;
   }
 
+  get waits(): WaitCounts {
+    return this.queues.counts;
+  }
+
   get #fleetShare(): FleetShare {
     const { id, coldBounds } = this.#options;
     return { self: id, gateways: this.#gateways, bounds: coldBounds };
@@ -436,13 +438,7 @@
 
   listAddresses(zone: ZoneId): readonly Address[] {
     if (this.#admission.stateWatch.isRefusing) return [];
-    const ready = this.#entries.filter((entry) => entry.ready);
-    const sameZone = ready.filter((entry) => entry.zone === zone);
-    const chosen = sameZone.length >= MIN_ZONE_GATEWAYS ? sameZone : ready;
-    const start = chosen.length > MAX_ADDRESSES ? Math.floor(Math.random() * chosen.length) : 0;
-    return [...chosen.slice(start), ...chosen.slice(0, start)]
-      .slice(0, MAX_ADDRESSES)
-      .map(({ callerAddress }) => callerAddress);
+    return listCallerAddresses(this.#entries, zone, Math.random());
   }
 
   #describeSelf(): EntryRecord {
@@ -604,7 +600,7 @@
   }
 
   #run(
-    { request: { head, body, hasBody, arrivedAt }, id, route, matchedAt }: AdmittedRequest,
+    { request: { head, body, hasBody, arrivedAt, peer }, id, route, matchedAt }: AdmittedRequest,
     onAnswer: (answer: FinalAnswer) => void,
   ): ServedRequest | undefined {
     const splitter = this.#routeSplitters.get(route.name) ?? new WeightedSplitter();
@@ -629,6 +625,7 @@
       service,
       version,
       retryVersion: share.next !== undefined && share.share < 1 ? share.stable : version,
+      ...{ account: undefined, rank: route.rank, peer },
       arrivedAt,
       deadline,
     };
@@ -750,7 +747,7 @@
       isLarge: isLargeKind(route.kind),
       deadlineShare: Math.max(
         0.3,
-        MAX_DEADLINE_SHARE - (route.rank - topRank) * DEADLINE_SHARE_STEP,
+        MAX_DEADLINE_SHARE - (request.rank - topRank) * DEADLINE_SHARE_STEP,
       ),
       random: Math.random(),
     });
@@ -841,6 +838,7 @@
     // After its deadline an answer was read late, as in a process that stood still, and tells no work.
     if (isGood && now <= request.deadline)
       this.#getAverageWork(request).addSample((now - sentAt) / slowdown);
+    this.queues.recordEnd(request, outcome);
     const wasOverdue = this.#overdue.end(request, record);
     const finding = judgeAttempt({
       outcome,
@@ -946,6 +944,7 @@
     if (this.isStopping()) return;
     const plan = buildStopPlan(this.now(), this.#options.stopTime, signalledAt);
     this.#stopPlan = plan;
+    this.queues.close();
     this.#callers.logState('gateway drain started');
     this.#follower.pollNow();
     await wait(plan.acceptsUntil - this.now());
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -5,6 +5,7 @@
  */
 import { isIdempotentKind } from '../catalog/index.js';
 import type { Duration, Instant } from '../model/index.js';
+import type { TurnResult, WaitingListener, WaitingTicket, WaitRefusal } from '../overload/index.js';
 import { NOT_READY_RETRY_AFTER } from './answers.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
 import type { Choice } from './choose.js';
@@ -18,7 +19,13 @@
   finishRequest,
   type RetryState,
 } from './retry.js';
-import type { AttemptOutcome, FinalAnswer, GatewayRequest, UpstreamRecord } from './types.js';
+import type {
+  AttemptOutcome,
+  FinalAnswer,
+  GatewayRequest,
+  RefusalCause,
+  UpstreamRecord,
+} from './types.js';
 
 /** Multiple of the expected time after which a hedge is sent; one answer in 25 takes longer. */
 const HEDGE_RATIO = 1.7;
@@ -31,9 +38,31 @@
 /** Retry-After of requests refused because no upstream is available, in milliseconds. */
 const NO_UPSTREAM_RETRY_AFTER: Duration = 200;
 
+/** Causes of refusals after which the caller comes back at a time that depends on its deadline. */
+const RETRYABLE_CAUSES: ReadonlySet<RefusalCause> = new Set([
+  'overloaded',
+  'turnedAway',
+  'noUpstream',
+  'unreachable',
+]);
+
+/** The queues of requests for which there is no capacity yet. */
+export interface RunQueues {
+  /** Whether the request must wait although there may be room, because others come first. */
+  isHeldBack(request: GatewayRequest): boolean;
+  /** Lets the request wait or refuses it; the listener may be called before this returns. */
+  join(request: GatewayRequest, listener: WaitingListener): WaitingTicket;
+  /** Records that the request was sent without a wait. */
+  recordSent(request: GatewayRequest): void;
+  /** Returns when a refused caller is told to come back, if there may be room after `wait` milliseconds. */
+  computeRetryAfter(request: GatewayRequest, wait: Duration): Duration;
+}
+
 /** The gateway's functions that a {@link RequestRun} calls. */
 export interface RunHost {
   readonly now: () => Instant;
+  /** A host without queues refuses requests as soon as there is no room for them. */
+  readonly queues?: RunQueues;
   readonly buffers: BufferBudget;
   /** Chooses an upstream that is not in `tried`; among equally good ones, prefers those in `justProbed`. */
   choose(
@@ -103,6 +132,7 @@
   #hedgeTimer: NodeJS.Timeout | undefined;
   #retryState: RetryState;
   #tried: readonly UpstreamRecord[] = [];
+  #ticket: WaitingTicket | undefined;
   #isOver = false;
 
   constructor(host: RunHost, request: GatewayRequest, onAnswer: (answer: FinalAnswer) => void) {
@@ -188,7 +218,7 @@
     const { version, retryVersion } = this.#request;
     const request = {
       ...this.#request,
-      version: this.#tried.length === 0 ? version : retryVersion,
+      version: this.#isUntried ? version : retryVersion,
     };
     const choice = this.#host.choose(request, [...this.#tried, ...unresponsive], answered);
     return choice.kind === 'chosen' || unresponsive.length === 0
@@ -196,23 +226,83 @@
       : this.#host.choose(request, this.#tried, answered);
   }
 
+  /** Whether no attempt was made, not even one that was rejected. */
+  get #isUntried(): boolean {
+    const { rejected, unreachable } = this.#retryState;
+    return this.#tried.length + rejected + unreachable === 0;
+  }
+
   #sendFirst(): void {
     if (this.#isQuarantined()) {
       this.#refuseAsQuarantined();
       return;
     }
+    if (this.#host.queues?.isHeldBack(this.#request) === true) {
+      this.#waitOrRefuse({ kind: 'refused', cause: 'overloaded', retryAfter: 0 });
+      return;
+    }
     this.#selectUpstream((choice) => {
       this.#handleFirstChoice(choice);
     });
   }
 
-  #handleFirstChoice(choice: Choice): void {
+  /** Waits for room, as far as the queues expect that there will be some in time; refuses the request otherwise. */
+  #waitOrRefuse(refusal: Extract<FinalAnswer, { kind: 'refused' }>): void {
+    const { queues } = this.#host;
+    if (queues === undefined) {
+      this.#answer(refusal);
+      return;
+    }
+    const ticket = queues.join(this.#request, {
+      onTurn: (onResult) => {
+        this.#takeTurn(onResult);
+      },
+      onRefuse: (cause, retryAfter) => {
+        this.#refuseWaiting(refusal.cause, cause, retryAfter);
+      },
+    });
+    if (this.#isOver) return;
+    this.#ticket = ticket;
+    this.#host.recordDecision(this.#request, 'wait', undefined, refusal.cause);
+  }
+
+  #refuseWaiting(cause: RefusalCause, reason: WaitRefusal, retryAfter: Duration): void {
+    if (reason === 'displaced' || reason === 'reserved')
+      this.#host.recordDecision(this.#request, reason, undefined, 'others are served first');
+    const isStopping = reason === 'stopping';
+    this.#answer({ kind: 'refused', cause: isStopping ? 'stopping' : cause, retryAfter }, true);
+  }
+
+  /** Decides anew on a request that has waited. */
+  #takeTurn(onResult: (result: TurnResult) => void): void {
+    if (this.#isOver) return;
+    if (this.#isQuarantined()) {
+      this.#refuseAsQuarantined();
+      return;
+    }
+    this.#selectUpstream((choice) => {
+      // Upstreams that rejected a request a moment ago are not usable for a few milliseconds.
+      const isUnusable = choice.kind === 'noUpstream' && !this.#isUntried;
+      if (choice.kind === 'noRoom' || isUnusable) {
+        onResult('noRoom');
+        return;
+      }
+      if (choice.kind === 'chosen') {
+        this.#ticket = undefined;
+        onResult('sent');
+      }
+      this.#handleFirstChoice(choice, true);
+    });
+  }
+
+  #handleFirstChoice(choice: Choice, hasWaited = false): void {
     switch (choice.kind) {
       case 'chosen':
+        if (!hasWaited) this.#host.queues?.recordSent(this.#request);
         this.#send(choice);
         return;
       case 'noRoom':
-        this.#answer({ kind: 'refused', cause: 'overloaded', retryAfter: choice.wait });
+        this.#waitOrRefuse({ kind: 'refused', cause: 'overloaded', retryAfter: choice.wait });
         return;
       case 'stale':
         this.#answer({ kind: 'refused', cause: 'stale', retryAfter: NOT_READY_RETRY_AFTER });
@@ -273,7 +363,7 @@
     const decision = decideRetry(this.#retryState, outcome);
     switch (decision.kind) {
       case 'answer':
-        this.#answer(decision.answer);
+        this.#answerOrWait(decision.answer);
         return;
       case 'wait':
         return;
@@ -297,10 +387,29 @@
           outcome.kind === 'answered' ? `status ${outcome.answer.status}` : outcome.kind;
         this.#host.recordDecision(this.#request, 'sendAgain', choice.record, reason);
         this.#send(choice);
-      } else if (this.#retryState.pending === 0) this.#answer(finishRequest(this.#retryState));
+      } else if (this.#retryState.pending === 0)
+        this.#answerOrWait(finishRequest(this.#retryState));
     });
   }
 
+  /**
+   * Lets a request that upstreams rejected wait for another attempt, if the retry budget has one left. It is taken at
+   * once, as a request that waits for a budget that others use up would be held in vain.
+   */
+  #answerOrWait(answer: FinalAnswer): void {
+    const mayWait =
+      answer.kind === 'refused' &&
+      answer.cause === 'turnedAway' &&
+      this.#host.queues !== undefined &&
+      this.#host.takeRetry(this.#request.service);
+    if (!mayWait) {
+      this.#answer(answer);
+      return;
+    }
+    this.#tried = [];
+    this.#waitOrRefuse(answer);
+  }
+
   #handleDeadline(): void {
     const { mayHaveRun, pending, fallback } = this.#retryState;
     const isUnsent = mayHaveRun + pending === 0;
@@ -318,6 +427,7 @@
 
   #finish(): void {
     this.#isOver = true;
+    this.#ticket?.leave();
     this.#host.buffers.remove(this);
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#hedgeTimer);
@@ -328,9 +438,18 @@
     this.#pending.clear();
   }
 
-  #answer(answer: FinalAnswer): void {
+  #answer(answer: FinalAnswer, isTimed = false): void {
     if (this.#isOver) return;
     this.#finish();
-    this.#onAnswer(answer);
+    this.#onAnswer(isTimed ? answer : this.#setRetryAfter(answer));
+  }
+
+  /** Fits the time after which a refused caller comes back to its deadline. */
+  #setRetryAfter(answer: FinalAnswer): FinalAnswer {
+    const { queues } = this.#host;
+    if (queues === undefined || answer.kind !== 'refused' || !RETRYABLE_CAUSES.has(answer.cause))
+      return answer;
+    const retryAfter = queues.computeRetryAfter(this.#request, answer.retryAfter);
+    return { ...answer, retryAfter };
   }
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -172,6 +172,12 @@
    * version costs the caller one attempt only.
    */
   readonly retryVersion: string | undefined;
+  /** Name of the client account that sent it; undefined if there are none. */
+  readonly account: string | undefined;
+  /** Priority of the request; 0 is the most urgent. */
+  readonly rank: number;
+  /** Address from which its caller connected; undefined if it is not known. */
+  readonly peer?: string | undefined;
   readonly arrivedAt: Instant;
   /** When the final answer is due. */
   readonly deadline: Instant;
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -25,6 +25,12 @@
     return average;
   }
 
+  /** Returns the mean of the averages of the service's routes, or 0 if none of its routes is known. */
+  getMean(service: string): Duration {
+    const averages = [...(this.#byService.get(service)?.values() ?? [])];
+    return averages.reduce((sum, { value }) => sum + value, 0) / Math.max(1, averages.length);
+  }
+
   /** Returns the shortest average of the service's routes, or 0 if none of its routes is known. */
   getShortest(service: string): Duration {
     const averages = [...(this.#byService.get(service)?.values() ?? [])];
