--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -4,6 +4,7 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises';
 import {
+  countWaitingRequests,
   decideWaiting,
   emptyWaiting,
   type Waiter,
@@ -43,6 +44,9 @@
   const random = createRandom(seed);
   let state = emptyWaiting;
   for (let id = 1; id < size; id += 1) state = addWaiter(state, id, random);
+  const waiting = countWaitingRequests(state);
+  if (waiting !== size - 1)
+    throw new Error(`only ${waiting} of ${size - 1} wait; raise the capacity of the benchmark`);
   const start = process.hrtime.bigint();
   for (let cycle = 0; cycle < CYCLES; cycle += 1) {
     state = addWaiter(state, size + cycle, random);
--- a/bench/overloadreplay.ts
+++ b/bench/overloadreplay.ts
@@ -227,7 +227,9 @@
           {
             ...{ now: this.#now, work: work.get(SERVICE, request.route).value, zone: 'a' },
             ...{ timeLeft: request.deadline - this.#now, isLarge: false, justProbed: [] },
-            targetTime: request.arrivedAt + request.route.targetLatency - this.#now,
+            targetTime: isWaiting
+              ? queues.computeTargetTime(request)
+              : request.arrivedAt + request.route.targetLatency - this.#now,
             ...{ canProbe: false, hasConnection: () => true, random: this.#random() },
             deadlineShare: Math.max(
               0.3,
@@ -501,3 +503,29 @@
   ...DEPLOYMENT,
   phases: [{ ...calm, duration: 5000, load: 0.4 }],
 };
+
+/** Twelve accounts of which one asks for as much as half of the others, in a long shortage. */
+export const unequalAccounts: ReplayScenario = {
+  ...DEPLOYMENT,
+  accounts: Array.from({ length: 12 }, (_, index) => ({
+    name: `account-${index}`,
+    weight: index === 0 ? 6 : 1,
+  })),
+  phases: [
+    { ...calm, duration: 1000 },
+    { ...calm, duration: 8000, load: 1.7 },
+  ],
+};
+
+/** Returns the served share of each account, as a multiple of the served share of all. */
+export function listServedShares(calls: readonly ReplayedCall[]): ReadonlyMap<string, number> {
+  const isServed = ({ end }: ReplayedCall): boolean => end === 'inTarget' || end === 'late';
+  const total = calls.filter(isServed).length / calls.length;
+  const names = [...new Set(calls.map(({ account }) => account ?? ''))].sort();
+  return new Map(
+    names.map((name) => {
+      const own = calls.filter(({ account = '' }) => account === name);
+      return [name, own.filter(isServed).length / own.length / total];
+    }),
+  );
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -739,7 +739,7 @@
       now,
       work: this.#getAverageWork(request).value,
       timeLeft: deadline - now,
-      targetTime: request.arrivedAt + route.targetLatency - now,
+      targetTime: this.queues.computeTargetTime(request),
       justProbed,
       canProbe: this.#prober.canProbeService(service),
       hasConnection: ({ instance }) => this.#pool.hasIdleConnection(instance.address),
--- a/src/gateway/queues.ts
+++ b/src/gateway/queues.ts
@@ -19,6 +19,10 @@
 import type { AverageWork } from './work.js';
 
 const MS_PER_SECOND = 1000;
+/** Share of the slots up to which free ones count as none; reports are up to some hundred milliseconds old. */
+const FULL_SHARE = 0.1;
+/** Multiple of the work that an upstream without a free slot may take while capacity is short. */
+const MAX_QUEUED_RATIO = 3;
 
 /** Options of {@link RequestQueues}. */
 export interface QueueOptions {
@@ -44,6 +48,20 @@
   readonly left: number;
 }
 
+/** Returns the number of the upstreams' slots, and of those that are free by the reports at hand. */
+function countSlots(records: readonly UpstreamRecord[]): {
+  readonly slots: number;
+  readonly free: number;
+} {
+  return {
+    slots: records.reduce((sum, { instance }) => sum + instance.slots, 0),
+    free: records.reduce(
+      (sum, record) => sum + Math.max(0, record.instance.slots - computeOccupancy(record)),
+      0,
+    ),
+  };
+}
+
 /**
  * Returns this gateway's share of the capacity of the upstreams.
  *
@@ -68,11 +86,7 @@
     ({ blockedUntil, unreachableUntil, retryAfter, isLeaving }) =>
       !isLeaving && Math.max(blockedUntil, unreachableUntil, retryAfter) <= now,
   );
-  const slots = usable.reduce((sum, { instance }) => sum + instance.slots, 0);
-  const free = usable.reduce(
-    (sum, record) => sum + Math.max(0, record.instance.slots - computeOccupancy(record)),
-    0,
-  );
+  const { slots, free } = countSlots(usable);
   const time = Math.max(1, work * pace);
   return { slotRate: (slots * MS_PER_SECOND) / time / gateways, freeShare: free / gateways };
 }
@@ -132,6 +146,12 @@
     });
   }
 
+  /** Whether hardly any slot of the service is free, so that a rejection is due to the load. */
+  #isFull(service: string): boolean {
+    const { slots, free } = countSlots(this.#options.registry.listUsable(service, undefined));
+    return free <= slots * FULL_SHARE;
+  }
+
   #describeWaiter(request: GatewayRequest, id: number): Waiter {
     const { account, rank, arrivedAt, deadline, route, service, peer } = request;
     return {
@@ -150,6 +170,18 @@
     return this.#queues.isHeldBack(request.service, this.#describeWaiter(request, 0));
   }
 
+  /**
+   * Returns the time within which an upstream that has no free slot may be expected to answer. While capacity is short,
+   * requests wait here rather than in the upstreams, where more urgent ones can't pass them.
+   */
+  computeTargetTime({ service, route, arrivedAt }: GatewayRequest): Duration {
+    const { now, work } = this.#options;
+    const targetTime = arrivedAt + route.targetLatency - now();
+    return this.#queues.isShort(service)
+      ? Math.min(targetTime, work.get(service, route).value * MAX_QUEUED_RATIO)
+      : targetTime;
+  }
+
   join(request: GatewayRequest, listener: WaitingListener): WaitingTicket {
     const waiter = this.#describeWaiter(request, this.#nextId);
     this.#nextId += 1;
@@ -160,10 +192,15 @@
     this.#queues.recordSent(request.service, this.#describeWaiter(request, 0));
   }
 
+  recordRefused(request: GatewayRequest): void {
+    this.#queues.recordRefused(request.service, this.#describeWaiter(request, 0));
+  }
+
   /** Records that an attempt ended, which frees a slot if it had taken one. */
   recordEnd({ service }: GatewayRequest, outcome: AttemptOutcome | undefined): void {
-    if (outcome?.kind === 'notRun' || outcome?.kind === 'unreachable') return;
-    this.#queues.recordEnd(service);
+    if (outcome?.kind === 'unreachable') return;
+    if (outcome?.kind !== 'notRun') this.#queues.recordEnd(service);
+    else if (this.#isFull(service)) this.#queues.recordRejected(service);
   }
 
   computeRetryAfter({ deadline, rank, service }: GatewayRequest, wait: Duration): Duration {
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -54,6 +54,8 @@
   join(request: GatewayRequest, listener: WaitingListener): WaitingTicket;
   /** Records that the request was sent without a wait. */
   recordSent(request: GatewayRequest): void;
+  /** Records that the request is refused, as upstreams rejected it. */
+  recordRefused(request: GatewayRequest): void;
   /** Returns when a refused caller is told to come back, if there may be room after `wait` milliseconds. */
   computeRetryAfter(request: GatewayRequest, wait: Duration): Duration;
 }
@@ -449,6 +451,7 @@
     const { queues } = this.#host;
     if (queues === undefined || answer.kind !== 'refused' || !RETRYABLE_CAUSES.has(answer.cause))
       return answer;
+    if (answer.cause === 'turnedAway') queues.recordRefused(this.#request);
     const retryAfter = queues.computeRetryAfter(this.#request, answer.retryAfter);
     return { ...answer, retryAfter };
   }
--- a/src/overload/admission.ts
+++ b/src/overload/admission.ts
@@ -7,12 +7,12 @@
 
 /** Factor on the work that covers the usual spread of the upstreams' paces. */
 const SERVICE_MARGIN = 1.3;
-/** Share of the target latency for which a request waits beyond the last instant at which it can be on time. */
-const LATE_SHARE = 0.01;
+/** Share of the target latency for which a request waits that can't be on time any more. */
+const LATE_SHARE = 1 / 4;
 /** Share of the time until the deadline for which a request waits at most. */
 const MAX_DEADLINE_SHARE = 1 / 2;
 /** Share of the time until a request is given up that its expected wait may take. */
-const WAIT_SHARE = 0.15;
+const WAIT_SHARE = 0.2;
 /** The same share for requests that are late in any case, which are to be served with high certainty. */
 const LATE_WAIT_SHARE = 1 / 4;
 /** Half-life in milliseconds of an observed end in the rate at which slots come free. */
@@ -64,8 +64,9 @@
 /** Returns when a request that waits from `now` on is refused if it has not been sent. */
 export function computeGiveUp(waiter: Waiter, now: Instant): Instant {
   const { arrivedAt, targetAt, deadline, work } = waiter;
+  const latest = computeLatestStart(waiter);
   return Math.min(
-    Math.max(now, computeLatestStart(waiter)) + (targetAt - arrivedAt) * LATE_SHARE,
+    latest > now ? latest : now + (targetAt - arrivedAt) * LATE_SHARE,
     arrivedAt + (deadline - arrivedAt) * MAX_DEADLINE_SHARE,
     deadline - 2 * work * SERVICE_MARGIN,
   );
@@ -78,9 +79,6 @@
  * isWaitAllowed(waiter, 30, now) // true if the waiter has some 100 ms to spare
  */
 export function isWaitAllowed(waiter: Waiter, wait: Duration, now: Instant): boolean {
-  const giveUpAt = computeGiveUp(waiter, now);
-  const latest = Math.min(giveUpAt, computeLatestStart(waiter));
-  return latest > now
-    ? wait <= (latest - now) * WAIT_SHARE
-    : wait <= (giveUpAt - now) * LATE_WAIT_SHARE;
+  const share = computeLatestStart(waiter) > now ? WAIT_SHARE : LATE_WAIT_SHARE;
+  return wait <= (computeGiveUp(waiter, now) - now) * share;
 }
--- a/src/overload/decide.ts
+++ b/src/overload/decide.ts
@@ -21,6 +21,7 @@
   addRefused,
   addSent,
   claimTag,
+  dropSent,
   dropTag,
   emptyShares,
   isReserved,
@@ -58,6 +59,8 @@
 const FAILED_FACTOR = 1.5;
 /** Requests that are tried for each wake-up. */
 const MAX_TRIED = 2;
+/** The same while no upstream is usable, so that all of them are refused soon. */
+const MAX_TRIED_WITHOUT_UPSTREAM = 32;
 /**
  * Milliseconds in which the load reports of all upstreams are renewed. All gateways see the same free slots for that
  * time, and each of them takes its share once.
@@ -245,12 +248,10 @@
 function handleTick(state: WaitingState, event: EventOf<'ticked'>): Result {
   const { capacity, now, random } = event;
   const known = updateCapacity(state, capacity, now);
-  const result = refuseHopeless(
-    refuseExpired({ state: known, effects: [] }, now, random),
-    now,
-    random,
-    'noTime',
-  );
+  const unexpired = refuseExpired({ state: known, effects: [] }, now, random);
+  // Without a usable upstream the requests are decided anew, which tells why they can't be served.
+  if (capacity.slotRate === 0) return startNext(unexpired, now, MAX_TRIED_WITHOUT_UPSTREAM);
+  const result = refuseHopeless(unexpired, now, random, 'noTime');
   const ticked = { ...result, state: { ...result.state, tickedAt: now } };
   return isTaking(state, event) ? startNext(ticked, now, MAX_TRIED) : ticked;
 }
@@ -276,6 +277,18 @@
   return { state: { ...state, shares: addSent(shares, waiter, now) }, effects: [] };
 }
 
+/** A full upstream means that capacity is short, although this gateway may not have refused a request yet. */
+function handleRejected(state: WaitingState, now: Instant): Result {
+  const shares = isShort(state, now) ? state.shares : emptyShares;
+  return { state: { ...state, shares, shortUntil: now + SHORT_TIME }, effects: [] };
+}
+
+function handleRefused(state: WaitingState, { waiter, now }: EventOf<'refused'>): Result {
+  if (!isShort(state, now)) return { state, effects: [] };
+  const shares = addRefused(dropSent(state.shares, waiter, now), waiter, now);
+  return { state: { ...state, shares }, effects: [] };
+}
+
 function handleClosed(state: WaitingState, now: Instant): Result {
   return listRequests(state.queue).reduce<Result>(
     (result, request) => refuseWaiting(result, request, 'stopping', now, 0),
@@ -295,6 +308,10 @@
       return handleNoRoom(state, event);
     case 'sent':
       return handleSent(state, event);
+    case 'rejected':
+      return handleRejected(state, event.now);
+    case 'refused':
+      return handleRefused(state, event);
     case 'ended':
       return startNext(
         { state: { ...state, ends: addEnd(state.ends, event.now) }, effects: [] },
--- a/src/overload/fairness.ts
+++ b/src/overload/fairness.ts
@@ -159,6 +159,20 @@
   );
 }
 
+/** Counts a request that was sent and rejected as one that was not sent. */
+export function dropSent(shares: Shares, claim: Claim, now: Instant): Shares {
+  const account = getAccount(shares, claim.account);
+  const drop = (served: Served): Served => {
+    const current = addServed(served, 0, 0, now);
+    return { ...current, sent: Math.max(0, current.sent - 1) };
+  };
+  const counted = replaceAccount(shares, account, { ...account, ...drop(account) });
+  return updateRank({ ...counted, total: drop(shares.total) }, claim.rank, (share) => ({
+    ...share,
+    ...drop(share),
+  }));
+}
+
 /** Records that a request was refused for lack of capacity. */
 export function addRefused(shares: Shares, { rank }: Claim, now: Instant): Shares {
   return updateRank(shares, rank, (share) => ({ ...share, refusedAt: now }));
--- a/src/overload/shell.ts
+++ b/src/overload/shell.ts
@@ -9,6 +9,7 @@
   decideWaiting,
   emptyWaiting,
   isHeldBack,
+  isShort,
   type WaitingState,
 } from './decide.js';
 import type {
@@ -81,6 +82,10 @@
     return countWaitingRequests(this.#state);
   }
 
+  isShort(): boolean {
+    return isShort(this.#state, this.#host.now());
+  }
+
   isHeldBack(waiter: Waiter): boolean {
     return isHeldBack(this.#state, waiter, this.#host.now());
   }
@@ -214,6 +219,11 @@
     return this.#queues.get(service)?.isHeldBack(waiter) ?? false;
   }
 
+  /** Whether the service was short of capacity a moment ago. */
+  isShort(service: string): boolean {
+    return this.#queues.get(service)?.isShort() ?? false;
+  }
+
   /** Lets the request wait or refuses it; the listener may be called before this returns. */
   join(service: string, waiter: Waiter, listener: WaitingListener): WaitingTicket {
     return this.#getQueue(service).join(waiter, listener);
@@ -224,6 +234,16 @@
     this.#queues.get(service)?.apply({ kind: 'sent', waiter, now: this.#host.now() });
   }
 
+  /** Records that a full upstream rejected a request. */
+  recordRejected(service: string): void {
+    this.#getQueue(service).apply({ kind: 'rejected', now: this.#host.now() });
+  }
+
+  /** Records that a request that was sent is refused, as upstreams rejected it. */
+  recordRefused(service: string, waiter: Waiter): void {
+    this.#queues.get(service)?.apply({ kind: 'refused', waiter, now: this.#host.now() });
+  }
+
   /** Records that an attempt of this gateway ended, which frees a slot. */
   recordEnd(service: string): void {
     this.#getQueue(service).apply({ kind: 'ended', now: this.#host.now() });
--- a/src/overload/types.ts
+++ b/src/overload/types.ts
@@ -61,6 +61,10 @@
     }
   /** The request was sent to an upstream for the first time, after a wait or without one. */
   | { readonly kind: 'sent'; readonly waiter: Waiter; readonly now: Instant }
+  /** An upstream without a free slot rejected a request. */
+  | { readonly kind: 'rejected'; readonly now: Instant }
+  /** A request that was sent is refused, as upstreams rejected it. */
+  | { readonly kind: 'refused'; readonly waiter: Waiter; readonly now: Instant }
   /** An attempt of this gateway ended, which frees a slot. */
   | { readonly kind: 'ended'; readonly now: Instant }
   /** The timer fired. */
