--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -110,6 +110,46 @@
       'Requests refused because there was no room for them.',
       () => gateway.buffers.refused,
     ],
+    [
+      'chivewalk_gateway_waiting_requests',
+      'Requests that wait for capacity.',
+      () => gateway.waits.waiting,
+    ],
+    [
+      'chivewalk_gateway_waited_requests_total',
+      'Requests sent after they waited for capacity.',
+      () => gateway.waits.served,
+    ],
+    [
+      'chivewalk_gateway_waited_ms_total',
+      'Milliseconds for which these requests waited.',
+      () => Math.round(gateway.waits.waitedTime),
+    ],
+    [
+      'chivewalk_gateway_left_waiting_total',
+      'Requests whose wait ended otherwise, as by callers that disconnected.',
+      () => gateway.waits.left,
+    ],
+    [
+      'chivewalk_gateway_refused_no_time_total',
+      'Requests refused because no capacity was expected in time.',
+      () => gateway.waits.refused.noTime,
+    ],
+    [
+      'chivewalk_gateway_refused_displaced_total',
+      'Requests refused because others took their place in the queue.',
+      () => gateway.waits.refused.displaced,
+    ],
+    [
+      'chivewalk_gateway_refused_reserved_total',
+      'Requests refused because capacity is reserved for more urgent ones.',
+      () => gateway.waits.refused.reserved,
+    ],
+    [
+      'chivewalk_gateway_refused_stopping_total',
+      'Requests that found no room in a stop.',
+      () => gateway.waits.refused.stopping,
+    ],
     [
       'chivewalk_gateway_refused_for_age_total',
       'Requests refused because the state was too old.',
--- a/src/gateway/queues.ts
+++ b/src/gateway/queues.ts
@@ -12,12 +12,15 @@
   type WaitingTicket,
   type WaitRefusal,
 } from '../overload/index.js';
+import { createLogger } from '../telemetry/index.js';
 import { computeOccupancy } from './choose.js';
 import type { UpstreamRegistry } from './registry.js';
 import type { RunQueues } from './run.js';
 import type { AttemptOutcome, GatewayRequest, UpstreamRecord } from './types.js';
 import type { AverageWork } from './work.js';
 
+const log = createLogger('gateway');
+
 const MS_PER_SECOND = 1000;
 /** Share of the slots up to which free ones count as none; reports are up to some hundred milliseconds old. */
 const FULL_SHARE = 0.1;
@@ -112,6 +115,12 @@
       now: options.now,
       random: Math.random,
       getCapacity: (service) => this.#getCapacity(service),
+      recordShortage: (service) => {
+        log.info('capacity is short', {
+          service,
+          ...countSlots(options.registry.listUsable(service, undefined)),
+        });
+      },
       recordWait: (_service, waited, end) => {
         this.#recordWait(waited, end);
       },
--- a/src/overload/decide.ts
+++ b/src/overload/decide.ts
@@ -24,6 +24,7 @@
   dropSent,
   dropTag,
   emptyShares,
+  getTopRank,
   isReserved,
   type Shares,
 } from './fairness.js';
@@ -131,7 +132,7 @@
   const retryAfter = computeRetryAfter({
     wait: Number.isFinite(wait) ? wait : waiter.work,
     timeLeft: waiter.deadline - now,
-    rank: waiter.rank,
+    rank: waiter.rank - getTopRank(state.shares, waiter.rank),
     random: computeRandom(random, waiter.id),
   });
   return {
--- a/src/overload/fairness.ts
+++ b/src/overload/fairness.ts
@@ -131,6 +131,11 @@
   readonly rank: number;
 }
 
+/** Returns the most urgent rank that asked for capacity, or the given one. */
+export function getTopRank({ ranks }: Shares, rank: number): number {
+  return ranks.reduce((least, one) => Math.min(least, one.rank), rank);
+}
+
 /** Counts a request that asked for capacity. */
 export function addAsked(shares: Shares, claim: Claim, now: Instant): Shares {
   const account = getAccount(shares, claim.account);
--- a/src/overload/shell.ts
+++ b/src/overload/shell.ts
@@ -51,7 +51,9 @@
   /** Returns a number from 0 (inclusive) to 1 (exclusive). */
   readonly random: () => number;
   readonly getCapacity: (service: string) => Capacity;
-  /** Records a request that has waited: for how long, and how it ended. */
+  /** Records that capacity became short. */
+  readonly recordShortage: (service: string) => void;
+  /** Records a request that found no room: for how long it waited, and how that ended. */
   readonly recordWait: (
     service: string,
     waited: Duration,
@@ -121,8 +123,10 @@
   }
 
   apply(event: WaitingEvent): void {
+    const wasShort = isShort(this.#state, event.now);
     const { state, effects } = decideWaiting(this.#state, event);
     this.#state = state;
+    if (!wasShort && isShort(state, event.now)) this.#host.recordShortage(this.#service);
     effects.forEach((effect) => {
       this.#perform(effect);
     });
