--- a/features/overload/failures.feature
+++ b/features/overload/failures.feature
@@ -32,11 +32,13 @@
     Then the waiting request "r" is refused as "noUpstream", and was not sent
 
   Scenario: The caller leaves while its request waits
-    Given the waiting gateway gets the request "r"
+    Given the waiting gateway gets the requests "r:0 next:0"
     When the caller of "r" leaves the waiting gateway
-    And the attempt of "x" ends at its upstream
+    Then 1 request waits at the waiting gateway
+    When the attempt of "x" ends at its upstream
     Then the waiting request "r" was sent to ""
-    And no request waits at the waiting gateway
+    And the waiting request "next" was sent to "a"
+    And 0 requests wait at the waiting gateway
 
   Scenario: The gateway stops while a request waits
     Given the waiting gateway gets the request "r"
--- a/features/overload/failures.steps.ts
+++ b/features/overload/failures.steps.ts
@@ -125,9 +125,12 @@
   assert.equal(getGateway(this).getRequest(id).answer, undefined);
 });
 
-Then('no request waits at the waiting gateway', function (this: FailureWorld) {
-  assert.equal(getGateway(this).queues.counts.waiting, 0);
-});
+Then(
+  /^(\d+) requests? waits? at the waiting gateway$/,
+  function (this: FailureWorld, count: string) {
+    assert.equal(getGateway(this).queues.counts.waiting, Number(count));
+  },
+);
 
 function checkRefusal(world: FailureWorld, id: string, cause: string): void {
   const { answer } = getGateway(world).getRequest(id);
--- a/features/overload/queue.feature
+++ b/features/overload/queue.feature
@@ -29,6 +29,12 @@
     Then an overload request of rank 2 is refused as "displaced"
     And the next overload request to be tried has rank 0
 
+  Scenario: A request whose time is over is refused although a slot is expected soon
+    Given an overloaded service with 20 slots a second for this gateway
+    And an overload request of rank 0 that is given up after 800 ms, and one of rank 1 after 80000 ms
+    When the overload timer fires after 801 ms, when no slot has come free
+    Then an overload request of rank 0 is refused as "noTime"
+
   Scenario: Capacity is reserved for the more urgent kind after one of it was refused
     Given an overloaded service with 20 slots a second for this gateway
     When 50 overload requests of rank 0 arrive
--- a/features/overload/queue.steps.ts
+++ b/features/overload/queue.steps.ts
@@ -170,6 +170,28 @@
   },
 );
 
+Given(
+  'an overload request of rank 0 that is given up after {int} ms, and one of rank 1 after {int} ms',
+  function (this: QueueWorld, first: number, second: number) {
+    [first, second].forEach((time, rank) => {
+      // The last start in target is 1.3 times the work before the target.
+      const waiter = { ...createWaiter('a', rank, 0), targetAt: time + 1.3 * WORK };
+      const effects = applyNoRoom(this, { ...waiter, deadline: 1e6 }, 0);
+      assert.equal(effects[0]?.kind, 'wait');
+    });
+  },
+);
+
+When(
+  'the overload timer fires after {int} ms, when no slot has come free',
+  function (this: QueueWorld, now: number) {
+    const { capacity } = this;
+    const event = { kind: 'ticked', capacity, now, random: 0.999 } as const;
+    const tickedAt = now - 10;
+    this.waitingEffects = decideWaiting({ ...this.waitingState, tickedAt }, event).effects;
+  },
+);
+
 When(
   '{int} overload requests of rank {int} arrive',
   function (this: QueueWorld, count: number, rank: number) {
@@ -193,7 +215,11 @@
     const refusals = this.waitingEffects.filter((effect) => effect.kind === 'refuse');
     const found = refusals.map((effect) => `${effect.waiter.rank} ${effect.cause}`);
     assert.ok(found.includes(`${rank} ${cause}`), found.join(', '));
-    assert.ok(!found.includes(`0 ${cause}`), found.join(', '));
+    // No request of another rank is refused for that cause.
+    assert.deepEqual(
+      [...new Set(found.filter((one) => one.endsWith(cause)))],
+      [`${rank} ${cause}`],
+    );
   },
 );
 
