--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -10,7 +10,14 @@
   type Waiter,
   type WaitingState,
 } from '../src/overload/index.js';
-import { burst, rejections, runReplay, sumCalls, type ReplayScenario } from './overloadreplay.js';
+import {
+  burst,
+  largeBurst,
+  rejections,
+  runReplay,
+  sumCalls,
+  type ReplayScenario,
+} from './overloadreplay.js';
 import { createRandom } from './queueing.js';
 
 const RUNS = Number(process.env.RUNS ?? 3);
@@ -90,6 +97,7 @@
   });
   const replays = [
     ...compareDecisions('burst', burst),
+    ...compareDecisions('large burst', largeBurst),
     ...compareDecisions('rejections', rejections),
   ];
   await mkdir('bench/out', { recursive: true });
--- a/bench/overloadreplay.ts
+++ b/bench/overloadreplay.ts
@@ -488,6 +488,31 @@
   ],
 };
 
+/** A burst on a large deployment, of whose requests each gateway sees about a dozen a second. */
+export const largeBurst: ReplayScenario = {
+  ...DEPLOYMENT,
+  ...{ gateways: 150, upstreams: 116 },
+  kinds: [
+    {
+      ...{ name: 'urgent', rank: 0, isSafe: true, share: 0.4 },
+      ...{ work: 54, targetLatency: 209, deadline: 1000 },
+    },
+    {
+      ...{ name: 'order', rank: 1, isSafe: false, share: 0.3 },
+      ...{ work: 150, targetLatency: 700, deadline: 2500 },
+    },
+    {
+      ...{ name: 'report', rank: 2, isSafe: true, share: 0.3 },
+      ...{ work: 340, targetLatency: 2192, deadline: 5000 },
+    },
+  ],
+  phases: [
+    { ...calm, duration: 1000 },
+    { ...calm, duration: 3500, load: 1.7 },
+    { ...calm, duration: 500 },
+  ],
+};
+
 /** 76 of 94 upstreams reject 55 % of the requests for 8.5 s. */
 export const rejections: ReplayScenario = {
   ...DEPLOYMENT,
--- a/features/overload/replays.feature
+++ b/features/overload/replays.feature
@@ -19,6 +19,14 @@
     When it is replayed with and without queues
     Then without queues a less urgent kind is served more often by at least 0.2
 
+  Scenario: In a burst on 150 gateways, which see a dozen requests a second each, the order by urgency holds as well
+    Given the overload replay "largeBurst"
+    When it is replayed with and without queues
+    Then the queues serve at least 0.02 more of the replayed calls in target
+    And the queues refuse at least 0.06 fewer of the replayed calls
+    And each kind is served no less often than the less urgent ones, within 0.02
+    And no replayed request was held for more than half of its time and refused
+
   Scenario: While most upstreams reject half of the requests, the queues do no harm
     Given the overload replay "rejections"
     When it is replayed with and without queues
--- a/features/overload/replays.steps.ts
+++ b/features/overload/replays.steps.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {
   burst,
+  largeBurst,
   listServedShares,
   noShortage,
   rejections,
@@ -20,6 +21,7 @@
 
 const scenarios: Readonly<Record<string, ReplayScenario>> = {
   burst,
+  largeBurst,
   noShortage,
   rejections,
   unequalAccounts,
