--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -80,7 +80,7 @@
     ...{ id: '1', method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), hasBody: false },
     ...{ callerHeaders: [], account: undefined, rank: route.rank },
     ...{ route: { ...route, kind }, service: 'records', version: undefined },
-    retryVersion: undefined,
+    ...{ retryVersion: undefined, account: undefined, rank: route.rank },
     ...{ arrivedAt, deadline: arrivedAt + 5000 },
   };
 }
@@ -353,6 +353,7 @@
       });
       return { cancel: () => undefined };
     },
+    isAllowed: () => true,
     getQuarantineTime: () => (isQuarantined ? 1000 : 0),
     isSuspected: () => draw() < 0.3,
     waitForCrashCheck: (_request, _record, onEnd) => {
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -135,6 +135,16 @@
     return { decision: decideByAge(verdict, { isAllowed, mayWait }), verdict, route, access };
   }
 
+  /** Whether a request that was admitted earlier may be sent by the present state: by its route, its part and its key. */
+  isStillAllowed({ method, target, callerHeaders, service }: GatewayRequest): boolean {
+    const head: RequestHead = { method, target, headers: callerHeaders, minorVersion: 1 };
+    const { decision, route } = this.check(head, false);
+    return (
+      decision === 'serve' &&
+      route?.parts.some((part) => part.service === service && part.weight > 0) === true
+    );
+  }
+
   #decide(
     request: CallerRequest,
     onAnswer: AnswerListener,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -183,6 +183,8 @@
    * version costs the caller one attempt only.
    */
   readonly retryVersion: string | undefined;
+  /** Address from which its caller connected; undefined if it is not known. */
+  readonly peer?: string | undefined;
   readonly arrivedAt: Instant;
   /** When the final answer is due. */
   readonly deadline: Instant;
