--- a/features/overload/replays.feature
+++ b/features/overload/replays.feature
@@ -11,7 +11,7 @@
     When it is replayed with and without queues
     Then the queues serve at least 0.06 more of the replayed calls in target
     And the queues refuse at least 0.12 fewer of the replayed calls
-    And each kind is served no less often than the less urgent ones, within 0.02
+    And each kind is served no less often than the less urgent ones
     And no replayed request was held for more than half of its time and refused
 
   Scenario: Without queues the less urgent kinds are served more often in a burst
@@ -24,7 +24,7 @@
     When it is replayed with and without queues
     Then the queues serve at least 0.02 more of the replayed calls in target
     And the queues refuse at least 0.06 fewer of the replayed calls
-    And each kind is served no less often than the less urgent ones, within 0.02
+    And each kind is served no less often than the less urgent ones
     And no replayed request was held for more than half of its time and refused
 
   Scenario: While most upstreams reject half of the requests, the queues do no harm
--- a/features/overload/replays.steps.ts
+++ b/features/overload/replays.steps.ts
@@ -91,15 +91,12 @@
     });
 }
 
-Then(
-  'each kind is served no less often than the less urgent ones, within {float}',
-  function (this: ReplayWorld, tolerance: number) {
-    const shares = listKinds(this.replayScenario, this.withQueues);
-    shares.slice(1).forEach((share, index) => {
-      assert.ok((shares[index] ?? 0) >= share - tolerance, shares.join(', '));
-    });
-  },
-);
+Then('each kind is served no less often than the less urgent ones', function (this: ReplayWorld) {
+  const shares = listKinds(this.replayScenario, this.withQueues);
+  shares.slice(1).forEach((share, index) => {
+    assert.ok((shares[index] ?? 0) >= share, shares.join(', '));
+  });
+});
 
 Then(
   'without queues a less urgent kind is served more often by at least {float}',
--- a/src/overload/fairness.ts
+++ b/src/overload/fairness.ts
@@ -30,7 +30,12 @@
 /** Requests counted from which an account's served share says something. */
 const MIN_ASKED = 2;
 /** Milliseconds after a more urgent request was refused in which less urgent ones are held back. */
-const RESERVE_TIME: Duration = 1000;
+const RESERVE_TIME: Duration = 2000;
+/**
+ * Difference by which a more urgent kind must be served more often before less urgent requests are no longer held back.
+ * A gateway of a large deployment counts a dozen requests a second, so its shares are off by that much.
+ */
+const RESERVE_MARGIN = 0.1;
 /** Ranks that are told apart; less urgent ones count as the last of them. */
 const MAX_RANKS = 16;
 
@@ -214,7 +219,7 @@
 
 /**
  * Whether capacity is reserved for more urgent requests than those of the rank: one of them was refused a moment ago,
- * and they have been served no more often.
+ * and they have not been served clearly more often.
  *
  * @example
  * isReserved(emptyShares, 1, now) // false
@@ -225,6 +230,8 @@
   const ratio = own === undefined ? 1 : computeRatio(own);
   return ranks.some(
     (other) =>
-      other.rank < known && now - other.refusedAt < RESERVE_TIME && computeRatio(other) <= ratio,
+      other.rank < known &&
+      now - other.refusedAt < RESERVE_TIME &&
+      computeRatio(other) <= ratio + RESERVE_MARGIN,
   );
 }
