--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -67,8 +67,10 @@
     good: 6,
     bad: state === 'failing' ? 6 : 0,
     countedAt: NOW,
+    rejected: 0,
     unsentGood: 0,
     unsentBad: 0,
+    unsentRejected: 0,
     lastProbeAt: NOW,
     isProbing: false,
   };
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -3,6 +3,7 @@
  * arguments, and an upstream that is expected to answer after the deadline is never chosen.
  */
 import type { Duration, Instant, ZoneId } from '../model/index.js';
+import { computeRejectingShare, isRejecting } from '../placement/index.js';
 import { computeFreshness } from './ondemand.js';
 import { isRateShared, isTurningAway } from './registry.js';
 import type { UpstreamRecord } from './types.js';
@@ -68,6 +69,8 @@
   readonly canProbe: boolean;
   /** Share of the time until the deadline or the target latency that the expected time may take. */
   readonly deadlineShare: number;
+  /** Returns the requests per second of all gateways to the service, or undefined while they are not known. */
+  readonly getFleetRate?: () => number | undefined;
   /** Random number from 0 (inclusive) to 1 (exclusive). */
   readonly random: number;
 }
@@ -259,6 +262,46 @@
   return pickWeighted(preferred, weights, random);
 }
 
+function hasFreeSlot(record: UpstreamRecord): boolean {
+  return computeOccupancy(record) < record.instance.slots;
+}
+
+/** Returns the requests per second that the upstreams can run. */
+function computeServiceRate(records: readonly ScoredUpstream[], context: ChoiceContext): number {
+  const { work, now } = context;
+  return records.reduce(
+    (sum, { record }) => sum + (1000 * record.instance.slots) / (work * computePace(record, now)),
+    0,
+  );
+}
+
+/**
+ * Returns the choice among the upstreams that reject requests despite free slots, or among the others, if there are
+ * both. Those that don't reject and have a free slot get as many requests as they can run.
+ */
+function pickByRejections(
+  withCapacity: readonly ScoredUpstream[],
+  context: ChoiceContext,
+): ScoredUpstream | undefined {
+  const { now, random, getFleetRate } = context;
+  const isShedding = (record: UpstreamRecord): boolean =>
+    record.rejected > 0 && isRejecting(record, now);
+  const pick = (candidates: readonly ScoredUpstream[], rescaled: number) =>
+    pickAmongBest(listPreferred(candidates, context), { ...context, random: rescaled });
+  const rejecting = withCapacity.filter(({ record }) => isShedding(record));
+  if (rejecting.length === 0) return pick(withCapacity, random);
+  const free = withCapacity.filter(({ record }) => hasFreeSlot(record) && !isShedding(record));
+  if (free.length === 0) return pick(withCapacity, random);
+  const share = computeRejectingShare({
+    requests: getFleetRate?.(),
+    accepting: computeServiceRate(free, context),
+    rejecting: computeServiceRate(rejecting, context),
+  });
+  return random < share
+    ? pick(rejecting, random / share)
+    : pick(free, (random - share) / (1 - share));
+}
+
 /**
  * Returns the upstream for the next attempt, or the reason why there is none.
  *
@@ -270,7 +313,7 @@
   if (eligible.length === 0) return { kind: 'noUpstream' };
   const scored = eligible.map((record) => computeScore(record, context));
   const withCapacity = scored.filter((one) => hasCapacity(one, context));
-  const chosen = pickAmongBest(listPreferred(withCapacity, context), context);
+  const chosen = pickByRejections(withCapacity, context);
   if (chosen !== undefined) {
     const { record, expected } = chosen;
     return { kind: 'chosen', record, expected, slowdown: expected / context.work };
--- a/src/gateway/farreports.ts
+++ b/src/gateway/farreports.ts
@@ -10,8 +10,8 @@
 import type { Duration, Instant } from '../model/index.js';
 import type { UpstreamRecord } from './types.js';
 
-/** Counts of good and bad answers, by the key of the upstream. */
-export type Counts = ReadonlyMap<number, readonly [good: number, bad: number]>;
+/** Counts of good and bad answers and of rejections despite free slots, by the key of the upstream. */
+export type Counts = ReadonlyMap<number, readonly [good: number, bad: number, rejected?: number]>;
 
 export const NO_COUNTS: Counts = new Map();
 
@@ -19,9 +19,9 @@
 export function mergeCounts(one: Counts, two: Counts): Counts {
   if (one.size === 0) return two;
   const sum = new Map(one);
-  two.forEach(([good, bad], key) => {
-    const [knownGood, knownBad] = sum.get(key) ?? [0, 0];
-    sum.set(key, [knownGood + good, knownBad + bad]);
+  two.forEach(([good, bad, rejected = 0], key) => {
+    const [knownGood, knownBad, knownRejected = 0] = sum.get(key) ?? [0, 0];
+    sum.set(key, [knownGood + good, knownBad + bad, knownRejected + rejected]);
   });
   return sum;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,9 +32,7 @@
 import { createLogger } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
 import {
-  addCounts,
   addOutcome,
-  addReport,
   markCold,
   markColdFromLog,
   addLimit,
@@ -66,7 +64,7 @@
 import { computeProbeInterval, RequestRates } from './probing.js';
 import { createProber, recordLoad, type Prober } from './prober.js';
 import { createCrashGossip, type CrashGossip } from './crashgossip.js';
-import { createLoadGossip, type ReceivedReport, type LoadGossip } from './gossip.js';
+import { createLoadGossip, type LoadGossip } from './gossip.js';
 import { parseLimit, recordTurningAway } from './notices.js';
 import { RequestQuarantine } from './quarantine.js';
 import { planGossip, type GossipPlan } from './relays.js';
@@ -106,8 +104,6 @@
 const MAX_ADDRESSES = 64;
 /** Number of ready gateways in a zone from which the zone's callers are sent only to those. */
 const MIN_ZONE_GATEWAYS = 2;
-/** Maximum age in milliseconds of a load report that proves the upstream reachable from the reporting gateway. */
-const MAX_FRESH_REPORT_AGE: Duration = 250;
 /** Multiple of the expected time beyond which a cancelled attempt counts against its upstream. */
 const OVERDUE_RATIO = 3;
 
@@ -339,7 +335,7 @@
           this.#averageWork.getShortest(instance.service) * FAR_WORK_RATIO,
         ),
       onReport: (report) => {
-        this.#applyReport(report);
+        this.#registry.applyReport(report, this.now(), this.#fleetShare);
       },
       linkRate: options.linkRate,
     });
@@ -532,25 +528,6 @@
     });
   }
 
-  #applyReport(received: ReceivedReport): void {
-    const { key, running, waiting, pace, reportedAt, good, bad, coldFor, unreachableFor } =
-      received;
-    const record = this.#registry.getByKey(key);
-    if (record === undefined) return;
-    const now = this.now();
-    if (unreachableFor > 0) record.unreachableUntil = now + unreachableFor;
-    else if (now - reportedAt < MAX_FRESH_REPORT_AGE) record.unreachableUntil = -Infinity;
-    addReport(record, { running, waiting, slots: record.instance.slots, pace }, reportedAt);
-    this.#registry.addPace(record.instance.service, pace);
-    if (good + bad > 0) addCounts(record, good, bad, now);
-    if (received.limit !== undefined) {
-      const { rate, namedAt } = received.limit;
-      addLimit(record, rate, namedAt, now, this.#fleetShare);
-    }
-    if (coldFor === 0) finishOutdatedCold(record);
-    else if (record.coldUntil <= now) markCold(record, coldFor, now, this.#fleetShare);
-  }
-
   #recordProbe(record: UpstreamRecord, outcome: AttemptOutcome): void {
     if (outcome.kind === 'answered' || outcome.kind === 'notRun') return;
     addOutcome(record, outcome, this.now());
@@ -710,14 +687,16 @@
   }
 
   /** Callers spread over all gateways, so that each of them gets about the same number of requests. */
-  #computeProbeInterval(service: string): Duration {
+  #computeFleetRate(service: string): number | undefined {
     const ownRate = this.#requestRates.getRate(service, this.now());
+    return ownRate === undefined ? undefined : ownRate * this.#gateways.length;
+  }
+
+  #computeProbeInterval(service: string): Duration {
     const upstreams = this.#registry.listUsable(service, undefined).length;
-    const rate =
-      ownRate === undefined
-        ? undefined
-        : (ownRate * this.#gateways.length) / Math.max(1, upstreams);
-    return computeProbeInterval(this.#options.probeInterval, rate);
+    const rate = this.#computeFleetRate(service);
+    const perUpstream = rate === undefined ? undefined : rate / Math.max(1, upstreams);
+    return computeProbeInterval(this.#options.probeInterval, perUpstream);
   }
 
   takeRetry(service: string): boolean {
@@ -752,6 +731,7 @@
         0.3,
         MAX_DEADLINE_SHARE - (route.rank - topRank) * DEADLINE_SHARE_STEP,
       ),
+      getFleetRate: () => this.#computeFleetRate(service),
       random: Math.random(),
     });
   }
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -34,8 +34,8 @@
 /** Milliseconds for which a relay serves a gateway after its last message. */
 const FOLLOWER_TTL: Duration = 1000;
 /**
- * Maximum number of rows in one datagram. A row takes up to 18 bytes, and a typical packet holds
- * 1,200.
+ * Maximum number of rows in one datagram. A row takes up to 18 bytes, with rejections 23, and a typical
+ * packet holds 1,200.
  */
 const MAX_ROWS_PER_DATAGRAM = 64;
 /** Bytes that a row takes, with its part of the datagram's head. */
@@ -69,8 +69,13 @@
   limitCode?: number,
   /** Milliseconds since that answer. */
   limitAge?: Duration,
+  /** Requests that the upstream rejected although it had free slots, since the last row; at most {@link MAX_REJECTED}. */
+  rejected?: number,
 ];
 
+/** Maximum of the rejections in a row, which takes one byte. */
+const MAX_REJECTED = 127;
+
 /** Offset of the limit in a row, which tells it from no answer and no limit. */
 const LIMIT_CODE_OFFSET = 2;
 /** Steps of the limit in a row for each request per second. */
@@ -100,6 +105,7 @@
   readonly reportedAt: Instant;
   readonly good: number;
   readonly bad: number;
+  readonly rejected: number;
   readonly coldFor: Duration;
   readonly unreachableFor: Duration;
   /** The limit that an answer named at an instant, with an undefined rate if it named none. */
@@ -320,14 +326,15 @@
         .filter(
           (record) =>
             record.ownReportAt > since ||
-            record.unsentGood + record.unsentBad > 0 ||
+            record.unsentGood + record.unsentBad + record.unsentRejected > 0 ||
             (record.unreachableUntil > now && isProber(record)),
         )
         .map((record) => {
-          const counts = [record.unsentGood, record.unsentBad] as const;
+          const { unsentGood, unsentBad, unsentRejected } = record;
           record.unsentGood = 0;
           record.unsentBad = 0;
-          return [record.key, counts] as const;
+          record.unsentRejected = 0;
+          return [record.key, [unsentGood, unsentBad, unsentRejected]] as const;
         }),
     );
   }
@@ -342,7 +349,7 @@
     const now = this.#options.now();
     const clampTime = (time: Duration): Duration =>
       Math.round(Math.max(0, Math.min(time, MAX_ROW_TIME)));
-    return [...counts].flatMap(([key, [good, bad]]) => {
+    return [...counts].flatMap(([key, [good, bad, rejected = 0]]) => {
       const record = this.#options.getRecord(key);
       if (record === undefined || (record.isColdOutdated && record.coldUntil > now)) return [];
       const { running, waiting, pace } = record.report;
@@ -354,6 +361,7 @@
           forwarded.has(key) || isProber(record) ? clampTime(record.unreachableUntil - now) : 0,
           encodeLimit(record),
           record.limitNamedAt === -Infinity ? 0 : clampTime(now - record.limitNamedAt),
+          Math.min(rejected, MAX_REJECTED),
         ]),
       ];
     });
@@ -378,7 +386,10 @@
   #receive(from: Address, source: GossipSource, rows: readonly GossipRow[]): void {
     const now = this.#options.now();
     const counts: Counts = new Map(
-      rows.map(([key, , , , , good = 0, bad = 0]) => [key, [good, bad] as const]),
+      rows.map(([key, , , , , good = 0, bad = 0, , , , , rejected = 0]) => [
+        key,
+        [good, bad, rejected] as const,
+      ]),
     );
     switch (source) {
       case 'gateway':
@@ -396,7 +407,7 @@
     }
     rows.forEach((row) => {
       const [key, running, waiting, pace, age, good = 0, bad = 0, coldFor = 0] = row;
-      const [, , , , , , , , unreachableFor = 0, limitCode = 0, limitAge = 0] = row;
+      const [, , , , , , , , unreachableFor = 0, limitCode = 0, limitAge = 0, rejected = 0] = row;
       this.#options.onReport({
         key,
         running,
@@ -405,6 +416,7 @@
         reportedAt: now - age,
         good,
         bad,
+        rejected: Math.min(rejected, MAX_REJECTED),
         coldFor: Math.min(coldFor, MAX_ROW_TIME),
         unreachableFor: Math.min(unreachableFor, MAX_ROW_TIME),
         limit: decodeLimit(limitCode, now - limitAge),
--- a/src/gateway/registry.ts
+++ b/src/gateway/registry.ts
@@ -13,6 +13,7 @@
   type VersionShare,
 } from '../catalog/index.js';
 import type { Address, Duration, Instant } from '../model/index.js';
+import { COUNT_HALF_LIFE, isFullByReport } from '../placement/index.js';
 import { hashText } from '../routing/index.js';
 import {
   computeColdRate,
@@ -21,10 +22,9 @@
   MovingAverage,
   type ColdBounds,
 } from './budget.js';
+import type { ReceivedReport } from './gossip.js';
 import type { AttemptOutcome, LoadReport, UpstreamRecord } from './types.js';
 
-/** Half-life in milliseconds of the weight of a counted answer. */
-const COUNT_HALF_LIFE: Duration = 2000;
 /** Milliseconds without requests after the first miss; each further miss doubles the time. */
 const INITIAL_BACKOFF: Duration = 150;
 /** Maximum milliseconds without requests after misses. */
@@ -49,6 +49,8 @@
 const LIMIT_TTL: Duration = 15_000;
 /** Number of reports that {@link INITIAL_EXCESS_PACE} counts for. */
 const INITIAL_SAMPLE_COUNT = 20;
+/** Maximum age in milliseconds of a load report that proves the upstream reachable from the reporting gateway. */
+const MAX_FRESH_REPORT_AGE: Duration = 250;
 /** Milliseconds without requests to an address that answered for another instance. */
 const MISDIRECTED_BACKOFF: Duration = 3000;
 
@@ -77,8 +79,10 @@
     good: 0,
     bad: 0,
     countedAt: 0,
+    rejected: 0,
     unsentGood: 0,
     unsentBad: 0,
+    unsentRejected: 0,
     lastProbeAt: -Infinity,
     isProbing: false,
   };
@@ -88,6 +92,7 @@
   const factor = 0.5 ** ((now - record.countedAt) / COUNT_HALF_LIFE);
   record.good *= factor;
   record.bad *= factor;
+  record.rejected *= factor;
   record.countedAt = now;
 }
 
@@ -106,6 +111,12 @@
   record.bad += bad;
 }
 
+/** Adds requests that the upstream rejected, at this or another gateway, although it had free slots. */
+export function addRejections(record: UpstreamRecord, rejected: number, now: Instant): void {
+  applyCountDecay(record, now);
+  record.rejected += rejected;
+}
+
 /** Inputs that determine the share of this gateway in the rate that all gateways may use of an upstream. */
 export interface FleetShare {
   /** The id of this gateway. */
@@ -235,6 +246,9 @@
     }
     case 'notRun':
       record.blockedUntil = now + (outcome.isMisdirected ? MISDIRECTED_BACKOFF : REJECTED_BACKOFF);
+      if (outcome.isMisdirected || isFullByReport(record.report, record.instance.slots)) return;
+      addRejections(record, 1, now);
+      record.unsentRejected += 1;
       return;
     case 'unreachable':
     case 'lost':
@@ -400,6 +414,23 @@
     return this.#excessPace.get(service)?.value ?? 0;
   }
 
+  /** Records a load report that another gateway sent, with its counts of answers. */
+  applyReport(received: ReceivedReport, now: Instant, share: FleetShare): void {
+    const { key, running, waiting, pace, reportedAt, coldFor, unreachableFor } = received;
+    const { good, bad, rejected, limit } = received;
+    const record = this.getByKey(key);
+    if (record === undefined) return;
+    if (unreachableFor > 0) record.unreachableUntil = now + unreachableFor;
+    else if (now - reportedAt < MAX_FRESH_REPORT_AGE) record.unreachableUntil = -Infinity;
+    addReport(record, { running, waiting, slots: record.instance.slots, pace }, reportedAt);
+    this.addPace(record.instance.service, pace);
+    if (good + bad > 0) addCounts(record, good, bad, now);
+    if (rejected > 0) addRejections(record, rejected, now);
+    if (limit !== undefined) addLimit(record, limit.rate, limit.namedAt, now, share);
+    if (coldFor === 0) finishOutdatedCold(record);
+    else if (record.coldUntil <= now) markCold(record, coldFor, now, share);
+  }
+
   getVersionShare(service: string): VersionShare {
     return this.#services.has(service)
       ? getVersionShare(this.#catalog, service)
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -147,9 +147,12 @@
   good: number;
   bad: number;
   countedAt: Instant;
+  /** Decayed count of requests that the upstream rejected although it had free slots, from any gateway. */
+  rejected: number;
   /** Good and bad answers received here that have not been sent to other gateways yet. */
   unsentGood: number;
   unsentBad: number;
+  unsentRejected: number;
   lastProbeAt: Instant;
   isProbing: boolean;
 }
