--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -88,6 +88,11 @@
       'Milliseconds since the state was certainly current.',
       () => Math.round(gateway.stateAge),
     ],
+    [
+      'chivewalk_gateway_rejecting_upstreams',
+      'Upstreams that reject requests although they have free slots.',
+      () => gateway.rejectingUpstreams,
+    ],
     ['chivewalk_gateway_peers', 'Gateways that are alive.', () => gateway.view.entries.length],
     [
       'chivewalk_gateway_upstream_connections_total',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
   type Instant,
   type ZoneId,
 } from '../model/index.js';
+import { isRejecting } from '../placement/index.js';
 import { hasProcessEnded } from '../quarantine/index.js';
 import { createLogger } from '../telemetry/index.js';
 import type { Mesh } from '../wire/index.js';
@@ -171,6 +172,8 @@
   /** Total number of connections opened to upstreams. */
   readonly openedConnections: number;
   readonly callers: CallerCounts;
+  /** Number of upstreams that reject requests although they have free slots. */
+  readonly rejectingUpstreams: number;
   /** The bytes of the messages that the gateway holds. */
   readonly buffers: BufferBudget;
   /** The requests that are refused because they crash upstreams. */
@@ -883,10 +886,14 @@
     const now = this.now();
     if (now > request.deadline + MAX_TIMER_DELAY) return;
     const expected = this.#getAverageWork(request).value * computePace(record, now);
+    const { limit } = record.losses.state;
     if (outcome !== undefined) addOutcome(record, outcome, now);
     else if (elapsed > expected * OVERDUE_RATIO) {
       addOutcome(record, { kind: 'lost', reason: 'no answer in time', isDisconnected: false }, now);
     }
+    if (record.losses.state.limit === limit) return;
+    const { service } = record.instance;
+    log.info('upstreams reset when full', { service, waiting: record.losses.state.limit ?? 0 });
   }
 
   recordDecision(
@@ -923,6 +930,10 @@
     }
   }
 
+  get rejectingUpstreams(): number {
+    return this.#registry.records.filter((record) => isRejecting(record, this.now())).length;
+  }
+
   async stop(signalledAt: Instant): Promise<void> {
     if (this.isStopping()) return;
     const plan = buildStopPlan(this.now(), this.#options.stopTime, signalledAt);
