--- a/features/gateway/evidence.steps.ts
+++ b/features/gateway/evidence.steps.ts
@@ -5,7 +5,7 @@
 import { judgeAttempt, OverdueWatch } from '../../src/gateway/evidence.js';
 import { RequestRun } from '../../src/gateway/run.js';
 import { resolveVersion } from '../../src/gateway/shares.js';
-import { noQuarantine } from './runhost.js';
+import { createHedging, noQuarantine } from './runhost.js';
 import type { AttemptOutcome, GatewayRequest, UpstreamRecord } from '../../src/gateway/types.js';
 
 interface EvidenceWorld {
@@ -58,6 +58,7 @@
       {
         now: () => 0,
         buffers: new BufferBudget(1_000_000),
+        ...createHedging(),
         choose: (asked) => {
           this.versions.push(asked.version);
           return { kind: 'chosen', record, expected: 30_000, slowdown: 1 };
--- a/features/gateway/ondemand.steps.ts
+++ b/features/gateway/ondemand.steps.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { noQuarantine } from './runhost.js';
+import { createHedging, noQuarantine } from './runhost.js';
 import type { Route } from '../../src/catalog/index.js';
 import { addReport, UpstreamRegistry } from '../../src/gateway/registry.js';
 import { TokenBucket } from '../../src/gateway/budget.js';
@@ -137,6 +137,7 @@
   const host: RunHost = {
     now: () => now,
     buffers: new BufferBudget(1_000_000),
+    ...createHedging(),
     choose: (_request, tried, justProbed) =>
       chooseUpstream(
         vms.map(({ record }) => record).filter((record) => !tried.includes(record)),
@@ -330,6 +331,7 @@
   const host: RunHost = {
     now: () => 0,
     buffers: new BufferBudget(1_000_000),
+    ...createHedging(),
     choose: (_, tried) => {
       const [record] = records.filter((one) => !tried.includes(one));
       return record === undefined || draw() < 0.1
--- a/features/gateway/runhost.ts
+++ b/features/gateway/runhost.ts
@@ -1,3 +1,4 @@
+import { HedgeBook } from '../../src/hedging/index.js';
 import type { RunHost } from '../../src/gateway/run.js';
 
 /** The part of a run's host that refuses requests which crash upstreams, with none to refuse. */
@@ -11,3 +12,11 @@
     onEnd();
   },
 };
+
+/** The part of a run's host that hedges requests, with free slots at all upstreams and any amount of extra work. */
+export function createHedging(): Pick<RunHost, 'hedging' | 'hasFreeSlot'> {
+  const hedging = new HedgeBook(1);
+  const ended = { kind: 'ended', now: 0, route: 'safe', expected: 1, isAnswered: true } as const;
+  hedging.decide('records', { ...ended, elapsed: 1e9 });
+  return { hedging, hasFreeSlot: () => true };
+}
--- a/features/gateway/staleness.steps.ts
+++ b/features/gateway/staleness.steps.ts
@@ -12,7 +12,7 @@
   type FollowingGateway,
   type GatewayAnswer,
 } from './following.js';
-import { noQuarantine } from './runhost.js';
+import { createHedging, noQuarantine } from './runhost.js';
 
 interface StalenessWorld {
   stale: FollowingGateway | undefined;
@@ -276,6 +276,7 @@
         ...noQuarantine,
         now: () => 0,
         buffers: new BufferBudget(1_000_000),
+        ...createHedging(),
         choose: (_request, tried) => {
           const [record] = registry.records.filter((one) => !tried.includes(one));
           assert.ok(record);
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -51,6 +51,7 @@
       ratio: gatewaySettings.retry_ratio ?? 0,
       slack: gatewaySettings.retry_slack ?? 0,
     },
+    maxExtraWork: settings.hedging?.max_extra_work,
     coldBounds: {
       factor: gatewaySettings.cold_factor ?? 1,
       slack: gatewaySettings.cold_slack ?? 0,
@@ -93,6 +94,17 @@
       'Upstreams that reject requests although they have free slots.',
       () => gateway.rejectingUpstreams,
     ],
+    ['chivewalk_gateway_hedges_total', 'Hedges sent.', () => gateway.hedging.counts.sent],
+    [
+      'chivewalk_gateway_hedges_won_total',
+      'Hedges that were answered first.',
+      () => gateway.hedging.counts.won,
+    ],
+    [
+      'chivewalk_gateway_hedge_extra_work_ms',
+      'Milliseconds of attempts that were cancelled because another one was answered first.',
+      () => Math.round(gateway.hedging.counts.extraWork),
+    ],
     ['chivewalk_gateway_peers', 'Gateways that are alive.', () => gateway.view.entries.length],
     [
       'chivewalk_gateway_upstream_connections_total',
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -316,7 +316,8 @@
   );
 }
 
-function hasFreeSlot(record: UpstreamRecord): boolean {
+/** Returns whether the upstream has a free slot, by its report and the requests sent since. */
+export function hasFreeSlot(record: UpstreamRecord): boolean {
   return computeOccupancy(record) < record.instance.slots;
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
   type Instant,
   type ZoneId,
 } from '../model/index.js';
+import { DEFAULT_MAX_EXTRA_WORK, HedgeBook } from '../hedging/index.js';
 import { isRejecting } from '../placement/index.js';
 import { hasProcessEnded } from '../quarantine/index.js';
 import { createLogger } from '../telemetry/index.js';
@@ -57,7 +58,7 @@
 } from './caller.js';
 import { CallerConnections, type CallerCounts } from './callers.js';
 import type { Sample } from '../rollout/index.js';
-import { chooseUpstream, computePace, type Choice } from './choose.js';
+import { chooseUpstream, computePace, hasFreeSlot, type Choice } from './choose.js';
 import { EvidenceCollector, judgeAttempt, OverdueWatch, SLOW_RATIO } from './evidence.js';
 import { createCollector, type Collector } from './collector.js';
 import { isProbeWorthwhile } from './ondemand.js';
@@ -143,6 +144,8 @@
   readonly seeds: readonly Address[];
   readonly dialect: HeaderDialect;
   readonly retryBounds: RetryBounds;
+  /** Share of the work of first attempts that hedges may add; 0 disables them. */
+  readonly maxExtraWork?: number | undefined;
   readonly coldBounds: ColdBounds;
   /** Shortest time in milliseconds after which an upstream's load report is stale and it is probed again. */
   readonly probeInterval: Duration;
@@ -178,6 +181,7 @@
   readonly buffers: BufferBudget;
   /** The requests that are refused because they crash upstreams. */
   readonly quarantine: RequestQuarantine;
+  readonly hedging: HedgeBook;
   /** Whether its state is old, so that the seeds are worth reading again. */
   readonly isLost: boolean;
   /** Replaces the seeds, after the settings were read again. */
@@ -209,6 +213,8 @@
   readonly #transport: GossipTransport;
   readonly #loadGossip: LoadGossip;
   readonly #crashGossip: CrashGossip;
+  readonly hedging: HedgeBook;
+  readonly hasFreeSlot = hasFreeSlot;
   readonly quarantine: RequestQuarantine;
   readonly #runs = new Map<GatewayRequest, RequestRun>();
   readonly #prober: Prober;
@@ -304,6 +310,7 @@
         log.warn('gossip error', { reason: message });
       },
     });
+    this.hedging = new HedgeBook(options.maxExtraWork ?? DEFAULT_MAX_EXTRA_WORK);
     this.quarantine = new RequestQuarantine({
       ...{ now: this.now, self: options.id, hasProcessEnded },
       isRunning: (request, fingerprint) => this.#isRunning(request, fingerprint),
@@ -689,17 +696,11 @@
     return this.#averageWork.get(service, route);
   }
 
-  /** Callers spread over all gateways, so that each of them gets about the same number of requests. */
-  #computeFleetRate(service: string): number | undefined {
-    const ownRate = this.#requestRates.getRate(service, this.now());
-    return ownRate === undefined ? undefined : ownRate * this.#gateways.length;
-  }
-
   #computeProbeInterval(service: string): Duration {
     const upstreams = this.#registry.listUsable(service, undefined).length;
-    const rate = this.#computeFleetRate(service);
-    const perUpstream = rate === undefined ? undefined : rate / Math.max(1, upstreams);
-    return computeProbeInterval(this.#options.probeInterval, perUpstream);
+    const share = this.#gateways.length / Math.max(1, upstreams);
+    const rate = this.#requestRates.getFleetRate(service, this.now(), share);
+    return computeProbeInterval(this.#options.probeInterval, rate);
   }
 
   takeRetry(service: string): boolean {
@@ -734,7 +735,7 @@
         0.3,
         MAX_DEADLINE_SHARE - (route.rank - topRank) * DEADLINE_SHARE_STEP,
       ),
-      getFleetRate: () => this.#computeFleetRate(service),
+      getFleetRate: () => this.#requestRates.getFleetRate(service, now, this.#gateways.length),
       isRepeatable: isIdempotentKind(route.kind),
       random: Math.random(),
     });
@@ -924,6 +925,7 @@
         return;
       case 'refused':
       case 'failed':
+        if (answer.cause === 'overloaded') this.hedging.recordShortage(request.service, this.now());
         if (answer.cause === 'stale') this.#admission.stateWatch.recordRefusal();
         this.recordDecision(request, answer.kind, undefined, answer.cause);
         return;
--- a/src/gateway/probing.ts
+++ b/src/gateway/probing.ts
@@ -47,6 +47,15 @@
     const seconds = (RATE_HALF_LIFE / Math.LN2 / 1000) * (1 - computeWeight(now - known.since));
     return (known.count * computeWeight(now - known.countedAt)) / seconds;
   }
+
+  /**
+   * Returns the rate of this many gateways, or undefined while too little is known. Callers spread over all gateways, so
+   * that each of them gets about the same number of requests.
+   */
+  getFleetRate(service: string, now: Instant, gateways: number): number | undefined {
+    const rate = this.getRate(service, now);
+    return rate === undefined ? undefined : rate * gateways;
+  }
 }
 
 /**
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -4,6 +4,7 @@
  * no attempt continues after that.
  */
 import { isIdempotentKind } from '../catalog/index.js';
+import type { HedgeBook } from '../hedging/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import { NOT_READY_RETRY_AFTER } from './answers.js';
 import type { BufferBudget, BufferHolder } from './buffers.js';
@@ -20,10 +21,6 @@
 } from './retry.js';
 import type { AttemptOutcome, FinalAnswer, GatewayRequest, UpstreamRecord } from './types.js';
 
-/** Multiple of the expected time after which a hedge is sent; one answer in 25 takes longer. */
-const HEDGE_RATIO = 1.7;
-/** Milliseconds added to the hedge delay. */
-const HEDGE_SLACK: Duration = 8;
 /** Maximum number of on-demand probes for one attempt, enough to find an upstream at its normal pace in most cases. */
 const MAX_ON_DEMAND_PROBES = 3;
 /** Number of unanswered on-demand probes after which the request is sent anyway; each one delays the request. */
@@ -35,6 +32,7 @@
 export interface RunHost {
   readonly now: () => Instant;
   readonly buffers: BufferBudget;
+  readonly hedging: HedgeBook;
   /** Chooses an upstream that is not in `tried`; among equally good ones, prefers those in `justProbed`. */
   choose(
     request: GatewayRequest,
@@ -58,6 +56,8 @@
   waitForCrashCheck(request: GatewayRequest, record: UpstreamRecord, onEnd: () => void): void;
   /** Takes one retry from the service's retry budget; returns false if none is left. */
   takeRetry(service: string): boolean;
+  /** Whether the upstream has a free slot, by its report. */
+  hasFreeSlot(record: UpstreamRecord): boolean;
   /** Records the outcome of an attempt; `undefined` if the attempt was cancelled. */
   recordAttempt(
     request: GatewayRequest,
@@ -77,8 +77,12 @@
 export interface SentAttempt {
   readonly record: UpstreamRecord;
   readonly sentAt: Instant;
+  /** Milliseconds that the attempt was expected to take. */
+  readonly expected: Duration;
   /** Expected time divided by the work of the request. */
   readonly slowdown: number;
+  /** Whether it was sent because an earlier attempt took long. */
+  readonly isHedge: boolean;
 }
 
 interface PendingAttempt extends SentAttempt {
@@ -223,14 +227,19 @@
     }
   }
 
-  #send({ record, expected, slowdown }: Extract<Choice, { kind: 'chosen' }>): void {
+  #send(
+    { record, expected, slowdown }: Extract<Choice, { kind: 'chosen' }>,
+    isHedge = false,
+  ): void {
     const sentAt = this.#host.now();
     this.#tried = [...this.#tried, record];
     this.#retryState = { ...this.#retryState, pending: this.#retryState.pending + 1 };
     const pending: PendingAttempt = {
       record,
       sentAt,
+      expected,
       slowdown,
+      isHedge,
       attempt: this.#host.send(this.#request, record, (outcome) => {
         this.#handleEnd(pending, outcome);
       }),
@@ -238,12 +247,13 @@
     this.#pending.add(pending);
     if (!isHedgeable(this.#retryState)) return;
     clearTimeout(this.#hedgeTimer);
-    this.#hedgeTimer = setTimeout(
-      () => {
-        this.sendHedge();
-      },
-      expected * HEDGE_RATIO + HEDGE_SLACK,
-    );
+    const { service, route } = this.#request;
+    const sent = { kind: 'sent', route: route.kind, expected } as const;
+    const decision = this.#host.hedging.decide(service, sent);
+    if (decision.kind !== 'wait') return;
+    this.#hedgeTimer = setTimeout(() => {
+      this.sendHedge();
+    }, decision.delay);
   }
 
   /** Sends the request to a second upstream because the first one takes longer than expected. */
@@ -252,27 +262,58 @@
     if (this.#host.isSuspected(this.#request)) return;
     this.#selectUpstream((choice) => {
       const isAllowed = !this.#isOver && isHedgeable(this.#retryState) && choice.kind === 'chosen';
-      if (!isAllowed || !this.#host.takeRetry(this.#request.service)) return;
+      if (!isAllowed || !this.#isHedgeSent(choice)) return;
+      if (!this.#host.takeRetry(this.#request.service)) return;
       this.#host.recordDecision(
         this.#request,
         'hedge',
         choice.record,
         'the first upstream is late',
       );
-      this.#send(choice);
+      this.#host.hedging.countSent();
+      this.#send(choice, true);
     });
   }
 
+  #isHedgeSent({ record, expected }: Extract<Choice, { kind: 'chosen' }>): boolean {
+    const { hedging, now } = this.#host;
+    const hasFreeSlot = this.#host.hasFreeSlot(record);
+    const due = { kind: 'due', now: now(), expected, hasFreeSlot } as const;
+    return hedging.decide(this.#request.service, due).kind === 'send';
+  }
+
+  #recordEnd(pending: PendingAttempt, outcome: AttemptOutcome | undefined): void {
+    this.#host.recordAttempt(this.#request, pending, outcome);
+    const { sentAt, expected, isHedge } = pending;
+    if (isHedge) return;
+    const { service, route } = this.#request;
+    const now = this.#host.now();
+    const isAnswered = outcome?.kind === 'answered' && outcome.answer.status < 500;
+    const ended = { now, route: route.kind, elapsed: now - sentAt, expected, isAnswered };
+    this.#host.hedging.decide(service, { kind: 'ended', ...ended });
+  }
+
+  /** Counts the time of the attempts that a hedged request ran in vain, and whether the hedge won. */
+  #recordRace(winner: PendingAttempt): void {
+    const attempts = [winner, ...this.#pending];
+    if (!attempts.some(({ isHedge }) => isHedge)) return;
+    const now = this.#host.now();
+    const elapsed = [...this.#pending].reduce((sum, { sentAt }) => sum + now - sentAt, 0);
+    this.#host.hedging.decide(this.#request.service, { kind: 'lost', now, elapsed });
+    if (winner.isHedge) this.#host.hedging.countWon();
+  }
+
   #handleEnd(pending: PendingAttempt, outcome: AttemptOutcome): void {
     if (this.#isOver) return;
     this.#pending.delete(pending);
-    this.#host.recordAttempt(this.#request, pending, outcome);
+    this.#recordEnd(pending, outcome);
     this.#retryState = addAttemptEnd(this.#retryState, outcome);
     const answers = this.#retryState.fallback?.body.length ?? 0;
     this.#host.buffers.update(this, { requests: 0, answers, unbounded: 0 });
     const decision = decideRetry(this.#retryState, outcome);
     switch (decision.kind) {
       case 'answer':
+        this.#recordRace(pending);
         this.#answer(decision.answer);
         return;
       case 'wait':
@@ -323,7 +364,7 @@
     clearTimeout(this.#hedgeTimer);
     this.#pending.forEach((pending) => {
       pending.attempt.cancel();
-      this.#host.recordAttempt(this.#request, pending, undefined);
+      this.#recordEnd(pending, undefined);
     });
     this.#pending.clear();
   }
