--- a/features/placement/replay.ts
+++ b/features/placement/replay.ts
@@ -1,13 +1,15 @@
 /**
  * Replays a load on several gateways that choose upstreams by stale reports, in simulated time. Invariant: the same
  * scenario gives the same result. Gateways use the real decisions (choice, retries, retry budget, registry); upstreams,
- * the exchange of reports and callers are modelled. There are no hedges and no probes on demand.
+ * the exchange of reports and callers are modelled. There are no probes on demand, and hedges only if
+ * the variant has some.
  */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { emptyCatalog, type Instance, type RouteTable } from '../../src/catalog/index.js';
 import { RetryBudget } from '../../src/gateway/budget.js';
-import { chooseUpstream, type ChoiceContext } from '../../src/gateway/choose.js';
+import { chooseUpstream, hasFreeSlot, type ChoiceContext } from '../../src/gateway/choose.js';
 import type { ReceivedReport } from '../../src/gateway/gossip.js';
+import type { HedgeDecision, HedgeEvent } from '../../src/hedging/index.js';
 import { RequestRates } from '../../src/gateway/probing.js';
 import { addOutcome, addReport, UpstreamRegistry } from '../../src/gateway/registry.js';
 import {
@@ -15,6 +17,7 @@
   createRetryState,
   decideRetry,
   hasAttemptLeft,
+  isHedgeable,
   type RetryState,
 } from '../../src/gateway/retry.js';
 import type { AttemptOutcome, UpstreamRecord } from '../../src/gateway/types.js';
@@ -77,12 +80,21 @@
   /** Called before each choice. */
   readonly prepare: (records: readonly UpstreamRecord[]) => void;
   readonly extendContext: (context: ChoiceContext, isUnsafe: boolean) => ChoiceContext;
+  /** Creates the hedges of a gateway; none by default. */
+  readonly createHedging?: () => HedgePolicy;
+}
+
+/** Decides on the hedges of one gateway. */
+export interface HedgePolicy {
+  readonly decide: (event: HedgeEvent) => HedgeDecision;
 }
 
 interface Job {
   readonly work: number;
   readonly onEnd: (outcome: AttemptOutcome) => void;
   isOver: boolean;
+  /** Frees the slot that the job has, after it was cancelled. */
+  free?: () => void;
 }
 
 interface Upstream {
@@ -96,6 +108,7 @@
   readonly registry: UpstreamRegistry;
   readonly budget: RetryBudget;
   readonly rates: RequestRates;
+  readonly hedging: HedgePolicy | undefined;
   lastSentAt: number;
 }
 
@@ -210,7 +223,8 @@
     const registry = new UpstreamRegistry();
     registry.update(catalog);
     const budget = new RetryBudget({ ratio: 0.2, slack: 192 });
-    return { registry, budget, rates: new RequestRates(), lastSentAt: -Infinity };
+    const hedging = variant.createHedging?.();
+    return { registry, budget, rates: new RequestRates(), hedging, lastSentAt: -Infinity };
   });
   const createResult = (): KindResult => ({
     ...{ requests: 0, inTarget: 0, late: 0, refused: 0, failed: 0 },
@@ -231,7 +245,12 @@
       const job = upstream.queue.shift();
       if (job === undefined) return;
       upstream.running += 1;
+      job.free = () => {
+        upstream.running -= 1;
+        startNext(upstream);
+      };
       events.add(job.work * upstream.pace, () => {
+        if (job.isOver) return;
         upstream.running -= 1;
         startNext(upstream);
         job.onEnd({ kind: 'answered', answer: { ...ANSWER, status: 200 } });
@@ -266,10 +285,37 @@
     let state: RetryState = createRetryState(!isUnsafe, 2);
     let tried: readonly UpstreamRecord[] = [];
     let isOver = false;
-    let current: Job | undefined;
+    const running = new Map<Job, { record: UpstreamRecord; sentAt: number; isHedge: boolean }>();
+    let lastHedgeTimer = 0;
+    const cancelRunning = (hasWinner: boolean): void => {
+      running.forEach(({ record, sentAt, isHedge }, job) => {
+        job.isOver = true;
+        record.inFlight -= 1;
+        record.inFlightChange -= 1;
+        const upstream = upstreams[Number(record.instance.id.slice(1))];
+        if (job.free === undefined && upstream !== undefined)
+          upstream.queue = upstream.queue.filter((other) => other !== job);
+        job.free?.();
+        const elapsed = events.now - sentAt;
+        if (hasWinner) gateway.hedging?.decide({ kind: 'lost', now: events.now, elapsed });
+        if (!isHedge) recordFirst(sentAt, false);
+      });
+      running.clear();
+    };
+    const recordFirst = (sentAt: number, isAnswered: boolean): void => {
+      const ended = {
+        now: events.now,
+        route: 'safe',
+        elapsed: events.now - sentAt,
+        expected: work,
+      };
+      gateway.hedging?.decide({ kind: 'ended', ...ended, isAnswered });
+    };
     const finish = (kind: 'answered' | 'refused' | 'failed'): void => {
       if (isOver) return;
       isOver = true;
+      cancelRunning(kind === 'answered');
+      if (kind === 'refused') gateway.hedging?.decide({ kind: 'short', now: events.now });
       counts.requests += 1;
       const latency = events.now - arrivedAt;
       if (kind === 'refused') counts.refused += 1;
@@ -278,7 +324,7 @@
       else counts.late += 1;
       if (kind === 'answered') counts.latencies.push(latency);
     };
-    const attempt = (isCharged: boolean): boolean => {
+    const attempt = (isCharged: boolean, isHedge = false): boolean => {
       const all = gateway.registry.listUsable(SERVICE, undefined);
       variant.prepare(all);
       const context: ChoiceContext = {
@@ -295,7 +341,14 @@
         all.filter((record) => !tried.includes(record)),
         variant.extendContext(context, isUnsafe),
       );
-      if (choice.kind !== 'chosen' || (isCharged && !gateway.budget.takeRetry())) return false;
+      if (choice.kind !== 'chosen') return false;
+      const due = { now: events.now, expected: choice.expected };
+      const hasSlot = hasFreeSlot(choice.record);
+      if (isHedge) {
+        const event = { kind: 'due', ...due, hasFreeSlot: hasSlot } as const;
+        if (gateway.hedging?.decide(event).kind !== 'send') return false;
+      }
+      if (isCharged && !gateway.budget.takeRetry()) return false;
       const { record } = choice;
       const upstream = upstreams[Number(record.instance.id.slice(1))];
       if (upstream === undefined) return false;
@@ -303,13 +356,16 @@
       state = { ...state, pending: state.pending + 1 };
       record.inFlight += 1;
       record.inFlightChange += 1;
+      const sentAt = events.now;
       const end = (outcome: AttemptOutcome): void => {
+        running.delete(job);
         if (outcome.kind !== 'lost') report(upstream, record);
         record.inFlight -= 1;
         record.inFlightChange -= 1;
         addOutcome(record, outcome, events.now);
         if (outcome.kind === 'notRun') result.rejectedAttempts += 1;
         if (outcome.kind === 'lost') result.lostAttempts += 1;
+        if (!isHedge) recordFirst(sentAt, outcome.kind === 'answered');
         if (isOver) return;
         state = addAttemptEnd(state, outcome);
         const decision = decideRetry(state, outcome);
@@ -317,8 +373,8 @@
           finish(decision.answer.kind === 'upstream' ? 'answered' : decision.answer.kind);
         }
         if (decision.kind === 'repeat') {
-          if (!hasAttemptLeft(state) || !attempt(decision.isCharged))
-            finish(state.mayHaveRun > 0 ? 'failed' : 'refused');
+          const isSent = hasAttemptLeft(state) && attempt(decision.isCharged);
+          if (!isSent && state.pending === 0) finish(state.mayHaveRun > 0 ? 'failed' : 'refused');
         }
       };
       const job: Job = {
@@ -326,15 +382,25 @@
         isOver: false,
         onEnd: (outcome) => {
           events.add(LINK_DELAY, () => {
-            if (!job.isOver) end(outcome);
+            if (job.isOver) return;
             job.isOver = true;
+            end(outcome);
           });
         },
       };
-      current = job;
+      running.set(job, { record, sentAt, isHedge });
       events.add(LINK_DELAY, () => {
-        arrive(upstream, job);
+        if (!job.isOver) arrive(upstream, job);
       });
+      const sent = { kind: 'sent', route: 'safe', expected: choice.expected } as const;
+      const hedge = isHedgeable(state) ? gateway.hedging?.decide(sent) : undefined;
+      if (hedge?.kind === 'wait') {
+        lastHedgeTimer += 1;
+        const timer = lastHedgeTimer;
+        events.add(hedge.delay, () => {
+          if (!isOver && timer === lastHedgeTimer && isHedgeable(state)) attempt(true, true);
+        });
+      }
       return true;
     };
     gateway.budget.addRequest(scenario.gateways);
@@ -342,13 +408,6 @@
     events.add(deadline, () => {
       if (isOver) return;
       finish('failed');
-      const record = tried.at(-1);
-      if (current === undefined || record === undefined) return;
-      current.isOver = true;
-      record.inFlight -= 1;
-      record.inFlightChange -= 1;
-      const upstream = upstreams[Number(record.instance.id.slice(1))];
-      if (upstream !== undefined) upstream.queue = upstream.queue.filter((job) => job !== current);
     });
     if (!attempt(false)) finish('refused');
   };
--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -63,6 +63,7 @@
         ['cold_slack', '5'],
       ],
     },
+    { name: 'hedging', lines: [['max_extra_work', '0.25']] },
   ],
   steward: [
     {
