--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -33,6 +33,10 @@
       | x a 0 1, y a 0 1 connected                      | 60   | 500  | y          |
       | x a 0 1, y a 0 2 connected                      | 60   | 500  | x          |
       | x a 0 1 connected, y a 2 1 connected            | 60   | 500  | x y        |
+      | x a 0 1 rejecting                               | 60   | 500  | x          |
+      | x a 0 1 rejecting, y a 0 1                      | 60   | 500  | x y        |
+      | x a 0 1 rejecting, y a 6 1                      | 60   | 500  | x          |
+      | x a 0 1 rejecting, y a 0 7                      | 60   | 500  | x          |
 
   Scenario Outline: Choice of the upstream for an attempt with a large answer
     Given gateway upstreams "<upstreams>"
@@ -46,6 +50,8 @@
       | x a 0 4, y b 0 1   | 60   | 500  | y      |
       | x a 0 7, y b 0 7.1 | 60   | 600  | x      |
       | x a 4 7, y b 0 7.1 | 60   | 600  | x y    |
+      | x a 0 1 rejecting, y a 0 1, z b 0 1 | 60 | 500 | x y |
+      | x a 0 1, y b 0 1 rejecting, z b 0 1 | 60 | 500 | x |
 
   Scenario Outline: Decision after an attempt ends
     Given a gateway request of kind "<kind>" with at most <attempts> attempts
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -68,7 +68,7 @@
     good: 6,
     bad: state === 'failing' ? 6 : 0,
     countedAt: NOW,
-    rejected: 0,
+    rejected: state === 'rejecting' ? 11 : 0,
     losses: { state: NO_LOSSES },
     unsentGood: 0,
     unsentBad: 0,
--- a/features/placement/placement.feature
+++ b/features/placement/placement.feature
@@ -81,3 +81,15 @@
     When it runs with and without the placement on the seeds 1 to 3
     Then the placement fails at most 0 more requests of 1000
     And the placement serves at least -10 more requests of 1000 in target
+
+  Scenario Outline: Gateways without load reports from others serve no fewer while most upstreams reject
+    Given a placement replay of 94 upstreams with 3 slots at load 0.5, of which 76 reject a share of 0.55 for 8500 ms
+    And <isolated> of its 12 placement gateways send and receive no load reports
+    When it runs with and without the placement on the seeds 1 to 2
+    Then the placement serves at least 0 more requests of 1000 in target
+    And the placement fails at most 5 more requests of 1000
+
+    Examples:
+      | isolated |
+      | 4        |
+      | 12       |
--- a/features/placement/placement.steps.ts
+++ b/features/placement/placement.steps.ts
@@ -278,6 +278,13 @@
   },
 );
 
+Given(
+  '{int} of its 12 placement gateways send and receive no load reports',
+  function (this: PlacementWorld, isolated: number) {
+    this.scenario = { ...this.scenario, isolated };
+  },
+);
+
 Given(
   'each of its upstreams is {int} times slower with probability {float}, anew every {int} ms, at load {float}',
   function (this: PlacementWorld, factor: number, share: number, interval: number, load: number) {
--- a/features/placement/replay.ts
+++ b/features/placement/replay.ts
@@ -55,6 +55,8 @@
   /** The first `upstreams` reject a share of their requests although they have free slots. */
   readonly shed?: Interval & { readonly upstreams: number; readonly share: number };
   readonly noise?: { readonly share: number; readonly factor: number; readonly interval: number };
+  /** Number of gateways that send and receive no load reports. */
+  readonly isolated?: number;
   /** Zones by their share of the upstreams; gateways are spread evenly. */
   readonly zones?: readonly number[];
 }
@@ -425,6 +427,8 @@
       scheduleArrival();
     });
   };
+  const isIsolated = (gateway: Gateway): boolean =>
+    gateways.indexOf(gateway) < (scenario.isolated ?? 0);
   const gossip = (gateway: Gateway): void => {
     const now = events.now;
     const rows = gateway.registry.records
@@ -444,9 +448,10 @@
       });
     gateway.lastSentAt = now;
     events.add(GOSSIP_DELAY, () => {
+      if (isIsolated(gateway)) return;
       const share = { self: 'gw', gateways: ['gw'], bounds: { factor: 1.5, slack: 8 } };
       gateways.forEach((other) => {
-        if (other === gateway) return;
+        if (other === gateway || isIsolated(other)) return;
         rows.forEach((row) => {
           other.registry.applyReport(row, events.now, share);
         });
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -142,6 +142,8 @@
   readonly record: UpstreamRecord;
   readonly expected: Duration;
   readonly cost: Duration;
+  /** Whether it rejects requests although it has free slots. */
+  readonly isRejecting: boolean;
 }
 
 function computeScore(record: UpstreamRecord, context: ChoiceContext): ScoredUpstream {
@@ -153,6 +155,7 @@
   return {
     record,
     expected,
+    isRejecting: record.rejected > 0 && isRejecting(record, now),
     cost:
       expected * failingPenalty * unresponsivePenalty +
       (record.instance.zone === zone ? 0 : CROSS_ZONE_PENALTY),
@@ -322,10 +325,9 @@
 }
 
 /** Returns the requests per second that the upstreams can run. */
-function computeServiceRate(records: readonly ScoredUpstream[], context: ChoiceContext): number {
-  const { work, now } = context;
-  return records.reduce(
-    (sum, { record }) => sum + (1000 * record.instance.slots) / (work * computePace(record, now)),
+function computeServiceRate(candidates: readonly ScoredUpstream[]): number {
+  return candidates.reduce(
+    (sum, { record, expected }) => sum + (1000 * record.instance.slots) / expected,
     0,
   );
 }
@@ -338,25 +340,23 @@
   withCapacity: readonly ScoredUpstream[],
   context: ChoiceContext,
 ): ScoredUpstream | undefined {
-  const { now, random, getFleetRate } = context;
-  const isShedding = (record: UpstreamRecord): boolean =>
-    record.rejected > 0 && isRejecting(record, now);
+  const { random, getFleetRate } = context;
+  const preferred = listPreferred(withCapacity, context);
   const pick = (
     candidates: readonly ScoredUpstream[],
     rescaled: number,
   ): ScoredUpstream | undefined => {
-    const preferred = listPreferred(candidates, context);
-    const pickOne = isContested(preferred, context) ? pickSpread : pickAmongBest;
-    return pickOne(preferred, { ...context, random: rescaled });
+    const pickOne = isContested(candidates, context) ? pickSpread : pickAmongBest;
+    return pickOne(candidates, { ...context, random: rescaled });
   };
-  const rejecting = withCapacity.filter(({ record }) => isShedding(record));
-  if (rejecting.length === 0) return pick(withCapacity, random);
-  const free = withCapacity.filter(({ record }) => hasFreeSlot(record) && !isShedding(record));
-  if (free.length === 0) return pick(withCapacity, random);
+  const rejecting = preferred.filter((one) => one.isRejecting);
+  if (rejecting.length === 0) return pick(preferred, random);
+  const free = preferred.filter((one) => !one.isRejecting && hasFreeSlot(one.record));
+  if (free.length === 0) return pick(preferred, random);
   const share = computeRejectingShare({
     requests: getFleetRate?.(),
-    accepting: computeServiceRate(free, context),
-    rejecting: computeServiceRate(rejecting, context),
+    accepting: computeServiceRate(free),
+    rejecting: computeServiceRate(rejecting),
   });
   return random < share
     ? pick(rejecting, random / share)
