--- a/bench/overloadreplay.ts
+++ b/bench/overloadreplay.ts
@@ -7,7 +7,7 @@
 import { emptyCatalog, type Catalog, type Route } from '../src/catalog/index.js';
 import { BufferBudget } from '../src/gateway/buffers.js';
 import { RetryBudget } from '../src/gateway/budget.js';
-import { chooseUpstream, computePace } from '../src/gateway/choose.js';
+import { chooseUpstream, computePace, hasFreeSlot } from '../src/gateway/choose.js';
 import { RequestQueues, type WaitCounts } from '../src/gateway/queues.js';
 import { addOutcome, addReport, UpstreamRegistry } from '../src/gateway/registry.js';
 import { RequestRun, type RunHost } from '../src/gateway/run.js';
@@ -19,6 +19,7 @@
   UpstreamRecord,
 } from '../src/gateway/types.js';
 import { AverageWork } from '../src/gateway/work.js';
+import { DEFAULT_MAX_EXTRA_WORK, HedgeBook } from '../src/hedging/index.js';
 import { createRandom } from './queueing.js';
 
 /** A kind of request. */
@@ -237,6 +238,8 @@
             ),
           },
         ),
+      hedging: new HedgeBook(DEFAULT_MAX_EXTRA_WORK),
+      hasRoomForHedge: (record) => !isWaiting || (hasFreeSlot(record) && !queues.isShort(SERVICE)),
       isProbeDue: () => false,
       probeOnDemand: () => undefined,
       send: (request, record, onEnd) => this.#send(request, record, onEnd),
--- a/features/overload/gateway.ts
+++ b/features/overload/gateway.ts
@@ -8,6 +8,7 @@
 import { RequestRun, type RunHost } from '../../src/gateway/run.js';
 import type { AttemptOutcome, FinalAnswer, UpstreamRecord } from '../../src/gateway/types.js';
 import { AverageWork } from '../../src/gateway/work.js';
+import { createHedging } from '../gateway/runhost.js';
 
 const SERVICE = 'records';
 const WORK = 100;
@@ -80,6 +81,7 @@
             targetTime: 0,
           },
         ),
+      ...createHedging(),
       isProbeDue: () => false,
       probeOnDemand: () => undefined,
       send: (request, record, onEnd) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,14 +29,14 @@
   type Instant,
   type ZoneId,
 } from '../model/index.js';
+import { DEFAULT_MAX_EXTRA_WORK, HedgeBook } from '../hedging/index.js';
+import { isRejecting } from '../placement/index.js';
 import { hasProcessEnded } from '../quarantine/index.js';
 import { createLogger } from '../telemetry/index.js';
 import type { UsageCounter } from '../usage/index.js';
 import type { Mesh } from '../wire/index.js';
 import {
-  addCounts,
   addOutcome,
-  addReport,
   markCold,
   markColdFromLog,
   addLimit,
@@ -60,7 +60,7 @@
 } from './caller.js';
 import { CallerConnections, type CallerCounts } from './callers.js';
 import type { Sample } from '../rollout/index.js';
-import { chooseUpstream, computePace, type Choice } from './choose.js';
+import { chooseUpstream, computePace, hasFreeSlot, type Choice } from './choose.js';
 import { EvidenceCollector, judgeAttempt, OverdueWatch, SLOW_RATIO } from './evidence.js';
 import { createCollector, type Collector } from './collector.js';
 import { isProbeWorthwhile } from './ondemand.js';
@@ -68,7 +68,7 @@
 import { computeProbeInterval, RequestRates } from './probing.js';
 import { createProber, recordLoad, type Prober } from './prober.js';
 import { createCrashGossip, type CrashGossip } from './crashgossip.js';
-import { createLoadGossip, type ReceivedReport, type LoadGossip } from './gossip.js';
+import { createLoadGossip, type LoadGossip } from './gossip.js';
 import { parseLimit, recordTurningAway } from './notices.js';
 import { RequestQuarantine } from './quarantine.js';
 import { listByZone, listCallerAddresses } from './directory.js';
@@ -106,8 +106,6 @@
   headTimeout: 3000,
   idleTimeout: 15_000,
 };
-/** Maximum age in milliseconds of a load report that proves the upstream reachable from the reporting gateway. */
-const MAX_FRESH_REPORT_AGE: Duration = 250;
 /** Multiple of the expected time beyond which a cancelled attempt counts against its upstream. */
 const OVERDUE_RATIO = 3;
 
@@ -146,6 +144,8 @@
   readonly seeds: readonly Address[];
   readonly dialect: HeaderDialect;
   readonly retryBounds: RetryBounds;
+  /** Share of the work of first attempts that hedges may add; 0 disables them. */
+  readonly maxExtraWork?: number | undefined;
   readonly coldBounds: ColdBounds;
   /** Shortest time in milliseconds after which an upstream's load report is stale and it is probed again. */
   readonly probeInterval: Duration;
@@ -178,10 +178,13 @@
   readonly callers: CallerCounts;
   /** The requests that found no room. */
   readonly waits: WaitCounts;
+  /** Number of upstreams that reject requests although they have free slots. */
+  readonly rejectingUpstreams: number;
   /** The bytes of the messages that the gateway holds. */
   readonly buffers: BufferBudget;
   /** The requests that are refused because they crash upstreams. */
   readonly quarantine: RequestQuarantine;
+  readonly hedging: HedgeBook;
   /** Whether its state is old, so that the seeds are worth reading again. */
   readonly isLost: boolean;
   /** Replaces the seeds, after the settings were read again. */
@@ -205,6 +208,7 @@
   readonly #transport: GossipTransport;
   readonly #loadGossip: LoadGossip;
   readonly #crashGossip: CrashGossip;
+  readonly hedging: HedgeBook;
   readonly quarantine: RequestQuarantine;
   readonly #runs = new Map<GatewayRequest, RequestRun>();
   readonly #prober: Prober;
@@ -307,6 +311,7 @@
         log.warn('gossip error', { reason: message });
       },
     });
+    this.hedging = new HedgeBook(options.maxExtraWork ?? DEFAULT_MAX_EXTRA_WORK);
     this.quarantine = new RequestQuarantine({
       ...{ now: this.now, self: options.id, hasProcessEnded },
       isRunning: (request, fingerprint) => this.#isRunning(request, fingerprint),
@@ -341,7 +346,7 @@
           this.#averageWork.getShortest(instance.service) * FAR_WORK_RATIO,
         ),
       onReport: (report) => {
-        this.#applyReport(report);
+        this.#registry.applyReport(report, this.now(), this.#fleetShare);
       },
       linkRate: options.linkRate,
     });
@@ -528,25 +533,6 @@
     });
   }
 
-  #applyReport(received: ReceivedReport): void {
-    const { key, running, waiting, pace, reportedAt, good, bad, coldFor, unreachableFor } =
-      received;
-    const record = this.#registry.getByKey(key);
-    if (record === undefined) return;
-    const now = this.now();
-    if (unreachableFor > 0) record.unreachableUntil = now + unreachableFor;
-    else if (now - reportedAt < MAX_FRESH_REPORT_AGE) record.unreachableUntil = -Infinity;
-    addReport(record, { running, waiting, slots: record.instance.slots, pace }, reportedAt);
-    this.#registry.addPace(record.instance.service, pace);
-    if (good + bad > 0) addCounts(record, good, bad, now);
-    if (received.limit !== undefined) {
-      const { rate, namedAt } = received.limit;
-      addLimit(record, rate, namedAt, now, this.#fleetShare);
-    }
-    if (coldFor === 0) finishOutdatedCold(record);
-    else if (record.coldUntil <= now) markCold(record, coldFor, now, this.#fleetShare);
-  }
-
   #recordProbe(record: UpstreamRecord, outcome: AttemptOutcome): void {
     if (outcome.kind === 'answered' || outcome.kind === 'notRun') return;
     addOutcome(record, outcome, this.now());
@@ -716,14 +702,10 @@
     return this.#averageWork.get(service, route);
   }
 
-  /** Callers spread over all gateways, so that each of them gets about the same number of requests. */
   #computeProbeInterval(service: string): Duration {
-    const ownRate = this.#requestRates.getRate(service, this.now());
     const upstreams = this.#registry.listUsable(service, undefined).length;
-    const rate =
-      ownRate === undefined
-        ? undefined
-        : (ownRate * this.#gateways.length) / Math.max(1, upstreams);
+    const share = this.#gateways.length / Math.max(1, upstreams);
+    const rate = this.#requestRates.getFleetRate(service, this.now(), share);
     return computeProbeInterval(this.#options.probeInterval, rate);
   }
 
@@ -731,6 +713,10 @@
     return this.#getRetryBudget(service).takeRetry();
   }
 
+  hasRoomForHedge(record: UpstreamRecord): boolean {
+    return hasFreeSlot(record) && !this.queues.isShort(record.instance.service);
+  }
+
   choose(
     request: GatewayRequest,
     tried: readonly UpstreamRecord[],
@@ -756,6 +742,8 @@
       zone: this.#options.zone,
       isLarge: isLargeKind(route.kind),
       deadlineShare: Math.max(0.3, MAX_DEADLINE_SHARE - (rank - topRank) * DEADLINE_SHARE_STEP),
+      getFleetRate: () => this.#requestRates.getFleetRate(service, now, this.#gateways.length),
+      isRepeatable: isIdempotentKind(route.kind),
       random: Math.random(),
     });
   }
@@ -908,10 +896,14 @@
     const now = this.now();
     if (now > request.deadline + MAX_TIMER_DELAY) return;
     const expected = this.#getAverageWork(request).value * computePace(record, now);
+    const { limit } = record.losses.state;
     if (outcome !== undefined) addOutcome(record, outcome, now);
     else if (elapsed > expected * OVERDUE_RATIO) {
       addOutcome(record, { kind: 'lost', reason: 'no answer in time', isDisconnected: false }, now);
     }
+    if (record.losses.state.limit === limit) return;
+    const { service } = record.instance;
+    log.info('upstreams reset when full', { service, waiting: record.losses.state.limit ?? 0 });
   }
 
   recordDecision(
@@ -942,12 +934,17 @@
         return;
       case 'refused':
       case 'failed':
+        if (answer.cause === 'overloaded') this.hedging.recordShortage(request.service, this.now());
         if (answer.cause === 'stale') this.#admission.stateWatch.recordRefusal();
         this.recordDecision(request, answer.kind, undefined, answer.cause);
         return;
     }
   }
 
+  get rejectingUpstreams(): number {
+    return this.#registry.records.filter((record) => isRejecting(record, this.now())).length;
+  }
+
   async stop(signalledAt: Instant): Promise<void> {
     if (this.isStopping()) return;
     const plan = buildStopPlan(this.now(), this.#options.stopTime, signalledAt);
--- a/src/gateway/queues.ts
+++ b/src/gateway/queues.ts
@@ -13,8 +13,7 @@
   type WaitRefusal,
 } from '../overload/index.js';
 import { createLogger } from '../telemetry/index.js';
-import { computeOccupancy } from './choose.js';
-import type { UpstreamRegistry } from './registry.js';
+import { computeOccupancy, type UpstreamRegistry } from './registry.js';
 import type { RunQueues } from './run.js';
 import type { AttemptOutcome, GatewayRequest, UpstreamRecord } from './types.js';
 import type { AverageWork } from './work.js';
@@ -175,6 +174,11 @@
     };
   }
 
+  /** Whether requests wait for the service, or it was short of capacity a moment ago. */
+  isShort(service: string): boolean {
+    return this.#queues.isShort(service);
+  }
+
   isHeldBack(request: GatewayRequest): boolean {
     return this.#queues.isHeldBack(request.service, this.#describeWaiter(request, 0));
   }
@@ -186,7 +190,7 @@
   computeTargetTime({ service, route, arrivedAt }: GatewayRequest): Duration {
     const { now, work } = this.#options;
     const targetTime = arrivedAt + route.targetLatency - now();
-    return this.#queues.isShort(service)
+    return this.isShort(service)
       ? Math.min(targetTime, work.get(service, route).value * MAX_QUEUED_RATIO)
       : targetTime;
   }
