--- a/features/platform/orders.feature
+++ b/features/platform/orders.feature
@@ -8,6 +8,8 @@
       | message                                                      |
       | a configuration                                              |
       | a configuration with keys that are not known                 |
+      | a configuration with accounts                                |
+      | a configuration with an empty list of accounts               |
       | a configuration without routes, in empty lists               |
       | a configuration with figures of 0                            |
       | a configuration with a route of the most urgent priority     |
@@ -15,6 +17,8 @@
       | a change that removes a route                                |
       | a change of services and limits                              |
       | a change with empty lists                                    |
+      | a change that adds an account                                |
+      | a change that removes an account                             |
       | a heartbeat                                                  |
       | a heartbeat without its start time                           |
       | a heartbeat with keys that are not known                     |
--- a/features/platform/orders.steps.ts
+++ b/features/platform/orders.steps.ts
@@ -61,14 +61,27 @@
 ];
 const services = [buildService('records'), buildService('orders')];
 const whole = { version: 7, services, limits, hosts };
+const tenants = [
+  { name: 'sese880', api_keys: ['k-1', 'k-2'], priority: 1 },
+  { name: 'locu91', api_keys: ['k-3'], priority: 0 },
+];
+const wholeWithAccounts = {
+  ...{ ...whole, tenants },
+  hosts: [{ host: 'a.example', paths: [buildRoute(1, { service: 'records', public: true })] }],
+};
+
+const putOptional = [
+  ...['tenants', 'tenants[0].priority', 'tenants[1].priority', 'hosts[0].paths[0].public'],
+];
 
 function buildPut(body: unknown): Message {
-  return { path: '/-/Config.Put', base: '5', body };
+  return { path: '/-/Config.Put', base: '5', body, optional: putOptional };
 }
 
 const patchOptional = [
   ...['upsert', 'remove', 'upsert.hosts', 'upsert.services', 'upsert.limits'],
-  ...['remove.routes', 'remove.services'],
+  ...['remove.routes', 'remove.services', 'remove.tenants', 'upsert.tenants'],
+  ...['upsert.tenants[0].priority', 'upsert.tenants[1].priority'],
 ];
 
 function buildPatch(body: unknown): Message {
@@ -76,8 +89,8 @@
 }
 
 const fullPatch = {
-  ...{ version: 9, upsert: { hosts, services, limits } },
-  remove: { routes: ['r-4'], services: ['old'] },
+  ...{ version: 9, upsert: { hosts, services, limits, tenants } },
+  remove: { routes: ['r-4'], services: ['old'], tenants: ['idle'] },
 };
 
 const heartbeat = {
@@ -101,6 +114,7 @@
 /** One message of each kind, with all of its keys. */
 const fullMessages: readonly Message[] = [
   buildPut(whole),
+  buildPut(wholeWithAccounts),
   buildPatch(fullPatch),
   buildHeartbeat(heartbeat),
   buildLeave({ born: heartbeat.born }),
@@ -110,9 +124,11 @@
 const proper: Readonly<Record<string, Message>> = {
   'a configuration': buildPut(whole),
   'a configuration with keys that are not known': buildPut({
-    ...{ ...whole, tenants: [{ name: 't', priority: null }] },
-    hosts: [{ host: 'a.example', paths: [buildRoute(1, { service: 'records', public: false })] }],
+    ...{ ...whole, notes: [{ name: 't', priority: null }] },
+    hosts: [{ host: 'a.example', paths: [buildRoute(1, { service: 'records', shared: false })] }],
   }),
+  'a configuration with accounts': buildPut(wholeWithAccounts),
+  'a configuration with an empty list of accounts': buildPut({ ...whole, tenants: [] }),
   'a configuration without routes, in empty lists': buildPut({
     ...{ ...whole, services: [], hosts: [] },
   }),
@@ -131,6 +147,8 @@
   'a change with empty lists': buildPatch({
     ...{ version: 9, upsert: { hosts: [], services: [] }, remove: { routes: [] } },
   }),
+  'a change that adds an account': buildPatch({ version: 9, upsert: { tenants } }),
+  'a change that removes an account': buildPatch({ version: 9, remove: { tenants: ['idle'] } }),
   'a heartbeat': buildHeartbeat(heartbeat),
   'a heartbeat without its start time': buildHeartbeat({ ...heartbeat, born: undefined }),
   'a heartbeat with keys that are not known': buildHeartbeat({ ...heartbeat, note: null }),
