--- a/features/usage/usage.feature
+++ b/features/usage/usage.feature
@@ -61,6 +61,23 @@
   Scenario: The settings of usage reports
     Then a gateway and a steward may have usage settings, with an address by name or by number
 
+  Scenario Outline: A malformed delivery doesn't enter the state
+    Then a feed message with the usage <delivery> is <verdict>
+
+    Examples:
+      | delivery                                                                             | verdict |
+      | {"source":"g/1","batches":[{"number":1,"counts":[[7,[["ana",2]]]]}]}                 | taken   |
+      | {"source":"g/1","batches":[{"number":1,"counts":[]},{"number":2,"counts":[]}]}       | taken   |
+      | {"source":"g/1","batches":[{"number":2,"counts":[]},{"number":1,"counts":[]}]}       | dropped |
+      | {"source":"g/1","batches":[{"number":0,"counts":[]}]}                                | dropped |
+      | {"source":"g/1","batches":[{"number":1,"counts":[[7,[["ana",-2]]]]}]}                | dropped |
+      | {"source":"g/1","batches":[{"number":1,"counts":[[7.5,[["ana",2]]]]}]}               | dropped |
+      | {"source":"g/1","batches":[{"number":1,"counts":[[7,{"ana":2}]]}]}                   | dropped |
+      | {"source":"g/1","batches":[{"number":1,"counts":[[7,[[1,2]]]]}]}                     | dropped |
+      | {"source":1,"batches":[]}                                                            | dropped |
+      | {"batches":[]}                                                                       | dropped |
+      | []                                                                                   | dropped |
+
   Scenario: A leader seals nothing before it has collected for 1.5 s
     Then a usage leader that takes over 20 s after the end of a window seals it 1.5 s later
 
--- a/features/usage/usage.steps.ts
+++ b/features/usage/usage.steps.ts
@@ -13,6 +13,7 @@
 import {
   createFollower,
   createPublisher,
+  decodeMessage,
   type FeedMessage,
   type Follower,
   type Publisher,
@@ -504,6 +505,22 @@
   },
 );
 
+Then(
+  /^a feed message with the usage (.+) is (taken|dropped)$/,
+  function (text: string, verdict: 'taken' | 'dropped') {
+    const usage: unknown = JSON.parse(text);
+    const entry = {
+      ...{ id: 'gw-1', zone: 'a', callerAddress: '10.1.0.3:8080', peerAddress: GATEWAY },
+      ...{ capacity: 1, ready: true },
+    };
+    const follow = { kind: 'follow', entry, index: 0, fleetRevision: '', evidence: [], usage };
+    [follow, { kind: 'usage', delivery: usage }].forEach((message) => {
+      if (verdict === 'taken') assert.equal(decodeMessage(message), message);
+      else assert.throws(() => decodeMessage(message), /malformed/);
+    });
+  },
+);
+
 /** Runs decisions with a state of the group that the test sets. */
 class DecisionRun {
   usage: UsageState | undefined;
