--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -36,6 +36,8 @@
       | x a 0 1 rejecting                               | 60   | 500  | x          |
       | x a 0 1 rejecting, y a 0 1                      | 60   | 500  | x y        |
       | x a 0 1 rejecting, y a 6 1                      | 60   | 500  | x          |
+      | x a 0 1 rejecting, y a 0 1 probed               | 60   | 500  | y          |
+      | x a 0 1 rejecting probed, y a 0 1               | 60   | 500  | x          |
       | x a 0 1 rejecting, y a 0 7                      | 60   | 500  | x          |
 
   Scenario Outline: Choice of the upstream for an attempt with a large answer
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -16,6 +16,7 @@
 
 interface DecisionWorld {
   connected: ReadonlySet<string>;
+  probed: ReadonlySet<string>;
   records: readonly UpstreamRecord[];
   chosen: string;
   state: RetryState;
@@ -80,12 +81,15 @@
 
 Given('gateway upstreams {string}', function (this: DecisionWorld, text: string) {
   this.records = text.split(',').map(buildRecord);
-  this.connected = new Set(
-    text
-      .split(',')
-      .filter((item) => item.endsWith(' connected'))
-      .map((item) => item.trim().split(' ')[0] ?? ''),
-  );
+  const listIds = (word: string): ReadonlySet<string> =>
+    new Set(
+      text
+        .split(',')
+        .filter((item) => item.endsWith(` ${word}`))
+        .map((item) => item.trim().split(' ')[0] ?? ''),
+    );
+  this.connected = listIds('connected');
+  this.probed = listIds('probed');
 });
 
 When(
@@ -99,7 +103,7 @@
           zone,
           isLarge: kind === 'download',
           deadlineShare: 0.8,
-          justProbed: [],
+          justProbed: this.records.filter(({ instance }) => this.probed.has(instance.id)),
           canProbe: false,
         },
         hasConnection: ({ instance }: UpstreamRecord) => this.connected.has(instance.id),
--- a/features/placement/placement.feature
+++ b/features/placement/placement.feature
@@ -66,6 +66,8 @@
       | 0         | 200 | 20   | certain   |
       | 4         | 20  | 20   | certain   |
       | 4         | 200 | 20   | uncertain |
+      | 0         | 9999 | 20  | certain   |
+      | 2         | 9999 | 20  | uncertain |
       | 6         | 0   | 20   | uncertain |
 
   Scenario: In a burst at upstreams that reset connections when full, few requests that must not run twice are lost
@@ -75,6 +77,13 @@
     And the placement serves at least 15 more requests of 1000 in target
     And the placement serves at most 20 fewer of 1000 requests that must not run twice in target
 
+  Scenario: In a burst, gateways without load reports serve requests that must not run twice
+    Given a placement replay of 54 upstreams with 2 slots and a queue of 8 that reset connections, in a burst of 1.7
+    And 12 of its 12 placement gateways send and receive no load reports
+    When it runs with and without the placement on the seeds 1 to 3
+    Then the placement has at most 1.0 as many failed requests that must not run twice
+    And the placement serves at most 20 fewer of 1000 requests that must not run twice in target
+
   Scenario: Short slowdowns during a burst are served about as before
     Given a placement replay of 54 upstreams with 2 slots and a queue of 8 that reset connections, in a burst of 1.7
     And each of its upstreams is 7 times slower with probability 0.3, anew every 500 ms, at load 0.35
--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -288,11 +288,22 @@
   return isCrowded({ free, age: ages / candidates.length, rate: getFleetRate?.() ?? Infinity });
 }
 
-/** Spreads requests over all candidates, by the places in them and the time that they are expected to take. */
+/**
+ * Spreads requests over all candidates, by the places in them and the time that they are expected to take. One that was
+ * just probed is known to be free or not, so that it needs no chance.
+ */
 function pickSpread(
   candidates: readonly ScoredUpstream[],
-  { random }: ChoiceContext,
+  { random, justProbed }: ChoiceContext,
 ): ScoredUpstream | undefined {
+  const lowestCost = Math.min(...candidates.map(({ cost }) => cost));
+  const probed = candidates.find(
+    ({ record, cost }) =>
+      justProbed.includes(record) &&
+      hasFreeSlot(record) &&
+      cost <= lowestCost * CONNECTED_TIE_RATIO + TIE_SLACK,
+  );
+  if (probed !== undefined) return probed;
   const weights = candidates.map(({ record, cost }) => {
     const places = record.instance.slots * (1 + MAX_QUEUED_PER_SLOT) - computeOccupancy(record);
     return Math.max(MIN_WEIGHT, places) / cost;
@@ -340,7 +351,7 @@
   withCapacity: readonly ScoredUpstream[],
   context: ChoiceContext,
 ): ScoredUpstream | undefined {
-  const { random, getFleetRate } = context;
+  const { random, justProbed, getFleetRate } = context;
   const preferred = listPreferred(withCapacity, context);
   const pick = (
     candidates: readonly ScoredUpstream[],
@@ -353,6 +364,9 @@
   if (rejecting.length === 0) return pick(preferred, random);
   const free = preferred.filter((one) => !one.isRejecting && hasFreeSlot(one.record));
   if (free.length === 0) return pick(preferred, random);
+  const isProbed = ({ record }: ScoredUpstream): boolean => justProbed.includes(record);
+  if (free.some(isProbed)) return pick(free, random);
+  if (rejecting.some(isProbed)) return pick(rejecting, random);
   const share = computeRejectingShare({
     requests: getFleetRate?.(),
     accepting: computeServiceRate(free),
--- a/src/placement/losses.ts
+++ b/src/placement/losses.ts
@@ -16,6 +16,11 @@
 /** Milliseconds after the last loss from which the service no longer counts as one that resets connections. */
 const MEMORY_TIME: Duration = 60_000;
 
+/**
+ * Multiple of the time of a request up to which the age of a report counts: later arrivals are balanced by answers. A
+ * gateway without load reports would send no request that must not run twice otherwise.
+ */
+const MAX_COUNTED_TIMES = 2;
 /** Requests per slot that an upstream with a short queue holds besides those that run. */
 const QUEUED_PER_SLOT = 2;
 
@@ -93,7 +98,8 @@
  */
 export function isSlotCertain(knowledge: SlotKnowledge): boolean {
   const { slots, occupancy, age, rate, time, limit } = knowledge;
-  const unseen = (age / 1000) * (rate ?? (1000 * slots) / time);
+  const counted = Math.min(age, time * MAX_COUNTED_TIMES);
+  const unseen = (counted / 1000) * (rate ?? (1000 * slots) / time);
   return occupancy + unseen < slots * (1 + QUEUED_PER_SLOT) + limit;
 }
 
