--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -351,6 +351,14 @@
   return isFree ? [net, lock] : claimNetwork();
 }
 
+/** How the processes of a site are started. */
+export interface ProcessOptions {
+  /** Sections that are added to the settings of each process. */
+  readonly extraSettings?: string;
+  /** Flags of node, by role. */
+  readonly nodeFlags?: Readonly<Record<RunningProcess['role'], readonly string[]>>;
+}
+
 /** A site of three VMs in three zones, each with a steward and a gateway; further VMs may be added. */
 export class Site {
   readonly processes = new Map<string, RunningProcess>();
@@ -372,6 +380,7 @@
     readonly networkLock: Server,
     readonly disklessVms: readonly number[],
     readonly grace: number,
+    readonly processOptions: ProcessOptions,
   ) {
     this.ips = this.zones.map((_, index) => `127.${net}.${index + 1}.1`);
     this.controlIps = this.ips;
@@ -382,9 +391,13 @@
    * Starts the site; `disklessVms` are the indices of VMs without a disk, `grace` the milliseconds that a process
    * may take to stop.
    */
-  static async start(disklessVms: readonly number[] = [], grace = GRACE_MS): Promise<Site> {
+  static async start(
+    disklessVms: readonly number[] = [],
+    grace = GRACE_MS,
+    options: ProcessOptions = {},
+  ): Promise<Site> {
     const folder = await mkdtemp(join(tmpdir(), 'chivewalk-platform-'));
-    const site = new Site(folder, ...(await claimNetwork()), disklessVms, grace);
+    const site = new Site(folder, ...(await claimNetwork()), disklessVms, grace, options);
     await Promise.all(
       site.ips.flatMap((ip, vmIndex) => [
         site.startProcess('steward', ip, vmIndex, true),
@@ -530,7 +543,8 @@
     seeds: readonly string[],
   ): Promise<string> {
     const file = join(this.folder, `${role}-${vmIndex + 1}.ini`);
-    await writeFile(file, await this.#renderSettings(role, ip, vmIndex, isFirstStart, seeds));
+    const rendered = await this.#renderSettings(role, ip, vmIndex, isFirstStart, seeds);
+    await writeFile(file, `${rendered}\n${this.processOptions.extraSettings ?? ''}`);
     return file;
   }
 
@@ -544,10 +558,14 @@
     const file = await this.#writeSettings(role, ip, vmIndex, isFirstStart, seeds);
     // A scenario that failed may still be starting processes.
     if (this.#isStopped) throw new Error('the site was stopped');
-    const child = spawn(process.execPath, [PROGRAM], {
-      env: { ...process.env, NODE_OPTIONS: '', CHIVEWALK_BOOT: file },
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    const child = spawn(
+      process.execPath,
+      [...(this.processOptions.nodeFlags?.[role] ?? []), PROGRAM],
+      {
+        env: { ...process.env, NODE_OPTIONS: '', CHIVEWALK_BOOT: file },
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
     const running: RunningProcess = {
       role,
       ip,
--- a/features/settings/keys.steps.ts
+++ b/features/settings/keys.steps.ts
@@ -39,6 +39,15 @@
       ['log_lines_per_s', '100'],
     ],
   },
+  {
+    name: 'limits',
+    lines: [
+      ['max_connections', '500'],
+      ['max_pipelined_requests', '8'],
+      ['max_unsent_kb', '32'],
+      ['steps_per_turn', '128'],
+    ],
+  },
 ];
 
 const roleSections: Readonly<Record<string, readonly Section[]>> = {
