--- a/bench/stand/site.ts
+++ b/bench/stand/site.ts
@@ -19,6 +19,8 @@
   readonly upstreams: readonly Partial<TestUpstreamOptions>[];
   /** Additional lines for sections of the settings files, by section name. */
   readonly settings?: Readonly<Record<string, readonly string[]>>;
+  /** Flags of node for the control processes and entries. */
+  readonly nodeFlags?: readonly string[];
 }
 
 /** A process of a site. */
@@ -119,8 +121,10 @@
   process: Omit<SiteProcess, 'child' | 'output'>,
   program: string,
   argument: string,
+  nodeFlags: readonly string[] = [],
 ): SiteProcess {
-  const child = spawn(globalThis.process.execPath, [getProgramPath(program), argument], {
+  const words = [...nodeFlags, getProgramPath(program), argument];
+  const child = spawn(globalThis.process.execPath, words, {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   const started: SiteProcess = { ...process, child, output: '' };
@@ -194,6 +198,8 @@
     ...entry,
     '[telemetry]',
     ...extra('telemetry'),
+    '[limits]',
+    ...extra('limits'),
   ].join('\n');
 }
 
@@ -256,7 +262,7 @@
       file,
       renderSettings(plan, plans, withControlLines(options, controlLines), folder),
     );
-    const started = startChild(plan, 'src/daemon/main.js', file);
+    const started = startChild(plan, 'src/daemon/main.js', file, options.nodeFlags);
     processes.set(plan.id, started);
     return started;
   };
