--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -19,6 +19,7 @@
 import { DEFAULT_WINDOW_MS, UsageCounter } from '../usage/index.js';
 import { createMesh, type Mesh } from '../wire/index.js';
 import type { PlatformAdapter, RunningRole } from './adapter.js';
+import { applyClientLimits } from './clientlimits.js';
 import { CurrentSeeds } from './seeds.js';
 import { startSteward } from './steward.js';
 import { waitForStopSignal } from './stopsignal.js';
@@ -258,6 +259,8 @@
     standardOutput.setRate(settings.telemetry.log_lines_per_s);
   }
   const stopped = waitForStopSignal(() => performance.now());
+  const metrics = createMetrics({ process: id, zone });
+  applyClientLimits(settings, metrics);
   const mesh = await createMesh({
     address: settings.peer.listen,
     secret: settings.site.secret,
@@ -265,7 +268,6 @@
       log.info('peer connection failed', { peer, reason: problem });
     },
   });
-  const metrics = createMetrics({ process: id, zone });
   const listen = settings.platform?.listen;
   const exposition = listen === undefined ? undefined : await createMetricsServer(listen, metrics);
   const start = roles.includes('steward') ? startSteward : startGateway;
