--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -25,7 +25,7 @@
 const CYCLES = 5000;
 const NANOSECONDS_PER_MICROSECOND = 1000;
 /** A capacity at which all requests are expected to be served in time. */
-const CAPACITY = { slotRate: 1e9, freeShare: 1 };
+const CAPACITY = { slotRate: 1e9, freeShare: 1, isFull: true };
 
 function buildWaiter(id: number, random: () => number): Waiter {
   return {
--- a/features/overload/queue.feature
+++ b/features/overload/queue.feature
@@ -41,6 +41,12 @@
     Then an overload request of rank 1 is held back
     And an overload request of rank 0 that arrives 5000 ms later is not held back
 
+  Scenario: A request that came too late says nothing of the capacity
+    Given an overloaded service whose slots are mostly free
+    When an overload request of rank 0 arrives that has no time left
+    Then an overload request of rank 0 is refused as "noTime"
+    And the service does not count as short of capacity
+
   Scenario: One free slot that 150 gateways see isn't taken by all of them
     Given 150 gateways with one overload request each, which all see one free slot
     When the timers of the overload queues fire for 200 ms
--- a/features/overload/queue.steps.ts
+++ b/features/overload/queue.steps.ts
@@ -5,6 +5,7 @@
   decideWaiting,
   emptyWaiting,
   isHeldBack,
+  isShort,
   type WaitingState,
 } from '../../src/overload/decide.js';
 import {
@@ -145,7 +146,7 @@
   function (this: QueueWorld, slotRate: number) {
     this.waitingState = emptyWaiting;
     // While nothing ends, half of the rate is assumed.
-    this.capacity = { slotRate: slotRate * 2, freeShare: 0 };
+    this.capacity = { slotRate: slotRate * 2, freeShare: 0, isFull: true };
   },
 );
 
@@ -200,7 +201,7 @@
     );
     // The rate turns out to be a tenth of what it was, so that the last ones can't be served in time.
     if (rank === 0 && count < 10) {
-      this.capacity = { slotRate: this.capacity.slotRate / 10, freeShare: 0 };
+      this.capacity = { slotRate: this.capacity.slotRate / 10, freeShare: 0, isFull: true };
       this.waitingEffects = [
         ...this.waitingEffects,
         ...applyNoRoom(this, { ...createWaiter('b', 0, 0), targetAt: 1e5, deadline: 4e5 }, 0),
@@ -237,8 +238,9 @@
     (state, request) => decideWaiting(state, { kind: 'left', request, now: 1 }).state,
     this.waitingState,
   );
-  assert.ok(isHeldBack(empty, createWaiter('c', rank, 1), 1));
-  assert.ok(!isHeldBack(empty, createWaiter('c', 0, 1), 1));
+  assert.ok(isHeldBack(empty, createWaiter('c', rank, 1), 1, () => true));
+  assert.ok(!isHeldBack(empty, createWaiter('c', rank, 1), 1, () => false));
+  assert.ok(!isHeldBack(empty, createWaiter('c', 0, 1), 1, () => true));
 });
 
 Then(
@@ -247,14 +249,32 @@
     const { state } = decideWaiting(this.waitingState, {
       ...{ kind: 'ticked', capacity: this.capacity, now: time, random: 0.999 },
     });
-    assert.ok(!isHeldBack(state, createWaiter('c', rank, time), time));
+    assert.ok(!isHeldBack(state, createWaiter('c', rank, time), time, () => true));
   },
 );
 
+Given('an overloaded service whose slots are mostly free', function (this: QueueWorld) {
+  this.waitingState = emptyWaiting;
+  this.capacity = { slotRate: 40, freeShare: 2.5, isFull: false };
+});
+
+When(
+  'an overload request of rank {int} arrives that has no time left',
+  function (this: QueueWorld, rank: number) {
+    const waiter = { ...createWaiter('a', rank, 0), targetAt: WORK, deadline: WORK };
+    this.waitingEffects = applyNoRoom(this, waiter, 0);
+  },
+);
+
+Then('the service does not count as short of capacity', function (this: QueueWorld) {
+  assert.ok(!isShort(this.waitingState, 1));
+  assert.ok(!isHeldBack(this.waitingState, createWaiter('b', 3, 1), 1, () => true));
+});
+
 Given(
   '{int} gateways with one overload request each, which all see one free slot',
   function (this: QueueWorld, gateways: number) {
-    this.capacity = { slotRate: 1, freeShare: 1 / gateways };
+    this.capacity = { slotRate: 1, freeShare: 1 / gateways, isFull: true };
     this.waitingStates = Array.from({ length: gateways }, () => {
       const waiter = { ...createWaiter('a', 0, 0), targetAt: 1e5, deadline: 4e5 };
       const event = { kind: 'noRoom', waiter, capacity: this.capacity, now: 0, random: 0 } as const;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -75,6 +75,7 @@
 import { RequestQueues, type WaitCounts } from './queues.js';
 import { planGossip, type GossipPlan } from './relays.js';
 import { buildRouteIndex, matchRoute, WeightedSplitter, type RouteIndex } from './router.js';
+import { buildRequest } from './request.js';
 import { RequestRun, type RunHost, type SentAttempt } from './run.js';
 import { RequestAdmission, type AdmittedRequest, type RefusalCounts } from './admission.js';
 import { buildLocalAnswer, renderFinalAnswer } from './answers.js';
@@ -125,9 +126,6 @@
 /** Retry-After of requests that there is no room for, in milliseconds. */
 const NO_ROOM_RETRY_AFTER: Duration = 1000;
 
-/** Longest time in milliseconds that a request may take; longer timers would fire at once. */
-const MAX_TIMEOUT: Duration = 2 ** 31 - 1;
-
 /** Options of {@link openGateway}. */
 export interface GatewayOptions {
   readonly id: string;
@@ -586,41 +584,17 @@
   }
 
   #run(
-    {
-      request: { head, body, hasBody, arrivedAt, peer },
-      id,
-      route,
-      matchedAt,
-      access,
-    }: AdmittedRequest,
+    admitted: AdmittedRequest,
     onAnswer: (answer: FinalAnswer) => void,
   ): ServedRequest | undefined {
+    const { route, request: received } = admitted;
     const splitter = this.#routeSplitters.get(route.name) ?? new WeightedSplitter();
     this.#routeSplitters.set(route.name, splitter);
     const service = splitter.pickPart(route.parts)?.service ?? '';
-    const timeLimit = this.getTimeLimit(head) ?? Infinity;
-    // The route's timeout begins when the request is first matched, which may be after a wait for the routes.
-    const deadline = Math.min(
-      arrivedAt + timeLimit,
-      matchedAt + Math.min(route.timeout, MAX_TIMEOUT),
-    );
     const share = this.#registry.getVersionShare(service);
     const version = this.#versionSplitter.pickVersion(service, share);
-    const request: GatewayRequest = {
-      id,
-      method: head.method,
-      target: head.target,
-      ...access,
-      body,
-      hasBody,
-      route,
-      service,
-      version,
-      retryVersion: share.next !== undefined && share.share < 1 ? share.stable : version,
-      peer,
-      arrivedAt,
-      deadline,
-    };
+    const timeLimit = this.getTimeLimit(received.head);
+    const request = buildRequest(admitted, { service, version, share, timeLimit });
     if (!this.#canFinish(request)) {
       const refusal: FinalAnswer = { kind: 'refused', cause: 'stopping', retryAfter: 0 };
       this.#recordAnswer(request, refusal);
--- a/src/gateway/queues.ts
+++ b/src/gateway/queues.ts
@@ -23,6 +23,11 @@
 const MS_PER_SECOND = 1000;
 /** Share of the slots up to which free ones count as none; reports are up to some hundred milliseconds old. */
 const FULL_SHARE = 0.1;
+/**
+ * Share of the slots that must be free for a request without an upstream to say nothing of the capacity: it has too little
+ * time left. In a burst, reports that are out of date still show some free slots.
+ */
+const CALM_SHARE = 1 / 3;
 /** Multiple of the work that an upstream without a free slot may take while capacity is short. */
 const MAX_QUEUED_RATIO = 3;
 
@@ -90,7 +95,11 @@
   );
   const { slots, free } = countSlots(usable);
   const time = Math.max(1, work * pace);
-  return { slotRate: (slots * MS_PER_SECOND) / time / gateways, freeShare: free / gateways };
+  return {
+    slotRate: (slots * MS_PER_SECOND) / time / gateways,
+    freeShare: free / gateways,
+    isFull: free <= slots * CALM_SHARE,
+  };
 }
 
 /** The queues of a gateway. */
--- a/src/overload/decide.ts
+++ b/src/overload/decide.ts
@@ -105,15 +105,21 @@
 
 /**
  * Whether a request must not be sent although there may be room: others are served first, or capacity is reserved for
- * more urgent ones.
+ * more urgent ones while few slots are free.
  *
  * @example
- * isHeldBack(emptyWaiting, waiter, now) // false
+ * isHeldBack(emptyWaiting, waiter, now, () => true) // false
  */
-export function isHeldBack(state: WaitingState, { rank }: Waiter, now: Instant): boolean {
+export function isHeldBack(
+  state: WaitingState,
+  { rank }: Waiter,
+  now: Instant,
+  isFull: () => boolean,
+): boolean {
   if (!isShort(state, now)) return false;
   const next = findNext(state.queue);
-  return (next !== undefined && next.rank <= rank) || isReserved(state.shares, rank, now);
+  if (next !== undefined && next.rank <= rank) return true;
+  return isReserved(state.shares, rank, now) && isFull();
 }
 
 /** Mixes a request's id into the random number of an event, so that each refusal of an event has its own jitter. */
@@ -195,7 +201,8 @@
 function handleNoRoom(state: WaitingState, event: EventOf<'noRoom'>): Result {
   const { waiter, capacity, now, random } = event;
   const returned = recordReturn(state.repeats, waiter.caller, now);
-  const shares = addAsked(isShort(state, now) ? state.shares : emptyShares, waiter, now);
+  const before = isShort(state, now) ? state.shares : emptyShares;
+  const shares = capacity.isFull ? addAsked(before, waiter, now) : before;
   const claim = claimTag(shares, waiter, returned.early);
   const request: QueuedRequest = {
     ...waiter,
@@ -204,14 +211,18 @@
     giveUpAt: computeGiveUp(waiter, now),
   };
   const known = updateCapacity(
-    { ...state, shares, repeats: returned.table, shortUntil: now + SHORT_TIME },
+    {
+      ...{ ...state, shares, repeats: returned.table },
+      shortUntil: capacity.isFull ? now + SHORT_TIME : state.shortUntil,
+    },
     capacity,
     now,
   );
   const wait = computeExpectedWait(countAhead(known.queue, request), known.freeRate);
   if (!isWaitAllowed(waiter, wait, now)) {
     const cause = isReserved(shares, waiter.rank, now) ? 'reserved' : 'noTime';
-    return refuse({ state: known, effects: [] }, waiter, cause, now, random);
+    const refused = refuse({ state: known, effects: [] }, waiter, cause, now, random);
+    return capacity.isFull ? refused : { ...refused, state: { ...refused.state, shares } };
   }
   const waiting = { ...known, queue: addRequest(known.queue, request), shares: claim.shares };
   return refuseHopeless(
@@ -223,15 +234,16 @@
 }
 
 /** Takes up to `left` requests whose turn it is. */
-function startNext({ state, effects }: Result, now: Instant, left: number): Result {
+function startNext({ state, effects }: Result, now: Instant, left: number, isFull = true): Result {
   const next = findNext(state.queue);
-  if (left === 0 || next === undefined || isReserved(state.shares, next.rank, now))
-    return { state, effects };
+  const isHeld = next === undefined || (isFull && isReserved(state.shares, next.rank, now));
+  if (left === 0 || isHeld) return { state, effects };
   const taken = { ...state, queue: removeRequest(state.queue, next) };
   return startNext(
     { state: taken, effects: [...effects, { kind: 'try', request: next }] },
     now,
     left - 1,
+    isFull,
   );
 }
 
@@ -254,7 +266,7 @@
   if (capacity.slotRate === 0) return startNext(unexpired, now, MAX_TRIED_WITHOUT_UPSTREAM);
   const result = refuseHopeless(unexpired, now, random, 'noTime');
   const ticked = { ...result, state: { ...result.state, tickedAt: now } };
-  return isTaking(state, event) ? startNext(ticked, now, MAX_TRIED) : ticked;
+  return isTaking(state, event) ? startNext(ticked, now, MAX_TRIED, capacity.isFull) : ticked;
 }
 
 function handleReturned(state: WaitingState, { request, now }: EventOf<'returned'>): Result {
--- a/src/overload/shell.ts
+++ b/src/overload/shell.ts
@@ -89,7 +89,8 @@
   }
 
   isHeldBack(waiter: Waiter): boolean {
-    return isHeldBack(this.#state, waiter, this.#host.now());
+    const { now, getCapacity } = this.#host;
+    return isHeldBack(this.#state, waiter, now(), () => getCapacity(this.#service).isFull);
   }
 
   join(waiter: Waiter, listener: WaitingListener): WaitingTicket {
--- a/src/overload/types.ts
+++ b/src/overload/types.ts
@@ -36,6 +36,11 @@
   readonly slotRate: number;
   /** Free slots of all upstreams, by the load reports at hand, divided by the number of gateways. */
   readonly freeShare: number;
+  /**
+   * Whether few slots are free. If many are free, a request found no room because it has too little time left, which says
+   * nothing about others.
+   */
+  readonly isFull: boolean;
 }
 
 /** Why a request is refused by the waiting decisions. */
