--- a/features/soak/callers.ts
+++ b/features/soak/callers.ts
@@ -9,7 +9,7 @@
 /** The result of one request as its caller saw it. */
 export interface RequestResult {
   readonly id: string;
-  readonly kind: 'safe' | 'unsafe';
+  readonly kind: 'safe' | 'unsafe' | 'upload';
   /** HTTP status; 0 if the connection ended without a complete response. */
   readonly status: number;
   /** Value of the `X-Server-Seal` header, which names the request that the upstream answered. */
@@ -22,6 +22,20 @@
 const ADDRESS_CACHE_TIME = 2000;
 /** Milliseconds between the end of a request and the caller's next one. */
 const REQUEST_PAUSE = 15;
+/** Bytes of an upload: it arrives in several pieces, and is sent whole to a second upstream after a rejection. */
+const UPLOAD_BYTES = 100_000;
+
+const paths: Readonly<Record<RequestResult['kind'], string>> = {
+  safe: '/records/1',
+  unsafe: '/orders/1',
+  upload: '/uploads/1',
+};
+const bodies: Readonly<Record<RequestResult['kind'], Buffer | undefined>> = {
+  safe: undefined,
+  unsafe: Buffer.from('an order'),
+  upload: Buffer.alloc(UPLOAD_BYTES, 'a'),
+};
+const turns: readonly RequestResult['kind'][] = ['unsafe', 'safe', 'upload', 'safe'];
 
 function send(
   agent: Agent,
@@ -37,7 +51,7 @@
       {
         ...{ agent, host: ip, port: PORTS.front, timeout: 1500 },
         method: kind === 'safe' ? 'GET' : 'POST',
-        path: kind === 'safe' ? '/records/1' : '/orders/1',
+        path: paths[kind],
         headers: { Host: 'site.example', 'X-Attempt-Id': id, 'X-Deadline-Ms': '1000' },
       },
       (response) => {
@@ -56,12 +70,12 @@
     request.on('error', () => {
       finish(0);
     });
-    request.end(kind === 'safe' ? undefined : 'an order');
+    request.end(bodies[kind]);
   });
 }
 
 /**
- * One caller, which sends safe and unsafe requests in turn over a single connection. It keeps the connection
+ * One caller, which sends requests of all kinds in turn over a single connection. It keeps the connection
  * until the address disappears from its list or a request on it fails.
  */
 export class Caller {
@@ -109,8 +123,9 @@
         await sleep(REQUEST_PAUSE);
         continue;
       }
+      const kind = turns[requestCount % turns.length] ?? 'safe';
       requestCount += 1;
-      const result = await send(agent, ip, requestCount % 2 === 0 ? 'safe' : 'unsafe', createId());
+      const result = await send(agent, ip, kind, createId());
       this.results.push(result);
       if (result.status === 0) ip = '';
       await sleep(REQUEST_PAUSE);
--- a/features/soak/soak.ts
+++ b/features/soak/soak.ts
@@ -96,6 +96,8 @@
   ...{ name: 'r-unsafe', path_prefix: '/orders/', kind: 'unsafe', priority: 1, service: 'orders' },
 };
 
+const uploadRoute = { ...unsafeRoute, name: 'r-upload', path_prefix: '/uploads/', kind: 'upload' };
+
 /** One run of the soak test. */
 class SoakRun {
   readonly #seed: number;
@@ -485,7 +487,7 @@
       }));
       const isAcknowledged = await this.#acknowledge('a configuration', async () => {
         const answer = await this.#site
-          .putRoutes([{ ...safeRoute, timeout }, unsafeRoute, ...routes])
+          .putRoutes([{ ...safeRoute, timeout }, unsafeRoute, uploadRoute, ...routes])
           .catch((): undefined => undefined);
         if (answer === undefined || answer.status === 200) return answer !== undefined;
         throw new Error(`a valid configuration was refused: ${answer.status} ${answer.body}`);
@@ -686,9 +688,9 @@
   { kind, id, status, seal, body }: RequestResult,
   runCount: number,
 ): string | undefined {
-  if (kind === 'unsafe' && runCount > 1) return `ran ${runCount} times`;
+  if (kind !== 'safe' && runCount > 1) return `ran ${runCount} times`;
   if (runCount > safeRoute.max_attempts) return `ran ${runCount} times`;
-  if (kind === 'unsafe' && NOT_RUN_STATUSES.includes(status) && runCount > 0) {
+  if (kind !== 'safe' && NOT_RUN_STATUSES.includes(status) && runCount > 0) {
     return `was answered with ${status} (not run) but ran`;
   }
   if (status === 200 && seal !== `seal-${id}`)
