--- a/bench/overloadreplay.ts
+++ b/bench/overloadreplay.ts
@@ -19,7 +19,7 @@
   UpstreamRecord,
 } from '../src/gateway/types.js';
 import { AverageWork } from '../src/gateway/work.js';
-import { DEFAULT_MAX_EXTRA_WORK, HedgeBook } from '../src/hedging/index.js';
+import { DEFAULT_MAX_EXTRA_WORK, HedgeTracker } from '../src/hedging/index.js';
 import { createRandom } from './queueing.js';
 
 /** A kind of request. */
@@ -238,7 +238,7 @@
             ),
           },
         ),
-      hedging: new HedgeBook(DEFAULT_MAX_EXTRA_WORK),
+      hedging: new HedgeTracker(DEFAULT_MAX_EXTRA_WORK),
       hasRoomForHedge: (record) => !isWaiting || (hasFreeSlot(record) && !queues.isShort(SERVICE)),
       isProbeDue: () => false,
       probeOnDemand: () => undefined,
--- a/features/hedging/hedging.steps.ts
+++ b/features/hedging/hedging.steps.ts
@@ -7,7 +7,7 @@
 import {
   createHedgeState,
   decideHedge,
-  HedgeBook,
+  HedgeTracker,
   type HedgeState,
 } from '../../src/hedging/index.js';
 import { noQuarantine } from '../gateway/runhost.js';
@@ -18,7 +18,7 @@
   firstWork: number;
   extraWork: number;
   hedges: number;
-  book: HedgeBook;
+  book: HedgeTracker;
   run: RequestRun;
   ends: ((outcome: AttemptOutcome) => void)[];
   cancelled: number;
@@ -122,7 +122,7 @@
 Given(
   'a hedging gateway request of kind {string}, with extra work of {float}',
   function (this: HedgingWorld, kind: string, extra: number) {
-    this.book = new HedgeBook(extra);
+    this.book = new HedgeTracker(extra);
     const ended = { kind: 'ended', now: 0, route: 'other', expected: 1, isAnswered: true } as const;
     this.book.decide('records', { ...ended, elapsed: 100_000 });
     this.ends = [];
--- a/src/admission/connections.ts
+++ b/src/admission/connections.ts
@@ -63,7 +63,7 @@
   }
 
   /**
-   * Sets the limits and who is told of crowds.
+   * Sets the limits and the listener that is called when connections begin or cease to be closed for their number.
    *
    * @example
    * processClients.configure({ maxConnections: 500 }, (isCrowded) => log.warn('...', { isCrowded }));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,7 +29,7 @@
   type Instant,
   type ZoneId,
 } from '../model/index.js';
-import { DEFAULT_MAX_EXTRA_WORK, HedgeBook } from '../hedging/index.js';
+import { DEFAULT_MAX_EXTRA_WORK, HedgeTracker } from '../hedging/index.js';
 import { isRejecting } from '../placement/index.js';
 import { hasProcessEnded } from '../quarantine/index.js';
 import { createLogger } from '../telemetry/index.js';
@@ -182,7 +182,7 @@
   readonly buffers: BufferBudget;
   /** The requests that are refused because they crash upstreams. */
   readonly quarantine: RequestQuarantine;
-  readonly hedging: HedgeBook;
+  readonly hedging: HedgeTracker;
   /** Whether its state is old, so that the seeds are worth reading again. */
   readonly isLost: boolean;
   /** Replaces the seeds, after the settings were read again. */
@@ -206,7 +206,7 @@
   readonly #transport: GossipTransport;
   readonly #loadGossip: LoadGossip;
   readonly #crashGossip: CrashGossip;
-  readonly hedging: HedgeBook;
+  readonly hedging: HedgeTracker;
   readonly quarantine: RequestQuarantine;
   readonly #runs = new Map<GatewayRequest, RequestRun>();
   readonly #prober: Prober;
@@ -309,7 +309,7 @@
         log.warn('gossip error', { reason: message });
       },
     });
-    this.hedging = new HedgeBook(options.maxExtraWork ?? DEFAULT_MAX_EXTRA_WORK);
+    this.hedging = new HedgeTracker(options.maxExtraWork ?? DEFAULT_MAX_EXTRA_WORK);
     this.quarantine = new RequestQuarantine({
       ...{ now: this.now, self: options.id, hasProcessEnded },
       isRunning: (request, fingerprint) => this.#isRunning(request, fingerprint),
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -4,7 +4,7 @@
  * no attempt continues after that.
  */
 import { isIdempotentKind } from '../catalog/index.js';
-import type { HedgeBook } from '../hedging/index.js';
+import type { HedgeTracker } from '../hedging/index.js';
 import type { Duration, Instant } from '../model/index.js';
 import type { TurnResult, WaitingListener, WaitingTicket, WaitRefusal } from '../overload/index.js';
 import { NOT_READY_RETRY_AFTER } from './answers.js';
@@ -63,7 +63,7 @@
   /** A host without queues refuses requests as soon as there is no room for them. */
   readonly queues?: RunQueues;
   readonly buffers: BufferBudget;
-  readonly hedging: HedgeBook;
+  readonly hedging: HedgeTracker;
   /** Chooses an upstream that is not in `tried`; among equally good ones, prefers those in `justProbed`. */
   choose(
     request: GatewayRequest,
--- a/src/hedging/book.ts
+++ b/src/hedging/tracker.ts
@@ -13,7 +13,7 @@
 }
 
 /** The hedges of one gateway. */
-export class HedgeBook {
+export class HedgeTracker {
   readonly #maxExtraWork: number;
   readonly #states = new Map<string, ReturnType<typeof createHedgeState>>();
   #counts: HedgeCounts = { sent: 0, won: 0, extraWork: 0 };
--- a/src/overload/decide.ts
+++ b/src/overload/decide.ts
@@ -177,7 +177,7 @@
 }
 
 /** Refuses the requests served last, if they are no longer expected to be served in time. */
-function refuseHopeless(
+function refuseUnservable(
   result: Result,
   now: Instant,
   random: number,
@@ -191,7 +191,7 @@
   const isOverfull = countWaiting(queue) > MAX_WAITING;
   if (!isOverfull && wait <= (last.giveUpAt - now) * FAILED_FACTOR) return result;
   const refused = refuseWaiting(result, last, cause, now, random);
-  return refuseHopeless(refused, now, random, cause, left - 1);
+  return refuseUnservable(refused, now, random, cause, left - 1);
 }
 
 function updateCapacity(state: WaitingState, capacity: Capacity, now: Instant): WaitingState {
@@ -225,7 +225,7 @@
     return capacity.isFull ? refused : { ...refused, state: { ...refused.state, shares } };
   }
   const waiting = { ...known, queue: addRequest(known.queue, request), shares: claim.shares };
-  return refuseHopeless(
+  return refuseUnservable(
     { state: waiting, effects: [{ kind: 'wait', request }] },
     now,
     random,
@@ -264,7 +264,7 @@
   const unexpired = refuseExpired({ state: known, effects: [] }, now, random);
   // Without a usable upstream the requests are decided anew, which tells why they can't be served.
   if (capacity.slotRate === 0) return startNext(unexpired, now, MAX_TRIED_WITHOUT_UPSTREAM);
-  const result = refuseHopeless(unexpired, now, random, 'noTime');
+  const result = refuseUnservable(unexpired, now, random, 'noTime');
   const ticked = { ...result, state: { ...result.state, tickedAt: now } };
   return isTaking(state, event) ? startNext(ticked, now, MAX_TRIED, capacity.isFull) : ticked;
 }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,3 +1,4 @@
+/** Rates upstreams by their rejections and resets, for the choice of an upstream. Pure. */
 export {
   COUNT_HALF_LIFE,
   computeRejectingShare,
