--- a/features/feed/sources.steps.ts
+++ b/features/feed/sources.steps.ts
@@ -294,7 +294,12 @@
       ]),
     );
     await sleep(2500);
-    assert.ok(this.networkFollowers.every(({ view }) => view.entries.length === count));
+    const known = this.networkFollowers.map(({ view }) => view.entries.length);
+    // Without a message, Node parses this whole file to show the expression, which took minutes after a failure.
+    assert.ok(
+      known.every((entries) => entries === count),
+      `a gateway knows ${Math.min(...known)} of ${count}`,
+    );
     const kept = this.networkFollowers;
     kept.forEach((follower) => {
       follower.setSeeds(seedAddresses);
