--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -378,6 +378,8 @@
     body = Buffer.alloc(0),
     fields = [],
     chunked = false,
+    pieceBytes = 65_536,
+    pieceMs = 0,
   }) {
     const socket = this.open();
     const head = [
@@ -401,18 +403,28 @@
       };
       socket.write(`${head.join('\r\n')}\r\n\r\n`, 'latin1');
       if (!chunked) socket.write(body);
-      else {
-        for (let at = 0; at < body.length; at += 65_536) {
-          const piece = body.subarray(at, at + 65_536);
-          socket.write(`${piece.length.toString(16)}\r\n`);
-          socket.write(piece);
-          socket.write('\r\n');
-        }
-        socket.write('0\r\n\r\n');
-      }
+      else void this.#writeChunks(socket, body, pieceBytes, pieceMs);
     });
   }
 
+  /** Sends a body in chunks with a pause after each, until the connection is closed. */
+  async #writeChunks(socket, body, pieceBytes, pieceMs) {
+    for (let at = 0; at < body.length && this.socket === socket; at += pieceBytes) {
+      const piece = body.subarray(at, at + pieceBytes);
+      const isRoom = socket.write(
+        Buffer.concat([
+          Buffer.from(`${piece.length.toString(16)}\r\n`),
+          piece,
+          Buffer.from('\r\n'),
+        ]),
+      );
+      if (!isRoom)
+        await new Promise((resolve) => socket.once('drain', resolve).once('close', resolve));
+      if (pieceMs > 0) await sleep(pieceMs);
+    }
+    if (this.socket === socket) socket.write('0\r\n\r\n');
+  }
+
   open() {
     if (this.socket !== undefined) return this.socket;
     const socket = connect(PORTS.front, this.host);
