--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -96,16 +96,19 @@
   return run.split(' ');
 }
 
-/** Finds a loopback network that nothing uses. */
-async function findNetwork() {
+/** Port that a site keeps open, by which the project's own tests too see that a loopback network is in use. */
+const LOCK_PORT = 7999;
+
+/** Claims a loopback network that no other site uses. */
+async function claimNetwork() {
   for (;;) {
     const net = 20 + Math.floor(Math.random() * 200);
+    const lock = createServer();
     const isFree = await new Promise((resolve) => {
-      const server = createServer();
-      server.once('error', () => resolve(false));
-      server.listen(PORTS.front, `127.${net}.1.1`, () => server.close(() => resolve(true)));
+      lock.once('error', () => resolve(false));
+      lock.listen(LOCK_PORT, `127.${net}.1.1`, () => resolve(true));
     });
-    if (isFree) return net;
+    if (isFree) return { net, lock };
   }
 }
 
@@ -116,7 +119,7 @@
 
   static async start({ memoryMb = 350, nodeFlags = [] } = {}) {
     const site = new Site();
-    site.net = await findNetwork();
+    Object.assign(site, await claimNetwork());
     site.memoryMb = memoryMb;
     site.nodeFlags = nodeFlags;
     site.folder = mkdtempSync(join(tmpdir(), 'review-3-'));
@@ -218,6 +221,7 @@
 
   async stop() {
     await Promise.all([...this.processes.keys()].map((name) => this.endProcess(name, 'SIGKILL')));
+    this.lock.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
 }
