--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -112,6 +112,15 @@
   }
 }
 
+/** All processes and folders of the script; none of them outlives it. */
+const started = new Set();
+const folders = new Set();
+process.once('exit', () => {
+  started.forEach((child) => child.kill('SIGKILL'));
+  folders.forEach((folder) => rmSync(folder, { recursive: true, force: true }));
+});
+['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => process.exit(2)));
+
 export class Site {
   zones = ['shah-alam', 'putrajaya', 'cyberjaya'];
   version = 0;
@@ -123,6 +132,7 @@
     site.memoryMb = memoryMb;
     site.nodeFlags = nodeFlags;
     site.folder = mkdtempSync(join(tmpdir(), 'review-3-'));
+    folders.add(site.folder);
     site.ips = site.zones.map((_, at) => `127.${site.net}.${at + 1}.1`);
     site.ips.forEach((_, at) => {
       site.startProcess('steward', at, true);
@@ -156,6 +166,7 @@
       env: { PATH: process.env.PATH, HOME: process.env.HOME ?? '', CHIVEWALK_BOOT: file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    started.add(child);
     const running = { child, output: '', isEnded: false };
     const keep = (chunk) => {
       running.output = (running.output + chunk).slice(-4_000_000);
@@ -163,6 +174,7 @@
     child.stdout.on('data', keep);
     child.stderr.on('data', keep);
     child.once('exit', () => {
+      started.delete(child);
       running.isEnded = true;
     });
     this.processes.set(`${role}-${at}`, running);
