--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -119,6 +119,13 @@
   started.forEach((child) => child.kill('SIGKILL'));
   folders.forEach((folder) => rmSync(folder, { recursive: true, force: true }));
 });
+// A fault of the script itself must not look like a broken rule, which exits with 1.
+['uncaughtException', 'unhandledRejection'].forEach((event) =>
+  process.once(event, (error) => {
+    console.error(error);
+    process.exit(2);
+  }),
+);
 ['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => process.exit(2)));
 
 export class Site {
