--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -112,6 +112,15 @@
   }
 }
 
+/** Time for the acknowledgement of a configuration that only prepares a case; a slow disk can hold it up. */
+const SET_UP_MS = 35_000;
+/** A script takes 120 s at most. */
+const LONGEST_MS = 116_000;
+setTimeout(() => {
+  console.error('the case did not end in time');
+  process.exit(2);
+}, LONGEST_MS).unref();
+
 /** All processes and folders of the script; none of them outlives it. */
 const started = new Set();
 const folders = new Set();
@@ -133,11 +142,10 @@
   version = 0;
   processes = new Map();
 
-  static async start({ memoryMb = 350, nodeFlags = [] } = {}) {
+  static async start({ memoryMb = 350 } = {}) {
     const site = new Site();
     Object.assign(site, await claimNetwork());
     site.memoryMb = memoryMb;
-    site.nodeFlags = nodeFlags;
     site.folder = mkdtempSync(join(tmpdir(), 'review-3-'));
     folders.add(site.folder);
     site.ips = site.zones.map((_, at) => `127.${site.net}.${at + 1}.1`);
@@ -216,12 +224,15 @@
 
   async putConfig(config) {
     const version = this.version + 2;
-    const answer = await this.order({
-      method: 'POST',
-      path: '/-/Config.Put',
-      headers: { 'X-Base-Version': String(this.version), 'Content-Type': 'application/json' },
-      body: JSON.stringify({ version, ...config }),
-    });
+    const answer = await this.order(
+      {
+        method: 'POST',
+        path: '/-/Config.Put',
+        headers: { 'X-Base-Version': String(this.version), 'Content-Type': 'application/json' },
+        body: JSON.stringify({ version, ...config }),
+      },
+      SET_UP_MS,
+    );
     if (answer.status !== 200) throw new Error(`configuration: ${answer.status} ${answer.body}`);
     this.version = version;
   }
