Gateway: a connection to an upstream carries each request id once

Cause: a response counted as the answer to a request by the request's id alone, and the pool sent an id again on a connection that had carried it, as after a wait that follows refusals by all upstreams.

Change: the pool remembers by hash which ids a connection carried (gateway/carried.ts) and sends none of them on it again. The record never forgets: after 1,024 requests the connection is closed. An id that all idle connections carried gets a new connection in place of the oldest one. New metric chivewalk_gateway_stray_responses_total.

Ruled out: a drop of the connection after each refusal, one new connection for each retry; and it would leave late copies of other answers.

Entry: not affected for refusals, as it closes a connection on which one came (features/entry/failure).

--- a/bench/stand/vm.ts
+++ b/bench/stand/vm.ts
@@ -121,7 +121,7 @@
       cpuMs: (user + system - last.user - last.system) / 1000,
       residentMb: rss / 2 ** 20,
       heapMb: heapUsed / 2 ** 20,
-      openedConnections: gateway.openedConnections,
+      openedConnections: gateway.connections.opened,
       functions,
     };
     last = { user, system };
--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -35,6 +35,31 @@
     When two requests are sent to it, one after the other
     Then the first attempt ends as "notRun" and the second one as "answered"
 
+  # Guards against a late copy of an answer that passes for the answer to the next sending of the same request.
+  Scenario Outline: <answer> is written once more when the same request comes again, <others> others later
+    Given an upstream that writes "<answer>" once more when the same request comes again on its connection
+    When a request is sent to it, then <others> others, then the same request again
+    Then each attempt ended as the upstream answered it, and no request came on a connection that had carried it
+
+    Examples:
+      | answer             | others |
+      | a refusal          | 0      |
+      | a refusal          | 1      |
+      | a refusal          | 200    |
+      | a server error     | 0      |
+      | an earlier version | 0      |
+      | an earlier version | 3      |
+
+  Scenario: A request that comes again and again takes no more connections than one at a time
+    Given an upstream that writes "a refusal" once more when the same request comes again on its connection
+    When the same request is sent to it 40 times, one after the other
+    Then each attempt ended as the upstream answered it, and at most 2 connections were open at once
+
+  Scenario: A connection carries many requests before it is replaced
+    Given an upstream that sends "its own answer" as its answer on a new connection
+    When 3072 requests are sent to it, one after the other
+    Then all were answered, over 3 connections
+
   Scenario Outline: An upstream sends <bytes> without end
     Given an upstream that sends "<bytes>" without end
     When a request is sent to it while another upstream answers requests
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -1,46 +1,37 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { headerDialect } from '../../platform/headers.js';
-import { BufferBudget } from '../../src/gateway/buffers.js';
 import { CallerConnection, type CallerHost } from '../../src/gateway/caller.js';
-import { ConnectionPool } from '../../src/gateway/pool.js';
 import type { AttemptOutcome } from '../../src/gateway/types.js';
+import {
+  closePool,
+  ID_HEADER,
+  openPool,
+  sendInTurn,
+  sendRequest,
+  startServer,
+  type PoolWorld,
+} from './poolworld.js';
 
 const LIMIT_BYTES = 12 * 1024 * 1024;
 /** Times in milliseconds. */
 const STEP = { timeout: 30_000 };
-const ATTEMPT_LIMIT = 8000;
+const ANSWER_LIMIT = 8000;
 /** Bytes written at once by peers that send without end. */
 const PIECE_BYTES = 256 * 1024;
-const ID_HEADER = headerDialect.requestId;
 const NOT_RUN = `${headerDialect.notRun}: 1\r\n`;
 
-interface UpstreamsWorld {
-  servers: Server[];
-  sockets: Socket[];
-  buffers: BufferBudget;
-  pool: ConnectionPool;
-  address: string;
-  outcomes: AttemptOutcome[];
+interface UpstreamsWorld extends PoolWorld {
   healthyOutcomes: AttemptOutcome[];
   mostHeld: number;
   status: number;
   elapsed: number;
-}
-
-async function startServer(
-  world: UpstreamsWorld,
-  accept: (socket: Socket) => void,
-): Promise<string> {
-  const server = createServer((socket) => {
-    world.sockets.push(socket);
-    socket.on('error', () => undefined);
-    accept(socket);
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  world.servers.push(server);
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  /** What the upstream wrote as the answers to the requests, in the order of their arrival. */
+  wanted: string[];
+  /** Requests that came on a connection that had carried them. */
+  carriedAgain: number;
+  mostOpen: number;
 }
 
 /** Starts an upstream that passes each request, given by its id and number, to `answer`. */
@@ -63,30 +54,6 @@
   return `HTTP/1.1 ${status} X\r\n${name}${fields}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
-function sendRequest(
-  world: UpstreamsWorld,
-  id: string,
-  address: string,
-  isProbe = false,
-): Promise<AttemptOutcome> {
-  return new Promise((resolve, reject) => {
-    const headers = [[ID_HEADER, id]] as const;
-    const request = { id, method: 'GET', target: '/a', headers, body: Buffer.alloc(0) };
-    const timer = setTimeout(() => {
-      reject(new Error(`no outcome within ${ATTEMPT_LIMIT} ms`));
-    }, ATTEMPT_LIMIT);
-    const listener = {
-      onHead: () => undefined,
-      onEnd: (outcome: AttemptOutcome) => {
-        clearTimeout(timer);
-        resolve(outcome);
-      },
-    };
-    if (isProbe) world.pool.sendProbe(address, request, listener);
-    else world.pool.send(address, request, listener);
-  });
-}
-
 /** Writes pieces until the connection is closed. */
 function writeWithoutEnd(socket: Socket, piece: Buffer): void {
   while (socket.writable && socket.write(piece)) continue;
@@ -101,11 +68,7 @@
 }
 
 function createPool(world: UpstreamsWorld): void {
-  world.servers = [];
-  world.sockets = [];
-  world.buffers = new BufferBudget(LIMIT_BYTES);
-  world.pool = new ConnectionPool(headerDialect, world.buffers);
-  world.outcomes = [];
+  openPool(world, LIMIT_BYTES);
   world.healthyOutcomes = [];
   world.mostHeld = 0;
 }
@@ -204,6 +167,111 @@
   },
 );
 
+/** The answer to the first sending of a request; its second sending gets status 200 and another body. */
+const firstAnswers: Readonly<Record<string, (id: string) => string>> = {
+  'a refusal': (id) => renderAnswer(503, id, NOT_RUN),
+  'a server error': (id) => renderAnswer(500, id),
+  'an earlier version': (id) => renderAnswer(200, id, '', 'earlier'),
+};
+/** Milliseconds from a late copy to the answer that is due. */
+const COPY_LEAD = 30;
+
+Given(
+  'an upstream that writes {string} once more when the same request comes again on its connection',
+  async function (this: UpstreamsWorld, answer: string) {
+    createPool(this);
+    this.wanted = [];
+    this.carriedAgain = 0;
+    this.mostOpen = 0;
+    const carried = new Map<Socket, Set<string>>();
+    const seen = new Set<string>();
+    this.address = await startUpstream(this, (socket, id) => {
+      const ids = carried.get(socket) ?? new Set();
+      carried.set(socket, ids);
+      const open = this.sockets.filter((one) => !one.destroyed && !one.readableEnded);
+      this.mostOpen = Math.max(this.mostOpen, open.length);
+      const first = firstAnswers[answer]?.(id) ?? '';
+      const isFirst = !seen.has(id);
+      this.wanted.push(isFirst ? first : renderAnswer(200, id));
+      seen.add(id);
+      if (ids.has(id)) {
+        this.carriedAgain += 1;
+        socket.write(first);
+      }
+      ids.add(id);
+      if (isFirst) socket.write(first);
+      else setTimeout(() => socket.write(renderAnswer(200, id)), COPY_LEAD);
+    });
+  },
+);
+
+When(
+  'a request is sent to it, then {int} others, then the same request again',
+  async function (this: UpstreamsWorld, count: number) {
+    const others = Array.from({ length: count }, (_, at) => `other-${at}`);
+    this.outcomes = await sendInTurn(this, ['same', ...others, 'same']);
+  },
+);
+
+When(
+  'the same request is sent to it {int} times, one after the other',
+  async function (this: UpstreamsWorld, count: number) {
+    this.outcomes = await sendInTurn(this, Array<string>(count).fill('same'));
+  },
+);
+
+When(
+  '{int} requests are sent to it, one after the other',
+  STEP,
+  async function (this: UpstreamsWorld, count: number) {
+    const ids = Array.from({ length: count }, (_, at) => `request-${at}`);
+    this.outcomes = await sendInTurn(this, ids);
+  },
+);
+
+/** Renders an outcome as the upstream would have written the answer. */
+function renderOutcome(outcome: AttemptOutcome, id: string): string {
+  switch (outcome.kind) {
+    case 'answered':
+      return renderAnswer(outcome.answer.status, id, '', outcome.answer.body.toString());
+    case 'notRun':
+      return renderAnswer(503, id, NOT_RUN);
+    case 'lost':
+    case 'unreachable':
+      return outcome.reason;
+  }
+}
+
+function checkAnswers({ outcomes, wanted }: UpstreamsWorld): void {
+  const ids = wanted.map((text) => new RegExp(`${ID_HEADER}: (\\S+)`).exec(text)?.[1] ?? '');
+  assert.deepEqual(
+    outcomes.map((outcome, at) => renderOutcome(outcome, ids[at] ?? '')),
+    wanted,
+  );
+}
+
+Then(
+  'each attempt ended as the upstream answered it, and no request came on a connection that had carried it',
+  function (this: UpstreamsWorld) {
+    checkAnswers(this);
+    assert.equal(this.carriedAgain, 0);
+    assert.equal(this.pool.counts.opened, 2);
+  },
+);
+
+Then(
+  'each attempt ended as the upstream answered it, and at most {int} connections were open at once',
+  function (this: UpstreamsWorld, most: number) {
+    checkAnswers(this);
+    assert.ok(this.mostOpen <= most, `${this.mostOpen} connections were open`);
+  },
+);
+
+Then('all were answered, over {int} connections', function (this: UpstreamsWorld, count: number) {
+  assert.deepEqual(new Set(this.outcomes.map(({ kind }) => kind)), new Set(['answered']));
+  assert.equal(this.pool.counts.opened, count);
+});
+
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
 
 /** The start of an endless answer to the request with this id, and the piece that it repeats. */
@@ -262,7 +330,7 @@
 
 When('it is probed', STEP, async function (this: UpstreamsWorld) {
   const sentAt = performance.now();
-  this.outcomes = [await sendRequest(this, 'probe', this.address, true)];
+  this.outcomes = [await sendRequest(this, 'probe', this.address, { isProbe: true })];
   this.elapsed = performance.now() - sentAt;
 });
 
@@ -351,8 +419,8 @@
       socket.write(start);
       writeWithoutEnd(socket, buildPiece(piece));
       setTimeout(() => {
-        reject(new Error(`no answer within ${ATTEMPT_LIMIT} ms`));
-      }, ATTEMPT_LIMIT).unref();
+        reject(new Error(`no answer within ${ANSWER_LIMIT} ms`));
+      }, ANSWER_LIMIT).unref();
     });
     clearInterval(watch);
   },
@@ -368,7 +436,5 @@
 );
 
 After(function (this: Partial<UpstreamsWorld>) {
-  this.pool?.close();
-  this.sockets?.forEach((socket) => socket.destroy());
-  this.servers?.forEach((server) => server.close());
+  closePool(this);
 });
--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -124,7 +124,12 @@
     [
       'chivewalk_gateway_upstream_connections_total',
       'Connections to upstreams opened.',
-      () => gateway.openedConnections,
+      () => gateway.connections.opened,
+    ],
+    [
+      'chivewalk_gateway_stray_responses_total',
+      'Responses of upstreams ignored, as they name another request.',
+      () => gateway.connections.strayResponses,
     ],
     ['chivewalk_gateway_held_bytes', 'Bytes of the messages held.', () => gateway.buffers.total],
     [
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -64,7 +64,7 @@
 import { EvidenceCollector, judgeAttempt, OverdueWatch, SLOW_RATIO } from './evidence.js';
 import { createCollector, type Collector } from './collector.js';
 import { isProbeWorthwhile } from './ondemand.js';
-import { ConnectionPool, MAX_RESPONSE_BYTES, type Attempt } from './pool.js';
+import { ConnectionPool, MAX_RESPONSE_BYTES, type Attempt, type ConnectionCounts } from './pool.js';
 import { computeProbeInterval, RequestRates } from './probing.js';
 import { createProber, recordLoad, type Prober } from './prober.js';
 import { createCrashGossip, type CrashGossip } from './crashgossip.js';
@@ -171,8 +171,8 @@
   /** Milliseconds since the state was certainly current; Infinity before the first one. */
   readonly stateAge: Duration;
   readonly refusals: RefusalCounts;
-  /** Total number of connections opened to upstreams. */
-  readonly openedConnections: number;
+  /** What happened on the connections to upstreams. */
+  readonly connections: Readonly<ConnectionCounts>;
   readonly callers: CallerCounts;
   /** The requests that found no room. */
   readonly waits: WaitCounts;
@@ -413,8 +413,8 @@
     return this.#admission.refusals;
   }
 
-  get openedConnections(): number {
-    return this.#pool.opened;
+  get connections(): Readonly<ConnectionCounts> {
+    return this.#pool.counts;
   }
 
   get callers(): CallerCounts {
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -1,6 +1,7 @@
 /**
- * Pool of keep-alive connections to upstreams. Invariant: a connection carries one request at a time, and
- * returns to the pool only after a complete response with no bytes after it.
+ * Pool of keep-alive connections to upstreams. Invariant: a connection carries one request at a time and each request
+ * id at most once, so that the id in a response names the sending that it answers; it returns to the pool only after a
+ * complete response with no bytes after it.
  */
 import { connect, type Socket } from 'node:net';
 import {
@@ -15,6 +16,7 @@
 } from '../http1/index.js';
 import { isAddress, parseAddress, type Address, type Duration } from '../model/index.js';
 import type { AnswerHolder, BufferBudget } from './buffers.js';
+import { CarriedIds } from './carried.js';
 import type { AttemptOutcome, HeaderDialect } from './types.js';
 
 /** Milliseconds within which a connection must open; TCP retransmits a lost SYN only after a second. */
@@ -52,8 +54,13 @@
   cancel(): void;
 }
 
-interface IdleConnection {
+/** A connection to an upstream. */
+interface Connection {
   readonly socket: Socket;
+  readonly carried: CarriedIds;
+}
+
+interface IdleConnection extends Connection {
   readonly expiresAt: number;
 }
 
@@ -69,13 +76,20 @@
   return match === null ? DEFAULT_KEEP_ALIVE : Number(match[1]) * 1000 * KEEP_ALIVE_SHARE;
 }
 
+/** Counts of what happened on the connections of a {@link ConnectionPool}. */
+export interface ConnectionCounts {
+  /** Connections opened. */
+  opened: number;
+  /** Responses that were ignored, as they name another request than the one that was sent last. */
+  strayResponses: number;
+}
+
 /** Options of an {@link Exchange}. */
 interface ExchangeOptions {
   readonly request: UpstreamRequest;
-  /** Whether the connection is already open. */
-  readonly isOpen: boolean;
   readonly isProbe: boolean;
   readonly buffers: BufferBudget;
+  readonly counts: ConnectionCounts;
 }
 
 /** One request and its response on one connection. */
@@ -85,10 +99,12 @@
   /** Whether an earlier exchange used the connection. */
   readonly #isReused: boolean;
   readonly #buffers: BufferBudget;
+  readonly #counts: ConnectionCounts;
   readonly #dialect: HeaderDialect;
   readonly #listener: AttemptListener;
-  readonly #release: (socket: Socket, idleTime: Duration) => void;
+  readonly #release: (connection: Connection, idleTime: Duration) => void;
   readonly #reader: MessageReader<ResponseHead>;
+  readonly #connection: Connection;
   readonly #socket: Socket;
   #isSent = false;
   #hasHead = false;
@@ -100,17 +116,21 @@
   #connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
-    socket: Socket,
-    { request, isOpen, isProbe, buffers }: ExchangeOptions,
+    connection: Connection,
+    { request, isProbe, buffers, counts }: ExchangeOptions,
     dialect: HeaderDialect,
     listener: AttemptListener,
-    release: (socket: Socket, idleTime: Duration) => void,
+    release: (connection: Connection, idleTime: Duration) => void,
   ) {
+    const { socket, carried } = connection;
+    this.#connection = connection;
     this.#socket = socket;
     this.#request = request;
     this.#isProbe = isProbe;
-    this.#isReused = isOpen;
+    this.#isReused = !carried.isEmpty;
+    carried.add(request.id);
     this.#buffers = buffers;
+    this.#counts = counts;
     this.#dialect = dialect;
     this.#listener = listener;
     this.#release = release;
@@ -130,7 +150,7 @@
     socket.on('close', () => {
       this.#fail('the connection was closed', true);
     });
-    if (isOpen) {
+    if (this.#isReused) {
       this.#send();
       return;
     }
@@ -248,8 +268,9 @@
 
   /**
    * Returns whether a response belongs to this request. An upstream may answer a request twice; the second
-   * answer then arrives before the answer to the next request on the connection. A refusal that names no
-   * request may be such a second answer too, unless this is the first request on the connection.
+   * answer then arrives before the answer to the next request on the connection. It names another request, as no
+   * connection carries an id twice. A refusal that names no request may be such a second answer too, unless this is the
+   * first request on the connection.
    */
   #isForThisRequest(head: ResponseHead): boolean {
     const id = getHeader(head.headers, this.#dialect.requestId);
@@ -265,6 +286,7 @@
     framing,
   }: Extract<ReaderEvent<ResponseHead>, { kind: 'message' }>): void {
     if (!this.#isForThisRequest(head)) {
+      this.#counts.strayResponses += 1;
       if (getHeader(head.headers, this.#dialect.requestId) === undefined) {
         this.#fail('the upstream sent a response that names no request');
       }
@@ -275,8 +297,8 @@
     const isNamed = this.#isProbe || getHeader(headers, this.#dialect.requestId) !== undefined;
     const isReusable =
       isNamed && head.minorVersion >= 1 && !isClosing && framing.kind !== 'untilClose';
-    if (isReusable && !this.#reader.hasPartialMessage)
-      this.#release(this.#socket, parseKeepAlive(headers));
+    if (isReusable && !this.#reader.hasPartialMessage && !this.#connection.carried.isFull)
+      this.#release(this.#connection, parseKeepAlive(headers));
     else this.#socket.destroy();
     const isRejection = getHeader(headers, this.#dialect.notRun) !== undefined;
     if (isRejection || status === 421) {
@@ -306,8 +328,7 @@
   readonly #buffers: BufferBudget;
   readonly #idleConnections = new Map<Address, readonly IdleConnection[]>();
   readonly #sweepTimer: NodeJS.Timeout;
-  /** Total number of connections opened. */
-  opened = 0;
+  readonly counts: ConnectionCounts = { opened: 0, strayResponses: 0 };
 
   constructor(dialect: HeaderDialect, buffers: BufferBudget) {
     this.#dialect = dialect;
@@ -318,7 +339,7 @@
   }
 
   /**
-   * Sends a request to the address on an idle connection, or on a new one if none is idle.
+   * Sends a request to the address on an idle connection that has not carried its id, or on a new one.
    *
    * @example
    * const attempt = pool.send('10.0.4.7:8080', request, { onEnd, onHead });
@@ -340,12 +361,9 @@
     isProbe: boolean,
   ): Attempt {
     if (!isAddress(address)) return refuseAddress(address, listener);
-    const idle = this.#takeIdle(address);
-    if (idle === undefined) this.opened += 1;
-    const socket = idle ?? connect({ ...parseAddress(address), noDelay: true });
     return new Exchange(
-      socket,
-      { request, isOpen: idle !== undefined, isProbe, buffers: this.#buffers },
+      this.#takeIdle(address, request.id) ?? this.#open(address),
+      { request, isProbe, buffers: this.#buffers, counts: this.counts },
       this.#dialect,
       listener,
       (released, idleTime) => {
@@ -379,30 +397,51 @@
     });
   }
 
-  /** Takes the most recently used connection, so that surplus connections reach their idle timeout. */
-  #takeIdle(address: Address): Socket | undefined {
-    const connections = this.#idleConnections.get(address);
-    const last = connections?.at(-1);
-    if (connections === undefined || last === undefined) return undefined;
-    this.#idleConnections.set(address, connections.slice(0, -1));
-    if (last.expiresAt > performance.now() && last.socket.writable) return last.socket;
-    last.socket.destroy();
-    return this.#takeIdle(address);
+  #open(address: Address): Connection {
+    this.counts.opened += 1;
+    // If connections are idle, all of them have carried the id: the new one takes the place of the oldest.
+    const oldest = this.#idleConnections.get(address)?.[0];
+    if (oldest !== undefined) this.#dropIdle(address, oldest);
+    const socket = connect({ ...parseAddress(address), noDelay: true });
+    return { socket, carried: new CarriedIds() };
+  }
+
+  /**
+   * Takes the most recently used connection that has not carried the id, so that surplus connections reach their idle
+   * timeout.
+   */
+  #takeIdle(address: Address, id: string): Connection | undefined {
+    const connections = this.#idleConnections.get(address) ?? [];
+    const taken = connections.findLast(({ carried }) => !carried.has(id));
+    if (taken === undefined) return undefined;
+    this.#removeIdle(address, taken);
+    if (taken.expiresAt > performance.now() && taken.socket.writable) return taken;
+    taken.socket.destroy();
+    return this.#takeIdle(address, id);
+  }
+
+  #removeIdle(address: Address, removed: IdleConnection): void {
+    const kept = this.#idleConnections.get(address)?.filter((idle) => idle !== removed);
+    if (kept !== undefined) this.#idleConnections.set(address, kept);
+  }
+
+  #dropIdle(address: Address, dropped: IdleConnection): void {
+    this.#removeIdle(address, dropped);
+    dropped.socket.destroy();
   }
 
-  #addIdle(address: Address, socket: Socket, idleTime: Duration): void {
+  #addIdle(address: Address, connection: Connection, idleTime: Duration): void {
+    const { socket } = connection;
+    const idle: IdleConnection = { ...connection, expiresAt: performance.now() + idleTime };
     socket.removeAllListeners();
     const drop = (): void => {
-      socket.destroy();
-      const kept = this.#idleConnections.get(address)?.filter((idle) => idle.socket !== socket);
-      if (kept !== undefined) this.#idleConnections.set(address, kept);
+      this.#dropIdle(address, idle);
     };
     // Data received on an idle connection belongs to no request.
     socket.on('data', drop);
     socket.on('end', drop);
     socket.on('error', drop);
     socket.on('close', drop);
-    const idle: IdleConnection = { socket, expiresAt: performance.now() + idleTime };
     this.#idleConnections.set(address, [...(this.#idleConnections.get(address) ?? []), idle]);
   }
 
