Gateway: an answer that ends with its connection needs an orderly end

Cause: the gateway took the socket's `end` event for a FIN. The runtime also emits it for a reset that is polled together with the last bytes, and for one that a write has met before; the body was completed inside `end`, before any `error`.

Change: gateway/streamend.ts judges the end. It is orderly only if the kernel still knows the peer, which it doesn't after a reset; where it can't be told, the answer counts as cut. New metric chivewalk_gateway_reset_responses_total.

Ruled out: that early answers as such are taken for whole; sound early answers are complete, and requests without a body are hit too.

--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -131,6 +131,11 @@
       'Responses of upstreams ignored, as they name another request.',
       () => gateway.connections.strayResponses,
     ],
+    [
+      'chivewalk_gateway_reset_responses_total',
+      'Responses cut by a reset that was reported as an end.',
+      () => gateway.connections.resetResponses,
+    ],
     ['chivewalk_gateway_held_bytes', 'Bytes of the messages held.', () => gateway.buffers.total],
     [
       'chivewalk_gateway_held_bytes_limit',
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -1,7 +1,8 @@
 /**
  * Pool of keep-alive connections to upstreams. Invariant: a connection carries one request at a time and each request
  * id at most once, so that the id in a response names the sending that it answers; it returns to the pool only after a
- * complete response with no bytes after it.
+ * complete response with no bytes after it. A body that ends with its connection is complete only if that ended in
+ * order.
  */
 import { connect, type Socket } from 'node:net';
 import {
@@ -17,6 +18,7 @@
 import { isAddress, parseAddress, type Address, type Duration } from '../model/index.js';
 import type { AnswerHolder, BufferBudget } from './buffers.js';
 import { CarriedIds } from './carried.js';
+import { isOrderlyEnd } from './streamend.js';
 import type { AttemptOutcome, HeaderDialect } from './types.js';
 
 /** Milliseconds within which a connection must open; TCP retransmits a lost SYN only after a second. */
@@ -82,6 +84,8 @@
   opened: number;
   /** Responses that were ignored, as they name another request than the one that was sent last. */
   strayResponses: number;
+  /** Responses whose connection was reported as ended although it was reset. */
+  resetResponses: number;
 }
 
 /** Options of an {@link Exchange}. */
@@ -141,8 +145,7 @@
       this.#read(chunk);
     });
     socket.on('end', () => {
-      this.#handleEvents(this.#reader.finish());
-      this.#fail('the upstream closed the connection', true);
+      this.#handleEnd();
     });
     socket.on('error', (error) => {
       this.#fail(error.message, true);
@@ -177,6 +180,14 @@
     this.#socket.resume();
   }
 
+  /** Completes a body that ends with its connection, if the upstream closed that in order. */
+  #handleEnd(): void {
+    const isOrderly = isOrderlyEnd(this.#socket);
+    if (isOrderly) this.#handleEvents(this.#reader.finish());
+    else if (this.#reader.isInBody) this.#counts.resetResponses += 1;
+    this.#fail(`the upstream ${isOrderly ? 'closed' : 'reset'} the connection`, true);
+  }
+
   #updateBuffers(): void {
     const read = this.#reader.heldBytes;
     const announced = this.#isAdmitted ? this.#announcedBytes : 0;
@@ -328,7 +339,7 @@
   readonly #buffers: BufferBudget;
   readonly #idleConnections = new Map<Address, readonly IdleConnection[]>();
   readonly #sweepTimer: NodeJS.Timeout;
-  readonly counts: ConnectionCounts = { opened: 0, strayResponses: 0 };
+  readonly counts: ConnectionCounts = { opened: 0, strayResponses: 0, resetResponses: 0 };
 
   constructor(dialect: HeaderDialect, buffers: BufferBudget) {
     this.#dialect = dialect;
