Storage: go on with a first start that was interrupted beside files of other modules

Cause: a folder without an identity counted as new only if it held nothing but vote.json and temporary files. A founder's folder also holds founding.json, which is written first.

A folder that lost its identity and log but not its vote is reported now; it was opened as new, so that its member could vote twice in a term.

Ruled out: to name founding.json among the files that are ignored; the next file would bring the fault back.

--- a/features/control/storage.feature
+++ b/features/control/storage.feature
@@ -44,6 +44,23 @@
       | vote.json     |
       | identity.json |
 
+  # Guards against a founder that never starts again, as its record of the founding hid that its folder holds no state.
+  Scenario: A first start that is interrupted anywhere is gone on with
+    Given a control folder that holds only the record of the founding
+    When its first start is interrupted at each operation in turn, and made again
+    Then each of the second starts has an identity, no entries and no damage
+
+  Scenario Outline: A folder without an identity that holds <state> is reported
+    Given a control folder with entries 1 to 6
+    When the control folder loses all files but "<state>"
+    Then opening the control folder as the only member fails, naming "identity.json" and the remedy
+
+    Examples:
+      | state                |
+      | vote.json of term 3  |
+      | a log                |
+      | the record of a sync |
+
   Scenario: Segments and snapshots that a new snapshot covers are removed
     Given a control folder with entries 1 to 6
     When the control folder saves a snapshot at entry 4
--- a/features/control/storage.steps.ts
+++ b/features/control/storage.steps.ts
@@ -1,6 +1,15 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { appendFile, mkdtemp, readdir, readFile, rm, truncate, writeFile } from 'node:fs/promises';
+import {
+  appendFile,
+  mkdir,
+  mkdtemp,
+  readdir,
+  readFile,
+  rm,
+  truncate,
+  writeFile,
+} from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Packr } from 'msgpackr';
@@ -9,6 +18,7 @@
 import { encodeRecord, HEADER_BYTES, parseRecords } from '../../src/control/records.js';
 import { Storage, type StoredState, type WriteEffect } from '../../src/control/storage.js';
 import type { LogEntry } from '../../src/generated/control.js';
+import { FullDisk } from './full.js';
 import { Group, waitFor } from './group.js';
 
 /** Step timeout in milliseconds, long enough for a loaded CPU. */
@@ -17,6 +27,7 @@
 interface StorageWorld {
   folder: string | undefined;
   group: Group | undefined;
+  starts: StoredState[];
 }
 
 const ADDRESS = '10.0.0.1:7400';
@@ -104,6 +115,75 @@
   },
 );
 
+Given(
+  'a control folder that holds only the record of the founding',
+  async function (this: StorageWorld) {
+    this.folder = await mkdtemp(join(tmpdir(), 'chivewalk-storage-'));
+  },
+);
+
+/** Starts on a disk that takes only the first operations, and again; returns what the second start read. */
+async function startTwice(folder: string, operations: number): Promise<StoredState> {
+  await rm(folder, { recursive: true });
+  await mkdir(folder);
+  await writeFile(join(folder, 'founding.json'), JSON.stringify({ seeds: [ADDRESS] }));
+  const disk = new FullDisk();
+  disk.full = { from: operations + 1, to: Infinity };
+  await assert.rejects(
+    Storage.open({ folder, address: ADDRESS, repairable: true, files: disk.files }),
+  );
+  return openFolder(folder);
+}
+
+When(
+  'its first start is interrupted at each operation in turn, and made again',
+  SLOW,
+  async function (this: StorageWorld) {
+    const folder = getFolder(this);
+    const disk = new FullDisk();
+    const options = { folder, address: ADDRESS, repairable: true, files: disk.files };
+    const { storage } = await Storage.open(options);
+    await storage.close();
+    const counts = Array.from({ length: disk.operations }, (_, at) => at);
+    this.starts = await counts.reduce<Promise<StoredState[]>>(
+      async (earlier, operations) => [...(await earlier), await startTwice(folder, operations)],
+      Promise.resolve([]),
+    );
+  },
+);
+
+Then(
+  'each of the second starts has an identity, no entries and no damage',
+  function (this: StorageWorld) {
+    assert.ok(this.starts.length > 5);
+    this.starts.forEach(({ identity, log, damage }) => {
+      assert.ok(identity.id.startsWith(`${ADDRESS}#`));
+      assert.equal(getLastIndex(log), 0);
+      assert.equal(damage, undefined);
+    });
+  },
+);
+
+/** The files that a folder without an identity keeps, by their names in the scenarios. */
+const keptFiles: Readonly<Record<string, string>> = {
+  'vote.json of term 3': 'vote.json',
+  'a log': 'log-',
+  'the record of a sync': 'synced.json',
+};
+
+When(
+  'the control folder loses all files but {string}',
+  async function (this: StorageWorld, state: string) {
+    const folder = getFolder(this);
+    const vote = { kind: 'writeVote', write: 1, term: 3, votedFor: CANDIDATE } as const;
+    await writeFolder(this, [{ ...vote, repairing: false }]);
+    const names = await readdir(folder);
+    const lost = names.filter((name) => !name.startsWith(keptFiles[state] ?? ''));
+    assert.ok(lost.length < names.length);
+    await Promise.all(lost.map((name) => rm(join(folder, name))));
+  },
+);
+
 When('the last control segment grows by half a record', SLOW, async function (this: StorageWorld) {
   const file = await findSegment(getFolder(this));
   const bytes = await readFile(file);
--- a/src/control/storage.ts
+++ b/src/control/storage.ts
@@ -7,6 +7,7 @@
 import { constants } from 'node:fs';
 import { readFile, type FileHandle } from 'node:fs/promises';
 import { basename, dirname, join } from 'node:path';
+import { isDeepStrictEqual } from 'node:util';
 import type { Address } from '../model/index.js';
 import type { Identity, LogRecord, MemberId, Snapshot, Vote } from '../generated/control.js';
 import {
@@ -61,6 +62,9 @@
 const IDENTITY_FILE = 'identity.json';
 const VOTE_FILE = 'vote.json';
 const SYNCED_FILE = 'synced.json';
+const INITIAL_VOTE: Vote = { term: 0, repairing: false };
+/** Names of files that are written only once the identity is durable. */
+const MEMBER_STATE_PATTERN = /^(?:damaged-|log-|snapshot-|synced\.json)/;
 const SNAPSHOT_PATTERN = /^snapshot-(\d+)\.bin$/;
 
 function toSnapshotName(index: number): string {
@@ -151,24 +155,30 @@
 
   /** Creates an identity, also if an earlier attempt was interrupted before the identity file existed. */
   async #createIdentity(address: Address, names: readonly string[]): Promise<void> {
-    if (names.some((name) => name === VOTE_FILE || name.startsWith('log-'))) {
-      const isInterruptedCreation = names.every(
-        (name) => name === VOTE_FILE || name.endsWith('.tmp'),
+    if (await this.#hasMemberState(names)) {
+      throw this.#createError(
+        'damaged',
+        IDENTITY_FILE,
+        'the identity is missing although the folder holds a vote or a log',
+        REJOIN_REMEDY,
       );
-      if (!isInterruptedCreation) {
-        throw this.#createError(
-          'damaged',
-          IDENTITY_FILE,
-          'the identity is missing although the folder holds a vote or a log',
-          REJOIN_REMEDY,
-        );
-      }
     }
     const id: MemberId = `${address}#${randomBytes(4).toString('hex')}`;
-    await this.#saveVote({ term: 0, repairing: false });
+    await this.#saveVote(INITIAL_VOTE);
     await this.saveIdentity({ id });
   }
 
+  /**
+   * Returns whether the folder holds anything that only a member with an identity writes. The initial vote comes before
+   * the identity, and files of other modules say nothing about it.
+   */
+  async #hasMemberState(names: readonly string[]): Promise<boolean> {
+    if (names.some((name) => MEMBER_STATE_PATTERN.test(name))) return true;
+    if (!names.includes(VOTE_FILE)) return false;
+    const vote = parseVote(join(this.#folder, VOTE_FILE), await this.#readFile(VOTE_FILE));
+    return !isDeepStrictEqual(vote, INITIAL_VOTE);
+  }
+
   async #readFile(name: string): Promise<Buffer> {
     try {
       return await this.#files.readFile(join(this.#folder, name));
