Gateway: an answer that ended with its upstream's connection is sent with its length

Cause: such answers were passed on without a length, as cut ones had looked whole.

Change: an answer whose connection ended in order has a length, and the caller's connection is kept. isUnframed remains on answers of upstreams only, where it says that the answer proves nothing about the upstream.

features/platform/path demanded that such an answer closes the caller's connection without a length. That is what loses the requests behind it; it now demands the length, and that 8 requests sent ahead each get their answer. New: a 24 MB answer whose gateway is killed is seen to be cut. Ruled out: to serve such callers one request at a time, which costs every caller that sends ahead.

--- a/features/gateway/memory.steps.ts
+++ b/features/gateway/memory.steps.ts
@@ -43,7 +43,7 @@
 }
 
 function createAnswer(status: number, bytes: number): CallerAnswer {
-  return { status, reason: 'X', headers: [], body: Buffer.alloc(bytes, 'a'), isUnframed: false };
+  return { status, reason: 'X', headers: [], body: Buffer.alloc(bytes, 'a') };
 }
 
 async function startListening(
--- a/features/gateway/pipelining.steps.ts
+++ b/features/gateway/pipelining.steps.ts
@@ -22,7 +22,7 @@
 
 function buildAnswer(text: string): CallerAnswer {
   return {
-    ...{ status: 200, reason: 'OK', headers: [], isUnframed: false },
+    ...{ status: 200, reason: 'OK', headers: [] },
     body: Buffer.from(`[${text}]`),
   };
 }
--- a/features/gateway/uploads.steps.ts
+++ b/features/gateway/uploads.steps.ts
@@ -32,7 +32,7 @@
 }
 
 function buildAnswer(status: number): CallerAnswer {
-  return { status, reason: 'X', headers: [], body: Buffer.from('text'), isUnframed: false };
+  return { status, reason: 'X', headers: [], body: Buffer.from('text') };
 }
 
 function createHost(world: UploadWorld): CallerHost {
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -376,10 +376,10 @@
   serve: () => undefined,
   isStopping: () => false,
   renderFault: ({ status, reason }) => {
-    return { status, reason: 'X', headers: [], body: Buffer.from(reason), isUnframed: false };
+    return { status, reason: 'X', headers: [], body: Buffer.from(reason) };
   },
   renderNoRoom: () => ({
-    ...{ status: 503, reason: 'X', headers: [], body: Buffer.from('no room'), isUnframed: false },
+    ...{ status: 503, reason: 'X', headers: [], body: Buffer.from('no room') },
   }),
   onClose: () => undefined,
 };
--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -16,7 +16,8 @@
     And an unsafe request to upstreams that "refuse" gets 503 and runs never
     And an unsafe request to upstreams that "fail" gets 500 and runs once
     And a safe request to upstreams that "cut" gets 502 and runs at most twice
-    And a response that ends by closing its connection is forwarded in the same way
+    And a response that ends by closing its connection is forwarded with its length
+    And 8 requests that are sent ahead on one connection to such upstreams each get their response
     And requests to upstreams that send an extra response each get their own response
 
   Scenario: The work for callers that leave ends
@@ -29,6 +30,11 @@
     When a caller requests a 24 MB response on its last request and reads nothing for 1500 ms
     Then it receives all 24 MB
 
+  Scenario: A response without a length that is cut by the end of its gateway
+    Given the platform's site serves two services
+    When a caller requests a 24 MB response that names no length, and its gateway is killed while it reads nothing
+    Then it sees that the response is cut
+
   Scenario: A draining upstream and an evacuated zone
     Given the platform's site serves two services
     When an upstream announces that it is draining
--- a/features/platform/site.ts
+++ b/features/platform/site.ts
@@ -6,6 +6,7 @@
 import { randomBytes } from 'node:crypto';
 import { mkdtemp, readdir, readFile, rm, writeFile } from 'node:fs/promises';
 import { createServer, request as sendRequest, type Server } from 'node:http';
+import type { Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -96,6 +97,9 @@
   | 'cut'
   | 'stray'
   | 'unframed'
+  | 'largeUnframed'
+  | 'resetUnframed'
+  | 'repeatRefusal'
   | 'large'
   | 'leave'
   | 'turnAway'
@@ -133,6 +137,8 @@
   readonly born = Date.now();
   #sequence = 0;
   #server: Server;
+  /** The requests whose refusals are due once more, by their connections. */
+  readonly #refused = new Map<Socket, string>();
 
   constructor(
     readonly id: string,
@@ -157,7 +163,9 @@
           response.end();
           return;
         }
-        if (this.behaviour === 'refuse') {
+        const isRefused =
+          this.behaviour === 'repeatRefusal' && !this.#repeatRefusal(request.socket, attempt);
+        if (this.behaviour === 'refuse' || isRefused) {
           response.writeHead(503, { 'X-Not-Executed': '1', 'X-Attempt-Id': attempt });
           response.end();
           return;
@@ -187,6 +195,7 @@
         const socket = request.socket;
         switch (this.behaviour) {
           case 'serve':
+          case 'repeatRefusal':
             response.writeHead(200, seal);
             response.end(`served by ${id}`);
             return;
@@ -242,6 +251,16 @@
           case 'unframed':
             socket.end(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\n\r\nhalf of an answ`);
             return;
+          case 'largeUnframed':
+            socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\n\r\n`);
+            socket.end(Buffer.alloc(LARGE_BYTES));
+            return;
+          case 'resetUnframed':
+            socket.write(
+              `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\nX-Server-Seal: seal-${attempt}\r\n\r\nhalf`,
+            );
+            socket.resetAndDestroy();
+            return;
           case 'stray':
             response.writeHead(200, seal);
             response.end(`served by ${id}`);
@@ -254,6 +273,18 @@
     });
   }
 
+  /** Writes the connection's last refusal once more, or returns false if there is none: the request is to be refused. */
+  #repeatRefusal(socket: Socket, attempt: string): boolean {
+    const refused = this.#refused.get(socket);
+    if (refused === undefined) this.#refused.set(socket, attempt);
+    else {
+      this.#refused.delete(socket);
+      const fields = `X-Attempt-Id: ${refused}\r\nX-Not-Executed: 1\r\nContent-Length: 0`;
+      socket.write(`HTTP/1.1 503 Full\r\n${fields}\r\n\r\n`);
+    }
+    return refused !== undefined;
+  }
+
   async start(): Promise<void> {
     const [host = '', port = ''] = this.address.split(':');
     await new Promise<void>((resolve) => this.#server.listen(Number(port), host, resolve));
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -38,7 +38,6 @@
     reason: reasonPhrases[status] ?? 'Error',
     headers: [...headers, ['Content-Type', 'application/json']],
     body: Buffer.from(JSON.stringify({ error })),
-    isUnframed: false,
   };
 }
 
@@ -64,8 +63,9 @@
 export function renderFinalAnswer(answer: FinalAnswer, idHeaders: HeaderList): CallerAnswer {
   switch (answer.kind) {
     case 'upstream': {
-      const { headers, ...rest } = answer.answer;
-      return { ...rest, headers: listForwardableHeaders(headers, DROPPED_RESPONSE_HEADERS) };
+      const { status, reason, headers, body } = answer.answer;
+      const forwarded = listForwardableHeaders(headers, DROPPED_RESPONSE_HEADERS);
+      return { status, reason, headers: forwarded, body };
     }
     case 'refused':
       return buildRefusal(answer.cause, answer.retryAfter, idHeaders);
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -1,6 +1,6 @@
 /**
  * One HTTP/1 connection of a caller, with pipelining. Invariant: each request that was read gets one answer,
- * in request order, and a non-idempotent request is not started before all earlier answers were written.
+ * in request order and with its length, and a non-idempotent request is not started before all earlier answers were written.
  */
 import type { Socket } from 'node:net';
 import {
@@ -42,8 +42,6 @@
   readonly reason: string;
   readonly headers: HeaderList;
   readonly body: Buffer;
-  /** Whether the body is delimited by closing the connection, as it was on the upstream's connection. */
-  readonly isUnframed: boolean;
 }
 
 /** A request that was read completely. */
@@ -471,10 +469,9 @@
   }
 
   #write(pipelined: PipelinedRequest, answer: CallerAnswer): void {
-    const { status, reason, headers, body, isUnframed } = answer;
-    const isClosing =
-      pipelined.isLast || isUnframed || (this.#host.isStopping() && isLastInStop(this.#pipeline));
-    const hasLength = !isUnframed && status !== 204 && status !== 304;
+    const { status, reason, headers, body } = answer;
+    const isClosing = pipelined.isLast || (this.#host.isStopping() && isLastInStop(this.#pipeline));
+    const hasLength = status !== 204 && status !== 304;
     const head = renderHead(`HTTP/1.1 ${status} ${reason}`, [
       ...headers,
       ...(hasLength ? [['Content-Length', String(body.length)] as const] : []),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -64,8 +64,8 @@
   readonly headers: readonly (readonly [string, string])[];
   readonly body: Buffer;
   /**
-   * Whether the end of the body is marked only by the end of the connection. A complete body can't
-   * be told apart from one that a crash of the upstream truncated.
+   * Whether the end of the body was marked only by an orderly end of the connection. The upstream may have ended right
+   * after it, so that it proves nothing about the upstream.
    */
   readonly isUnframed: boolean;
 }
