Soak: upstreams that repeat a refusal, or reset an answer without a length

The proxy of the soak passed a reset that the runtime reports as an end on as an orderly close; it resets its other side now. The faults have a generator of their own, so that the rows of soak.feature keep theirs.

--- a/features/soak/faults.ts
+++ b/features/soak/faults.ts
@@ -142,6 +142,32 @@
   })).sort((one, two) => one.at - two.at);
 }
 
+/** Bytes that are no answer, or part of one, which a connection carries before or behind an answer. */
+const STRAY_BEHAVIOURS: readonly Behaviour[] = ['repeatRefusal', 'repeatRefusal', 'resetUnframed'];
+/** Times for which upstreams of a run send such bytes, one after another or at once. */
+const STRAY_FAULTS = 4;
+
+/**
+ * Returns the faults of a seed in which upstreams send stray or incomplete answers. They have a generator of their own, so
+ * that they leave the other faults of the seed as they are.
+ */
+export function planStrayAnswers(
+  seed: number,
+  duration: number,
+  upstreams: number,
+): readonly PlannedFault[] {
+  const random = new RandomSource(-1 - seed);
+  return Array.from({ length: STRAY_FAULTS }, () => ({
+    at: random.below(duration),
+    fault: {
+      kind: 'misbehave',
+      upstream: random.below(upstreams),
+      ms: 200 + random.below(FAULT_TIME_RANGE),
+      how: STRAY_BEHAVIOURS[random.below(STRAY_BEHAVIOURS.length)] ?? 'repeatRefusal',
+    },
+  }));
+}
+
 const WAYS: readonly ReplacementWay[] = ['killed', 'killed', 'planned', 'planned', 'wiped'];
 /** Ranges in milliseconds of the random part of the time between two replacements; 100 ms are added to it. */
 const WAIT_RANGES = [1, 400, 1500, 7900] as const;
--- a/features/soak/proxy.ts
+++ b/features/soak/proxy.ts
@@ -1,5 +1,6 @@
 /** A TCP proxy on loopback that injects link faults: delay, reset, and loss in one or both directions. */
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { isOrderlyEnd } from '../../src/gateway/streamend.js';
 
 /** The fault that the proxy applies to its connections. */
 export type LinkFault =
@@ -76,8 +77,10 @@
     });
     from.on('end', () => {
       if (this.#silenced.has(from)) return;
+      const isOrderly = isOrderlyEnd(from);
       schedule(() => {
-        to.end();
+        if (isOrderly) to.end();
+        else to.resetAndDestroy();
       });
     });
     from.on('error', () => {
--- a/features/soak/soak.ts
+++ b/features/soak/soak.ts
@@ -16,6 +16,7 @@
   CATCH_UP_TIME,
   planFaults,
   planReplacements,
+  planStrayAnswers,
   type Fault,
   type PlannedFault,
   type Replacement,
@@ -183,6 +184,7 @@
     const faults = [
       ...planFaults(this.#seed, duration, ...sizes),
       ...(hasReplacements ? [planReplacements(this.#seed, duration, ...sizes)] : []),
+      ...(hasReplacements ? planStrayAnswers(this.#seed, duration, sizes[1]) : []),
     ];
     this.#callers.forEach((caller) => {
       caller.start();
