--- a/features/entry/failure.feature
+++ b/features/entry/failure.feature
@@ -53,3 +53,9 @@
     Given an entry whose only upstream "says not run, and once more for the next request"
     When the caller sends a "POST" request, then two at once
     Then each request got its own answer and ran once
+
+  @known-red
+  Scenario: An upstream writes an earlier answer once more while it runs the next request
+    Given an entry whose only upstream "answers, and once more for the next request"
+    When the caller sends a "POST" request, then two at once
+    Then no request got another one's answer
--- a/features/entry/failure.steps.ts
+++ b/features/entry/failure.steps.ts
@@ -63,6 +63,10 @@
     answer: 'HTTP/1.1 503 Busy\r\nx-chivewalk-not-run: 1\r\ncontent-length: 4\r\n\r\nshed',
     laterAnswer: `${OK}content-length: 3\r\n\r\nran`,
   },
+  'answers, and once more for the next request': {
+    answer: `${OK}content-length: 7\r\n\r\nearlier`,
+    laterAnswer: `${OK}content-length: 3\r\n\r\nran`,
+  },
   'fails with 500': { answer: 'HTTP/1.1 500 Broken\r\ncontent-length: 6\r\n\r\nbroken' },
   ...Object.fromEntries(
     ['000', '099', '600', '999'].map((status) => [
@@ -132,6 +136,14 @@
   assert.equal(this.rawUpstream?.requests.length, 4);
 });
 
+Then("no request got another one's answer", function (this: FailureWorld) {
+  const [first, ...others] = this.answers.map(({ status, body }) => ({ status, body }));
+  assert.deepEqual(first, { status: 200, body: 'earlier' });
+  others.forEach(({ status, body }) => {
+    assert.ok(body === 'ran' || status === 502, `got ${status} with the body "${body}"`);
+  });
+});
+
 Then(
   'the results at the caller and at the upstream match the snapshot',
   function (this: FailureWorld) {
