--- a/src/daemon/serving.ts
+++ b/src/daemon/serving.ts
@@ -128,7 +128,7 @@
     ],
     [
       'chivewalk_gateway_stray_responses_total',
-      'Responses of upstreams ignored, as they name another request.',
+      'Responses of upstreams that do not name the request that was sent last.',
       () => gateway.connections.strayResponses,
     ],
     [
--- a/src/gateway/caller.ts
+++ b/src/gateway/caller.ts
@@ -1,6 +1,6 @@
 /**
- * One HTTP/1 connection of a caller, with pipelining. Invariant: each request that was read gets one answer,
- * in request order and with its length, and a non-idempotent request is not started before all earlier answers were written.
+ * One HTTP/1 connection of a caller, with pipelining. Invariant: each request that was read gets one answer, in request
+ * order and with its length, and a non-idempotent request is not started before all earlier answers were written.
  */
 import type { Socket } from 'node:net';
 import {
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -82,7 +82,7 @@
 export interface ConnectionCounts {
   /** Connections opened. */
   opened: number;
-  /** Responses that were ignored, as they name another request than the one that was sent last. */
+  /** Responses that don't name the request that was sent last. */
   strayResponses: number;
   /** Responses whose connection was reported as ended although it was reset. */
   resetResponses: number;
