Tests of the gateway: one way to start a server and to read a request's id

features/gateway/memory started its servers as the new poolworld.ts does, and two step files read the id of a request by the same pattern.

--- a/features/gateway/memory.steps.ts
+++ b/features/gateway/memory.steps.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   BufferBudget,
@@ -13,7 +13,9 @@
 import { isCollectionDue } from '../../src/gateway/collector.js';
 import { ConnectionPool } from '../../src/gateway/pool.js';
 import type { AttemptOutcome } from '../../src/gateway/types.js';
+import { parseAddress } from '../../src/model/index.js';
 import { headerDialect } from '../../platform/headers.js';
+import { startServer } from './poolworld.js';
 import { waitFor } from '../control/group.js';
 
 /** Step timeout in milliseconds, long enough for a loaded CPU. */
@@ -50,14 +52,7 @@
   world: MemoryWorld,
   accept: (socket: Socket) => void,
 ): Promise<number> {
-  const server = createServer((socket) => {
-    world.sockets.push(socket);
-    socket.on('error', () => undefined);
-    accept(socket);
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  world.servers.push(server);
-  return (server.address() as AddressInfo).port;
+  return parseAddress(await startServer(world, accept)).port;
 }
 
 function createHost(world: MemoryWorld): CallerHost {
--- a/features/gateway/poolworld.ts
+++ b/features/gateway/poolworld.ts
@@ -34,9 +34,14 @@
   world.servers?.forEach((server) => server.close());
 }
 
+/** Returns the id that the head of a request names. */
+export function readRequestId(chunk: Buffer): string {
+  return new RegExp(`${ID_HEADER}: (\\S+)`, 'i').exec(chunk.toString('latin1'))?.[1] ?? '';
+}
+
 /** Starts a server and returns its address. */
 export async function startServer(
-  world: PoolWorld,
+  world: Pick<PoolWorld, 'servers' | 'sockets'>,
   accept: (socket: Socket) => void,
 ): Promise<string> {
   const server = createServer((socket) => {
--- a/features/gateway/unframed.steps.ts
+++ b/features/gateway/unframed.steps.ts
@@ -8,6 +8,7 @@
   closePool,
   ID_HEADER,
   openPool,
+  readRequestId,
   sendInTurn,
   startServer,
   type PoolWorld,
@@ -37,9 +38,8 @@
     let number = 0;
     this.address = await startServer(this, (socket) => {
       socket.once('data', (chunk) => {
-        const head = chunk.toString('latin1');
         number += 1;
-        this.answer(socket, new RegExp(`${ID_HEADER}: (\\S+)`, 'i').exec(head)?.[1] ?? '', number);
+        this.answer(socket, readRequestId(chunk), number);
       });
     });
   },
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -8,6 +8,7 @@
   closePool,
   ID_HEADER,
   openPool,
+  readRequestId,
   sendInTurn,
   sendRequest,
   startServer,
@@ -42,9 +43,8 @@
   let number = 0;
   return startServer(world, (socket) => {
     socket.on('data', (chunk) => {
-      const id = new RegExp(`${ID_HEADER}: (\\S+)`, 'i').exec(chunk.toString('latin1'))?.[1] ?? '';
       number += 1;
-      answer(socket, id, number);
+      answer(socket, readRequestId(chunk), number);
     });
   });
 }
